--- /dev/null
+++ b/crates/cli/src/cmd/demo.rs
@@ -0,0 +1,15 @@
+//! `pimentoslip demo`
+
+use crate::{CliResult, demo, util};
+use clap::{ArgMatches, Command};
+
+/// Adds no flags.
+pub fn usage(command: Command) -> Command {
+    command
+}
+
+/// Runs the whole path in this process and says what happened.
+pub fn run(_args: &ArgMatches) -> CliResult<()> {
+    pimentoslip_daemon::silence_logs();
+    util::block_on(demo::run())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/key.rs
@@ -0,0 +1,90 @@
+//! `pimentoslip key create|withdraw|list`
+
+use super::apply::print_change;
+use crate::{CliError, CliResult, admin_client::AdminClient, config::Config, util};
+use clap::{Arg, ArgMatches, Command};
+use pimentoslip_kernel::KeySecret;
+use pimentoslip_wire::admin::{ChangeAnswer, KeyCreateAnswer, KeyListAnswer, KeyRequest};
+
+/// Adds the flags.
+pub fn usage(command: Command) -> Command {
+    let organisation = || Arg::new("organisation").required(true).help("Organisation");
+    let create = Command::new("create").about("Create a key and print it once").arg(organisation());
+    let withdraw = Command::new("withdraw")
+        .about("Withdraw a key at once")
+        .arg(organisation())
+        .arg(Arg::new("key").required(true).help("Id of the key"));
+    let list = Command::new("list").about("List keys without their secrets");
+    command
+        .subcommand_required(true)
+        .subcommand(Config::flags(create))
+        .subcommand(Config::flags(withdraw))
+        .subcommand(Config::flags(list))
+}
+
+/// Runs one of the three.
+pub fn run(args: &ArgMatches) -> CliResult<()> {
+    let Some((name, args)) = args.subcommand() else {
+        return Err(CliError::Failed("name one of create, withdraw and list".to_owned()));
+    };
+    let config = Config::from_args(args);
+    let json = args.get_flag("json");
+    util::block_on(async move {
+        let client = config.open();
+        match name {
+            "create" => create(&client, &util::text(args, "organisation"), json).await,
+            "withdraw" => withdraw(&client, &util::text(args, "organisation"), &util::text(args, "key"), json).await,
+            _ => list(&client, json).await,
+        }
+    })
+}
+
+async fn create(client: &AdminClient, organisation: &str, json: bool) -> CliResult<()> {
+    let secret = KeySecret::draw(&mut rand::rng());
+    let request = KeyRequest {
+        change: util::change_id(),
+        organisation: organisation.into(),
+        key: secret.id.clone(),
+        hash: Some(secret.hash()),
+    };
+    let answer: ChangeAnswer = client.post("keys/create", &request).await?;
+    let created = KeyCreateAnswer {
+        organisation: organisation.into(),
+        key: secret.expose().to_owned(),
+        revision: answer.revision,
+    };
+    if json {
+        return util::print_json(&created);
+    }
+    println!("{}", created.key);
+    eprintln!("key {} of {} holds from revision {}; it is not shown again", secret.id, organisation, answer.revision);
+    Ok(())
+}
+
+async fn withdraw(client: &AdminClient, organisation: &str, key: &str, json: bool) -> CliResult<()> {
+    let request =
+        KeyRequest { change: util::change_id(), organisation: organisation.into(), key: key.into(), hash: None };
+    let answer: ChangeAnswer = client.post("keys/withdraw", &request).await?;
+    if json {
+        return util::print_json(&answer);
+    }
+    print_change(&answer);
+    Ok(())
+}
+
+async fn list(client: &AdminClient, json: bool) -> CliResult<()> {
+    let answer: KeyListAnswer = client.get("keys").await?;
+    if json {
+        return util::print_json(&answer);
+    }
+    let rows: Vec<Vec<String>> = answer
+        .keys
+        .iter()
+        .map(|key| {
+            let state = if key.withdrawn { "withdrawn" } else { "holds" };
+            vec![key.organisation.to_string(), key.key.to_string(), state.to_owned()]
+        })
+        .collect();
+    util::print_table(&["organisation", "key", "state"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/show.rs
@@ -0,0 +1,26 @@
+//! `pimentoslip show`
+
+use crate::{CliResult, config::Config, util};
+use clap::{ArgMatches, Command};
+use pimentoslip_wire::admin::ShowAnswer;
+
+/// Adds the flags.
+pub fn usage(command: Command) -> Command {
+    Config::flags(command)
+}
+
+/// Shows the configuration in force in one daemon.
+pub fn run(args: &ArgMatches) -> CliResult<()> {
+    let answer: ShowAnswer = util::block_on(async { Config::from_args(args).open().get("config").await })?;
+    if args.get_flag("json") {
+        return util::print_json(&answer);
+    }
+    let age = answer.age_ms.map_or_else(|| "unknown".to_owned(), |age| format!("{age} ms"));
+    println!("daemon {}, revision {}, confirmed {age} ago", answer.daemon, answer.revision);
+    let rows = answer.records.iter().map(|body| {
+        let content = serde_json::to_string(&body.record)?;
+        Ok(vec![body.name.path(), body.revision.to_string(), content])
+    });
+    util::print_table(&["record", "revision", "content"], &rows.collect::<CliResult<Vec<_>>>()?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/usage.rs
@@ -0,0 +1,35 @@
+//! `pimentoslip usage`
+
+use crate::{CliResult, config::Config, util};
+use clap::{ArgMatches, Command};
+use pimentoslip_wire::provider::UsageReport;
+
+/// Adds the flags.
+pub fn usage(command: Command) -> Command {
+    Config::flags(command)
+}
+
+/// Shows sealed usage windows.
+pub fn run(args: &ArgMatches) -> CliResult<()> {
+    let reports: Vec<UsageReport> = util::block_on(async { Config::from_args(args).open().get("usage").await })?;
+    if args.get_flag("json") {
+        return util::print_json(&reports);
+    }
+    let rows: Vec<Vec<String>> = reports
+        .iter()
+        .flat_map(|report| {
+            report.lines.iter().map(|line| {
+                let (organisation, service) = (line.organisation.to_string(), line.service.to_string());
+                vec![
+                    report.window.to_string(),
+                    organisation,
+                    service,
+                    line.requests.to_string(),
+                    line.tokens.to_string(),
+                ]
+            })
+        })
+        .collect();
+    util::print_table(&["window", "organisation", "service", "requests", "tokens"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,10 @@
+//! The operators' command line.
+
+mod admin_client;
+mod cli_error;
+pub mod cmd;
+mod config;
+mod demo;
+mod util;
+
+pub use cli_error::{CliError, CliResult};
--- /dev/null
+++ b/crates/cli/tests/processes/demo.rs
@@ -0,0 +1,11 @@
+//! `pimentoslip demo`
+
+use super::support::cli;
+
+#[test]
+fn demo_holds_all_its_checks() {
+    let output = cli(&["demo"]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    assert!(text.contains(" 0 failed."), "{text}");
+}
--- /dev/null
+++ b/crates/cli/tests/processes/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the real binaries.
+
+mod support;
+
+mod check;
+mod demo;
+mod path;
--- /dev/null
+++ b/crates/cli/tests/processes/path.rs
@@ -0,0 +1,150 @@
+//! The whole path through separate processes.
+
+use super::support::{OPERATOR_KEY, Site, SiteShape, cli, wait_for};
+use pimentoslip_kernel::FetchCursor;
+use pimentoslip_standin::{OrderLog, SpareUpstream, UsageLog};
+use pimentoslip_wire::caller::{FetchAnswer, FetchRequest, OpenRequest, PublishRequest};
+use std::collections::BTreeSet;
+
+/// One service whose upstreams are ordered, so that the ordering duty has work.
+const ORDERED_SERVICE: &str = "
+[services.cards]
+kind = \"engine\"
+upstreams_per_domain = 1
+standing_per_domain = 1
+standing_cents_per_hour = 100
+";
+
+#[actix_rt::test]
+async fn every_kind_of_call_passes_through_separate_processes() {
+    let shape = SiteShape::default();
+    let base = shape.base.clone() + ORDERED_SERVICE;
+    let site = Site::start(SiteShape { base, ..shape }).await;
+    let key = site.create_key(0, 1).await;
+
+    let body =
+        serde_json::json!({ "model": "drafts", "stream": true, "messages": [{ "role": "user", "content": "card" }] });
+    let stream = site.call(0, "POST", "/v1/chat/completions", &key, &[], &body).await;
+    assert_eq!(stream.status, 200, "{stream:?}");
+    assert!(stream.body.ends_with("data: [DONE]\n\n"), "{stream:?}");
+
+    let request_id = stream.header("x-request-id");
+    assert!(site.daemons[0].process.log().contains(&format!("request_id={request_id}")), "the daemon logs the id");
+    let seen: Vec<_> = [site.engine_seen(0).await, site.engine_seen(1).await].concat();
+    assert!(
+        seen.iter().any(|request| request.header("x-request-id").starts_with(&request_id)),
+        "the engine sees the id"
+    );
+    assert!(!format!("{seen:?}").contains(key.expose()), "the engine does not see the key");
+
+    let order = serde_json::json!({ "trays": 3 });
+    let header = [("idempotency-key", "order-1")];
+    let first = site.call(0, "POST", "/services/desk/orders?window=am", &key, &header, &order).await;
+    let second = site.call(1, "POST", "/services/desk/orders?window=am", &key, &header, &order).await;
+    assert_eq!((first.status, second.status), (200, 200), "{first:?} {second:?}");
+    assert_eq!(first.body, second.body);
+    assert_eq!(second.header("x-replayed"), "true");
+    assert_eq!(site.desk_runs().await.len(), 1);
+
+    let open = site.http.send("GET", &format!("http://{}/services/desk/menu", site.daemons[2].public), &[], &()).await;
+    assert_eq!(open.status, 200, "{open:?}");
+
+    step_is_fetched_to_its_end(&site, &key).await;
+    usage_window_is_reported(&site).await;
+    upstream_is_ordered(&site).await;
+    assert!(!site.logs().contains(key.expose()), "no key in any log");
+    command_line_shows_the_site(&site);
+}
+
+async fn step_is_fetched_to_its_end(site: &Site, key: &pimentoslip_kernel::KeySecret) {
+    let publish = PublishRequest { service: "drafts".into(), version: 2 };
+    let published = site.call(2, "POST", "/v1/weights", key, &[], &publish).await;
+    assert_eq!(published.status, 200, "{published:?}");
+    let prompts = (0..6).map(|group| format!("menu {group}").into()).collect();
+    let open = OpenRequest {
+        trainer: "menus".into(),
+        step: 7,
+        service: "drafts".into(),
+        prompts,
+        group_size: 4,
+        max_tokens: 64,
+    };
+    let opened = site.call(1, "POST", "/v1/steps", key, &[], &open).await;
+    assert_eq!(opened.status, 200, "{opened:?}");
+    let mut cursor = FetchCursor::default();
+    let mut versions = BTreeSet::new();
+    let mut turn = 0;
+    loop {
+        turn += 1;
+        let fetch = FetchRequest {
+            trainer: "menus".into(),
+            step: 7,
+            cursor: cursor.clone(),
+            published: 2,
+            max: 5,
+            wait_ms: 2_000,
+        };
+        let answer = site.call(turn % 3, "POST", "/v1/steps/fetch", key, &[], &fetch).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let answer: FetchAnswer = answer.json();
+        for sample in &answer.samples {
+            assert!(!cursor.contains(sample.sample), "sample {} came twice", sample.sample);
+            assert_eq!(sample.segments[0].start, 0);
+            cursor.insert(sample.sample);
+            versions.extend(sample.segments.iter().map(|segment| segment.version));
+        }
+        if answer.complete {
+            break;
+        }
+    }
+    assert_eq!(cursor.len(), 24);
+    assert!(versions.iter().all(|version| [1, 2].contains(version)), "{versions:?}");
+}
+
+async fn usage_window_is_reported(site: &Site) {
+    let reports = wait_for("usage of the organisation is reported", || async {
+        let log: Vec<UsageLog> = site.http.get(&format!("http://{}/standin/reports", site.usage)).await?;
+        log.iter().any(|entry| entry.body.contains("velorio")).then_some(log)
+    });
+    for report in reports.await {
+        report.report().expect("a report");
+    }
+}
+
+async fn upstream_is_ordered(site: &Site) {
+    let spare = SpareUpstream {
+        name: "cards-1".into(),
+        service: "cards".into(),
+        failure_domain: "b".into(),
+        address: site.engines[1].1.clone().into(),
+        reclaimable: false,
+    };
+    site.http.put(&format!("http://{}/standin/spares", site.orders), &spare).await;
+    let order = wait_for("the upstream is started by an order", || async {
+        let log: Vec<OrderLog> = site.http.get(&format!("http://{}/standin/orders", site.orders)).await?;
+        log.into_iter().find(|entry| entry.vm.as_deref() == Some("cards-1"))
+    });
+    assert!(order.await.request.fencing > 0);
+    wait_for("the started upstream is routed to", || async {
+        let status = site.status(0).await?;
+        status.upstreams.iter().any(|upstream| &*upstream.name == "cards-1").then_some(())
+    })
+    .await;
+}
+
+fn command_line_shows_the_site(site: &Site) {
+    let daemon = site.daemons[1].control.as_str();
+    for command in ["show", "status", "usage"] {
+        for json in [false, true] {
+            let mut args = vec![command, "--daemon", daemon, "--operator-key", OPERATOR_KEY];
+            args.extend(json.then_some("--json"));
+            let output = cli(&args);
+            assert!(output.status.success(), "{command}: {}", String::from_utf8_lossy(&output.stderr));
+            assert!(!output.stdout.is_empty());
+        }
+    }
+    let refused = cli(&["status", "--daemon", daemon, "--operator-key", "wrong-operator-key"]);
+    assert_eq!(refused.status.code(), Some(1));
+    let nobody = cli(&["status", "--daemon", "127.0.0.1:1", "--operator-key", OPERATOR_KEY]);
+    assert_eq!(nobody.status.code(), Some(3));
+}
--- /dev/null
+++ b/crates/daemon/src/http/admin_api.rs
@@ -0,0 +1,189 @@
+//! The administration API.
+
+use super::WorkerState;
+use crate::{
+    config_writer::{ConfigWriter, WriteError},
+    log_line::LogLine,
+    step::StepListMessage,
+    task::push_records,
+};
+use actix_web::{HttpResponse, web};
+use pimentoslip_kernel::{ConfigRecord, MemberState, RecordEntry, RecordName, SharedName, UpstreamState};
+use pimentoslip_platform::KeyValueClient;
+use pimentoslip_wire::admin::{
+    ApplyRequest, ChangeAnswer, DaemonStatus, DutyStatus, RecordBody, ShowAnswer, StatusAnswer, UpstreamStatus,
+};
+use std::sync::{PoisonError, atomic::Ordering};
+
+/// Turns a failed change into an answer.
+pub fn failed(error: &WriteError) -> HttpResponse {
+    let body = serde_json::json!({ "error": error.to_string() });
+    match error {
+        WriteError::Unconfirmed(_) => HttpResponse::ServiceUnavailable().json(body),
+        WriteError::Contended(_) | WriteError::Rejected(_) => HttpResponse::Conflict().json(body),
+        WriteError::Malformed(_) => HttpResponse::InternalServerError().json(body),
+    }
+}
+
+/// Applies written records here, tells the peers, and answers once they had time to confirm.
+pub async fn accept(worker: &WorkerState, entries: Vec<RecordEntry>) -> ChangeAnswer {
+    worker.shared.apply(entries.clone(), 0);
+    let changed = entries.len();
+    let revision = entries.iter().map(|entry| entry.revision).max();
+    let revision = revision.unwrap_or_else(|| worker.shared.config().newest());
+    let (confirmed, unconfirmed) = push_records(&worker.shared, &worker.peers, entries).await;
+    LogLine::new("change_accepted").field("revision", revision).field("unconfirmed", unconfirmed.len()).info();
+    ChangeAnswer { revision, changed, confirmed, unconfirmed }
+}
+
+/// Handles `POST /apply`.
+pub async fn apply(worker: web::Data<WorkerState>, request: web::Json<ApplyRequest>) -> HttpResponse {
+    let request = request.into_inner();
+    match write_all(&worker, request).await {
+        Ok(entries) => HttpResponse::Ok().json(accept(&worker, entries).await),
+        Err(error) => failed(&error),
+    }
+}
+
+async fn write_all(worker: &WorkerState, request: ApplyRequest) -> Result<Vec<RecordEntry>, WriteError> {
+    let writer = ConfigWriter::new(&worker.kv, &worker.shared);
+    let mut wanted: Vec<(RecordName, ConfigRecord)> =
+        request.records.into_iter().map(|body| (body.name, body.record)).collect();
+    for name in removed_names(worker, &wanted).await? {
+        wanted.push((name, ConfigRecord::Removed));
+    }
+    let mut entries = Vec::new();
+    for (name, record) in wanted {
+        let edit = |stored: Option<&ConfigRecord>| Ok((stored != Some(&record)).then(|| record.clone()));
+        entries.extend(writer.update(&name, &request.change, edit).await?);
+    }
+    Ok(entries)
+}
+
+/// Stored services and organisations that are not wanted any more.
+async fn removed_names(
+    worker: &WorkerState,
+    wanted: &[(RecordName, ConfigRecord)],
+) -> Result<Vec<RecordName>, WriteError> {
+    let prefix = crate::config_writer::config_prefix(&worker.shared.settings.site);
+    let stored = worker.kv.range(&prefix, 0).await?;
+    let names = stored.kvs.iter().filter_map(|entry| {
+        let name = RecordName::parse(std::str::from_utf8(&entry.key).ok()?.strip_prefix(&prefix)?)?;
+        let owned = matches!(name, RecordName::Service(_) | RecordName::Organisation(_));
+        (owned && !wanted.iter().any(|(kept, _)| *kept == name)).then_some(name)
+    });
+    Ok(names.collect())
+}
+
+/// Handles `GET /config`.
+pub async fn config(worker: web::Data<WorkerState>) -> HttpResponse {
+    let shared = &worker.shared;
+    let now = shared.now();
+    let age_ms = shared.freshness().age_ms(now);
+    let view = shared.config();
+    let records = view
+        .iter()
+        .filter(|entry| !matches!(entry.name, RecordName::Keys(_)))
+        .map(|entry| RecordBody { name: entry.name.clone(), revision: entry.revision, record: (*entry.record).clone() })
+        .collect();
+    HttpResponse::Ok().json(ShowAnswer {
+        daemon: shared.settings.name.clone(),
+        revision: view.newest(),
+        age_ms,
+        records,
+    })
+}
+
+/// Handles `POST /drain`: the daemon leaves as if told by its supervisor.
+pub async fn drain(worker: web::Data<WorkerState>) -> HttpResponse {
+    worker.shared.drain_asked.notify_one();
+    HttpResponse::Accepted().json(serde_json::json!({ "draining": &worker.shared.settings.name }))
+}
+
+/// Handles `GET /usage`: sealed windows, newest last.
+pub async fn usage(worker: web::Data<WorkerState>) -> HttpResponse {
+    match crate::task::sealed_reports(&worker.kv, &worker.shared.settings.site).await {
+        Ok(reports) => HttpResponse::Ok().json(reports),
+        Err(error) => failed(&error.into()),
+    }
+}
+
+/// Handles `GET /status`.
+pub async fn status(worker: web::Data<WorkerState>) -> HttpResponse {
+    let steps = worker.step_actor.send(StepListMessage).await.unwrap_or_default();
+    let shared = &worker.shared;
+    let fresh = shared.fresh();
+    let config = shared.config();
+    let site = config.site();
+    let published = config.service_names().into_iter().map(|name| (name.clone(), config.published(&name))).collect();
+    let upstreams = upstreams(&worker);
+    let answer = StatusAnswer {
+        daemon: shared.settings.name.clone(),
+        revision: config.newest(),
+        fresh,
+        draining: shared.draining.load(Ordering::SeqCst),
+        daemons: daemons(&worker),
+        duties: duties(&worker),
+        spend_cents_per_hour: spend(&config, &upstreams),
+        upstreams,
+        steps,
+        staleness_bound: site.map_or(0, |site| site.staleness_bound),
+        published,
+        floor_cents_per_hour: site.map_or(0, |site| site.spend_floor_cents_per_hour),
+        ceiling_cents_per_hour: site.map_or(0, |site| site.spend_ceiling_cents_per_hour),
+    };
+    HttpResponse::Ok().json(answer)
+}
+
+fn daemons(worker: &WorkerState) -> Vec<DaemonStatus> {
+    let me = worker.shared.me();
+    let state = |state: MemberState| format!("{state:?}").to_lowercase();
+    let own = DaemonStatus {
+        name: me.name,
+        failure_domain: me.failure_domain,
+        state: state(me.state),
+        incarnation: me.incarnation,
+    };
+    let members = worker.shared.members();
+    let others = members.iter().map(|member| DaemonStatus {
+        name: member.name.clone(),
+        failure_domain: member.failure_domain.clone(),
+        state: state(member.state),
+        incarnation: member.incarnation,
+    });
+    std::iter::once(own).chain(others).collect()
+}
+
+fn duties(worker: &WorkerState) -> Vec<DutyStatus> {
+    let duties = worker.shared.duties.lock().unwrap_or_else(PoisonError::into_inner);
+    let status = |(duty, (state, fencing)): (&SharedName, &(&'static str, Option<u64>))| DutyStatus {
+        duty: duty.clone(),
+        state: (*state).to_owned(),
+        fencing: *fencing,
+    };
+    duties.iter().map(status).collect()
+}
+
+fn upstreams(worker: &WorkerState) -> Vec<UpstreamStatus> {
+    let routes = worker.shared.routes();
+    let status = routes.iter().map(|entry| UpstreamStatus {
+        name: entry.name.clone(),
+        service: entry.service.clone(),
+        failure_domain: entry.failure_domain.clone(),
+        state: if entry.state == UpstreamState::Live { "live" } else { "leaving" }.to_owned(),
+        reclaimable: entry.reclaimable,
+        inflight: entry.inflight(),
+        version: entry.version,
+    });
+    status.collect()
+}
+
+fn spend(config: &pimentoslip_kernel::ConfigView, upstreams: &[UpstreamStatus]) -> u64 {
+    let rate = |upstream: &UpstreamStatus| {
+        config.service(&upstream.service).map_or(0, |service| match upstream.reclaimable {
+            true => service.reclaimable_cents_per_hour,
+            false => service.standing_cents_per_hour,
+        })
+    };
+    upstreams.iter().map(rate).sum()
+}
--- /dev/null
+++ b/crates/daemon/src/http/caller_auth.rs
@@ -0,0 +1,133 @@
+//! Who calls, and what of the call may go on to an upstream.
+
+use crate::{
+    api_error::{ApiError, Result},
+    request_id::RequestId,
+    shared_state::SharedState,
+};
+use actix_web::{
+    HttpRequest,
+    http::header::{AUTHORIZATION, HeaderMap},
+};
+use pimentoslip_kernel::{KeySecret, RefusalReason, SharedName, TimePoint};
+use pimentoslip_wire::{IDEMPOTENCY_KEY_HEADER, TIMEOUT_HEADER};
+
+const BEARER: &str = "Bearer ";
+const IDEMPOTENCY_KEY_CHARS_MAX: usize = 200;
+const OPEN_ORGANISATION: &str = "open";
+
+/// An admitted caller.
+#[derive(Clone, Debug)]
+pub struct CallerIdentity {
+    /// Organisation whose key came with the request.
+    pub organisation: SharedName,
+    /// Id of the key; empty on open routes.
+    pub key: SharedName,
+    /// Its weight.
+    pub weight: u64,
+}
+
+impl CallerIdentity {
+    /// The caller of an open route.
+    #[must_use]
+    pub fn open() -> Self {
+        Self { organisation: OPEN_ORGANISATION.into(), key: "".into(), weight: 1 }
+    }
+}
+
+/// Finds out who calls. The key must be fresh, not withdrawn, and granted `service`.
+pub fn authenticate(
+    shared: &SharedState,
+    request: &HttpRequest,
+    service: &str,
+    id: &RequestId,
+) -> Result<CallerIdentity> {
+    let refuse = |reason| ApiError::not_run(reason, id);
+    let secret = presented(request.headers()).map_err(refuse)?;
+    if !shared.fresh() {
+        return Err(refuse(RefusalReason::ConfigStale));
+    }
+    let config = shared.config();
+    let organisation = config.authenticate(&secret).ok_or_else(|| refuse(RefusalReason::KeyUnknown))?;
+    let settings = config.organisation(&organisation).ok_or_else(|| refuse(RefusalReason::KeyUnknown))?;
+    if !settings.services.iter().any(|granted| &**granted == service) {
+        return Err(refuse(RefusalReason::ServiceForbidden));
+    }
+    Ok(CallerIdentity { weight: settings.weight, key: secret.id.clone(), organisation })
+}
+
+fn presented(headers: &HeaderMap) -> std::result::Result<KeySecret, RefusalReason> {
+    let mut values = headers.get_all(AUTHORIZATION);
+    let value = values.next().ok_or(RefusalReason::KeyMissing)?;
+    if values.next().is_some() {
+        return Err(RefusalReason::KeyAmbiguous);
+    }
+    let token = value.to_str().ok().and_then(|text| text.strip_prefix(BEARER)).ok_or(RefusalReason::KeyMissing)?;
+    KeySecret::parse(token.trim()).ok_or(RefusalReason::KeyUnknown)
+}
+
+/// Refuses a request that carries a key of this site where an upstream would see it. Looks at the
+/// path, query and body as sent, percent-decoded, and with JSON escapes resolved.
+pub fn check_misplaced(shared: &SharedState, uri: &str, body: &[u8], id: &RequestId) -> Result<()> {
+    let decoded: Vec<u8> = form_urlencoded::parse(uri.as_bytes())
+        .flat_map(|(name, value)| [name.into_owned().into_bytes(), value.into_owned().into_bytes()])
+        .flatten()
+        .collect();
+    let escaped = memchr::memchr(b'\\', body).is_some();
+    let unescaped = if escaped { unescape(body) } else { Vec::new() };
+    let config = shared.config();
+    let misplaced = [uri.as_bytes(), &decoded, body, &unescaped]
+        .into_iter()
+        .flat_map(KeySecret::find_ids)
+        .any(|key| config.key_known(&key));
+    if misplaced {
+        return Err(ApiError::not_run(RefusalReason::KeyMisplaced, id));
+    }
+    Ok(())
+}
+
+/// All strings of a JSON body with their escapes resolved; empty when it is no JSON.
+fn unescape(body: &[u8]) -> Vec<u8> {
+    let Ok(value) = serde_json::from_slice::<serde_json::Value>(body) else { return Vec::new() };
+    let mut strings = Vec::new();
+    collect_strings(&value, &mut strings);
+    strings
+}
+
+fn collect_strings(value: &serde_json::Value, strings: &mut Vec<u8>) {
+    match value {
+        serde_json::Value::String(text) => {
+            strings.extend_from_slice(text.as_bytes());
+            strings.push(b'\n');
+        }
+        serde_json::Value::Array(items) => items.iter().for_each(|item| collect_strings(item, strings)),
+        serde_json::Value::Object(fields) => {
+            for (name, field) in fields {
+                strings.extend_from_slice(name.as_bytes());
+                strings.push(b'\n');
+                collect_strings(field, strings);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// The caller's idempotency key, if it sent one.
+pub fn idempotency_key(headers: &HeaderMap, id: &RequestId) -> Result<Option<SharedName>> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY_HEADER);
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().unwrap_or("");
+    let valid =
+        !text.is_empty() && text.len() <= IDEMPOTENCY_KEY_CHARS_MAX && text.chars().all(|c| c.is_ascii_graphic());
+    if !valid || values.next().is_some() || !KeySecret::find_ids(text.as_bytes()).is_empty() {
+        return Err(ApiError::not_run(RefusalReason::IdempotencyKeyInvalid, id));
+    }
+    Ok(Some(text.into()))
+}
+
+/// When the caller stops waiting: its own time, at most the service's.
+#[must_use]
+pub fn deadline(headers: &HeaderMap, timeout_ms: u64, now: TimePoint) -> TimePoint {
+    let asked = headers.get(TIMEOUT_HEADER).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    now.plus_ms(asked.map_or(timeout_ms, |asked| asked.min(timeout_ms)))
+}
--- /dev/null
+++ b/crates/daemon/src/http/request_body.rs
@@ -0,0 +1,24 @@
+//! Reads request bodies within bounds of size and time.
+
+use crate::{
+    api_error::{ApiError, Result},
+    request_id::RequestId,
+    shared_state::SharedState,
+};
+use actix_web::web::{Bytes, Payload};
+use pimentoslip_kernel::RefusalReason;
+use std::time::Duration;
+
+/// A caller that needs longer to send its body is refused.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Reads the whole body.
+pub async fn read_body(shared: &SharedState, payload: Payload, id: &RequestId) -> Result<Bytes> {
+    let refuse = |reason| ApiError::not_run(reason, id);
+    let read = payload.to_bytes_limited(shared.settings.body_bytes_max);
+    match actix_rt::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(Ok(body))) => Ok(body),
+        Ok(Ok(Err(_))) | Err(_) => Err(refuse(RefusalReason::BodyMalformed)),
+        Ok(Err(_)) => Err(refuse(RefusalReason::BodyTooLarge)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/worker_state.rs
@@ -0,0 +1,85 @@
+//! What one serving thread holds.
+
+use crate::{
+    api_error::Result,
+    claim::{ClaimActor, ClaimGate},
+    log_line::LogLine,
+    peer_client::PeerClient,
+    request_id::RequestId,
+    shared_state::SharedState,
+    step::{StepActor, StepGate},
+};
+use actix::Addr;
+use actix_web::HttpResponse;
+use awc::Client;
+use pimentoslip_kernel::{RefusalReason, TimePoint};
+use pimentoslip_platform::{EtcdClient, plain_client};
+use std::sync::{Arc, atomic::Ordering};
+
+/// Clients belong to their thread; the rest is shared.
+pub struct WorkerState {
+    /// State of the daemon.
+    pub shared: Arc<SharedState>,
+    /// Client for upstreams.
+    pub client: Client,
+    /// Client for peers.
+    pub peers: PeerClient,
+    /// Client for the key-value service.
+    pub kv: EtcdClient,
+    /// Way to claims.
+    pub claims: ClaimGate,
+    /// This daemon's own claims.
+    pub claim_actor: Addr<ClaimActor<EtcdClient>>,
+    /// Way to steps.
+    pub steps: StepGate,
+    /// This daemon's own steps.
+    pub step_actor: Addr<StepActor>,
+}
+
+impl WorkerState {
+    /// Creates the clients of a thread.
+    #[must_use]
+    pub fn new(
+        shared: Arc<SharedState>,
+        claim_actor: Addr<ClaimActor<EtcdClient>>,
+        step_actor: Addr<StepActor>,
+    ) -> Self {
+        let peers = PeerClient::new(shared.settings.cluster_secret.clone());
+        Self {
+            client: plain_client(),
+            kv: EtcdClient::new(shared.settings.kv.clone(), shared.kv_calls.clone()),
+            claims: ClaimGate::new(shared.clone(), claim_actor.clone(), peers.clone()),
+            steps: StepGate::new(shared.clone(), step_actor.clone(), peers.clone()),
+            claim_actor,
+            step_actor,
+            peers,
+            shared,
+        }
+    }
+
+    /// Refuses new work once the balancer had time to notice that this daemon leaves.
+    pub fn check_draining(&self, id: &RequestId) -> Result<()> {
+        if self.shared.closed.load(Ordering::SeqCst) {
+            return Err(crate::api_error::ApiError::not_run(RefusalReason::Draining, id));
+        }
+        Ok(())
+    }
+
+    /// Counts and logs the outcome of a caller's request.
+    pub fn finish(&self, id: &RequestId, began: TimePoint, outcome: Result<HttpResponse>) -> Result<HttpResponse> {
+        let took_ms = self.shared.now().since_ms(began);
+        let line = LogLine::new("request").field("request_id", &**id).field("ms", took_ms);
+        self.shared.metrics.latency.observe(took_ms as f64 / 1_000.0);
+        match &outcome {
+            Ok(answer) => line.field("status", answer.status().as_u16()).info(),
+            Err(error) => {
+                self.shared.metrics.refused(error.reason);
+                line.field("status", error.reason.status())
+                    .field("reason", error.reason.code())
+                    .field("run_state", error.run_state.as_str())
+                    .info();
+            }
+        }
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,21 @@
+//! The daemon: one on each entry VM, all alike.
+
+mod admission_gate;
+mod api_error;
+mod claim;
+mod config_writer;
+mod daemon_settings;
+mod http;
+mod log_line;
+mod metric_set;
+mod peer_client;
+mod request_id;
+mod running_daemon;
+mod shared_state;
+mod step;
+mod task;
+mod upstream;
+
+pub use daemon_settings::{DaemonSettings, SettingFault, command};
+pub use log_line::{LogLine, init_logs, silence_logs};
+pub use running_daemon::{Result, RunningDaemon, start};
--- /dev/null
+++ b/crates/daemon/src/metric_set.rs
@@ -0,0 +1,142 @@
+//! Metrics of a daemon.
+
+use pimentoslip_kernel::{RefusalReason, RetryReason, SharedName};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use std::{fmt, sync::Mutex, sync::PoisonError};
+
+const LATENCY_BUCKETS_SECONDS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0];
+
+/// Labels a counter by its reason.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Code from the documented list.
+    pub reason: &'static str,
+}
+
+/// Labels a counter by service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// Service.
+    pub service: String,
+}
+
+/// All counters and gauges.
+pub struct MetricSet {
+    registry: Mutex<Registry>,
+    refusals: Family<ReasonLabel, Counter>,
+    retries: Family<ReasonLabel, Counter>,
+    requests: Family<ServiceLabel, Counter>,
+    tokens: Family<ServiceLabel, Counter>,
+    /// Time to the first byte of an answer.
+    pub latency: Histogram,
+    /// Calls to the key-value service.
+    pub kv_calls: Gauge,
+    /// Requests being served.
+    pub inflight: Gauge,
+    /// Group commits of claims.
+    pub claim_commits: Counter,
+    /// Claims in them.
+    pub claims: Counter,
+    /// Samples delivered.
+    pub samples: Counter,
+    /// Tokens generated in vain.
+    pub wasted_tokens: Counter,
+    /// Orders sent to the provider.
+    pub orders: Counter,
+    /// Usage reports sent to the provider.
+    pub reports: Counter,
+    /// Revision of the configuration in force.
+    pub revision: Gauge,
+    /// Bytes sent and received in exchanges with peers.
+    pub exchange_bytes: Counter,
+}
+
+impl fmt::Debug for MetricSet {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("MetricSet").finish_non_exhaustive()
+    }
+}
+
+impl Default for MetricSet {
+    fn default() -> Self {
+        let set = Self {
+            registry: Mutex::new(Registry::with_prefix("pimentoslip")),
+            refusals: Family::default(),
+            retries: Family::default(),
+            requests: Family::default(),
+            tokens: Family::default(),
+            latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
+            kv_calls: Gauge::default(),
+            inflight: Gauge::default(),
+            claim_commits: Counter::default(),
+            claims: Counter::default(),
+            samples: Counter::default(),
+            wasted_tokens: Counter::default(),
+            orders: Counter::default(),
+            reports: Counter::default(),
+            revision: Gauge::default(),
+            exchange_bytes: Counter::default(),
+        };
+        set.register();
+        set
+    }
+}
+
+impl MetricSet {
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        self.refusals.get_or_create(&ReasonLabel { reason: reason.code() }).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: RetryReason) {
+        self.retries.get_or_create(&ReasonLabel { reason: reason.code() }).inc();
+    }
+
+    /// Counts an answered request.
+    pub fn answered(&self, service: &SharedName, tokens: u64) {
+        let label = ServiceLabel { service: service.to_string() };
+        self.requests.get_or_create(&label).inc();
+        self.tokens.get_or_create(&label).inc_by(tokens);
+    }
+
+    /// The text form that scrapers read.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        // Writing to a string cannot fail.
+        let _ = text::encode(&mut text, &registry);
+        text
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        // Every reason is listed from the start, so that its counter can be watched before it first rises.
+        for reason in RefusalReason::ALL {
+            drop(self.refusals.get_or_create(&ReasonLabel { reason: reason.code() }));
+        }
+        for reason in RetryReason::ALL {
+            drop(self.retries.get_or_create(&ReasonLabel { reason: reason.code() }));
+        }
+        registry.register("refusals", "Refused requests by reason", self.refusals.clone());
+        registry.register("retries", "Repeated attempts by reason", self.retries.clone());
+        registry.register("requests", "Answered requests by service", self.requests.clone());
+        registry.register("tokens", "Generated tokens by service", self.tokens.clone());
+        registry.register("latency_seconds", "Time to the first byte of an answer", self.latency.clone());
+        registry.register("kv_calls", "Calls to the key-value service", self.kv_calls.clone());
+        registry.register("inflight", "Requests being served", self.inflight.clone());
+        registry.register("claim_commits", "Group commits of claims", self.claim_commits.clone());
+        registry.register("claims", "Claims put on record", self.claims.clone());
+        registry.register("samples", "Samples delivered to trainers", self.samples.clone());
+        registry.register("wasted_tokens", "Tokens of discarded samples", self.wasted_tokens.clone());
+        registry.register("orders", "Orders sent to the provider", self.orders.clone());
+        registry.register("reports", "Usage reports sent to the provider", self.reports.clone());
+        registry.register("revision", "Configuration revision in force", self.revision.clone());
+        registry.register("exchange_bytes", "Bytes of exchanges with peers", self.exchange_bytes.clone());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/step/step_actor.rs
@@ -0,0 +1,320 @@
+//! The home of steps: runs their samples and hands them over.
+
+use super::{
+    sample_run::{SampleError, SampleRun},
+    step_key,
+};
+use crate::{log_line::LogLine, shared_state::SharedState};
+use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use actix_rt::task::JoinHandle;
+use awc::Client;
+use pimentoslip_kernel::{DispatchOrder, RefusalReason, SampleResult, SharedName, StepLedger, StepSpec, TimePoint};
+use pimentoslip_platform::plain_client;
+use pimentoslip_wire::{
+    admin::StepStatus,
+    caller::{FetchAnswer, FetchRequest, OpenAnswer, OpenRequest, SampleBody},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+const TICK: Duration = Duration::from_millis(20);
+/// A step that no trainer asked for in this time is dropped.
+const STEP_IDLE_MS: u64 = 600_000;
+/// Longest wait of one fetch.
+const FETCH_WAIT_MS_MAX: u64 = 20_000;
+/// Most samples that a step may have.
+const STEP_SAMPLES_MAX: usize = 65_536;
+/// Share of an upstream's places that samples may take, so that customers' calls always find one.
+const SAMPLE_SHARE: (u64, u64) = (3, 4);
+
+/// Outcome of a trainer's call.
+pub type StepOutcome<T> = std::result::Result<T, RefusalReason>;
+
+/// Opens a step.
+#[derive(Message)]
+#[rtype(result = "StepOutcome<OpenAnswer>")]
+pub struct OpenMessage {
+    /// Organisation.
+    pub organisation: SharedName,
+    /// Body.
+    pub open: OpenRequest,
+}
+
+/// Fetches samples.
+#[derive(Message)]
+#[rtype(result = "StepOutcome<FetchAnswer>")]
+pub struct FetchMessage {
+    /// Organisation.
+    pub organisation: SharedName,
+    /// Body.
+    pub fetch: FetchRequest,
+}
+
+/// Lists the steps at home here.
+#[derive(Message)]
+#[rtype(result = "Vec<StepStatus>")]
+pub struct StepListMessage;
+
+/// An attempt ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct EndMessage {
+    step: SharedName,
+    order: DispatchOrder,
+    outcome: Result<SampleResult, SampleError>,
+}
+
+struct WaitingFetch {
+    fetch: FetchRequest,
+    deadline: TimePoint,
+    sender: oneshot::Sender<StepOutcome<FetchAnswer>>,
+}
+
+struct StepState {
+    organisation: SharedName,
+    spec: Arc<StepSpec>,
+    ledger: StepLedger,
+    waiting: Vec<WaitingFetch>,
+    runs: HashMap<u64, JoinHandle<()>>,
+    idle_at: TimePoint,
+    counted_waste: u64,
+}
+
+/// Holds the ledgers of all steps whose home is this daemon.
+pub struct StepActor {
+    shared: Arc<SharedState>,
+    client: Client,
+    steps: BTreeMap<SharedName, StepState>,
+}
+
+impl StepActor {
+    /// Creates the actor.
+    #[must_use]
+    pub fn new(shared: Arc<SharedState>) -> Self {
+        Self { shared, client: plain_client(), steps: BTreeMap::new() }
+    }
+
+    fn open(&mut self, organisation: SharedName, open: OpenRequest) -> StepOutcome<OpenAnswer> {
+        let key = step_key(&organisation, &open.trainer, open.step);
+        let spec = StepSpec::from(open);
+        if spec.group_size == 0 || spec.max_tokens == 0 || spec.samples() == 0 || spec.samples() > STEP_SAMPLES_MAX {
+            return Err(RefusalReason::BodyMalformed);
+        }
+        let samples = spec.samples();
+        if let Some(state) = self.steps.get(&key) {
+            return if *state.spec == spec { Ok(OpenAnswer { samples }) } else { Err(RefusalReason::StepConflict) };
+        }
+        let (bound, published) = {
+            let config = self.shared.config();
+            (config.site().map_or(0, |site| site.staleness_bound), config.published(&spec.service))
+        };
+        let state = StepState {
+            organisation,
+            spec: Arc::new(spec.clone()),
+            ledger: StepLedger::new(spec, bound, published),
+            waiting: Vec::new(),
+            runs: HashMap::new(),
+            idle_at: self.shared.now().plus_ms(STEP_IDLE_MS),
+            counted_waste: 0,
+        };
+        LogLine::new("step_opened").field("step", &key).field("samples", samples).info();
+        self.steps.insert(key, state);
+        Ok(OpenAnswer { samples })
+    }
+
+    fn fetch(&mut self, organisation: &str, fetch: FetchRequest, sender: oneshot::Sender<StepOutcome<FetchAnswer>>) {
+        let key = step_key(organisation, &fetch.trainer, fetch.step);
+        let now = self.shared.now();
+        let Some(state) = self.steps.get_mut(&key) else {
+            // The asker may have gone.
+            let _ = sender.send(Err(RefusalReason::StepUnknown));
+            return;
+        };
+        state.idle_at = now.plus_ms(STEP_IDLE_MS);
+        let deadline = now.plus_ms(fetch.wait_ms.min(FETCH_WAIT_MS_MAX));
+        state.waiting.push(WaitingFetch { fetch, deadline, sender });
+        state.answer(&self.shared, now);
+    }
+
+    fn ended(&mut self, message: EndMessage) {
+        let now = self.shared.now();
+        let Some(state) = self.steps.get_mut(&message.step) else { return };
+        state.runs.remove(&message.order.attempt);
+        match message.outcome {
+            Ok(sample) => {
+                let outcome = state.ledger.finished(message.order, sample, now);
+                for loser in outcome.losers {
+                    if let Some(run) = state.runs.remove(&loser) {
+                        run.abort();
+                    }
+                }
+            }
+            Err(error) => {
+                state.ledger.failed(message.order);
+                LogLine::new("sample_failed")
+                    .field("step", &message.step)
+                    .field("sample", message.order.sample)
+                    .field("error", error)
+                    .info();
+            }
+        }
+        state.answer(&self.shared, now);
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let now = self.shared.now();
+        for state in self.steps.values_mut() {
+            let published = self.shared.config().published(&state.spec.service);
+            state.ledger.publish(published);
+            state.answer(&self.shared, now);
+        }
+        self.steps.retain(|_, state| {
+            let keep = now < state.idle_at;
+            if !keep {
+                state.runs.values().for_each(JoinHandle::abort);
+            }
+            keep
+        });
+        if !self.shared.draining.load(std::sync::atomic::Ordering::SeqCst) {
+            self.dispatch(now, context);
+        }
+    }
+
+    /// Starts samples while engines have room, the step with the fewest running ones first.
+    fn dispatch(&mut self, now: TimePoint, context: &mut Context<Self>) {
+        let mut keys: Vec<(usize, SharedName)> =
+            self.steps.iter().map(|(key, state)| (state.ledger.running(), key.clone())).collect();
+        let mut running: HashMap<SharedName, usize> = HashMap::new();
+        for state in self.steps.values() {
+            *running.entry(state.spec.service.clone()).or_default() += state.ledger.running();
+        }
+        while !keys.is_empty() {
+            keys.sort();
+            let (_, key) = keys[0].clone();
+            if self.start_one(&key, &mut running, now, context) {
+                keys[0].0 += 1;
+            } else {
+                keys.remove(0);
+            }
+        }
+    }
+
+    fn start_one(
+        &mut self,
+        key: &SharedName,
+        running: &mut HashMap<SharedName, usize>,
+        now: TimePoint,
+        context: &mut Context<Self>,
+    ) -> bool {
+        let Some(state) = self.steps.get_mut(key) else { return false };
+        let service = state.spec.service.clone();
+        let Some((inflight_max, timeout_ms)) = self.shared.config().service(&service).map(|service| {
+            let share = service.inflight_per_upstream * SAMPLE_SHARE.0 / SAMPLE_SHARE.1;
+            (share.max(1), service.timeout_ms)
+        }) else {
+            return false;
+        };
+        let count = running.entry(service.clone()).or_default();
+        if *count >= self.shared.routes().capacity(&service, inflight_max) {
+            return false;
+        }
+        let hedge_after_ms = if self.shared.settings.hedging { state.ledger.hedge_after_ms() } else { None };
+        let Some(order) = state.ledger.dispatch(now, hedge_after_ms) else { return false };
+        *count += 1;
+        let run = SampleRun {
+            organisation: state.organisation.clone(),
+            step: key.clone(),
+            sample: order.sample,
+            attempt: order.attempt,
+            inflight_max,
+            timeout_ms,
+        };
+        let (shared, client, spec) = (self.shared.clone(), self.client.clone(), state.spec.clone());
+        let (actor, step) = (context.address(), key.clone());
+        let handle = actix_rt::spawn(async move {
+            let outcome = run.run(shared, client, spec).await;
+            actor.do_send(EndMessage { step, order, outcome });
+        });
+        state.runs.insert(order.attempt, handle);
+        true
+    }
+}
+
+impl StepState {
+    /// Answers waiting fetches that have samples, are complete, or waited long enough.
+    fn answer(&mut self, shared: &SharedState, now: TimePoint) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for wait in waiting {
+            if wait.sender.is_closed() {
+                continue;
+            }
+            let samples = self.ledger.fetch(&wait.fetch.cursor, wait.fetch.published, wait.fetch.max);
+            let complete = self.ledger.complete();
+            if samples.is_empty() && !complete && now < wait.deadline {
+                self.waiting.push(wait);
+                continue;
+            }
+            shared.metrics.samples.inc_by(samples.len() as u64);
+            let samples = samples.into_iter().map(SampleBody::from).collect();
+            // The asker may have gone; it will ask again with the same cursor.
+            let _ = wait.sender.send(Ok(FetchAnswer { samples, complete, total: self.spec.samples() }));
+        }
+        let wasted = self.ledger.wasted_tokens();
+        shared.metrics.wasted_tokens.inc_by(wasted - self.counted_waste);
+        self.counted_waste = wasted;
+    }
+}
+
+impl Actor for StepActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        context.run_interval(TICK, Self::tick);
+    }
+}
+
+impl Handler<OpenMessage> for StepActor {
+    type Result = MessageResult<OpenMessage>;
+
+    fn handle(&mut self, message: OpenMessage, _context: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.open(message.organisation, message.open))
+    }
+}
+
+impl Handler<FetchMessage> for StepActor {
+    type Result = ResponseFuture<StepOutcome<FetchAnswer>>;
+
+    fn handle(&mut self, message: FetchMessage, _context: &mut Context<Self>) -> Self::Result {
+        let (sender, receiver) = oneshot::channel();
+        self.fetch(&message.organisation, message.fetch, sender);
+        Box::pin(async move { receiver.await.unwrap_or(Err(RefusalReason::StepUnknown)) })
+    }
+}
+
+impl Handler<StepListMessage> for StepActor {
+    type Result = MessageResult<StepListMessage>;
+
+    fn handle(&mut self, _message: StepListMessage, _context: &mut Context<Self>) -> Self::Result {
+        let steps = self.steps.iter().map(|(key, state)| StepStatus {
+            step: key.clone(),
+            confirmed: state.ledger.confirmed(),
+            ready: state.ledger.ready(),
+            running: state.ledger.running(),
+            total: state.spec.samples(),
+            wasted_tokens: state.ledger.wasted_tokens(),
+        });
+        MessageResult(steps.collect())
+    }
+}
+
+impl Handler<EndMessage> for StepActor {
+    type Result = ();
+
+    fn handle(&mut self, message: EndMessage, _context: &mut Context<Self>) {
+        self.ended(message);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/dispatcher.rs
@@ -0,0 +1,123 @@
+//! Chooses upstreams and repeats attempts by the retry policy.
+
+use super::{AttemptError, AttemptFailure, UpstreamGuard, UpstreamRequest, send_once};
+use crate::{
+    api_error::{ApiError, Result},
+    log_line::LogLine,
+    shared_state::SharedState,
+};
+use awc::{Client, ClientResponse};
+use futures_util::Stream;
+use pimentoslip_kernel::{RefusalReason, RetryDecision, RetryPolicy, RouteQuery, RunState, SharedName};
+use std::{sync::Arc, time::Duration};
+
+/// A begun answer, with the count on its upstream.
+pub struct Dispatched<S> {
+    /// The answer, of which the header has arrived.
+    pub answer: ClientResponse<S>,
+    /// Keeps the request counted while its body arrives.
+    pub guard: UpstreamGuard,
+}
+
+/// Runs `request` until an upstream answers it or it may not be sent again.
+pub async fn dispatch(
+    shared: &Arc<SharedState>,
+    client: &Client,
+    request: &UpstreamRequest,
+) -> Result<Dispatched<impl Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + use<>>>
+{
+    let mut tried: Vec<SharedName> = Vec::new();
+    let mut attempt = 0;
+    shared.budget(&request.organisation, &request.service, pimentoslip_kernel::RetryBudget::earn);
+    loop {
+        attempt += 1;
+        let now = shared.now();
+        if now >= request.deadline {
+            return Err(ApiError::not_run(RefusalReason::DeadlinePassed, &request.id));
+        }
+        if shared.suspects().quarantined(request.fingerprint, now) {
+            return Err(ApiError::not_run(RefusalReason::Quarantined, &request.id));
+        }
+        let Some(mut guard) = pick(shared, request, &tried).await else {
+            return Err(ApiError::not_run(RefusalReason::NoUpstream, &request.id));
+        };
+        let attempt_id = request.id.part(attempt);
+        LogLine::new("attempt")
+            .field("request_id", &*request.id)
+            .field("upstream_request_id", &*attempt_id)
+            .field("upstream", &guard.entry.name)
+            .info();
+        let error = match send_once(shared, client, request, &attempt_id, &mut guard).await {
+            Ok(answer) => return Ok(Dispatched { answer, guard }),
+            Err(error) => error,
+        };
+        tried.push(guard.entry.name.clone());
+        drop(guard);
+        wait_for_next(shared, request, attempt, error).await?;
+    }
+}
+
+/// Picks an upstream. A suspect waits for one with nothing else on it, until its deadline.
+async fn pick(shared: &Arc<SharedState>, request: &UpstreamRequest, tried: &[SharedName]) -> Option<UpstreamGuard> {
+    const POLL: Duration = Duration::from_millis(20);
+    loop {
+        let now = shared.now();
+        let alone = shared.suspects().suspected(request.fingerprint, now);
+        let query = RouteQuery {
+            service: &request.service,
+            failure_domain: &shared.settings.failure_domain,
+            prefix: request.prefix,
+            excluded: tried,
+            alone,
+            inflight_max: request.inflight_max,
+        };
+        let picked = shared.with_rng(|rng| {
+            let mut routes = shared.routes();
+            let again = RouteQuery { excluded: &[], ..query.clone() };
+            routes.pick(&query, now, rng).or_else(|| routes.pick(&again, now, rng))
+        });
+        if let Some(entry) = picked {
+            return Some(UpstreamGuard::new(shared.clone(), entry, request.fingerprint));
+        }
+        let any = shared.routes().capacity(&request.service, 1) > 0;
+        if !any || now >= request.deadline {
+            return None;
+        }
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+/// Waits before the next attempt, or refuses.
+async fn wait_for_next(
+    shared: &Arc<SharedState>,
+    request: &UpstreamRequest,
+    attempt: u32,
+    error: AttemptError,
+) -> Result<()> {
+    let now = shared.now();
+    let decision = shared.with_rng(|rng| {
+        shared.budget(&request.organisation, &request.service, |budget| {
+            RetryPolicy.decide(&request.class, error.progress, attempt, request.deadline, now, budget, rng)
+        })
+    });
+    let (reason, run_state) = match decision {
+        RetryDecision::Again(at) => {
+            shared.metrics.retried(error.failure.retry_reason());
+            actix_rt::time::sleep(Duration::from_millis(at.since_ms(now))).await;
+            return Ok(());
+        }
+        RetryDecision::Exhausted(run_state) => (RefusalReason::RetryExhausted, run_state),
+        RetryDecision::Stop(run_state) => (refusal(error.failure, run_state), run_state),
+    };
+    Err(ApiError { reason, run_state, request_id: request.id.clone() })
+}
+
+fn refusal(failure: AttemptFailure, run_state: RunState) -> RefusalReason {
+    match failure {
+        AttemptFailure::TimedOut => RefusalReason::DeadlinePassed,
+        AttemptFailure::Mismatch => RefusalReason::AnswerMismatch,
+        AttemptFailure::Unreachable | AttemptFailure::Refused => RefusalReason::UpstreamUnreachable,
+        AttemptFailure::Lost if run_state == RunState::NotRun => RefusalReason::UpstreamUnreachable,
+        AttemptFailure::Lost => RefusalReason::UpstreamLost,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lease_holder.rs
@@ -0,0 +1,156 @@
+//! One daemon's side of a duty that at most one process may perform.
+
+use crate::{SharedName, TimePoint};
+use serde::{Deserialize, Serialize};
+
+/// Lifetime of the lease in the platform's service.
+const LEASE_TTL_MS: u64 = 6_000;
+/// Span before the end of the lease in which the holder no longer acts.
+const GUARD_MS: u64 = 2_000;
+const RENEW_AFTER_MS: u64 = 1_500;
+
+/// What is on record about the last holder of a duty.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PreviousHolder {
+    /// Daemon name.
+    pub daemon: SharedName,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Whether it gave the duty up itself, with nothing outstanding.
+    pub stepped_down: bool,
+}
+
+/// What is known about whether the previous holder can still act.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderEvidence {
+    /// There was none, it was this process, or it stepped down.
+    Clear,
+    /// Its process ended: a newer incarnation runs, its port refuses, or its VM is off the list.
+    Ended,
+    /// It cannot be reached, which proves nothing.
+    Silent,
+}
+
+/// Where a holder stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseState {
+    /// Holds nothing.
+    Idle,
+    /// Holds the lease, but the previous holder's orders may still arrive until `quiet_at`.
+    Settling {
+        /// Revision that fences earlier holders.
+        fencing: u64,
+        /// When the holder stops acting unless renewed.
+        deadline: TimePoint,
+        /// First moment at which nothing of an ended holder is on the wire.
+        quiet_at: TimePoint,
+    },
+    /// Holds the lease and may act.
+    Held {
+        /// Revision that fences earlier holders.
+        fencing: u64,
+        /// When the holder stops acting unless renewed.
+        deadline: TimePoint,
+    },
+}
+
+/// Decides when this daemon may act for a duty.
+#[derive(Debug)]
+pub struct LeaseHolder {
+    state: LeaseState,
+    receiver_checks: bool,
+    renew_at: TimePoint,
+}
+
+impl LeaseHolder {
+    /// Creates a holder; `receiver_checks` says whether the receiver refuses old fencing numbers.
+    #[must_use]
+    pub fn new(receiver_checks: bool) -> Self {
+        Self { state: LeaseState::Idle, receiver_checks, renew_at: TimePoint(0) }
+    }
+
+    /// Lifetime to ask for, in milliseconds.
+    #[must_use]
+    pub fn ttl_ms(&self) -> u64 {
+        LEASE_TTL_MS
+    }
+
+    /// Current state.
+    #[must_use]
+    pub fn state(&self) -> LeaseState {
+        self.state
+    }
+
+    /// The lease was granted by a write sent at `asked_at`.
+    pub fn acquired(&mut self, fencing: u64, asked_at: TimePoint, evidence: HolderEvidence, now: TimePoint) {
+        let deadline = asked_at.plus_ms(LEASE_TTL_MS - GUARD_MS);
+        self.renew_at = asked_at.plus_ms(RENEW_AFTER_MS);
+        self.state = match evidence {
+            HolderEvidence::Clear => LeaseState::Held { fencing, deadline },
+            HolderEvidence::Ended | HolderEvidence::Silent if self.receiver_checks => {
+                LeaseState::Held { fencing, deadline }
+            }
+            HolderEvidence::Ended => LeaseState::Settling { fencing, deadline, quiet_at: now.plus_ms(GUARD_MS) },
+            HolderEvidence::Silent => LeaseState::Settling { fencing, deadline, quiet_at: TimePoint(u64::MAX) },
+        };
+    }
+
+    /// New evidence about the previous holder while settling.
+    pub fn learned(&mut self, evidence: HolderEvidence, now: TimePoint) {
+        let LeaseState::Settling { fencing, deadline, quiet_at } = self.state else { return };
+        let quiet_at = match evidence {
+            HolderEvidence::Clear => now,
+            HolderEvidence::Ended => quiet_at.min(now.plus_ms(GUARD_MS)),
+            HolderEvidence::Silent => quiet_at,
+        };
+        self.state = if quiet_at <= now {
+            LeaseState::Held { fencing, deadline }
+        } else {
+            LeaseState::Settling { fencing, deadline, quiet_at }
+        };
+    }
+
+    /// Whether a renewal is due.
+    #[must_use]
+    pub fn renewal_due(&self, now: TimePoint) -> bool {
+        self.state != LeaseState::Idle && now >= self.renew_at
+    }
+
+    /// A renewal sent at `asked_at` was confirmed. A lost answer is no confirmation.
+    pub fn renewed(&mut self, asked_at: TimePoint) {
+        let until = asked_at.plus_ms(LEASE_TTL_MS - GUARD_MS);
+        match &mut self.state {
+            LeaseState::Idle => return,
+            LeaseState::Held { deadline, .. } | LeaseState::Settling { deadline, .. } => {
+                *deadline = (*deadline).max(until);
+            }
+        }
+        self.renew_at = asked_at.plus_ms(RENEW_AFTER_MS);
+    }
+
+    /// Fencing number and last moment to act, while the duty may be performed.
+    #[must_use]
+    pub fn authority(&self, now: TimePoint) -> Option<(u64, TimePoint)> {
+        match self.state {
+            LeaseState::Held { fencing, deadline } if now < deadline => Some((fencing, deadline)),
+            _ => None,
+        }
+    }
+
+    /// Drops the duty once its deadline has passed; true when it was dropped.
+    pub fn expire(&mut self, now: TimePoint) -> bool {
+        let expired = match self.state {
+            LeaseState::Idle => false,
+            LeaseState::Held { deadline, .. } | LeaseState::Settling { deadline, .. } => now >= deadline,
+        };
+        if expired {
+            self.state = LeaseState::Idle;
+        }
+        expired
+    }
+
+    /// Gives the duty up.
+    pub fn step_down(&mut self) {
+        self.state = LeaseState::Idle;
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,57 @@
+//! Decisions of the rollout service as pure state machines.
+//!
+//! Every type here takes an event and the current [`TimePoint`] and returns what to do. Nothing in
+//! this crate performs I/O, reads a clock, or draws unseeded random numbers.
+
+mod claim_table;
+mod config;
+mod fair_queue;
+mod fetch_cursor;
+mod fingerprint;
+mod freshness_table;
+mod lease_holder;
+mod member_table;
+mod refusal_reason;
+mod rendezvous;
+mod request_class;
+mod request_progress;
+mod retry_budget;
+mod retry_policy;
+mod route_policy;
+mod route_table;
+mod spend_planner;
+mod step_ledger;
+mod stream_scanner;
+mod suspect_table;
+mod time_point;
+mod token_segment;
+mod usage_meter;
+mod usage_window;
+
+pub use claim_table::{ClaimAnswer, ClaimKey, ClaimTable, Result as ClaimResult, StaleOwner};
+pub use config::*;
+pub use fair_queue::{FairQueue, QueueTicket};
+pub use fetch_cursor::FetchCursor;
+pub use fingerprint::fingerprint;
+pub use freshness_table::FreshnessTable;
+pub use lease_holder::{HolderEvidence, LeaseHolder, LeaseState, PreviousHolder};
+pub use member_table::{MemberEntry, MemberState, MemberTable};
+pub use refusal_reason::{RefusalReason, RunState};
+pub use rendezvous::{owner, rank};
+pub use request_class::RequestClass;
+pub use request_progress::RequestProgress;
+pub use retry_budget::RetryBudget;
+pub use retry_policy::{RetryDecision, RetryPolicy, RetryReason};
+pub use route_policy::{RoutePlugin, RoutePolicy, policy_names};
+pub use route_table::{RouteQuery, RouteTable, UpstreamEntry, UpstreamState};
+pub use spend_planner::{SpendAction, SpendInput, SpendPlanner};
+pub use step_ledger::{DispatchOrder, FinishOutcome, SampleId, SampleResult, StepLedger, StepSpec};
+pub use stream_scanner::StreamScanner;
+pub use suspect_table::{SuspectMark, SuspectTable};
+pub use time_point::TimePoint;
+pub use token_segment::TokenSegment;
+pub use usage_meter::{UsageCount, UsageKey, UsageMeter};
+pub use usage_window::{UsageLine, UsageWindow};
+
+/// A shared immutable name, cheap to clone.
+pub type SharedName = std::sync::Arc<str>;
--- /dev/null
+++ b/crates/kernel/src/route_table.rs
@@ -0,0 +1,274 @@
+//! Upstreams known to a daemon, and the choice among them.
+
+use crate::{RoutePolicy, SharedName, TimePoint, rendezvous};
+use rand::Rng;
+use std::collections::BTreeMap;
+
+/// Failures in a row that eject an upstream.
+const EJECT_FAILURES: u32 = 3;
+const EJECT_MS: u64 = 5_000;
+/// At most one upstream in this many is ejected at a time.
+const EJECT_CAP_DIVISOR: usize = 2;
+/// Span over which a new upstream's share of work rises to full.
+const SLOW_START_MS: u64 = 10_000;
+/// Load that another failure domain's upstream must be below to be preferred.
+const DOMAIN_PENALTY: u64 = 2;
+/// Load by which the prefix holder may exceed the other choice.
+const PREFIX_BONUS: u64 = 3;
+
+/// Standing of an upstream in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// Takes new work.
+    Live,
+    /// Finishes its work and takes none.
+    Leaving,
+}
+
+/// One upstream and what this daemon knows of its load.
+#[derive(Clone, Debug)]
+pub struct UpstreamEntry {
+    /// VM name.
+    pub name: SharedName,
+    /// Service that it runs.
+    pub service: SharedName,
+    /// Failure domain.
+    pub failure_domain: SharedName,
+    /// `ip:port`.
+    pub address: SharedName,
+    /// Whether the platform may reclaim it.
+    pub reclaimable: bool,
+    /// Standing.
+    pub state: UpstreamState,
+    /// Weight version from its last load report.
+    pub version: Option<u64>,
+    inflight: u64,
+    reported: u64,
+    sent_since_report: u64,
+    failures: u32,
+    ejected_until: TimePoint,
+    full_at: TimePoint,
+    exclusive: bool,
+    /// It said itself that it leaves, which outlasts the lagging list.
+    noticed: bool,
+    /// It is missing from the list.
+    delisted: bool,
+    missed_reports: u32,
+}
+
+impl UpstreamEntry {
+    /// Creates an entry first seen at `now`.
+    #[must_use]
+    pub fn new(
+        name: SharedName,
+        service: SharedName,
+        failure_domain: SharedName,
+        address: SharedName,
+        reclaimable: bool,
+        now: TimePoint,
+    ) -> Self {
+        Self {
+            name,
+            service,
+            failure_domain,
+            address,
+            reclaimable,
+            state: UpstreamState::Live,
+            version: None,
+            inflight: 0,
+            reported: 0,
+            sent_since_report: 0,
+            failures: 0,
+            ejected_until: TimePoint(0),
+            full_at: now.plus_ms(SLOW_START_MS),
+            exclusive: false,
+            noticed: false,
+            delisted: false,
+            missed_reports: 0,
+        }
+    }
+
+    /// Whether it may be given new work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.state == UpstreamState::Live && !self.noticed && !self.delisted
+    }
+
+    /// Requests of this daemon running on it.
+    #[must_use]
+    pub fn inflight(&self) -> u64 {
+        self.inflight
+    }
+
+    /// Load as reported, corrected by what this daemon has sent since, and by slow start.
+    fn load(&self, now: TimePoint) -> u64 {
+        let load = (self.reported + self.sent_since_report).max(self.inflight);
+        let warming = self.full_at.since_ms(now) * 4 / SLOW_START_MS;
+        load + warming.min(load)
+    }
+}
+
+/// What a request needs of its upstream.
+#[derive(Clone, Debug)]
+pub struct RouteQuery<'a> {
+    /// Service to run on.
+    pub service: &'a str,
+    /// Failure domain of the daemon.
+    pub failure_domain: &'a str,
+    /// Hash of the prompt's beginning.
+    pub prefix: Option<u64>,
+    /// Upstreams already tried.
+    pub excluded: &'a [SharedName],
+    /// Whether it must run with nothing beside it.
+    pub alone: bool,
+    /// Most requests of this daemon on one upstream.
+    pub inflight_max: u64,
+}
+
+/// The upstreams of a daemon.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    policy: RoutePolicy,
+    entries: BTreeMap<SharedName, UpstreamEntry>,
+    turn: usize,
+}
+
+impl RouteTable {
+    /// Creates an empty table that chooses by `policy`.
+    #[must_use]
+    pub fn new(policy: RoutePolicy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// Takes in the platform's list. Upstreams missing from it take no new work.
+    pub fn sync(&mut self, listed: Vec<UpstreamEntry>) {
+        for entry in self.entries.values_mut() {
+            entry.delisted = !listed.iter().any(|new| new.name == entry.name);
+        }
+        for new in listed {
+            match self.entries.get_mut(&new.name) {
+                Some(old) if old.address == new.address => old.state = new.state,
+                _ => {
+                    self.entries.insert(new.name.clone(), new);
+                }
+            }
+        }
+        self.entries.retain(|_, entry| !entry.delisted || entry.inflight > 0);
+    }
+
+    /// Stops new work for an upstream that said that it leaves, until it is off the list.
+    pub fn leaving(&mut self, name: &str) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.noticed = true;
+        }
+    }
+
+    /// A load report did not come. An upstream that stays silent is ejected.
+    pub fn report_missed(&mut self, name: &str, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        entry.missed_reports += 1;
+        if entry.missed_reports >= EJECT_FAILURES {
+            entry.ejected_until = now.plus_ms(EJECT_MS);
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn reported(&mut self, name: &str, load: u64, version: Option<u64>) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.reported = load;
+            entry.missed_reports = 0;
+            entry.sent_since_report = 0;
+            entry.version = version.or(entry.version);
+        }
+    }
+
+    /// An upstream confirmed that it loaded a weight version.
+    pub fn loaded(&mut self, name: &str, version: u64) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.version = Some(version);
+        }
+    }
+
+    /// Chooses an upstream and counts the request on it.
+    pub fn pick<R: Rng>(&mut self, query: &RouteQuery<'_>, now: TimePoint, rng: &mut R) -> Option<UpstreamEntry> {
+        let all: Vec<&UpstreamEntry> = self
+            .entries
+            .values()
+            .filter(|entry| &*entry.service == query.service && entry.takes_work())
+            .filter(|entry| !query.excluded.contains(&entry.name))
+            .filter(|entry| entry.inflight < query.inflight_max && !entry.exclusive)
+            .filter(|entry| !query.alone || entry.inflight == 0)
+            .collect();
+        let mut eligible: Vec<&UpstreamEntry> =
+            all.iter().copied().filter(|entry| entry.ejected_until <= now).collect();
+        if eligible.len() * EJECT_CAP_DIVISOR < all.len() {
+            eligible = all;
+        }
+        let name = self.choose(&eligible, query, now, rng)?;
+        self.turn = self.turn.wrapping_add(1);
+        let entry = self.entries.get_mut(&name)?;
+        entry.inflight += 1;
+        entry.sent_since_report += 1;
+        entry.exclusive = query.alone;
+        Some(entry.clone())
+    }
+
+    /// A request ended; `failed` when the upstream was lost or unreachable.
+    pub fn ended(&mut self, name: &str, failed: bool, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        entry.inflight = entry.inflight.saturating_sub(1);
+        entry.exclusive = false;
+        if !failed {
+            entry.failures = 0;
+            return;
+        }
+        entry.failures += 1;
+        if entry.failures >= EJECT_FAILURES {
+            entry.ejected_until = now.plus_ms(EJECT_MS);
+            entry.failures = 0;
+        }
+    }
+
+    /// Requests that the service's live upstreams take at a time.
+    #[must_use]
+    pub fn capacity(&self, service: &str, inflight_max: u64) -> usize {
+        let live = self.iter().filter(|entry| &*entry.service == service && entry.takes_work()).count();
+        live * usize::try_from(inflight_max).unwrap_or(usize::MAX)
+    }
+
+    /// All upstreams, sorted by name.
+    pub fn iter(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.entries.values()
+    }
+
+    fn choose<R: Rng>(
+        &self,
+        eligible: &[&UpstreamEntry],
+        query: &RouteQuery<'_>,
+        now: TimePoint,
+        rng: &mut R,
+    ) -> Option<SharedName> {
+        if eligible.is_empty() {
+            return None;
+        }
+        if self.policy == RoutePolicy::RoundRobin {
+            return Some(eligible[self.turn % eligible.len()].name.clone());
+        }
+        let first = eligible[rng.random_range(0..eligible.len())];
+        let second = eligible[rng.random_range(0..eligible.len())];
+        let cost = |entry: &UpstreamEntry| {
+            let away = u64::from(&*entry.failure_domain != query.failure_domain);
+            entry.load(now) + away * DOMAIN_PENALTY
+        };
+        let lighter = if cost(second) < cost(first) { second } else { first };
+        if let (RoutePolicy::PrefixTwoChoices, Some(prefix)) = (self.policy, query.prefix) {
+            let names: Vec<&str> = eligible.iter().map(|entry| &*entry.name).collect();
+            let holder = rendezvous::owner(&format!("{prefix:x}"), &names)?;
+            let holder = eligible.iter().find(|entry| &*entry.name == *holder)?;
+            if cost(holder) <= cost(lighter) + PREFIX_BONUS {
+                return Some(holder.name.clone());
+            }
+        }
+        Some(lighter.name.clone())
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/time_point.rs
@@ -0,0 +1,27 @@
+//! Points in time in milliseconds, as handed in by the caller.
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds since an origin that the caller picks. All deadlines are stored in this form.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TimePoint(pub u64);
+
+impl TimePoint {
+    /// The point `ms` milliseconds later.
+    #[must_use]
+    pub fn plus_ms(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+
+    /// The point `ms` milliseconds earlier, no earlier than the origin.
+    #[must_use]
+    pub fn minus_ms(self, ms: u64) -> Self {
+        Self(self.0.saturating_sub(ms))
+    }
+
+    /// Milliseconds from `earlier` to this point, zero when `earlier` lies ahead.
+    #[must_use]
+    pub fn since_ms(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! Clients of the platform's interfaces, and the clock for anything with an owner.
+
+mod call_timeout;
+mod deadline_body;
+mod etcd_client;
+mod key_value_client;
+mod owner_clock;
+mod platform_error;
+mod provider_client;
+mod user_timeout;
+
+pub use call_timeout::CallTimeout;
+pub use deadline_body::DeadlineBody;
+pub use etcd_client::EtcdClient;
+pub use key_value_client::KeyValueClient;
+pub use owner_clock::OwnerClock;
+pub use platform_error::{PlatformError, Result};
+pub use provider_client::ProviderClient;
+pub use user_timeout::{client_with_user_timeout, plain_client};
--- /dev/null
+++ b/crates/wire/src/peer/exchange.rs
@@ -0,0 +1,77 @@
+//! Heartbeat and news in one: a daemon asks a peer for all that it lacks.
+
+use pimentoslip_kernel::{MemberEntry, MemberState, RecordEntry, SuspectMark, TimePoint};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A daemon as told to its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberBody {
+    /// Daemon name.
+    pub name: Arc<str>,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Address of the control listener.
+    pub control: Arc<str>,
+    /// Standing, as the sender sees it.
+    pub state: MemberState,
+}
+
+impl From<&MemberEntry> for MemberBody {
+    fn from(entry: &MemberEntry) -> Self {
+        Self {
+            name: entry.name.clone(),
+            incarnation: entry.incarnation,
+            failure_domain: entry.failure_domain.clone(),
+            control: entry.control.clone(),
+            state: entry.state,
+        }
+    }
+}
+
+impl From<MemberBody> for MemberEntry {
+    fn from(body: MemberBody) -> Self {
+        Self {
+            name: body.name,
+            incarnation: body.incarnation,
+            failure_domain: body.failure_domain,
+            control: body.control,
+            state: body.state,
+            heard_at: TimePoint::default(),
+        }
+    }
+}
+
+/// The asking daemon's side.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExchangeRequest {
+    /// Who asks.
+    pub from: MemberBody,
+    /// Revision up to which the asker holds everything.
+    pub complete: u64,
+    /// Records that the asker thinks the peer lacks.
+    pub records: Vec<RecordEntry>,
+    /// Requests under suspicion.
+    pub suspects: Vec<SuspectMark>,
+    /// Fingerprint of the asker's member list; the answer omits members when it is the same.
+    pub members_digest: u64,
+}
+
+/// The peer's side.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExchangeAnswer {
+    /// Who answers.
+    pub from: MemberBody,
+    /// Revision up to which the peer holds everything.
+    pub complete: u64,
+    /// Records newer than the asker's revision.
+    pub records: Vec<RecordEntry>,
+    /// Age of the peer's knowledge in milliseconds.
+    pub age_ms: Option<u64>,
+    /// Requests under suspicion.
+    pub suspects: Vec<SuspectMark>,
+    /// Members that the peer knows, when the digests differ.
+    pub members: Vec<MemberBody>,
+}
