--- a/crates/daemon/src/upstream/dispatcher.rs
+++ b/crates/daemon/src/upstream/dispatcher.rs
@@ -8,7 +8,7 @@
 };
 use awc::{Client, ClientResponse};
 use futures_util::Stream;
-use pimentoslip_kernel::{RefusalReason, RetryDecision, RetryPolicy, RouteQuery, RunState, SharedName};
+use pimentoslip_kernel::{FailedAttempt, RefusalReason, RetryDecision, RetryPolicy, RouteQuery, RunState, SharedName};
 use std::{sync::Arc, time::Duration};
 
 /// A begun answer, with the count on its upstream.
@@ -95,9 +95,11 @@
     error: AttemptError,
 ) -> Result<()> {
     let now = shared.now();
+    let failed =
+        FailedAttempt { class: &request.class, progress: error.progress, attempt, deadline: request.deadline };
     let decision = shared.with_rng(|rng| {
         shared.budget(&request.organisation, &request.service, |budget| {
-            RetryPolicy.decide(&request.class, error.progress, attempt, request.deadline, now, budget, rng)
+            RetryPolicy.decide(failed, now, budget, rng)
         })
     });
     let (reason, run_state) = match decision {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -41,7 +41,7 @@
 pub use request_class::RequestClass;
 pub use request_progress::RequestProgress;
 pub use retry_budget::RetryBudget;
-pub use retry_policy::{RetryDecision, RetryPolicy, RetryReason};
+pub use retry_policy::{FailedAttempt, RetryDecision, RetryPolicy, RetryReason};
 pub use route_policy::{RoutePlugin, RoutePolicy, policy_names};
 pub use route_table::{RouteQuery, RouteTable, UpstreamEntry, UpstreamState};
 pub use spend_planner::{SpendAction, SpendInput, SpendPlanner};
--- a/crates/kernel/src/retry_policy.rs
+++ b/crates/kernel/src/retry_policy.rs
@@ -48,30 +48,40 @@
     Exhausted(RunState),
 }
 
+/// An attempt that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt<'a> {
+    /// How often the request may be sent.
+    pub class: &'a RequestClass,
+    /// What the upstream may have done.
+    pub progress: RequestProgress,
+    /// Number of the attempt, counted from 1.
+    pub attempt: u32,
+    /// When the caller stops waiting.
+    pub deadline: TimePoint,
+}
+
 /// The rules for repeating attempts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RetryPolicy;
 
 impl RetryPolicy {
-    /// Decides on attempt number `attempt` (counted from 1) of a request that failed at `now`.
+    /// Decides on a request whose attempt failed at `now`.
     pub fn decide<R: Rng>(
         self,
-        class: &RequestClass,
-        progress: RequestProgress,
-        attempt: u32,
-        deadline: TimePoint,
+        failed: FailedAttempt<'_>,
         now: TimePoint,
         budget: &mut RetryBudget,
         rng: &mut R,
     ) -> RetryDecision {
-        let run_state = progress.run_state();
-        let repeatable = run_state == RunState::NotRun || *class == RequestClass::Idempotent;
-        if !repeatable || attempt >= ATTEMPTS_MAX {
+        let run_state = failed.progress.run_state();
+        let repeatable = run_state == RunState::NotRun || *failed.class == RequestClass::Idempotent;
+        if !repeatable || failed.attempt >= ATTEMPTS_MAX {
             return RetryDecision::Stop(run_state);
         }
-        let ceiling = (BACKOFF_BASE_MS << attempt.min(8)).min(BACKOFF_MAX_MS);
-        let again = now.plus_ms(rng.random_range(0..=ceiling));
-        if again >= deadline {
+        let ceiling_ms = (BACKOFF_BASE_MS << failed.attempt.min(8)).min(BACKOFF_MAX_MS);
+        let again = now.plus_ms(rng.random_range(0..=ceiling_ms));
+        if again >= failed.deadline {
             return RetryDecision::Stop(run_state);
         }
         if !budget.spend() {
