Fuzz the kernel's state machines against oracles; mend what that found

Found and mended, each first seen as a failing sequence:

All former holders stay on record until a successor has proof of their end. - Routing: work that had ended still counted as sent since the last report, so that services without load reports were routed by total sent. The two choices could be the same upstream. - Configuration: a change told to an operator could live in one memory only. A change now counts as accepted when every daemon that may be running holds it, and is reported as pending before.

--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -9,6 +9,7 @@
 const EXIT_FAILED: u8 = 1;
 const EXIT_INVALID: u8 = 2;
 const EXIT_UNREACHABLE: u8 = 3;
+const EXIT_PENDING: u8 = 4;
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
@@ -42,6 +43,11 @@
         /// What it said.
         problem: String,
     },
+    /// A change is on record, but daemons that may be running have not confirmed it.
+    #[error(
+        "pending: not confirmed by {0}; it holds there once they are reachable, or send it again when they are off the VM list"
+    )]
+    Pending(String),
     /// Something that should hold does not.
     #[error("{0}")]
     Failed(String),
@@ -54,6 +60,7 @@
         match self {
             Self::Faults(_) => EXIT_INVALID,
             Self::Unreachable { .. } => EXIT_UNREACHABLE,
+            Self::Pending(_) => EXIT_PENDING,
             Self::Io { .. } | Self::Refused { .. } | Self::Failed(_) => EXIT_FAILED,
         }
     }
--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -1,7 +1,7 @@
 //! `pimentoslip apply BASE [--overlay FILE]`
 
 use super::{FileArgs, file_flags};
-use crate::{CliResult, config::Config, util};
+use crate::{CliError, CliResult, config::Config, util};
 use clap::{Arg, ArgMatches, Command};
 use pimentoslip_kernel::SharedName;
 use pimentoslip_wire::admin::{ApplyRequest, ChangeAnswer, RecordBody};
@@ -34,18 +34,19 @@
     let records = records.into_iter().map(|(name, record)| RecordBody { name, revision: 0, record }).collect();
     let request = ApplyRequest { change: args.change, records };
     let answer: ChangeAnswer = util::block_on(async { args.config.open().post("apply", &request).await })?;
-    if args.json {
-        return util::print_json(&answer);
-    }
-    print_change(&answer);
-    Ok(())
+    report_change(&answer, args.json)
 }
 
-/// Says what became of a change.
-pub fn print_change(answer: &ChangeAnswer) {
-    println!("in force: revision {}, {} records changed", answer.revision, answer.changed);
-    println!("confirmed by: {}", answer.confirmed.join(", "));
-    if !answer.unconfirmed.is_empty() {
-        println!("not confirmed by: {} (they catch up or refuse keyed calls)", answer.unconfirmed.join(", "));
+/// Says what became of a change; one that is pending is an error of its own.
+pub fn report_change(answer: &ChangeAnswer, json: bool) -> CliResult<()> {
+    if json {
+        util::print_json(answer)?;
+    } else {
+        println!("on record: revision {}, {} records changed", answer.revision, answer.changed);
+        println!("confirmed by: {}", answer.confirmed.join(", "));
+    }
+    if answer.accepted {
+        return Ok(());
     }
+    Err(CliError::Pending(answer.unconfirmed.join(", ")))
 }
--- a/crates/cli/src/cmd/key.rs
+++ b/crates/cli/src/cmd/key.rs
@@ -1,6 +1,6 @@
 //! `pimentoslip key create|withdraw|list`
 
-use super::apply::print_change;
+use super::apply::report_change;
 use crate::{CliError, CliResult, admin_client::AdminClient, config::Config, util};
 use clap::{Arg, ArgMatches, Command};
 use pimentoslip_kernel::KeySecret;
@@ -54,22 +54,25 @@
         revision: answer.revision,
     };
     if json {
-        return util::print_json(&created);
+        util::print_json(&created)?;
+    } else {
+        println!("{}", created.key);
+        eprintln!(
+            "key {} of {} holds from revision {}; it is not shown again",
+            secret.id, organisation, answer.revision
+        );
     }
-    println!("{}", created.key);
-    eprintln!("key {} of {} holds from revision {}; it is not shown again", secret.id, organisation, answer.revision);
-    Ok(())
+    if answer.accepted {
+        return Ok(());
+    }
+    Err(CliError::Pending(answer.unconfirmed.join(", ")))
 }
 
 async fn withdraw(client: &AdminClient, organisation: &str, key: &str, json: bool) -> CliResult<()> {
     let request =
         KeyRequest { change: util::change_id(), organisation: organisation.into(), key: key.into(), hash: None };
     let answer: ChangeAnswer = client.post("keys/withdraw", &request).await?;
-    if json {
-        return util::print_json(&answer);
-    }
-    print_change(&answer);
-    Ok(())
+    report_change(&answer, json)
 }
 
 async fn list(client: &AdminClient, json: bool) -> CliResult<()> {
--- a/crates/daemon/src/http/admin_api.rs
+++ b/crates/daemon/src/http/admin_api.rs
@@ -13,7 +13,14 @@
 use pimentoslip_wire::admin::{
     ApplyRequest, ChangeAnswer, DaemonStatus, DutyStatus, RecordBody, ShowAnswer, StatusAnswer, UpstreamStatus,
 };
-use std::sync::{PoisonError, atomic::Ordering};
+use std::{
+    sync::{PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+/// How long a change waits for confirmations before its answer says that it is pending.
+const CONFIRM_MS: u64 = 2_500;
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
 
 /// Turns a failed change into an answer.
 pub fn failed(error: &WriteError) -> HttpResponse {
@@ -25,22 +32,36 @@
     }
 }
 
-/// Applies written records here, tells the peers, and answers once they had time to confirm.
-pub async fn accept(worker: &WorkerState, entries: Vec<RecordEntry>) -> ChangeAnswer {
+/// Applies written records here and tells the peers. The change is accepted when every daemon that may be
+/// running has confirmed it, so that no crash afterwards can lose it from all memories at once.
+pub async fn accept(worker: &WorkerState, entries: Vec<RecordEntry>) -> HttpResponse {
     worker.shared.apply(entries.clone(), 0);
     let changed = entries.len();
     let revision = entries.iter().map(|entry| entry.revision).max();
     let revision = revision.unwrap_or_else(|| worker.shared.config().newest());
-    let (confirmed, unconfirmed) = push_records(&worker.shared, &worker.peers, entries).await;
-    LogLine::new("change_accepted").field("revision", revision).field("unconfirmed", unconfirmed.len()).info();
-    ChangeAnswer { revision, changed, confirmed, unconfirmed }
+    let (confirmed, unconfirmed) = push_until_confirmed(worker, entries).await;
+    let accepted = unconfirmed.is_empty();
+    LogLine::new("change").field("revision", revision).field("accepted", accepted).info();
+    let answer = ChangeAnswer { accepted, revision, changed, confirmed, unconfirmed };
+    if accepted { HttpResponse::Ok().json(answer) } else { HttpResponse::Accepted().json(answer) }
+}
+
+async fn push_until_confirmed(worker: &WorkerState, entries: Vec<RecordEntry>) -> (Vec<SharedName>, Vec<SharedName>) {
+    let deadline = worker.shared.now().plus_ms(CONFIRM_MS);
+    loop {
+        let (confirmed, unconfirmed) = push_records(&worker.shared, &worker.peers, entries.clone()).await;
+        if unconfirmed.is_empty() || worker.shared.now() >= deadline {
+            return (confirmed, unconfirmed);
+        }
+        actix_rt::time::sleep(CONFIRM_PAUSE).await;
+    }
 }
 
 /// Handles `POST /apply`.
 pub async fn apply(worker: web::Data<WorkerState>, request: web::Json<ApplyRequest>) -> HttpResponse {
     let request = request.into_inner();
     match write_all(&worker, request).await {
-        Ok(entries) => HttpResponse::Ok().json(accept(&worker, entries).await),
+        Ok(entries) => accept(&worker, entries).await,
         Err(error) => failed(&error),
     }
 }
--- a/crates/daemon/src/http/key_api.rs
+++ b/crates/daemon/src/http/key_api.rs
@@ -62,7 +62,7 @@
         Ok(Some(ConfigRecord::Keys(keys)))
     });
     match written.await {
-        Ok(entry) => HttpResponse::Ok().json(accept(worker, entry.into_iter().collect()).await),
+        Ok(entry) => accept(worker, entry.into_iter().collect()).await,
         Err(error) => failed(&error),
     }
 }
--- a/crates/daemon/src/task/duty_lease.rs
+++ b/crates/daemon/src/task/duty_lease.rs
@@ -17,8 +17,11 @@
     shared: Arc<SharedState>,
     duty: SharedName,
     holder: LeaseHolder,
+    receiver_checks: bool,
     lease: u64,
-    previous: Option<PreviousHolder>,
+    /// Former holders that were on record when the duty was acquired.
+    previous: Vec<PreviousHolder>,
+    trimmed: bool,
     vacant_since: Option<TimePoint>,
 }
 
@@ -26,7 +29,17 @@
     /// Creates the lease of `duty`; `receiver_checks` says whether the receiver refuses old fencing numbers.
     pub fn new(kv: K, shared: Arc<SharedState>, duty: SharedName, receiver_checks: bool) -> Self {
         let holder = LeaseHolder::new(receiver_checks);
-        Self { kv, shared, duty, holder, lease: 0, previous: None, vacant_since: None }
+        Self {
+            kv,
+            shared,
+            duty,
+            holder,
+            receiver_checks,
+            lease: 0,
+            previous: Vec::new(),
+            trimmed: false,
+            vacant_since: None,
+        }
     }
 
     /// Key of the leased record. Writes under this duty compare against it.
@@ -67,7 +80,7 @@
             let evidence = self.evidence();
             self.holder.learned(evidence, self.shared.now());
         }
-        Ok(())
+        self.trim().await
     }
 
     async fn acquire_if_vacant(&mut self, rank: Option<usize>) -> Result<()> {
@@ -92,6 +105,9 @@
     async fn acquire(&mut self) -> Result<()> {
         let stored = self.kv.get(&self.previous_key()).await?;
         let (revision, previous) = parse_previous(&stored);
+        let mut on_record = previous.clone();
+        on_record.retain(|holder| *holder != self.own_record());
+        on_record.push(self.own_record());
         let nonce = format!("{}/{}", self.shared.process(), self.shared.draw());
         let asked_at = self.shared.now();
         let lease = self.kv.grant(self.holder.ttl_ms()).await?;
@@ -99,7 +115,7 @@
             .expect(&self.holder_key(), 0)
             .expect(&self.previous_key(), revision)
             .put(&self.holder_key(), nonce.clone().into_bytes(), lease)
-            .put(&self.previous_key(), self.own_record(false), 0);
+            .put(&self.previous_key(), encode(&on_record), 0);
         let fencing = match self.kv.commit(&txn).await {
             Ok(answer) if answer.succeeded => Some(answer.header.revision),
             Ok(_) => None,
@@ -111,6 +127,7 @@
         };
         self.lease = lease;
         self.previous = previous;
+        self.trimmed = false;
         self.vacant_since = None;
         let evidence = self.evidence();
         self.holder.acquired(fencing, asked_at, evidence, self.shared.now());
@@ -129,23 +146,29 @@
     }
 
     async fn renew(&mut self) -> Result<()> {
+        let fencing = match self.holder.state() {
+            LeaseState::Held { fencing, .. } | LeaseState::Settling { fencing, .. } => fencing,
+            LeaseState::Idle => return Ok(()),
+        };
         if !self.holder.renewal_due(self.shared.now()) {
             return Ok(());
         }
         let asked_at = self.shared.now();
         self.kv.keep_alive(self.lease).await?;
-        self.holder.renewed(asked_at);
+        self.holder.renewed(fencing, asked_at);
         Ok(())
     }
 
-    /// What is known about the previous holder.
+    /// What is known about all former holders on record.
     fn evidence(&self) -> HolderEvidence {
-        let Some(previous) = &self.previous else { return HolderEvidence::Clear };
-        let own = previous.daemon == self.shared.settings.name;
-        if previous.stepped_down || (own && previous.incarnation == self.shared.incarnation) {
+        self.previous.iter().map(|previous| self.evidence_of(previous)).max().unwrap_or(HolderEvidence::Clear)
+    }
+
+    fn evidence_of(&self, previous: &PreviousHolder) -> HolderEvidence {
+        if *previous == self.own_record() {
             return HolderEvidence::Clear;
         }
-        if own {
+        if previous.daemon == self.shared.settings.name {
             return HolderEvidence::Ended;
         }
         let listed = self.shared.listed_entries.lock().unwrap_or_else(PoisonError::into_inner);
@@ -158,14 +181,24 @@
         if off_list || ended { HolderEvidence::Ended } else { HolderEvidence::Silent }
     }
 
-    fn own_record(&self, stepped_down: bool) -> Vec<u8> {
-        let record = PreviousHolder {
-            daemon: self.shared.settings.name.clone(),
-            incarnation: self.shared.incarnation,
-            stepped_down,
-        };
-        // The record consists of plain strings and numbers, which always encode.
-        serde_json::to_vec(&record).unwrap_or_default()
+    /// Once the duty is held, former holders are proved to have ended and come off the record.
+    async fn trim(&mut self) -> Result<()> {
+        let LeaseState::Held { fencing, .. } = self.holder.state() else { return Ok(()) };
+        if self.trimmed || self.receiver_checks {
+            return Ok(());
+        }
+        self.trimmed = self.write_previous(fencing, &[self.own_record()]).await?;
+        Ok(())
+    }
+
+    async fn write_previous(&self, fencing: u64, holders: &[PreviousHolder]) -> Result<bool> {
+        let txn =
+            TxnRequest::default().expect(&self.holder_key(), fencing).put(&self.previous_key(), encode(holders), 0);
+        Ok(self.kv.commit(&txn).await?.succeeded)
+    }
+
+    fn own_record(&self) -> PreviousHolder {
+        PreviousHolder { daemon: self.shared.settings.name.clone(), incarnation: self.shared.incarnation }
     }
 
     /// Gives the duty up, with nothing outstanding.
@@ -173,12 +206,7 @@
         let LeaseState::Held { fencing, .. } = self.holder.state() else { return };
         self.holder.step_down();
         self.publish_state();
-        let txn = TxnRequest::default().expect(&self.holder_key(), fencing).put(
-            &self.previous_key(),
-            self.own_record(true),
-            0,
-        );
-        if let Err(error) = self.kv.commit(&txn).await {
+        if let Err(error) = self.write_previous(fencing, &[]).await {
             LogLine::new("duty_step_down_failed").field("duty", &self.duty).field("error", error).warn();
             return;
         }
@@ -197,7 +225,12 @@
     }
 }
 
-fn parse_previous(stored: &RangeResponse) -> (u64, Option<PreviousHolder>) {
-    let Some(entry) = stored.kvs.first() else { return (0, None) };
-    (entry.mod_revision, serde_json::from_slice(&entry.value).ok())
+fn encode(holders: &[PreviousHolder]) -> Vec<u8> {
+    // The records consist of plain strings and numbers, which always encode.
+    serde_json::to_vec(holders).unwrap_or_default()
+}
+
+fn parse_previous(stored: &RangeResponse) -> (u64, Vec<PreviousHolder>) {
+    let Some(entry) = stored.kvs.first() else { return (0, Vec::new()) };
+    (entry.mod_revision, serde_json::from_slice(&entry.value).unwrap_or_default())
 }
--- a/crates/daemon/src/upstream/dispatcher.rs
+++ b/crates/daemon/src/upstream/dispatcher.rs
@@ -95,12 +95,9 @@
     error: AttemptError,
 ) -> Result<()> {
     let now = shared.now();
-    let failed =
-        FailedAttempt { class: &request.class, progress: error.progress, attempt, deadline: request.deadline };
+    let failed = FailedAttempt { class: &request.class, progress: error.progress, attempt, deadline: request.deadline };
     let decision = shared.with_rng(|rng| {
-        shared.budget(&request.organisation, &request.service, |budget| {
-            RetryPolicy.decide(failed, now, budget, rng)
-        })
+        shared.budget(&request.organisation, &request.service, |budget| RetryPolicy.decide(failed, now, budget, rng))
     });
     let (reason, run_state) = match decision {
         RetryDecision::Again(at) => {
--- a/crates/kernel/src/lease_holder.rs
+++ b/crates/kernel/src/lease_holder.rs
@@ -9,21 +9,20 @@
 const GUARD_MS: u64 = 2_000;
 const RENEW_AFTER_MS: u64 = 1_500;
 
-/// What is on record about the last holder of a duty.
+/// A former holder that is not known to have ended. All of them stay on record until a successor has
+/// proof, also when other holders came between.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PreviousHolder {
     /// Daemon name.
     pub daemon: SharedName,
     /// Incarnation of its process.
     pub incarnation: u64,
-    /// Whether it gave the duty up itself, with nothing outstanding.
-    pub stepped_down: bool,
 }
 
-/// What is known about whether the previous holder can still act.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What is known about whether former holders can still act; the greatest one counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HolderEvidence {
-    /// There was none, it was this process, or it stepped down.
+    /// There is none on record, or it is this process.
     Clear,
     /// Its process ended: a newer incarnation runs, its port refuses, or its VM is off the list.
     Ended,
@@ -36,7 +35,7 @@
 pub enum LeaseState {
     /// Holds nothing.
     Idle,
-    /// Holds the lease, but the previous holder's orders may still arrive until `quiet_at`.
+    /// Holds the lease, but former holders' orders may still arrive until `quiet_at`.
     Settling {
         /// Revision that fences earlier holders.
         fencing: u64,
@@ -60,13 +59,15 @@
     state: LeaseState,
     receiver_checks: bool,
     renew_at: TimePoint,
+    /// Highest fencing number ever granted to this process.
+    newest: u64,
 }
 
 impl LeaseHolder {
     /// Creates a holder; `receiver_checks` says whether the receiver refuses old fencing numbers.
     #[must_use]
     pub fn new(receiver_checks: bool) -> Self {
-        Self { state: LeaseState::Idle, receiver_checks, renew_at: TimePoint(0) }
+        Self { state: LeaseState::Idle, receiver_checks, renew_at: TimePoint(0), newest: 0 }
     }
 
     /// Lifetime to ask for, in milliseconds.
@@ -81,8 +82,12 @@
         self.state
     }
 
-    /// The lease was granted by a write sent at `asked_at`.
+    /// The lease was granted by a write sent at `asked_at`. The late answer of an older grant is ignored.
     pub fn acquired(&mut self, fencing: u64, asked_at: TimePoint, evidence: HolderEvidence, now: TimePoint) {
+        if fencing <= self.newest {
+            return;
+        }
+        self.newest = fencing;
         let deadline = asked_at.plus_ms(LEASE_TTL_MS - GUARD_MS);
         self.renew_at = asked_at.plus_ms(RENEW_AFTER_MS);
         self.state = match evidence {
@@ -95,7 +100,7 @@
         };
     }
 
-    /// New evidence about the previous holder while settling.
+    /// New evidence about former holders while settling.
     pub fn learned(&mut self, evidence: HolderEvidence, now: TimePoint) {
         let LeaseState::Settling { fencing, deadline, quiet_at } = self.state else { return };
         let quiet_at = match evidence {
@@ -116,11 +121,13 @@
         self.state != LeaseState::Idle && now >= self.renew_at
     }
 
-    /// A renewal sent at `asked_at` was confirmed. A lost answer is no confirmation.
-    pub fn renewed(&mut self, asked_at: TimePoint) {
+    /// A renewal of the lease granted under `renewed`, sent at `asked_at`, was confirmed. A lost answer is
+    /// no confirmation.
+    pub fn renewed(&mut self, renewed: u64, asked_at: TimePoint) {
         let until = asked_at.plus_ms(LEASE_TTL_MS - GUARD_MS);
         match &mut self.state {
             LeaseState::Idle => return,
+            LeaseState::Held { fencing, .. } | LeaseState::Settling { fencing, .. } if *fencing != renewed => return,
             LeaseState::Held { deadline, .. } | LeaseState::Settling { deadline, .. } => {
                 *deadline = (*deadline).max(until);
             }
--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -217,6 +217,7 @@
     pub fn ended(&mut self, name: &str, failed: bool, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(name) else { return };
         entry.inflight = entry.inflight.saturating_sub(1);
+        entry.sent_since_report = entry.sent_since_report.saturating_sub(1);
         entry.exclusive = false;
         if !failed {
             entry.failures = 0;
@@ -254,8 +255,10 @@
         if self.policy == RoutePolicy::RoundRobin {
             return Some(eligible[self.turn % eligible.len()].name.clone());
         }
-        let first = eligible[rng.random_range(0..eligible.len())];
-        let second = eligible[rng.random_range(0..eligible.len())];
+        let count = eligible.len();
+        let first = rng.random_range(0..count);
+        let step = if count > 1 { rng.random_range(1..count) } else { 0 };
+        let (first, second) = (eligible[first], eligible[(first + step) % count]);
         let cost = |entry: &UpstreamEntry| {
             let away = u64::from(&*entry.failure_domain != query.failure_domain);
             entry.load(now) + away * DOMAIN_PENALTY
--- /dev/null
+++ b/crates/kernel/tests/machines/small_laws.rs
@@ -0,0 +1,269 @@
+//! Tables of cases for the small decisions.
+
+use pimentoslip_kernel::{
+    FailedAttempt, FetchCursor, KeySecret, MemberEntry, MemberState, MemberTable, RefusalReason, RequestClass,
+    RequestProgress, RetryBudget, RetryDecision, RetryPolicy, RunState, SpendAction, SpendInput, SpendPlanner,
+    StreamScanner, SuspectTable, TimePoint, owner, rank,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+#[test]
+fn not_run_is_said_only_when_nothing_ran() {
+    // Connected, answered, refused by the upstream, and what may be said.
+    let cases = [
+        (false, false, false, RunState::NotRun),
+        (true, false, false, RunState::MayHaveRun),
+        (true, true, false, RunState::Ran),
+        (true, false, true, RunState::NotRun),
+    ];
+    for (connected, answered, refused, expected) in cases {
+        let mut progress = RequestProgress::default();
+        if connected {
+            progress.connected();
+        }
+        if answered {
+            progress.answered();
+        }
+        if refused {
+            progress.refused();
+        }
+        assert_eq!(progress.run_state(), expected);
+    }
+}
+
+#[test]
+fn only_what_may_repeat_is_retried() {
+    let mut may_have_run = RequestProgress::default();
+    may_have_run.connected();
+    let not_run = RequestProgress::default();
+    // Class, progress, attempt, and whether it is sent again.
+    let cases = [
+        (RequestClass::Idempotent, may_have_run, 1, true),
+        (RequestClass::Idempotent, may_have_run, 3, false),
+        (RequestClass::Once, may_have_run, 1, false),
+        (RequestClass::Once, not_run, 1, true),
+        (RequestClass::Claimed("k".into()), may_have_run, 1, false),
+        (RequestClass::Claimed("k".into()), not_run, 1, true),
+    ];
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for (class, progress, attempt, again) in cases {
+        let failed = FailedAttempt { class: &class, progress, attempt, deadline: TimePoint(10_000) };
+        let decision = RetryPolicy.decide(failed, TimePoint(0), &mut RetryBudget::default(), &mut rng);
+        assert_eq!(matches!(decision, RetryDecision::Again(_)), again, "{class:?} {progress:?} {attempt}");
+    }
+    let late =
+        FailedAttempt { class: &RequestClass::Idempotent, progress: not_run, attempt: 1, deadline: TimePoint(0) };
+    let decision = RetryPolicy.decide(late, TimePoint(0), &mut RetryBudget::default(), &mut rng);
+    assert_eq!(decision, RetryDecision::Stop(RunState::NotRun));
+}
+
+#[test]
+fn retries_stay_a_tenth_of_requests() {
+    let mut budget = RetryBudget::default();
+    let retries = (0..10_000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+    assert!(retries.count() <= 1_010);
+}
+
+#[test]
+fn requests_are_classified() {
+    let cases = [
+        ("GET", false, None, RequestClass::Idempotent),
+        ("POST", false, None, RequestClass::Once),
+        ("DELETE", false, None, RequestClass::Once),
+        ("POST", true, None, RequestClass::Idempotent),
+        ("POST", false, Some("k"), RequestClass::Claimed("k".into())),
+        ("POST", true, Some("k"), RequestClass::Claimed("k".into())),
+    ];
+    for (method, repeatable, key, expected) in cases {
+        assert_eq!(RequestClass::of(method, repeatable, key), expected);
+    }
+}
+
+#[test]
+fn a_crasher_is_quarantined_and_its_neighbours_are_not() {
+    let now = TimePoint(0);
+    let mut suspects = SuspectTable::default();
+    suspects.upstream_died(&[1, 2, 3], now);
+    assert!(suspects.suspected(1, now) && !suspects.quarantined(1, now));
+    suspects.ran_clean(2);
+    assert!(!suspects.suspected(2, now), "a suspect that ran alone to its end is cleared");
+    suspects.upstream_died(&[1], now);
+    suspects.upstream_died(&[1], now);
+    assert!(suspects.quarantined(1, now));
+    assert!(!suspects.quarantined(1, now.plus_ms(3_600_000)), "quarantine expires");
+    suspects.upstream_died(&[4, 5, 6, 7, 8], now);
+    assert!(!suspects.suspected(4, now), "a crowd says nothing");
+    let mut peer = SuspectTable::default();
+    suspects.marks(now).into_iter().for_each(|mark| peer.learn(mark));
+    assert!(peer.quarantined(1, now));
+}
+
+#[test]
+fn streams_are_whole_only_with_their_marker() {
+    let whole = b"data: {\"a\":1}\r\n\r\ndata: {\"b\":2}\n\ndata: [DONE]\n\n";
+    for cut in 0..=whole.len() {
+        let mut scanner = StreamScanner::default();
+        let mut data = Vec::new();
+        scanner.feed(&whole[..cut], |line| data.push(line.to_vec()));
+        let marker_end = whole.len() - 1;
+        assert_eq!(scanner.finished(), cut >= marker_end, "cut at {cut}");
+        scanner.feed(&whole[cut..], |line| data.push(line.to_vec()));
+        assert!(scanner.finished());
+        assert_eq!(data, [b"{\"a\":1}".to_vec(), b"{\"b\":2}".to_vec()], "cut at {cut}");
+    }
+}
+
+#[test]
+fn keys_are_found_wherever_they_stand() {
+    let secret = KeySecret::draw(&mut ChaCha8Rng::seed_from_u64(9));
+    let text = format!("x={}&y", secret.expose());
+    assert_eq!(KeySecret::find_ids(text.as_bytes()), vec![secret.id.clone()]);
+    assert!(KeySecret::find_ids(b"psk-short psk-").is_empty());
+    assert!(KeySecret::parse(&secret.expose()[1..]).is_none());
+    assert!(KeySecret::parse(&format!("{}x", secret.expose())).is_none());
+}
+
+#[test]
+fn cursors_hold_4096_samples_in_512_bytes() {
+    let mut cursor = FetchCursor::default();
+    (0..4_096).for_each(|sample| cursor.insert(sample));
+    let text = serde_json::to_string(&cursor).expect("a cursor");
+    assert_eq!(text.len(), 512 * 2 + 2);
+    assert_eq!(serde_json::from_str::<FetchCursor>(&text).expect("a cursor"), cursor);
+    for malformed in ["\"0\"", "\"zz\"", "\"é0\"", "7"] {
+        assert!(serde_json::from_str::<FetchCursor>(malformed).is_err(), "{malformed}");
+    }
+}
+
+#[test]
+fn spend_fills_the_floor_then_the_cheaper_kind_and_never_passes_the_ceiling() {
+    let base = SpendInput {
+        wanted: 4,
+        standing_min: 1,
+        standing: 2,
+        reclaimable: 0,
+        reclaimable_available: true,
+        standing_rate: 100,
+        reclaimable_rate: 40,
+        floor_rate: 200,
+        ceiling_rate: 400,
+        surplus_rounds: 0,
+    };
+    let cases = [
+        (SpendInput { standing: 0, ..base }, SpendAction::StartStanding),
+        (SpendInput { standing: 1, ..base }, SpendAction::StartStanding),
+        (base, SpendAction::StartReclaimable),
+        (SpendInput { reclaimable_available: false, ..base }, SpendAction::StartStanding),
+        (SpendInput { reclaimable: 2, ..base }, SpendAction::Keep),
+        (SpendInput { ceiling_rate: 220, ..base }, SpendAction::Keep),
+        (SpendInput { ceiling_rate: 0, standing: 0, ..base }, SpendAction::Keep),
+        (SpendInput { wanted: 2, reclaimable: 1, surplus_rounds: 4, ..base }, SpendAction::Keep),
+        (SpendInput { wanted: 2, reclaimable: 1, surplus_rounds: 5, ..base }, SpendAction::StopReclaimable),
+        (SpendInput { wanted: 1, standing: 3, surplus_rounds: 5, ..base }, SpendAction::StopStanding),
+        (SpendInput { wanted: 1, standing: 2, surplus_rounds: 5, ..base }, SpendAction::Keep),
+    ];
+    for (input, expected) in cases {
+        assert_eq!(SpendPlanner.plan(&input), expected, "{input:?}");
+    }
+}
+
+/// From any start, the planner comes to rest, and no start of its own passes the ceiling.
+#[test]
+fn the_planner_comes_to_rest_below_the_ceiling() {
+    for wanted in 0..6 {
+        for floor in [0, 150, 300] {
+            for available in [false, true] {
+                let mut input = SpendInput {
+                    wanted,
+                    standing_min: wanted.min(1),
+                    reclaimable_available: available,
+                    standing_rate: 100,
+                    reclaimable_rate: 40,
+                    floor_rate: floor,
+                    ceiling_rate: 420,
+                    surplus_rounds: 9,
+                    ..SpendInput::default()
+                };
+                let rested = (0..50).any(|_| {
+                    let action = SpendPlanner.plan(&input);
+                    match action {
+                        SpendAction::StartStanding => input.standing += 1,
+                        SpendAction::StartReclaimable => input.reclaimable += 1,
+                        SpendAction::StopStanding => input.standing -= 1,
+                        SpendAction::StopReclaimable => input.reclaimable -= 1,
+                        SpendAction::Keep => {}
+                    }
+                    assert!(SpendPlanner::spend(&input) <= input.ceiling_rate, "{input:?}");
+                    action == SpendAction::Keep
+                });
+                assert!(rested, "wanted {wanted}, floor {floor}, available {available}: {input:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn owners_agree_and_move_little() {
+    let members: Vec<String> = (0..10).map(|member| format!("entry-{member}")).collect();
+    let fewer: Vec<String> = members[1..].to_vec();
+    let mut moved = 0;
+    for key in 0..1_000 {
+        let key = format!("key-{key}");
+        let before = owner(&key, &members).expect("an owner");
+        assert_eq!(rank(&key, &members)[0], before);
+        let after = owner(&key, &fewer).expect("an owner");
+        moved += usize::from(before != after);
+        assert!(before == after || *before == "entry-0");
+    }
+    assert!((60..=140).contains(&moved), "{moved} of 1000 moved when one of ten left");
+}
+
+fn member(name: &str, incarnation: u64) -> MemberEntry {
+    MemberEntry {
+        name: name.into(),
+        incarnation,
+        failure_domain: "a".into(),
+        control: "127.0.0.1:1".into(),
+        state: MemberState::Alive,
+        heard_at: TimePoint(0),
+    }
+}
+
+#[test]
+fn silent_members_are_suspected_then_failed_and_come_back() {
+    let mut table = MemberTable::new("me".into(), "a".into());
+    table.heard(member("other", 1), TimePoint(0));
+    let state = |table: &MemberTable| table.get("other").expect("known").state;
+    table.tick(TimePoint(3_000));
+    assert_eq!(state(&table), MemberState::Alive);
+    table.tick(TimePoint(3_001));
+    assert_eq!(state(&table), MemberState::Suspect);
+    assert_eq!(table.active().len(), 2, "a suspect still takes part");
+    table.tick(TimePoint(6_001));
+    assert_eq!(state(&table), MemberState::Failed);
+    assert_eq!(table.active().len(), 1);
+    assert_eq!(table.possibly_running().len(), 1, "a failed member may still be running");
+    table.heard(member("other", 1), TimePoint(7_000));
+    assert_eq!(state(&table), MemberState::Alive);
+    table.ended(&"other".into(), TimePoint(8_000));
+    assert!(table.possibly_running().is_empty());
+    table.rumour(&member("other", 1), TimePoint(8_000));
+    assert_eq!(state(&table), MemberState::Ended, "hearsay does not wake the dead");
+    table.heard(member("other", 2), TimePoint(9_000));
+    assert_eq!(state(&table), MemberState::Alive);
+    table.heard(member("other", 1), TimePoint(9_500));
+    assert_eq!(table.get("other").expect("known").incarnation, 2, "an older process does not replace a newer one");
+}
+
+#[test]
+fn refusal_codes_are_unique_and_stable() {
+    let mut codes: Vec<&str> = RefusalReason::ALL.iter().map(|reason| reason.code()).collect();
+    codes.sort_unstable();
+    codes.dedup();
+    assert_eq!(codes.len(), RefusalReason::ALL.len());
+    assert!(RefusalReason::ALL.iter().all(|reason| (400..600).contains(&reason.status())));
+}
--- a/crates/wire/src/admin/change.rs
+++ b/crates/wire/src/admin/change.rs
@@ -25,9 +25,12 @@
     pub records: Vec<RecordBody>,
 }
 
-/// The change is accepted.
+/// What became of a change. It is on record in any case; it is accepted once every daemon that may be
+/// running holds it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeAnswer {
+    /// Whether every daemon that may be running has confirmed. Otherwise the change is pending.
+    pub accepted: bool,
     /// Highest revision written, or the one in force when nothing changed.
     pub revision: u64,
     /// Records written.
