Prove requests, keys, duties and samples under kills, cuts and freezes

- The HTTP client reports a connection that closed before the answer as a connect error.
It was taken for 'not run' and sent again: a non-idempotent order ran 3 times when its answer was cut at byte 0.
Only errors from before a connection stood count as not run now.
- The HTTP client takes the end of a connection for the end of a body: an answer cut after byte 149 was passed on as a whole, empty 200.
Ruled out: checking the length afterwards (a chunked body has none).
The connection's own stream now turns an end into an error.
- Requests that may run once went out on kept-alive connections, which the other side may close just then: 502 'may have run' for an order that never arrived.
They get fresh connections now.
- An error event at the end of a stream was lost, because the connection ended before it left.
- A dying upstream closes its connections before its port, so that the probe blamed nobody; and blame spread only with the next exchange: 4 engines died of one request.
Now probed three times and told to peers at once: at most 3 in the test.
- Dead upstreams were picked again until three failures in a row; one refused connection is enough.
- The status page showed an upstream that had announced its leaving as live.

--- /dev/null
+++ b/crates/cli/tests/processes/hostile.rs
@@ -0,0 +1,275 @@
+//! Hostile and malformed input: clear errors, nothing lost, no panic.
+
+use super::support::{OPERATOR_KEY, Site, SiteShape};
+use pimentoslip_kernel::KeySecret;
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpStream},
+    time::Duration,
+};
+
+async fn site_with_key() -> (Site, KeySecret) {
+    let site =
+        Site::start(SiteShape { daemon_flags: vec!["--body-bytes-max=100000".to_owned()], ..SiteShape::default() })
+            .await;
+    let key = site.create_key(0, 1).await;
+    (site, key)
+}
+
+/// Path, headers, raw body, and the refusal.
+type HostileCase<'a> = (String, Vec<(&'a str, &'a str)>, String, &'a str);
+
+#[actix_rt::test]
+async fn keys_in_wrong_places_are_refused_and_reach_no_upstream() {
+    let (site, key) = site_with_key().await;
+    let token = key.expose();
+    let bearer = format!("Bearer {token}");
+    let escaped: String = token.bytes().map(|byte| format!("\\u{byte:04x}")).collect();
+    let percent: String = token.bytes().map(|byte| format!("%{byte:02x}")).collect();
+    let wrong = bearer.replace(&token[20..22], "zz");
+    let orders = "/services/desk/orders".to_owned();
+    let empty = "{}".to_owned();
+    let cases: Vec<HostileCase<'_>> = vec![
+        (orders.clone(), vec![], empty.clone(), "key_missing"),
+        (orders.clone(), vec![("authorization", "Bearer nonsense")], empty.clone(), "key_unknown"),
+        (orders.clone(), vec![("authorization", wrong.as_str())], empty.clone(), "key_unknown"),
+        (orders.clone(), vec![("authorization", "Basic dXNlcjpwYXNz")], empty.clone(), "key_missing"),
+        (orders.clone(), vec![("x-api-key", token)], empty.clone(), "key_missing"),
+        (format!("{orders}?key={token}"), vec![], empty.clone(), "key_missing"),
+        (orders.clone(), vec![("authorization", &bearer), ("authorization", &bearer)], empty.clone(), "key_ambiguous"),
+        (format!("{orders}?key={token}"), vec![("authorization", &bearer)], empty.clone(), "key_misplaced"),
+        (format!("{orders}?key={percent}"), vec![("authorization", &bearer)], empty.clone(), "key_misplaced"),
+        (format!("/services/desk/{token}"), vec![("authorization", &bearer)], empty.clone(), "key_misplaced"),
+        (format!("/services/desk/menu?k={token}"), vec![], empty.clone(), "key_misplaced"),
+        (orders.clone(), vec![("authorization", &bearer)], format!("{{\"k\":\"{token}\"}}"), "key_misplaced"),
+        (orders.clone(), vec![("authorization", &bearer)], format!("{{\"k\":\"{escaped}\"}}"), "key_misplaced"),
+        (
+            "/v1/chat/completions".to_owned(),
+            vec![("authorization", &bearer)],
+            format!("{{\"model\":\"drafts\",\"user\":\"{token}\"}}"),
+            "key_misplaced",
+        ),
+        (
+            orders.clone(),
+            vec![("authorization", &bearer), ("idempotency-key", token)],
+            empty.clone(),
+            "idempotency_key_invalid",
+        ),
+        (
+            orders.clone(),
+            vec![("authorization", &bearer), ("idempotency-key", "a"), ("idempotency-key", "b")],
+            empty.clone(),
+            "idempotency_key_invalid",
+        ),
+        (
+            orders.clone(),
+            vec![("authorization", &bearer), ("idempotency-key", "")],
+            empty.clone(),
+            "idempotency_key_invalid",
+        ),
+        ("/services/desk/menu/../orders".to_owned(), vec![], empty.clone(), "key_missing"),
+        ("/services/desk/menu%2f..%2forders".to_owned(), vec![], empty.clone(), "key_missing"),
+        ("/services/desk/menus".to_owned(), vec![], empty.clone(), "key_missing"),
+        ("/services/nobody/x".to_owned(), vec![("authorization", &bearer)], empty.clone(), "service_unknown"),
+        ("/nowhere".to_owned(), vec![("authorization", &bearer)], empty.clone(), "service_unknown"),
+    ];
+    for (path, headers, body, code) in cases {
+        let mut request = site.http.request("POST", &format!("http://{}{path}", site.daemons[0].public));
+        for (name, value) in &headers {
+            request = request.append_header((*name, *value));
+        }
+        let mut answer = request
+            .insert_header(("content-type", "application/json"))
+            .send_body(body.clone())
+            .await
+            .expect("an answer");
+        let text = String::from_utf8_lossy(&answer.body().await.expect("a body")).into_owned();
+        let error: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        assert_eq!(error["error"]["code"], code, "{path} {headers:?} {body}: {text}");
+        assert_eq!(error["error"]["run_state"], "not run", "{text}");
+        assert!(!error["error"]["remedy"].as_str().unwrap_or("").is_empty());
+    }
+    let seen = format!("{:?}{:?}{:?}", site.desk_runs().await, site.engine_seen(0).await, site.engine_seen(1).await);
+    assert!(!seen.contains(token) && !seen.contains(&escaped) && !seen.contains(&percent));
+    let allowed = site.call(0, "POST", "/services/desk/orders", &key, &[("x-extra", "v"), ("cookie", "c")], &()).await;
+    assert_eq!(allowed.status, 200);
+    let seen = format!("{:?}", site.desk_runs().await);
+    assert!(!seen.contains("cookie") && !seen.contains("authorization"), "{seen}");
+    assert!(!site.logs().contains(token), "no key in any log");
+}
+
+#[actix_rt::test]
+async fn an_organisation_runs_only_what_it_was_granted() {
+    let (site, _) = site_with_key().await;
+    let secret = {
+        use rand::SeedableRng;
+        KeySecret::draw(&mut rand_chacha::ChaCha8Rng::seed_from_u64(77))
+    };
+    let request = pimentoslip_wire::admin::KeyRequest {
+        change: "rose".into(),
+        organisation: "rose".into(),
+        key: secret.id.clone(),
+        hash: Some(secret.hash()),
+    };
+    assert_eq!(site.admin_post(0, "keys/create", &request).await.status, 200);
+    let body = serde_json::json!({ "model": "drafts", "messages": [] });
+    let refused = site.call(0, "POST", "/v1/chat/completions", &secret, &[], &body).await;
+    assert_eq!((refused.status, refused.error("code").as_str()), (403, "service_forbidden"));
+    assert_eq!(site.call(0, "POST", "/services/desk/orders", &secret, &[], &()).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn peers_and_operators_need_their_secrets() {
+    let (site, key) = site_with_key().await;
+    let control = format!("http://{}", site.daemons[0].control);
+    let bearer = format!("Bearer {}", key.expose());
+    let paths = [
+        "/peer/exchange",
+        "/peer/claim",
+        "/peer/settle",
+        "/peer/forward",
+        "/peer/totals",
+        "/admin/v1/apply",
+        "/admin/v1/keys/create",
+        "/admin/v1/drain",
+    ];
+    let headers: [&[(&str, &str)]; 5] = [
+        &[],
+        &[("authorization", &bearer)],
+        &[("x-operator-key", "wrong"), ("x-cluster-secret", "wrong")],
+        &[("x-operator-key", ""), ("x-cluster-secret", "")],
+        &[("x-operator-key", OPERATOR_KEY), ("x-operator-key", OPERATOR_KEY)],
+    ];
+    for path in paths {
+        for headers in headers {
+            let answer = site.http.send("POST", &format!("{control}{path}"), headers, &()).await;
+            assert_eq!(answer.status, 404, "{path} {headers:?}");
+        }
+        let public = site
+            .http
+            .send(
+                "POST",
+                &format!("http://{}{path}", site.daemons[0].public),
+                &[("x-operator-key", OPERATOR_KEY), ("x-cluster-secret", "test-cluster-secret")],
+                &(),
+            )
+            .await;
+        assert_eq!(public.status, 404, "{path} on the callers' listener");
+    }
+    for path in ["/peer/exchange", "/peer/claim", "/peer/settle", "/peer/forward"] {
+        for body in [&b""[..], &b"\xc1"[..], &b"\x81"[..], &[0xdd, 0xff, 0xff, 0xff, 0xff][..], &[0x91; 5_000][..]] {
+            let request = site
+                .http
+                .request("POST", &format!("{control}{path}"))
+                .insert_header(("x-cluster-secret", "test-cluster-secret"));
+            let answer = request.send_body(body.to_vec()).await.expect("an answer");
+            assert_eq!(answer.status().as_u16(), 400, "{path} {:?}", &body[..body.len().min(8)]);
+        }
+    }
+    assert!(site.status(0).await.is_some(), "the daemon lives");
+}
+
+/// Sends raw bytes and gives what comes back, at most a second of it.
+fn raw(address: &str, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("connect");
+    stream.set_read_timeout(Some(Duration::from_secs(1))).expect("a timeout");
+    // The daemon may close early, which is an answer as well.
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[actix_rt::test]
+async fn malformed_http_and_json_are_refused_and_end_nothing() {
+    let (site, key) = site_with_key().await;
+    let public = site.daemons[0].public.clone();
+    let bearer = format!("authorization: Bearer {}", key.expose());
+    let huge_header = format!("GET / HTTP/1.1\r\nhost: x\r\nx: {}\r\n\r\n", "y".repeat(1 << 20));
+    let cases: Vec<Vec<u8>> = vec![
+        b"\x00\x01\x02\r\n\r\n".to_vec(),
+        b"GET\r\n\r\n".to_vec(),
+        b"POST /v1/steps HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nabc".to_vec(),
+        b"POST /v1/steps HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n".to_vec(),
+        b"POST /v1/steps HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nabcdef".to_vec(),
+        b"POST /v1/steps HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec(),
+        huge_header.into_bytes(),
+    ];
+    for case in cases {
+        let answer = raw(&public, &case);
+        assert!(
+            !answer.starts_with("HTTP/1.1 2"),
+            "{:?}: {answer}",
+            String::from_utf8_lossy(&case[..case.len().min(60)])
+        );
+    }
+    for (path, body) in [
+        ("/v1/chat/completions", "{\"model\":"),
+        ("/v1/chat/completions", "{\"model\":7}"),
+        ("/v1/chat/completions", "[]"),
+        ("/v1/steps", "{\"trainer\":\"t\"}"),
+        (
+            "/v1/steps",
+            "{\"trainer\":\"../x\",\"step\":1,\"service\":\"drafts\",\"prompts\":[\"p\"],\"group_size\":1,\"max_tokens\":1}",
+        ),
+        (
+            "/v1/steps",
+            "{\"trainer\":\"t\",\"step\":1,\"service\":\"drafts\",\"prompts\":[],\"group_size\":1,\"max_tokens\":1}",
+        ),
+        (
+            "/v1/steps",
+            "{\"trainer\":\"t\",\"step\":1,\"service\":\"drafts\",\"prompts\":[\"p\"],\"group_size\":1000000000,\"max_tokens\":1}",
+        ),
+        (
+            "/v1/steps",
+            "{\"trainer\":\"t\",\"step\":1,\"service\":\"drafts\",\"prompts\":[\"p\"],\"group_size\":18446744073709551615,\"max_tokens\":1}",
+        ),
+        ("/v1/steps/fetch", "{\"trainer\":\"t\",\"step\":1,\"cursor\":\"0\"}"),
+        ("/v1/steps/fetch", "{\"trainer\":\"t\",\"step\":1,\"unknown\":1}"),
+        ("/v1/weights", "{\"service\":\"drafts\",\"version\":-1}"),
+    ] {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\n{bearer}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = raw(&public, request.as_bytes());
+        assert!(answer.contains("body_malformed") && answer.contains("not run"), "{path} {body}: {answer}");
+    }
+    let large = serde_json::json!({ "model": "drafts", "x": "y".repeat(200_000) });
+    let answer = site.call(0, "POST", "/v1/chat/completions", &key, &[], &large).await;
+    assert_eq!((answer.status, answer.error("code").as_str()), (413, "body_too_large"));
+    let body = serde_json::json!({ "model": "drafts", "messages": [] });
+    assert_eq!(
+        site.call(0, "POST", "/v1/chat/completions", &key, &[], &body).await.status,
+        200,
+        "the daemon serves on"
+    );
+    assert!(!site.logs().contains("panicked"), "{}", site.logs());
+}
+
+#[test]
+fn all_faulty_settings_are_listed_at_once() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_pimentoslipd"))
+        .env_clear()
+        .args(["--name=x", "--listen=nowhere", "--cluster-secret=short", "--route-policy=nearest", "--workers=0"])
+        .output()
+        .expect("run pimentoslipd");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    for flag in [
+        "failure-domain",
+        "site",
+        "listen",
+        "kv",
+        "orders",
+        "usage",
+        "vms",
+        "cluster-secret",
+        "operator-key",
+        "route-policy",
+        "workers",
+    ] {
+        assert!(text.contains(&format!("--{flag} (PIMENTOSLIP_")), "{flag} is missing from {text}");
+    }
+}
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -3,5 +3,12 @@
 mod support;
 
 mod check;
+mod configuration;
+mod crasher;
 mod demo;
+mod duties;
+mod hostile;
+mod leaving;
 mod path;
+mod requests;
+mod samples;
--- /dev/null
+++ b/crates/cli/tests/processes/requests.rs
@@ -0,0 +1,252 @@
+//! Requests: at most once, "not run" is true, whole answers, under cuts, kills and crossed answers.
+
+use super::support::{Answer, Site, SiteShape, wait_for};
+use futures_util::future::join_all;
+use pimentoslip_kernel::KeySecret;
+use pimentoslip_standin::{PlainFault, RelayRule, TcpRelay};
+use pimentoslip_wire::provider::{VmRole, VmState};
+
+const ORDERS: &str = "/services/desk/orders";
+
+async fn small_site() -> (Site, KeySecret) {
+    let site = Site::start(SiteShape { engines: vec![], ..SiteShape::default() }).await;
+    let key = site.create_key(0, 1).await;
+    (site, key)
+}
+
+/// Puts a relay between the daemons and the plain service.
+async fn relayed_site() -> (Site, KeySecret, TcpRelay) {
+    let (site, key) = small_site().await;
+    let relay = TcpRelay::start(site.desk.parse().expect("an address")).await.expect("a relay");
+    let address = relay.address.to_string();
+    site.list_vm("desk-1", VmRole::Upstream, "a", &address, Some("desk"), VmState::Live).await;
+    wait_for("the relay is in the way", || async {
+        let before = relay.passed().1;
+        site.call(0, "GET", ORDERS, &key, &[], &()).await;
+        (relay.passed().1 > before).then_some(())
+    })
+    .await;
+    (site, key, relay)
+}
+
+async fn order(site: &Site, at: usize, key: &KeySecret, number: usize, idempotency_key: Option<&str>) -> Answer {
+    let header: Vec<(&str, &str)> = idempotency_key.map(|key| ("idempotency-key", key)).into_iter().collect();
+    site.call(at, "POST", ORDERS, key, &header, &serde_json::json!({ "order": number })).await
+}
+
+/// Runs of order `number`.
+async fn runs(site: &Site, number: usize) -> usize {
+    let body = serde_json::json!({ "order": number }).to_string();
+    site.desk_runs().await.iter().filter(|run| run.body == body).count()
+}
+
+/// Cuts an exchange after every single byte and compares what the caller is told with what ran.
+async fn cut_everywhere(rule: fn(usize) -> RelayRule, bytes: fn((usize, usize)) -> usize) {
+    let (site, key, relay) = relayed_site().await;
+    let before = bytes(relay.passed());
+    relay.set(RelayRule::Cut);
+    relay.set(RelayRule::Pass);
+    assert_eq!(order(&site, 0, &key, 1_000_000, None).await.status, 200);
+    let length = bytes(relay.passed()) - before;
+    assert!(length > 50, "{length} bytes");
+    let (mut not_run, mut whole) = (0, 0);
+    // Later ids and counts are a few bytes longer than the first ones.
+    for cut in 0..=length + 16 {
+        relay.set(RelayRule::Cut);
+        relay.set(rule(cut));
+        let answer = order(&site, 0, &key, cut, None).await;
+        let ran = runs(&site, cut).await;
+        assert!(ran <= 1, "cut after {cut} of {length}: ran {ran} times");
+        match answer.status {
+            200 => {
+                whole += 1;
+                assert_eq!(ran, 1, "cut after {cut}: {answer:?}");
+                assert!(answer.body.contains("\"run\""), "cut after {cut}: {answer:?}");
+            }
+            _ => match answer.error("run_state").as_str() {
+                "not run" => {
+                    not_run += 1;
+                    assert_eq!(ran, 0, "cut after {cut}: told not run: {answer:?}");
+                }
+                "may have run" => {}
+                "ran" => assert_eq!(ran, 1, "cut after {cut}: told ran: {answer:?}"),
+                other => panic!("cut after {cut}: told {other:?}: {answer:?}"),
+            },
+        }
+    }
+    assert!(whole >= 1, "the exchange that is not cut is whole");
+    assert_eq!(not_run, 0, "bytes may have left in all of these");
+}
+
+#[actix_rt::test]
+async fn requests_cut_after_every_byte_run_at_most_once_and_are_told_truly() {
+    cut_everywhere(RelayRule::CutRequestAfter, |passed| passed.0).await;
+}
+
+#[actix_rt::test]
+async fn answers_cut_after_every_byte_are_whole_or_refused() {
+    cut_everywhere(RelayRule::CutAnswerAfter, |passed| passed.1).await;
+}
+
+#[actix_rt::test]
+async fn an_unreachable_upstream_did_not_run_it() {
+    let (site, key) = small_site().await;
+    // A port that nothing listens on.
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    drop(listener);
+    site.list_vm("desk-1", VmRole::Upstream, "a", &address, Some("desk"), VmState::Live).await;
+    let answer = wait_for("the upstream is unreachable", || async {
+        let answer = order(&site, 0, &key, 1, None).await;
+        (answer.status == 503).then_some(answer)
+    })
+    .await;
+    assert_eq!(answer.error("run_state"), "not run");
+    assert_eq!(answer.header("retry-after"), "1");
+}
+
+#[actix_rt::test]
+async fn one_key_at_three_daemons_at_once_runs_once() {
+    let (site, key) = small_site().await;
+    for round in 0..10 {
+        let name = format!("order-{round}");
+        let (site, key, name) = (&site, &key, name.as_str());
+        let calls = (0..9).map(|call| order(site, call % 3, key, round, Some(name)));
+        let answers = join_all(calls).await;
+        assert_eq!(runs(site, round).await, 1, "{answers:?}");
+        let whole: Vec<&Answer> = answers.iter().filter(|answer| answer.status == 200).collect();
+        assert!(!whole.is_empty(), "{answers:?}");
+        assert!(whole.iter().all(|answer| answer.body == whole[0].body));
+        assert_eq!(whole.iter().filter(|answer| answer.header("x-replayed").is_empty()).count(), 1);
+        for answer in answers.iter().filter(|answer| answer.status != 200) {
+            assert_eq!(
+                (answer.error("code").as_str(), answer.error("run_state").as_str()),
+                ("claim_in_progress", "not run")
+            );
+        }
+    }
+    let other = serde_json::json!({ "order": 99 });
+    let reused = site.call(1, "POST", ORDERS, &key, &[("idempotency-key", "order-0")], &other).await;
+    assert_eq!((reused.status, reused.error("code").as_str()), (422, "idempotency_key_reused"));
+}
+
+#[actix_rt::test]
+async fn a_key_whose_owner_died_never_runs_again() {
+    let (mut site, key) = small_site().await;
+    for number in 0..12 {
+        assert_eq!(order(&site, 1, &key, number, Some(&format!("order-{number}"))).await.status, 200);
+    }
+    site.daemons[0].process.kill();
+    for number in 0..12 {
+        let name = format!("order-{number}");
+        let answer = wait_for("the shard has an owner again", || async {
+            let answer = order(&site, 2, &key, number, Some(&name)).await;
+            (answer.error("code") != "claim_unavailable").then_some(answer)
+        })
+        .await;
+        let known = answer.status == 200 && answer.header("x-replayed") == "true";
+        assert!(known || answer.error("code") == "outcome_unknown", "{answer:?}");
+        assert_eq!(runs(&site, number).await, 1);
+    }
+    let fresh = order(&site, 2, &key, 100, Some("order-100")).await;
+    assert_eq!(fresh.status, 200, "new orders run: {fresh:?}");
+}
+
+#[actix_rt::test]
+async fn a_daemon_killed_in_the_middle_leaves_no_second_run() {
+    let (mut site, key, relay) = relayed_site().await;
+    // After the claim, before a byte has passed: the relay holds everything.
+    relay.set(RelayRule::Cut);
+    relay.set(RelayRule::Stall);
+    let attempts = || site.daemons[0].process.log().matches("event=attempt").count();
+    let before = attempts();
+    let client = super::support::HttpClient::new();
+    let url = format!("http://{}{ORDERS}", site.daemons[0].public);
+    let bearer = format!("Bearer {}", key.expose());
+    let held = actix_rt::spawn(async move {
+        let headers = [("authorization", bearer.as_str()), ("idempotency-key", "order-1")];
+        client.send("POST", &url, &headers, &serde_json::json!({ "order": 1 })).await
+    });
+    wait_for("the claim is granted and the request is on its way", || async { (attempts() > before).then_some(()) })
+        .await;
+    site.daemons[0].process.kill();
+    assert_eq!(held.await.expect("a task").status, 0, "the caller's connection ended");
+    relay.set(RelayRule::Cut);
+    relay.set(RelayRule::Pass);
+    for _ in 0..20 {
+        let answer = order(&site, 1, &key, 1, Some("order-1")).await;
+        let told = answer.error("code");
+        assert!(["claim_in_progress", "outcome_unknown", "claim_unavailable"].contains(&told.as_str()), "{answer:?}");
+    }
+    assert!(runs(&site, 1).await <= 1, "what may have run is not run again");
+}
+
+#[actix_rt::test]
+async fn a_daemon_killed_while_the_upstream_runs_leaves_one_run() {
+    let (mut site, key) = small_site().await;
+    site.desk_fault(PlainFault { answer_after_ms: 60_000, ..PlainFault::default() }).await;
+    let client = super::support::HttpClient::new();
+    let url = format!("http://{}{ORDERS}", site.daemons[0].public);
+    let bearer = format!("Bearer {}", key.expose());
+    let held = actix_rt::spawn(async move {
+        let headers = [("authorization", bearer.as_str()), ("idempotency-key", "order-1")];
+        client.send("POST", &url, &headers, &serde_json::json!({ "order": 1 })).await
+    });
+    wait_for("the upstream runs it", || async { (runs(&site, 1).await == 1).then_some(()) }).await;
+    site.daemons[0].process.kill();
+    assert_eq!(held.await.expect("a task").status, 0);
+    site.desk_fault(PlainFault::default()).await;
+    for _ in 0..20 {
+        let answer = order(&site, 2, &key, 1, Some("order-1")).await;
+        assert_ne!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(runs(&site, 1).await, 1);
+}
+
+#[actix_rt::test]
+async fn crossed_and_late_answers_reach_nobody_else() {
+    let (site, key) = small_site().await;
+    site.desk_fault(PlainFault { cross: 1, ..PlainFault::default() }).await;
+    let crossed = order(&site, 0, &key, 1, None).await;
+    assert_eq!((crossed.status, crossed.error("code").as_str()), (502, "answer_mismatch"));
+    assert_eq!(crossed.error("run_state"), "may have run");
+    assert_eq!(runs(&site, 1).await, 1);
+
+    site.desk_fault(PlainFault { answer_after_ms: 1_500, ..PlainFault::default() }).await;
+    let late = site.call(0, "POST", ORDERS, &key, &[("x-timeout-ms", "200")], &serde_json::json!({ "order": 2 })).await;
+    assert_eq!((late.status, late.error("run_state").as_str()), (504, "may have run"));
+    site.desk_fault(PlainFault::default()).await;
+    for number in 3..20 {
+        let answer = order(&site, 0, &key, number, None).await;
+        let run = site.desk_runs().await.len();
+        assert_eq!(answer.json::<serde_json::Value>()["run"], run, "each caller gets its own answer");
+    }
+}
+
+#[actix_rt::test]
+async fn refused_requests_are_tried_elsewhere_and_told_as_not_run() {
+    let (site, key) = small_site().await;
+    site.desk_fault(PlainFault { refuse: 1, ..PlainFault::default() }).await;
+    assert_eq!(order(&site, 0, &key, 1, None).await.status, 200, "one refusal is retried");
+    site.desk_fault(PlainFault { refuse: 10, ..PlainFault::default() }).await;
+    let refused = order(&site, 0, &key, 2, Some("order-2")).await;
+    assert_eq!((refused.status, refused.error("run_state").as_str()), (503, "not run"));
+    site.desk_fault(PlainFault::default()).await;
+    let again = order(&site, 1, &key, 2, Some("order-2")).await;
+    assert_eq!(again.status, 200, "a request that did not run may be sent again: {again:?}");
+    assert_eq!((runs(&site, 1).await, runs(&site, 2).await), (1, 1));
+}
+
+#[actix_rt::test]
+async fn claims_are_refused_as_not_run_while_the_service_is_away() {
+    let (site, key) = small_site().await;
+    site.kv_fault(pimentoslip_standin::KvFault { down: true, ..Default::default() }).await;
+    let refused = order(&site, 0, &key, 1, Some("order-1")).await;
+    assert_eq!((refused.status, refused.error("code").as_str()), (503, "claim_unavailable"));
+    assert_eq!(refused.error("run_state"), "not run");
+    assert_eq!(order(&site, 0, &key, 2, None).await.status, 200, "requests without a claim go on");
+    site.kv_fault(Default::default()).await;
+    let again = order(&site, 0, &key, 1, Some("order-1")).await;
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(runs(&site, 1).await, 1);
+}
--- a/crates/cli/tests/processes/support/http_client.rs
+++ b/crates/cli/tests/processes/support/http_client.rs
@@ -4,6 +4,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::time::Duration;
 
+const TIMEOUT: Duration = Duration::from_secs(60);
 const ANSWER_BYTES_MAX: usize = 64 << 20;
 
 /// A whole answer, or how it failed.
@@ -44,13 +45,13 @@
 impl HttpClient {
     /// Creates a caller with connections of its own.
     pub fn new() -> Self {
-        Self { client: Client::builder().timeout(Duration::from_secs(60)).finish() }
+        Self { client: pimentoslip_platform::plain_client() }
     }
 
     /// Begins a request.
     pub fn request(&self, method: &str, url: &str) -> ClientRequest {
         let method = awc::http::Method::from_bytes(method.as_bytes()).expect("a method");
-        self.client.request(method, url)
+        self.client.request(method, url).timeout(TIMEOUT)
     }
 
     /// Sends JSON with headers and reads the whole answer.
--- a/crates/cli/tests/processes/support/site.rs
+++ b/crates/cli/tests/processes/support/site.rs
@@ -83,7 +83,7 @@
     pub http: HttpClient,
     /// What was asked for.
     pub shape: SiteShape,
-    standins: Vec<ChildProcess>,
+    _standins: Vec<ChildProcess>,
     started: usize,
 }
 
@@ -126,7 +126,7 @@
             vms,
             http: HttpClient::new(),
             shape,
-            standins,
+            _standins: standins,
             started: 0,
         };
         for failure_domain in site.shape.engines.clone() {
--- a/crates/daemon/src/http/admin_api.rs
+++ b/crates/daemon/src/http/admin_api.rs
@@ -8,7 +8,7 @@
     task::push_records,
 };
 use actix_web::{HttpResponse, web};
-use pimentoslip_kernel::{ConfigRecord, MemberState, RecordEntry, RecordName, SharedName, UpstreamState};
+use pimentoslip_kernel::{ConfigRecord, MemberState, RecordEntry, RecordName, SharedName};
 use pimentoslip_platform::KeyValueClient;
 use pimentoslip_wire::admin::{
     ApplyRequest, ChangeAnswer, DaemonStatus, DutyStatus, RecordBody, ShowAnswer, StatusAnswer, UpstreamStatus,
@@ -191,7 +191,7 @@
         name: entry.name.clone(),
         service: entry.service.clone(),
         failure_domain: entry.failure_domain.clone(),
-        state: if entry.state == UpstreamState::Live { "live" } else { "leaving" }.to_owned(),
+        state: if entry.takes_work() { "live" } else { "leaving" }.to_owned(),
         reclaimable: entry.reclaimable,
         inflight: entry.inflight(),
         version: entry.version,
--- a/crates/daemon/src/http/worker_state.rs
+++ b/crates/daemon/src/http/worker_state.rs
@@ -22,6 +22,8 @@
     pub shared: Arc<SharedState>,
     /// Client for upstreams.
     pub client: Client,
+    /// Client for requests that may run once, which keeps no connection open.
+    pub once_client: Client,
     /// Client for peers.
     pub peers: PeerClient,
     /// Client for the key-value service.
@@ -47,6 +49,7 @@
         let peers = PeerClient::new(shared.settings.cluster_secret.clone());
         Self {
             client: plain_client(),
+            once_client: plain_client(),
             kv: EtcdClient::new(shared.settings.kv.clone(), shared.kv_calls.clone()),
             claims: ClaimGate::new(shared.clone(), claim_actor.clone(), peers.clone()),
             steps: StepGate::new(shared.clone(), step_actor.clone(), peers.clone()),
--- a/crates/daemon/src/running_daemon.rs
+++ b/crates/daemon/src/running_daemon.rs
@@ -8,7 +8,7 @@
     peer_client::PeerClient,
     shared_state::SharedState,
     step::StepActor,
-    task::{ExchangeTask, ListingTask, OrderTask, PeriodicActor, StopMessage, UsageTask},
+    task::{ExchangeTask, ListingTask, OrderTask, PeriodicActor, StopMessage, UsageTask, push_records},
 };
 use actix::{Actor, Addr};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
@@ -61,7 +61,8 @@
     PeriodicActor::new(ListingTask::new(shared.clone(), provider.clone())).start();
     PeriodicActor::new(ExchangeTask::new(shared.clone(), peers.clone(), kv.clone())).start();
     let orders = PeriodicActor::new(OrderTask::new(shared.clone(), kv.clone(), provider.clone())).start();
-    let usage = PeriodicActor::new(UsageTask::new(shared.clone(), kv, peers, provider)).start();
+    let usage = PeriodicActor::new(UsageTask::new(shared.clone(), kv, peers.clone(), provider)).start();
+    actix_rt::spawn(share_suspicions(shared.clone(), peers));
 
     let state = shared.clone();
     let (claim_actor, step_actor) = (claims.clone(), steps.clone());
@@ -111,6 +112,14 @@
     Ok(daemon)
 }
 
+/// Tells peers of a suspected request before it reaches them.
+async fn share_suspicions(shared: Arc<SharedState>, peers: PeerClient) {
+    loop {
+        shared.suspicion.notified().await;
+        push_records(&shared, &peers, Vec::new()).await;
+    }
+}
+
 fn bind(address: SocketAddr, flag: &str) -> Result<TcpListener> {
     TcpListener::bind(address).with_context(|| format!("cannot listen on {address}; choose another {flag}"))
 }
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -37,6 +37,8 @@
     pub running: RunningTable,
     /// Calls to the key-value service.
     pub kv_calls: Arc<AtomicU64>,
+    /// A request has come under suspicion, which peers should know at once.
+    pub suspicion: tokio::sync::Notify,
     /// Whether this daemon leaves.
     pub draining: AtomicBool,
     /// An operator asked the daemon to leave.
@@ -80,6 +82,7 @@
             gate: AdmissionGate::default(),
             running: RunningTable::default(),
             kv_calls: Arc::default(),
+            suspicion: tokio::sync::Notify::new(),
             draining: AtomicBool::new(false),
             drain_asked: tokio::sync::Notify::new(),
             closed: AtomicBool::new(false),
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -3,9 +3,12 @@
 use super::{UpstreamGuard, UpstreamRequest};
 use crate::{request_id::RequestId, shared_state::SharedState};
 use actix_web::http::header::{ACCEPT, CONTENT_TYPE};
-use awc::{Client, ClientResponse, error::SendRequestError};
+use awc::{
+    Client, ClientResponse,
+    error::{ConnectError, SendRequestError},
+};
 use futures_util::Stream;
-use pimentoslip_kernel::{RequestProgress, RetryReason};
+use pimentoslip_kernel::{RequestClass, RequestProgress, RetryReason};
 use pimentoslip_wire::{IDEMPOTENCY_KEY_HEADER, NOT_RUN, PRIORITY_HEADER, REQUEST_ID_HEADER, RUN_STATE_HEADER};
 use std::time::Duration;
 
@@ -46,6 +49,19 @@
     pub progress: RequestProgress,
 }
 
+/// Whether no connection was opened, so that no byte can have left. The client reports a connection that
+/// closed before the answer as a connect error too, which is no proof of that.
+fn never_connected(error: &ConnectError) -> bool {
+    matches!(
+        error,
+        ConnectError::Io(_)
+            | ConnectError::Timeout
+            | ConnectError::Resolver(_)
+            | ConnectError::NoRecords
+            | ConnectError::Unresolved
+    )
+}
+
 /// Sends `request` to the guard's upstream and checks that the answer is its own.
 pub async fn send_once(
     shared: &SharedState,
@@ -66,19 +82,24 @@
         .timeout(Duration::from_millis(left_ms))
         .insert_header((REQUEST_ID_HEADER, &**attempt_id))
         .insert_header((PRIORITY_HEADER, request.priority.to_string()));
+    if request.class != RequestClass::Idempotent {
+        // A connection kept open may be closed by the other side just as it is used again, and whether the
+        // request arrived would be unknown.
+        outgoing = outgoing.force_close();
+    }
     if let Some(content_type) = &request.content_type {
         outgoing = outgoing.insert_header((CONTENT_TYPE, content_type.as_str()));
     }
     if let Some(accept) = &request.accept {
         outgoing = outgoing.insert_header((ACCEPT, accept.as_str()));
     }
-    if let pimentoslip_kernel::RequestClass::Claimed(key) = &request.class {
+    if let RequestClass::Claimed(key) = &request.class {
         outgoing = outgoing.insert_header((IDEMPOTENCY_KEY_HEADER, &**key));
     }
     let answer = match outgoing.send_body(request.body.clone()).await {
         Ok(answer) => answer,
-        Err(SendRequestError::Connect(_)) => {
-            guard.failed();
+        Err(SendRequestError::Connect(error)) if never_connected(&error) => {
+            guard.unreachable();
             return Err(AttemptError { failure: AttemptFailure::Unreachable, progress });
         }
         Err(SendRequestError::Timeout) => {
--- a/crates/daemon/src/upstream/stream_body.rs
+++ b/crates/daemon/src/upstream/stream_body.rs
@@ -8,16 +8,21 @@
     request_id::RequestId,
     shared_state::{InflightGuard, SharedState},
 };
+use actix_rt::time::Sleep;
 use bytes::Bytes;
 use futures_util::Stream;
 use pimentoslip_kernel::{RefusalReason, RunState, SharedName, StreamScanner, TimePoint};
 use pimentoslip_wire::engine::StreamChunk;
 use std::{
+    future::Future,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
+    time::Duration,
 };
 
+/// How long the connection stays open after an error event.
+const LINGER: Duration = Duration::from_millis(50);
 /// How often a running stream looks whether its key still holds.
 const KEY_CHECK_MS: u64 = 500;
 
@@ -45,7 +50,7 @@
     next_key_check: TimePoint,
     upstream: UpstreamGuard,
     admission: AdmissionGuard,
-    failed: Option<ApiError>,
+    failed: Option<(ApiError, Pin<Box<Sleep>>)>,
     done: bool,
     _inflight: InflightGuard,
 }
@@ -102,7 +107,8 @@
         self.owner.shared.metrics.refused(reason);
         LogLine::new("stream_failed").field("request_id", &*self.owner.id).field("reason", reason.code()).warn();
         let body = serde_json::to_string(&error.refusal()).unwrap_or_default();
-        self.failed = Some(error);
+        // The connection must not end before the event has left.
+        self.failed = Some((error, Box::pin(actix_rt::time::sleep(LINGER))));
         Bytes::from(format!("event: error\ndata: {body}\n\n"))
     }
 
@@ -121,13 +127,14 @@
 
     fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = self.get_mut();
-        if let Some(error) = this.failed.clone() {
-            this.done = true;
-            return Poll::Ready(Some(Err(error)));
-        }
         if this.done {
             return Poll::Ready(None);
         }
+        if let Some((error, linger)) = &mut this.failed {
+            std::task::ready!(linger.as_mut().poll(context));
+            this.done = true;
+            return Poll::Ready(Some(Err(error.clone())));
+        }
         let next = std::task::ready!(Pin::new(&mut this.inner).poll_next(context));
         if !this.key_holds() {
             return Poll::Ready(Some(Ok(this.fail(RefusalReason::KeyUnknown))));
--- a/crates/daemon/src/upstream/upstream_guard.rs
+++ b/crates/daemon/src/upstream/upstream_guard.rs
@@ -6,6 +6,8 @@
 use std::{io, sync::Arc, time::Duration};
 
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// A dying process closes its connections a little before its port, so that one probe may come too early.
+const PROBE_PAUSES_MS: [u64; 3] = [0, 50, 100];
 
 /// Ends the count when dropped.
 pub struct UpstreamGuard {
@@ -29,6 +31,13 @@
         self.failed = true;
     }
 
+    /// No connection could be opened.
+    pub fn unreachable(&mut self) {
+        self.failed = true;
+        let now = self.shared.now();
+        self.shared.routes().refused(&self.entry.name, now);
+    }
+
     /// The connection was lost while the upstream ran the request. If the upstream has died, what was
     /// in flight on it comes under suspicion.
     pub async fn lost(&mut self) {
@@ -51,10 +60,21 @@
     }
 }
 
-/// A refused connection shows that the process has ended; anything else shows nothing.
+/// Whether nothing listens at the upstream's address any more, which shows that its process has ended.
+async fn port_refuses(entry: &UpstreamEntry) -> bool {
+    for pause_ms in PROBE_PAUSES_MS {
+        actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
+        let probe = actix_rt::time::timeout(PROBE_TIMEOUT, TcpStream::connect(&*entry.address)).await;
+        if matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Puts what was running under suspicion if the upstream has died.
 async fn blame_if_dead(shared: &SharedState, entry: &UpstreamEntry, running: &[u64]) {
-    let probe = actix_rt::time::timeout(PROBE_TIMEOUT, TcpStream::connect(&*entry.address)).await;
-    let dead = matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused);
+    let dead = port_refuses(entry).await;
     LogLine::new("upstream_lost")
         .field("upstream", &entry.name)
         .field("dead", dead)
@@ -62,7 +82,9 @@
         .warn();
     if dead {
         let now = shared.now();
+        shared.routes().refused(&entry.name, now);
         shared.suspects().upstream_died(running, now);
+        shared.suspicion.notify_one();
     }
 }
 
--- a/crates/kernel/src/refusal_reason.rs
+++ b/crates/kernel/src/refusal_reason.rs
@@ -81,5 +81,4 @@
     StepUnknown, "step_unknown", 409, "open the step again with the same body and keep the cursor";
     StepConflict, "step_conflict", 409, "use a new step name for different prompts";
     PeerUnreachable, "peer_unreachable", 503, "send the request again after the given time";
-    SpendExceeded, "spend_exceeded", 503, "ask an operator to raise the spend ceiling";
 }
--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -54,6 +54,8 @@
     /// It is missing from the list.
     delisted: bool,
     missed_reports: u32,
+    /// Until then nothing is sent to it, because nothing listened at its address.
+    refused_until: TimePoint,
 }
 
 impl UpstreamEntry {
@@ -85,6 +87,7 @@
             noticed: false,
             delisted: false,
             missed_reports: 0,
+            refused_until: TimePoint(0),
         }
     }
 
@@ -199,6 +202,8 @@
             .filter(|entry| entry.inflight < query.inflight_max && !entry.exclusive)
             .filter(|entry| !query.alone || entry.inflight == 0)
             .collect();
+        let listening: Vec<&UpstreamEntry> = all.iter().copied().filter(|entry| entry.refused_until <= now).collect();
+        let all = if listening.is_empty() { all } else { listening };
         let mut eligible: Vec<&UpstreamEntry> =
             all.iter().copied().filter(|entry| entry.ejected_until <= now).collect();
         if eligible.len() * EJECT_CAP_DIVISOR < all.len() {
@@ -237,6 +242,13 @@
         live * usize::try_from(inflight_max).unwrap_or(usize::MAX)
     }
 
+    /// Nothing listens at an upstream's address: its process has ended.
+    pub fn refused(&mut self, name: &str, now: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.refused_until = now.plus_ms(EJECT_MS);
+        }
+    }
+
     /// All upstreams, sorted by name.
     pub fn iter(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.entries.values()
--- a/crates/kernel/tests/machines/routes.rs
+++ b/crates/kernel/tests/machines/routes.rs
@@ -92,6 +92,16 @@
     assert_eq!(picks(&mut table, &query(), 50).values().sum::<usize>(), 50, "with all ejected, all are tried");
 }
 
+#[test]
+fn an_upstream_that_nothing_listens_at_is_left_out_at_once() {
+    let mut table = table(&[("good", "a"), ("dead-1", "a"), ("dead-2", "a")]);
+    table.refused("dead-1", LATER);
+    table.refused("dead-2", LATER);
+    assert_eq!(picks(&mut table, &query(), 50), BTreeMap::from([("good".to_owned(), 50)]));
+    table.refused("good", LATER);
+    assert_eq!(picks(&mut table, &query(), 50).values().sum::<usize>(), 50, "with nothing left, all are tried");
+}
+
 #[test]
 fn an_upstream_without_load_reports_is_ejected() {
     let mut table = table(&[("good", "a"), ("mute", "a")]);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,17 +3,18 @@
 mod call_timeout;
 mod deadline_body;
 mod etcd_client;
+mod http_client;
 mod key_value_client;
 mod owner_clock;
 mod platform_error;
 mod provider_client;
-mod user_timeout;
+mod strict_stream;
 
 pub use call_timeout::CallTimeout;
 pub use deadline_body::DeadlineBody;
 pub use etcd_client::EtcdClient;
+pub use http_client::{client_with_user_timeout, plain_client};
 pub use key_value_client::KeyValueClient;
 pub use owner_clock::OwnerClock;
 pub use platform_error::{PlatformError, Result};
 pub use provider_client::ProviderClient;
-pub use user_timeout::{client_with_user_timeout, plain_client};
--- a/crates/standin/src/tcp_relay.rs
+++ b/crates/standin/src/tcp_relay.rs
@@ -33,7 +33,7 @@
 pub struct TcpRelay {
     /// Bound address.
     pub address: SocketAddr,
-    rule: watch::Sender<RelayRule>,
+    rule: watch::Sender<(u64, RelayRule)>,
     passed: Arc<Mutex<(usize, usize)>>,
 }
 
@@ -42,12 +42,12 @@
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let rule = watch::Sender::new(RelayRule::Pass);
+        let rule = watch::Sender::new((0, RelayRule::Pass));
         let passed = Arc::new(Mutex::new((0, 0)));
         let (rules, count) = (rule.clone(), passed.clone());
         actix_rt::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                if *rules.borrow() == RelayRule::Cut {
+                if rules.borrow().1 == RelayRule::Cut {
                     continue;
                 }
                 actix_rt::spawn(relay(caller, target, rules.subscribe(), count.clone()));
@@ -56,9 +56,13 @@
         Ok(Self { address, rule, passed })
     }
 
-    /// Changes the rule for open and new connections.
+    /// Changes the rule for open and new connections. A cut ends every connection open now, whatever rule
+    /// follows it.
     pub fn set(&self, rule: RelayRule) {
-        self.rule.send_replace(rule);
+        self.rule.send_modify(|(cuts, now)| {
+            *cuts += u64::from(rule == RelayRule::Cut);
+            *now = rule;
+        });
     }
 
     /// Bytes passed towards the target and back.
@@ -71,19 +75,20 @@
 async fn relay(
     mut caller: TcpStream,
     target: SocketAddr,
-    mut rule: watch::Receiver<RelayRule>,
+    mut rule: watch::Receiver<(u64, RelayRule)>,
     passed: Arc<Mutex<(usize, usize)>>,
 ) {
     let Ok(mut upstream) = TcpStream::connect(target).await else { return };
     let (mut sent, mut answered) = (0, 0);
     let mut request = vec![0; BUFFER_BYTES];
     let mut answer = vec![0; BUFFER_BYTES];
+    let cuts = rule.borrow().0;
     loop {
-        let now = *rule.borrow();
+        let now = rule.borrow().1;
         let stalled = now == RelayRule::Stall;
         tokio::select! {
             changed = rule.changed() => {
-                if changed.is_err() || *rule.borrow() == RelayRule::Cut {
+                if changed.is_err() || rule.borrow().0 != cuts {
                     return;
                 }
             }
