Measure real daemons, and mend what the measurements showed

A bench harness starts daemons and stand-ins as separate processes and prints CSV.

Cause: the member digests of two sides never agreed, since neither counted itself, so that every answer carried the whole list. Ruled out: record deltas (none were sent).

--- /dev/null
+++ b/crates/cli/benches/site/capacity.rs
@@ -0,0 +1,137 @@
+//! Slopes for the capacity page.
+
+use crate::{
+    probe::{cpu_seconds, fit, histogram, metric, quantile_ms, record, resident_bytes, spread},
+    support::{Site, SiteShape},
+};
+use pimentoslip_wire::{
+    admin::{ChangeAnswer, KeyRequest},
+    provider::{VmRole, VmState},
+};
+use std::time::{Duration, Instant};
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+const SETTLE: Duration = Duration::from_secs(4);
+const WINDOW: Duration = Duration::from_secs(8);
+
+/// A site whose ordering and usage have nothing to do.
+fn quiet(daemons: usize) -> SiteShape {
+    let daemons = (0..daemons).map(|at| DOMAINS[at % DOMAINS.len()]).collect();
+    let shape = SiteShape { daemons, engines: vec![], ..SiteShape::default() };
+    let base = shape.base.replace("usage_window_seconds = 2", "usage_window_seconds = 300");
+    SiteShape { base, ..shape }
+}
+
+/// Control costs of idle daemons against their number.
+pub async fn slopes() {
+    println!(
+        "slopes,daemons,cpu_percent_median,cpu_percent_max,exchange_bytes_s_median,kv_calls_s_total,resident_mb_median"
+    );
+    let (mut cpu_points, mut byte_points, mut call_points) = (Vec::new(), Vec::new(), Vec::new());
+    for count in [3, 6, 12, 24] {
+        let site = Site::start(quiet(count)).await;
+        actix_rt::time::sleep(SETTLE).await;
+        let before = readings(&site).await;
+        let began = Instant::now();
+        actix_rt::time::sleep(WINDOW).await;
+        let after = readings(&site).await;
+        let seconds = began.elapsed().as_secs_f64();
+        let rate = |pick: fn(&[f64; 4]) -> f64| -> Vec<f64> {
+            before.iter().zip(&after).map(|(before, after)| (pick(after) - pick(before)) / seconds).collect()
+        };
+        let cpu: Vec<f64> = rate(|reading| reading[0]).iter().map(|share| share * 100.0).collect();
+        let (bytes, calls) = (rate(|reading| reading[1]), rate(|reading| reading[2]));
+        let resident: Vec<f64> = after.iter().map(|reading| reading[3] / 1e6).collect();
+        let (cpu, bytes, calls) = (spread(&cpu), spread(&bytes).1, calls.iter().sum::<f64>());
+        println!("slopes,{count},{:.2},{:.2},{bytes:.0},{calls:.1},{:.1}", cpu.1, cpu.2, spread(&resident).1);
+        cpu_points.push((count as f64, cpu.1));
+        byte_points.push((count as f64, bytes));
+        call_points.push((count as f64, calls));
+    }
+    for (name, points) in
+        [("cpu_percent", cpu_points), ("exchange_bytes_s", byte_points), ("kv_calls_s_total", call_points)]
+    {
+        let (intercept, slope) = fit(&points);
+        println!("fit,{name},intercept {intercept:.3},slope {slope:.4} a daemon");
+    }
+}
+
+/// Processor seconds, exchange bytes, service calls and resident bytes of each daemon.
+async fn readings(site: &Site) -> Vec<[f64; 4]> {
+    let mut readings = Vec::new();
+    for daemon in &site.daemons {
+        let bytes = metric(&site.http, &daemon.control, "exchange_bytes").await;
+        let calls = metric(&site.http, &daemon.control, "kv_calls").await;
+        readings.push([cpu_seconds(&daemon.process), bytes, calls, resident_bytes(&daemon.process) as f64]);
+    }
+    readings
+}
+
+/// Memory against listed upstreams, and against keys.
+pub async fn memory() {
+    println!("memory,what,count,resident_mb");
+    let site = Site::start(quiet(3)).await;
+    let mut points = Vec::new();
+    for count in [0_usize, 500, 1_000, 2_000] {
+        for at in 0..count {
+            let address = format!("10.{}.{}.{}:80", at / 65_536, at / 256 % 256, at % 256);
+            site.list_vm(&format!("up-{at}"), VmRole::Upstream, "a", &address, Some("desk"), VmState::Live).await;
+        }
+        actix_rt::time::sleep(SETTLE).await;
+        report(&site, "upstreams", count, &mut points).await;
+    }
+    print_fit("upstreams", &points);
+    let site = Site::start(quiet(3)).await;
+    let mut points = Vec::new();
+    let mut made = 0;
+    for count in [0_usize, 200, 400, 800] {
+        while made < count {
+            let request = KeyRequest {
+                change: format!("bench-{made}").into(),
+                organisation: "velorio".into(),
+                key: format!("benchkey{made:04}").into(),
+                hash: Some(format!("{made:064}")),
+            };
+            site.admin_post(0, "keys/create", &request).await;
+            made += 1;
+        }
+        report(&site, "keys", count, &mut points).await;
+    }
+    print_fit("keys", &points);
+}
+
+async fn report(site: &Site, what: &str, count: usize, points: &mut Vec<(f64, f64)>) {
+    let resident: Vec<f64> = site.daemons.iter().map(|daemon| resident_bytes(&daemon.process) as f64).collect();
+    let median = spread(&resident).1;
+    points.push((count as f64, median));
+    println!("memory,{what},{count},{:.2}", median / 1e6);
+}
+
+fn print_fit(what: &str, points: &[(f64, f64)]) {
+    let (intercept, slope) = fit(points);
+    println!("fit,memory by {what},intercept {:.2} MB,slope {slope:.0} bytes each", intercept / 1e6);
+}
+
+/// Time until a change is confirmed by every daemon.
+pub async fn changes() {
+    println!("changes,daemons,count,p50_ms,p99_ms,max_ms,pending");
+    for count in [3, 12, 24] {
+        let site = Site::start(quiet(count)).await;
+        let mut times = histogram();
+        let mut pending = 0;
+        for change in 0..200 {
+            let request = KeyRequest {
+                change: format!("bench-{change}").into(),
+                organisation: "velorio".into(),
+                key: format!("benchkey{:04}", change % 20).into(),
+                hash: Some(format!("{change:064}")),
+            };
+            let began = Instant::now();
+            let answer = site.admin_post(change % count, "keys/create", &request).await;
+            record(&mut times, began.elapsed());
+            pending += usize::from(!answer.json::<ChangeAnswer>().accepted);
+        }
+        let (p50, p99) = (quantile_ms(&times, 0.5), quantile_ms(&times, 0.99));
+        println!("changes,{count},200,{p50:.2},{p99:.2},{:.2},{pending}", times.max() as f64 / 1_000.0);
+    }
+}
--- /dev/null
+++ b/crates/cli/benches/site/service.rs
@@ -0,0 +1,319 @@
+//! What callers see: latency, throughput, fairness.
+
+use crate::{
+    probe::{cpu_seconds, histogram, metric, quantile_ms, record, spread},
+    support::{HttpClient, Site, SiteShape},
+};
+use futures_util::{StreamExt, future::join_all};
+use hdrhistogram::Histogram;
+use pimentoslip_kernel::KeySecret;
+use pimentoslip_wire::admin::KeyRequest;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::{Duration, Instant};
+
+const ROUNDS: usize = 5;
+const ORDERS: &str = "/services/desk/orders";
+
+fn plain_site() -> SiteShape {
+    SiteShape { engines: vec![], ..SiteShape::default() }
+}
+
+/// Group commits: writes and latency against the least time between two commits.
+pub async fn claims() {
+    println!("claims,interval_ms,callers,orders,orders_s,commits,claims_per_commit,p50_ms,p99_ms");
+    for interval_ms in [1, 5, 20, 50] {
+        for callers in [1, 16, 64] {
+            let flag = format!("--claim-interval-ms={interval_ms}");
+            let site = Site::start(SiteShape { daemon_flags: vec![flag], ..plain_site() }).await;
+            let key = site.create_key(0, 1).await;
+            let began = Instant::now();
+            let times = join_all((0..callers).map(|caller| order_loop(&site, &key, caller, 60)));
+            let mut all = histogram();
+            times.await.iter().for_each(|times| all.add(times).expect("a histogram"));
+            let seconds = began.elapsed().as_secs_f64();
+            let mut commits = 0.0;
+            let mut claims = 0.0;
+            for daemon in &site.daemons {
+                commits += metric(&site.http, &daemon.control, "claim_commits_total").await;
+                claims += metric(&site.http, &daemon.control, "claims_total").await;
+            }
+            println!(
+                "claims,{interval_ms},{callers},{},{:.0},{commits},{:.1},{:.2},{:.2}",
+                all.len(),
+                all.len() as f64 / seconds,
+                claims / commits,
+                quantile_ms(&all, 0.5),
+                quantile_ms(&all, 0.99)
+            );
+        }
+    }
+}
+
+async fn order_loop(site: &Site, key: &KeySecret, caller: usize, count: usize) -> Histogram<u64> {
+    let mut times = histogram();
+    for number in 0..count {
+        let name = format!("order-{caller}-{number}");
+        let began = Instant::now();
+        let answer = site.call(caller % 3, "POST", ORDERS, key, &[("idempotency-key", &name)], &number).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        record(&mut times, began.elapsed());
+    }
+    times
+}
+
+/// Added latency of the way through a daemon, against direct calls, interleaved.
+pub async fn way() {
+    println!("way,round,direct_p50_ms,through_p50_ms,added_p50_ms,direct_p99_ms,through_p99_ms,cpu_us_a_request");
+    let base =
+        SiteShape::default().base.replace("open_paths = [\"/menu\"]", "open_paths = [\"/menu\"]\nrepeatable = true");
+    let site = Site::start(SiteShape { base, daemons: vec!["a"], ..plain_site() }).await;
+    let key = site.create_key(0, 1).await;
+    let bearer = format!("Bearer {}", key.expose());
+    let through = format!("http://{}{ORDERS}", site.daemons[0].public);
+    let direct = format!("http://{}/orders", site.desk);
+    let mut added = Vec::new();
+    for round in 0..ROUNDS {
+        let (mut direct_times, mut through_times) = (histogram(), histogram());
+        let cpu = cpu_seconds(&site.daemons[0].process);
+        const CALLS: usize = 2_000;
+        for _ in 0..CALLS {
+            let began = Instant::now();
+            site.http.send("POST", &direct, &[("x-request-id", "d")], &1).await;
+            record(&mut direct_times, began.elapsed());
+            let began = Instant::now();
+            let answer = site.http.send("POST", &through, &[("authorization", &bearer)], &1).await;
+            record(&mut through_times, began.elapsed());
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        let cpu = (cpu_seconds(&site.daemons[0].process) - cpu) * 1e6 / CALLS as f64;
+        let (direct_p50, through_p50) = (quantile_ms(&direct_times, 0.5), quantile_ms(&through_times, 0.5));
+        added.push(through_p50 - direct_p50);
+        println!(
+            "way,{round},{direct_p50:.3},{through_p50:.3},{:.3},{:.3},{:.3},{cpu:.0}",
+            through_p50 - direct_p50,
+            quantile_ms(&direct_times, 0.99),
+            quantile_ms(&through_times, 0.99)
+        );
+    }
+    let (least, median, most) = spread(&added);
+    println!("way,added p50 ms,min {least:.3},median {median:.3},max {most:.3}");
+}
+
+/// Streamed chunks a second that one daemon passes, and its processor time for each: as fast as engines can
+/// (many chunks arrive together), and paced (each arrives alone).
+pub async fn chunks() {
+    println!("chunks,mode,round,streams,chunks,seconds,chunks_s,cpu_cores,chunks_a_cpu_second");
+    chunk_mode("together", "0", 20_000, 16).await;
+    chunk_mode("alone", "2000", 1_000, 160).await;
+}
+
+async fn chunk_mode(mode: &str, token_us: &str, tokens: usize, streams: usize) {
+    let flags = [
+        format!("--token-us={token_us}"),
+        "--chunk-tokens=1".to_owned(),
+        format!("--shortest={tokens}"),
+        "--slots=64".to_owned(),
+    ];
+    let base = SiteShape::default().base.replace("kind = \"engine\"", "kind = \"engine\"\ninflight_per_upstream = 64");
+    let shape = SiteShape {
+        daemons: vec!["a"],
+        engines: vec!["a", "a", "a", "a"],
+        engine_flags: flags.to_vec(),
+        base,
+        ..SiteShape::default()
+    };
+    let site = Site::start(shape).await;
+    let key = site.create_key(0, 1).await;
+    for round in 0..ROUNDS {
+        let cpu = cpu_seconds(&site.daemons[0].process);
+        let began = Instant::now();
+        let counts = join_all((0..streams).map(|stream| read_stream(&site, &key, stream, tokens))).await;
+        let seconds = began.elapsed().as_secs_f64();
+        let cpu = cpu_seconds(&site.daemons[0].process) - cpu;
+        let chunks: usize = counts.iter().sum();
+        println!(
+            "chunks,{mode},{round},{streams},{chunks},{seconds:.2},{:.0},{:.2},{:.0}",
+            chunks as f64 / seconds,
+            cpu / seconds,
+            chunks as f64 / cpu
+        );
+    }
+}
+
+async fn read_stream(site: &Site, key: &KeySecret, stream: usize, tokens: usize) -> usize {
+    let url = format!("http://{}/v1/chat/completions", site.daemons[0].public);
+    let body = serde_json::json!({
+        "model": "drafts", "stream": true, "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": format!("{stream}") }],
+    });
+    let request = site.http.request("POST", &url).bearer_auth(key.expose());
+    let mut answer = request.send_json(&body).await.expect("a stream");
+    let mut count = 0;
+    while let Some(Ok(chunk)) = answer.next().await {
+        count += count_events(&chunk);
+    }
+    count
+}
+
+/// Events in a piece of a stream.
+fn count_events(chunk: &[u8]) -> usize {
+    chunk.windows(6).filter(|window| window == b"data: ").count()
+}
+
+async fn completion(site: &Site, at: usize, http: &HttpClient, key: &KeySecret, prompt: &str, seed: u64) -> bool {
+    let url = format!("http://{}/v1/chat/completions", site.daemons[at].public);
+    let body = serde_json::json!({
+        "model": "drafts", "max_tokens": 64, "seed": seed, "messages": [{ "role": "user", "content": prompt }],
+    });
+    let bearer = format!("Bearer {}", key.expose());
+    http.send("POST", &url, &[("authorization", &bearer)], &body).await.status == 200
+}
+
+/// One organisation floods while another sends one request at a time.
+pub async fn flood() {
+    println!("flood,policy,round,organisation,requests,p50_ms,p99_ms");
+    let base = SiteShape::default()
+        .base
+        .replace(
+            "[services.drafts]\nkind = \"engine\"",
+            "[services.drafts]\nkind = \"engine\"\ninflight_per_upstream = 3",
+        )
+        .replace(
+            "[organisations.rose]\nservices = [\"desk\"]",
+            "[organisations.rose]\nservices = [\"desk\", \"drafts\"]",
+        )
+        .replace("weight = 4\n", "");
+    let mut sites = Vec::new();
+    for policy in ["fair", "fifo"] {
+        let shape = SiteShape {
+            engine_flags: vec!["--slots=8".to_owned(), "--token-us=300".to_owned()],
+            daemon_flags: vec![format!("--admission-policy={policy}")],
+            base: base.clone(),
+            ..SiteShape::default()
+        };
+        let site = Site::start(shape).await;
+        let flood = site.create_key(0, 1).await;
+        let small = other_key(&site, "rose").await;
+        sites.push((policy, site, flood, small));
+    }
+    let mut ratios: Vec<(&str, f64)> = Vec::new();
+    for round in 0..ROUNDS {
+        for (policy, site, flood, small) in &sites {
+            let (flood_times, small_times) = flood_round(site, flood, small, round).await;
+            for (name, times) in [("flood", &flood_times), ("small", &small_times)] {
+                println!(
+                    "flood,{policy},{round},{name},{},{:.1},{:.1}",
+                    times.len(),
+                    quantile_ms(times, 0.5),
+                    quantile_ms(times, 0.99)
+                );
+            }
+            ratios.push((policy, quantile_ms(&small_times, 0.99) / quantile_ms(&flood_times, 0.99)));
+        }
+    }
+    for policy in ["fair", "fifo"] {
+        let of: Vec<f64> = ratios.iter().filter(|(name, _)| *name == policy).map(|(_, ratio)| *ratio).collect();
+        let (least, median, most) = spread(&of);
+        println!("flood,{policy},small p99 over flood p99,min {least:.2},median {median:.2},max {most:.2}");
+    }
+}
+
+async fn other_key(site: &Site, organisation: &str) -> KeySecret {
+    let secret = KeySecret::draw(&mut ChaCha8Rng::seed_from_u64(99));
+    let request = KeyRequest {
+        change: "other".into(),
+        organisation: organisation.into(),
+        key: secret.id.clone(),
+        hash: Some(secret.hash()),
+    };
+    assert_eq!(site.admin_post(0, "keys/create", &request).await.status, 200);
+    secret
+}
+
+async fn flood_round(
+    site: &Site,
+    flood: &KeySecret,
+    small: &KeySecret,
+    round: usize,
+) -> (Histogram<u64>, Histogram<u64>) {
+    const FLOOD_CALLERS: usize = 90;
+    const SPAN: Duration = Duration::from_secs(4);
+    let end = Instant::now() + SPAN;
+    let callers = join_all((0..FLOOD_CALLERS).map(|caller| caller_loop(site, flood, caller, round, end)));
+    let one = caller_loop(site, small, 1_000, round, end);
+    let (flood_times, small_times) = futures_util::future::join(callers, one).await;
+    let mut all = histogram();
+    flood_times.iter().for_each(|times| all.add(times).expect("a histogram"));
+    (all, small_times)
+}
+
+async fn caller_loop(site: &Site, key: &KeySecret, caller: usize, round: usize, end: Instant) -> Histogram<u64> {
+    let http = HttpClient::new();
+    let mut times = histogram();
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let seed = (round * 1_000_000 + caller * 1_000 + number) as u64;
+        let began = Instant::now();
+        if completion(site, caller % 3, &http, key, &format!("prompt {seed}"), seed).await {
+            record(&mut times, began.elapsed());
+        }
+    }
+    times
+}
+
+/// Route policies under load with repeated prompt prefixes, on equal seeds, interleaved.
+pub async fn routing() {
+    println!("routing,policy,round,requests,p50_ms,p99_ms");
+    let mut sites = Vec::new();
+    for policy in ["round-robin", "two-choices", "prefix-two-choices"] {
+        let shape = SiteShape {
+            engines: vec!["a", "b", "c", "a", "b", "c"],
+            engine_flags: vec!["--slots=4".to_owned(), "--token-us=500".to_owned()],
+            daemon_flags: vec![format!("--route-policy={policy}")],
+            ..SiteShape::default()
+        };
+        let site = Site::start(shape).await;
+        let key = site.create_key(0, 1).await;
+        sites.push((policy, site, key, histogram()));
+    }
+    for round in 0..ROUNDS {
+        for (policy, site, key, all) in &mut sites {
+            let times = join_all((0..18).map(|caller| prefix_loop(site, key, caller, round))).await;
+            let mut one = histogram();
+            times.iter().for_each(|times| one.add(times).expect("a histogram"));
+            println!(
+                "routing,{policy},{round},{},{:.2},{:.2}",
+                one.len(),
+                quantile_ms(&one, 0.5),
+                quantile_ms(&one, 0.99)
+            );
+            all.add(&one).expect("a histogram");
+        }
+    }
+    for (policy, _, _, all) in &sites {
+        println!(
+            "routing,{policy},all rounds,{},{:.2},{:.2}",
+            all.len(),
+            quantile_ms(all, 0.5),
+            quantile_ms(all, 0.99)
+        );
+    }
+}
+
+async fn prefix_loop(site: &Site, key: &KeySecret, caller: usize, round: usize) -> Histogram<u64> {
+    const CALLS: usize = 60;
+    let http = HttpClient::new();
+    let mut times = histogram();
+    for number in 0..CALLS {
+        // One of 600 long prefixes, of which an engine caches 64.
+        let prefix = (caller * 7_919 + number * 104_729 + round * 13) % 600;
+        let prompt = format!("{prefix:0>64} and then {number}");
+        let began = Instant::now();
+        if completion(site, caller % 3, &http, key, &prompt, (caller * 1_000 + number) as u64).await {
+            record(&mut times, began.elapsed());
+        }
+    }
+    times
+}
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -6,7 +6,6 @@
 pub mod diff;
 pub mod drain;
 pub mod key;
-pub mod load;
 pub mod show;
 pub mod standin;
 pub mod status;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -25,7 +25,6 @@
     diff: "Show what apply would change",
     drain: "Make a daemon finish its requests and stop",
     key: "Create, withdraw and list tenant keys",
-    load: "Load a running site and print latencies",
     show: "Show the configuration in force",
     standin: "Run a stand-in of the platform or an upstream",
     status: "Show daemons, duties, upstreams, steps and spend",
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -10,5 +10,6 @@
 mod hostile;
 mod leaving;
 mod path;
+mod reclaim;
 mod requests;
 mod samples;
--- a/crates/cli/tests/processes/support/child_process.rs
+++ b/crates/cli/tests/processes/support/child_process.rs
@@ -81,13 +81,18 @@
         words.filter_map(|word| word.strip_prefix(label)).next_back().unwrap_or_default().to_owned()
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// What it logged so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("a process id"));
+        let pid = Pid::from_raw(i32::try_from(self.id()).expect("a process id"));
         kill(pid, signal).expect("signal the process");
     }
 
--- a/crates/cli/tests/processes/support/site.rs
+++ b/crates/cli/tests/processes/support/site.rs
@@ -201,7 +201,7 @@
         DaemonProcess { name: name.to_owned(), failure_domain, process, public, control }
     }
 
-    /// Puts a VM on the list.
+    /// Puts a VM that cannot be reclaimed on the list.
     pub async fn list_vm(
         &self,
         name: &str,
@@ -220,7 +220,25 @@
             reclaimable: false,
             state,
         };
-        self.http.put(&format!("http://{}/v1/vms/{name}", self.vms), &entry).await;
+        self.put_vm(&entry).await;
+    }
+
+    /// Puts an upstream that can be reclaimed on the list.
+    pub async fn list_reclaimable(&self, name: &str, failure_domain: &str, address: &str, service: &str) {
+        let entry = VmEntry {
+            name: name.into(),
+            role: VmRole::Upstream,
+            failure_domain: failure_domain.into(),
+            address: address.into(),
+            service: Some(service.into()),
+            reclaimable: true,
+            state: VmState::Live,
+        };
+        self.put_vm(&entry).await;
+    }
+
+    async fn put_vm(&self, entry: &VmEntry) {
+        self.http.put(&format!("http://{}/v1/vms/{}", self.vms, entry.name), entry).await;
     }
 
     /// Takes a VM off the list.
--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of one daemon, from flags and environment variables.
 
 use clap::{Arg, ArgMatches, Command};
-use pimentoslip_kernel::{RoutePolicy, SharedName, policy_names};
+use pimentoslip_kernel::{AdmissionPolicy, RoutePolicy, SharedName, policy_names};
 use std::net::SocketAddr;
 
 const SECRET_CHARS_MIN: usize = 16;
@@ -47,6 +47,8 @@
     pub operator_key: SharedName,
     /// How upstreams are chosen.
     pub route_policy: RoutePolicy,
+    /// In which order waiting requests are admitted.
+    pub admission_policy: AdmissionPolicy,
     /// Threads that serve callers.
     pub workers: usize,
     /// Largest request body in bytes.
@@ -86,6 +88,7 @@
     SettingSpec { flag: "cluster-secret", help: "Secret shared by all daemons of the site", default: None },
     SettingSpec { flag: "operator-key", help: "Key of the operators", default: None },
     SettingSpec { flag: "route-policy", help: "How upstreams are chosen", default: Some("prefix-two-choices") },
+    SettingSpec { flag: "admission-policy", help: "Order of waiting requests", default: Some("fair") },
     SettingSpec { flag: "workers", help: "Threads that serve callers", default: Some("1") },
     SettingSpec { flag: "body-bytes-max", help: "Largest request body in bytes", default: Some("4194304") },
     SettingSpec { flag: "connections-max", help: "Most connections of callers", default: Some("4096") },
@@ -191,6 +194,15 @@
         })
     }
 
+    fn admission(&mut self, flag: &'static str) -> AdmissionPolicy {
+        let text = self.text(flag);
+        AdmissionPolicy::named(&text).unwrap_or_else(|| {
+            let remedy = format!("use one of {}", AdmissionPolicy::names().join(", "));
+            self.fault(flag, format!("unknown policy {text}"), remedy);
+            AdmissionPolicy::default()
+        })
+    }
+
     fn switch(&mut self, flag: &'static str) -> bool {
         let text = self.text(flag);
         text.parse().unwrap_or_else(|_| {
@@ -217,6 +229,7 @@
             cluster_secret: reader.secret("cluster-secret"),
             operator_key: reader.secret("operator-key"),
             route_policy: reader.policy("route-policy"),
+            admission_policy: reader.admission("admission-policy"),
             workers: reader.size("workers"),
             body_bytes_max: reader.size("body-bytes-max"),
             connections_max: reader.size("connections-max"),
--- a/crates/daemon/src/http/engine_api.rs
+++ b/crates/daemon/src/http/engine_api.rs
@@ -15,7 +15,9 @@
 use actix_web::{HttpRequest, HttpResponse, http::header::CONTENT_TYPE, web};
 use bytes::Bytes;
 use futures_util::Stream;
-use pimentoslip_kernel::{RefusalReason, RequestClass, RunState, ServiceConfig, ServiceKind, fingerprint};
+use pimentoslip_kernel::{
+    AdmissionPolicy, RefusalReason, RequestClass, RunState, ServiceConfig, ServiceKind, fingerprint,
+};
 use pimentoslip_wire::{
     REQUEST_ID_HEADER,
     engine::{CompletionRequest, TokenUsage},
@@ -133,12 +135,14 @@
     if shared.routes().capacity(&upstream.service, 1) == 0 {
         return Err(ApiError::not_run(RefusalReason::NoUpstream, id));
     }
+    // In order of arrival means: all in one queue.
+    let fair = shared.settings.admission_policy == AdmissionPolicy::Fair;
     let admission = AdmissionRequest {
-        organisation: caller.organisation.clone(),
+        organisation: if fair { caller.organisation.clone() } else { "".into() },
         weight: caller.weight,
         service: upstream.service.clone(),
         tokens: u64::from(question.max_tokens.unwrap_or(EXPECTED_TOKENS)),
-        depth_max: service.queue_depth,
+        depth_max: if fair { service.queue_depth } else { usize::MAX },
         inflight_max: service.inflight_per_upstream,
     };
     let left_ms = upstream.deadline.since_ms(shared.now());
--- a/crates/daemon/src/task/exchange_task.rs
+++ b/crates/daemon/src/task/exchange_task.rs
@@ -100,7 +100,7 @@
 }
 
 impl PeriodicTask for ExchangeTask {
-    const PERIOD_MS: u64 = 400;
+    const PERIOD_MS: u64 = 500;
 
     async fn run(&mut self) {
         let round = self.round();
@@ -142,9 +142,8 @@
     }
 }
 
-/// Both sides of an exchange count everyone known, the other side and themselves included.
 fn members_digest(shared: &SharedState) -> u64 {
-    shared.members().digest()
+    shared.members().digest(shared.incarnation)
 }
 
 /// Asks one peer, giving it `records`. True when it answered.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every type here takes an event and the current [`TimePoint`] and returns what to do. Nothing in
 //! this crate performs I/O, reads a clock, or draws unseeded random numbers.
 
+mod admission_policy;
 mod claim_table;
 mod config;
 mod fair_queue;
@@ -28,6 +29,7 @@
 mod usage_meter;
 mod usage_window;
 
+pub use admission_policy::{AdmissionPlugin, AdmissionPolicy};
 pub use claim_table::{ClaimAnswer, ClaimKey, ClaimTable, Result as ClaimResult, StaleOwner};
 pub use config::*;
 pub use fair_queue::{FairQueue, QueueTicket};
--- a/crates/kernel/src/member_table.rs
+++ b/crates/kernel/src/member_table.rs
@@ -9,7 +9,7 @@
 /// A suspect that does not answer for this long is taken as failed.
 const FAIL_AFTER_MS: u64 = 3_000;
 /// Members asked in each round when there are more.
-const FANOUT: usize = 8;
+const FANOUT: usize = 4;
 /// Failed members are forgotten after this long.
 const FORGET_AFTER_MS: u64 = 600_000;
 
@@ -167,15 +167,17 @@
         rank(duty, &candidates).iter().position(|name| **name == self.me)
     }
 
-    /// A fingerprint of who is known and how they stand.
+    /// A fingerprint of the processes known, this daemon's own `incarnation` among them. Daemons that know
+    /// the same processes compute the same one.
     #[must_use]
-    pub fn digest(&self) -> u64 {
-        let parts: Vec<String> = self
-            .members
-            .values()
-            .map(|member| format!("{}/{}/{:?}", member.name, member.incarnation, member.state))
+    pub fn digest(&self, incarnation: u64) -> u64 {
+        let others = self.members.values().map(|member| (&member.name, member.incarnation));
+        let mut processes: Vec<String> = others
+            .chain([(&self.me, incarnation)])
+            .map(|(name, incarnation)| format!("{name}/{incarnation}"))
             .collect();
-        let bytes: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
+        processes.sort_unstable();
+        let bytes: Vec<&[u8]> = processes.iter().map(String::as_bytes).collect();
         fingerprint(&bytes)
     }
 
--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -150,7 +150,10 @@
         }
         for new in listed {
             match self.entries.get_mut(&new.name) {
-                Some(old) if old.address == new.address => old.state = new.state,
+                Some(old) if old.address == new.address => {
+                    old.state = new.state;
+                    old.reclaimable = new.reclaimable;
+                }
                 _ => {
                     self.entries.insert(new.name.clone(), new);
                 }
--- a/crates/kernel/tests/machines/small_laws.rs
+++ b/crates/kernel/tests/machines/small_laws.rs
@@ -267,3 +267,15 @@
     assert_eq!(codes.len(), RefusalReason::ALL.len());
     assert!(RefusalReason::ALL.iter().all(|reason| (400..600).contains(&reason.status())));
 }
+
+/// Daemons that know the same processes must not send each other their lists again and again.
+#[test]
+fn daemons_that_know_the_same_processes_have_one_digest() {
+    let mut one = MemberTable::new("one".into(), "a".into());
+    let mut two = MemberTable::new("two".into(), "b".into());
+    one.heard(member("two", 2), TimePoint(0));
+    two.heard(member("one", 1), TimePoint(0));
+    assert_eq!(one.digest(1), two.digest(2));
+    two.heard(member("three", 3), TimePoint(0));
+    assert_ne!(one.digest(1), two.digest(2));
+}
