--- a/crates/cli/benches/site/service.rs
+++ b/crates/cli/benches/site/service.rs
@@ -263,43 +263,50 @@
     times
 }
 
-/// Route policies under load with repeated prompt prefixes, on equal seeds, interleaved.
+/// Route policies under load with repeated prompt prefixes, on equal seeds, interleaved: six equal engines,
+/// and six of which one is six times slower.
 pub async fn routing() {
-    println!("routing,policy,round,requests,p50_ms,p99_ms");
-    let mut sites = Vec::new();
-    for policy in ["round-robin", "two-choices", "prefix-two-choices"] {
-        let shape = SiteShape {
-            engines: vec!["a", "b", "c", "a", "b", "c"],
-            engine_flags: vec!["--slots=4".to_owned(), "--token-us=500".to_owned()],
-            daemon_flags: vec![format!("--route-policy={policy}")],
-            ..SiteShape::default()
-        };
-        let site = Site::start(shape).await;
-        let key = site.create_key(0, 1).await;
-        sites.push((policy, site, key, histogram()));
-    }
-    for round in 0..ROUNDS {
-        for (policy, site, key, all) in &mut sites {
-            let times = join_all((0..30).map(|caller| prefix_loop(site, key, caller, round))).await;
-            let mut one = histogram();
-            times.iter().for_each(|times| one.add(times).expect("a histogram"));
-            println!(
-                "routing,{policy},{round},{},{:.2},{:.2}",
-                one.len(),
-                quantile_ms(&one, 0.5),
-                quantile_ms(&one, 0.99)
-            );
-            all.add(&one).expect("a histogram");
+    println!("routing,engines,policy,round,requests,p50_ms,p99_ms");
+    for slow in [false, true] {
+        let engines = if slow { "one slow" } else { "equal" };
+        let mut sites = Vec::new();
+        for policy in ["round-robin", "two-choices", "prefix-two-choices"] {
+            let (site, key) = routing_site(policy, slow).await;
+            sites.push((policy, site, key, histogram()));
+        }
+        for round in 0..ROUNDS {
+            for (policy, site, key, all) in &mut sites {
+                let times = join_all((0..30).map(|caller| prefix_loop(site, key, caller, round))).await;
+                let mut one = histogram();
+                times.iter().for_each(|times| one.add(times).expect("a histogram"));
+                let (p50, p99) = (quantile_ms(&one, 0.5), quantile_ms(&one, 0.99));
+                println!("routing,{engines},{policy},{round},{},{p50:.2},{p99:.2}", one.len());
+                all.add(&one).expect("a histogram");
+            }
+        }
+        for (policy, _, _, all) in &sites {
+            let (p50, p99) = (quantile_ms(all, 0.5), quantile_ms(all, 0.99));
+            println!("routing,{engines},{policy},all rounds,{},{p50:.2},{p99:.2}", all.len());
         }
     }
-    for (policy, _, _, all) in &sites {
-        println!(
-            "routing,{policy},all rounds,{},{:.2},{:.2}",
-            all.len(),
-            quantile_ms(all, 0.5),
-            quantile_ms(all, 0.99)
-        );
+}
+
+async fn routing_site(policy: &str, slow: bool) -> (Site, KeySecret) {
+    let engines = if slow { vec!["a", "b", "c", "a", "b"] } else { vec!["a", "b", "c", "a", "b", "c"] };
+    let shape = SiteShape {
+        engines,
+        engine_flags: vec!["--slots=4".to_owned(), "--token-us=500".to_owned()],
+        daemon_flags: vec![format!("--route-policy={policy}")],
+        ..SiteShape::default()
+    };
+    let mut site = Site::start(shape).await;
+    if slow {
+        site.shape.engine_flags = vec!["--slots=4".to_owned(), "--token-us=3000".to_owned()];
+        site.start_engine("c").await;
+        site.wait_ready().await;
     }
+    let key = site.create_key(0, 1).await;
+    (site, key)
 }
 
 async fn prefix_loop(site: &Site, key: &KeySecret, caller: usize, round: usize) -> Histogram<u64> {
--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -11,14 +11,12 @@
 const EJECT_CAP_DIVISOR: usize = 2;
 /// Span over which a new upstream's share of work rises to full.
 const SLOW_START_MS: u64 = 10_000;
-/// Load that another failure domain's upstream must be below to be preferred.
-const DOMAIN_PENALTY: u64 = 2;
 /// A request's share in the moving average is one in this many.
 const PACE_WEIGHT: u64 = 8;
 /// An upstream of unknown pace is taken for the fastest one.
 const PACE_UNKNOWN_MS: u64 = 1;
 /// Load by which the prefix holder may exceed the other choice.
-const PREFIX_BONUS: u64 = 3;
+const PREFIX_BONUS: u64 = 1;
 
 /// Standing of an upstream in the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -290,10 +288,11 @@
         let step = if count > 1 { rng.random_range(1..count) } else { 0 };
         let (first, second) = (eligible[first], eligible[(first + step) % count]);
         let fastest_ms = eligible.iter().filter_map(|entry| entry.pace_ms).min().unwrap_or(PACE_UNKNOWN_MS);
-        // Expected wait: what is ahead of the request, and itself, at the upstream's pace.
+        // Expected wait: what is ahead of the request, and itself, at the upstream's pace. Between equals the
+        // own failure domain comes first.
         let cost_above = |entry: &UpstreamEntry, load: u64| {
-            let away = u64::from(&*entry.failure_domain != query.failure_domain);
-            (load + 1 + away * DOMAIN_PENALTY) * entry.pace_ms.unwrap_or(fastest_ms)
+            let away = &*entry.failure_domain != query.failure_domain;
+            ((load + 1) * entry.pace_ms.unwrap_or(fastest_ms), away)
         };
         let cost = |entry: &UpstreamEntry| cost_above(entry, entry.load(now));
         let lighter = if cost(second) < cost(first) { second } else { first };
