Say 'may have run' for keys that may have run; survive an overflowing step

- claim_in_progress and outcome_unknown told 'not run': true of the call, but a caller that means the order would place it again under a new key.
- prompts times group_size overflowed (a panic in debug builds): failed first with two prompts.

--- a/crates/cli/tests/processes/hostile.rs
+++ b/crates/cli/tests/processes/hostile.rs
@@ -225,6 +225,10 @@
             "/v1/steps",
             "{\"trainer\":\"t\",\"step\":1,\"service\":\"drafts\",\"prompts\":[\"p\"],\"group_size\":18446744073709551615,\"max_tokens\":1}",
         ),
+        (
+            "/v1/steps",
+            "{\"trainer\":\"t\",\"step\":1,\"service\":\"drafts\",\"prompts\":[\"p\",\"q\"],\"group_size\":18446744073709551615,\"max_tokens\":1}",
+        ),
         ("/v1/steps/fetch", "{\"trainer\":\"t\",\"step\":1,\"cursor\":\"0\"}"),
         ("/v1/steps/fetch", "{\"trainer\":\"t\",\"step\":1,\"unknown\":1}"),
         ("/v1/weights", "{\"service\":\"drafts\",\"version\":-1}"),
--- a/crates/daemon/src/claim/claim_gate.rs
+++ b/crates/daemon/src/claim/claim_gate.rs
@@ -9,7 +9,7 @@
     shared_state::SharedState,
 };
 use actix::Addr;
-use pimentoslip_kernel::{RefusalReason, SharedName};
+use pimentoslip_kernel::{RefusalReason, RunState, SharedName};
 use pimentoslip_platform::EtcdClient;
 use pimentoslip_wire::peer::{ClaimRequest, ClaimResponse, SettleRequest, SettleState, StoredAnswer};
 use std::{sync::Arc, time::Duration};
@@ -34,6 +34,11 @@
     grant: u64,
 }
 
+/// This call did not run, but an earlier one under the same key may have, and the caller means the order.
+fn doubtful(reason: RefusalReason, id: &RequestId) -> ApiError {
+    ApiError { reason, run_state: RunState::MayHaveRun, request_id: id.clone() }
+}
+
 impl ClaimGate {
     /// Creates a gate; `actor` is this daemon's own owner of claims.
     pub fn new(shared: Arc<SharedState>, actor: Addr<ClaimActor<EtcdClient>>, peers: PeerClient) -> Self {
@@ -55,8 +60,8 @@
             match self.ask(&request).await {
                 ClaimResponse::Granted => return Ok(Ok(ticket)),
                 ClaimResponse::Replay(answer) => return Ok(Err(answer)),
-                ClaimResponse::InProgress => return refuse(RefusalReason::ClaimInProgress),
-                ClaimResponse::Unknown => return refuse(RefusalReason::OutcomeUnknown),
+                ClaimResponse::InProgress => return Err(doubtful(RefusalReason::ClaimInProgress, id)),
+                ClaimResponse::Unknown => return Err(doubtful(RefusalReason::OutcomeUnknown, id)),
                 ClaimResponse::Reused => return refuse(RefusalReason::IdempotencyKeyReused),
                 ClaimResponse::Unavailable | ClaimResponse::NotOwner => actix_rt::time::sleep(CLAIM_PAUSE).await,
             }
--- a/crates/kernel/src/step_ledger.rs
+++ b/crates/kernel/src/step_ledger.rs
@@ -28,7 +28,7 @@
     /// Number of samples in the step.
     #[must_use]
     pub fn samples(&self) -> usize {
-        self.prompts.len() * self.group_size
+        self.prompts.len().saturating_mul(self.group_size)
     }
 }
 
