--- a/crates/kernel/src/route_table.rs
+++ b/crates/kernel/src/route_table.rs
@@ -11,6 +11,10 @@
 const EJECT_CAP_DIVISOR: usize = 2;
 /// Span over which a new upstream's share of work rises to full.
 const SLOW_START_MS: u64 = 10_000;
+/// Fraction of a request in which load is counted.
+const LOAD_UNIT: u64 = 8;
+/// A report's share in the moving average of others' load is one in this many.
+const REPORT_WEIGHT: u64 = 4;
 /// A request's share in the moving average is one in this many.
 const PACE_WEIGHT: u64 = 8;
 /// An upstream of unknown pace is taken for the fastest one.
@@ -45,8 +49,8 @@
     /// Weight version from its last load report.
     pub version: Option<u64>,
     inflight: u64,
-    reported: u64,
-    sent_since_report: u64,
+    /// Moving average of other daemons' load on it, in [`LOAD_UNIT`]ths.
+    others: u64,
     failures: u32,
     ejected_until: TimePoint,
     full_at: TimePoint,
@@ -82,8 +86,7 @@
             state: UpstreamState::Live,
             version: None,
             inflight: 0,
-            reported: 0,
-            sent_since_report: 0,
+            others: 0,
             failures: 0,
             ejected_until: TimePoint(0),
             full_at: now.plus_ms(SLOW_START_MS),
@@ -108,11 +111,12 @@
         self.inflight
     }
 
-    /// Load as reported, corrected by what this daemon has sent since, and by slow start.
+    /// This daemon's own requests, known exactly, and the smoothed load of others, whose reports lag. In
+    /// [`LOAD_UNIT`]ths; raised while the upstream is new.
     fn load(&self, now: TimePoint) -> u64 {
-        let load = (self.reported + self.sent_since_report).max(self.inflight);
+        let load = self.inflight * LOAD_UNIT + self.others;
         let warming = self.full_at.since_ms(now) * 4 / SLOW_START_MS;
-        load + warming.min(load)
+        load + warming.min(self.inflight) * LOAD_UNIT
     }
 }
 
@@ -186,9 +190,9 @@
     /// Takes in a load report.
     pub fn reported(&mut self, name: &str, load: u64, version: Option<u64>) {
         if let Some(entry) = self.entries.get_mut(name) {
-            entry.reported = load;
+            let others = load.saturating_sub(entry.inflight) * LOAD_UNIT;
+            entry.others = (entry.others * (REPORT_WEIGHT - 1) + others) / REPORT_WEIGHT;
             entry.missed_reports = 0;
-            entry.sent_since_report = 0;
             entry.version = version.or(entry.version);
         }
     }
@@ -221,7 +225,6 @@
         self.turn = self.turn.wrapping_add(1);
         let entry = self.entries.get_mut(&name)?;
         entry.inflight += 1;
-        entry.sent_since_report += 1;
         entry.exclusive = query.alone;
         Some(entry.clone())
     }
@@ -230,7 +233,6 @@
     pub fn ended(&mut self, name: &str, failed: bool, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(name) else { return };
         entry.inflight = entry.inflight.saturating_sub(1);
-        entry.sent_since_report = entry.sent_since_report.saturating_sub(1);
         entry.exclusive = false;
         if !failed {
             entry.failures = 0;
@@ -292,7 +294,7 @@
         // own failure domain comes first.
         let cost_above = |entry: &UpstreamEntry, load: u64| {
             let away = &*entry.failure_domain != query.failure_domain;
-            ((load + 1) * entry.pace_ms.unwrap_or(fastest_ms), away)
+            ((load + LOAD_UNIT) * entry.pace_ms.unwrap_or(fastest_ms), away)
         };
         let cost = |entry: &UpstreamEntry| cost_above(entry, entry.load(now));
         let lighter = if cost(second) < cost(first) { second } else { first };
@@ -300,7 +302,7 @@
             let names: Vec<&str> = eligible.iter().map(|entry| &*entry.name).collect();
             let holder = rendezvous::owner(&format!("{prefix:x}"), &names)?;
             let holder = eligible.iter().find(|entry| &*entry.name == *holder)?;
-            if cost(holder) <= cost_above(lighter, lighter.load(now) + PREFIX_BONUS) {
+            if cost(holder) <= cost_above(lighter, lighter.load(now) + PREFIX_BONUS * LOAD_UNIT) {
                 return Some(holder.name.clone());
             }
         }
--- a/crates/kernel/tests/machines/routes.rs
+++ b/crates/kernel/tests/machines/routes.rs
@@ -137,7 +137,7 @@
 }
 
 #[test]
-fn work_sent_since_a_report_counts() {
+fn own_work_counts_at_once_and_reports_count_smoothed() {
     let mut table = table(&[("one", "a"), ("two", "a")]);
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let mut counts = BTreeMap::new();
