Take no proof of anyone's end from a VM list that lacks the reader

Cause: an empty list, as after a restart of the interface behind it, marked every daemon as ended. A daemon cut from the key-value service then took itself for the only one left and trusted keys for ever. Ruled out: ignoring short lists (no bound is right). Before: the new test still got 200 after 90 s with its peer frozen, the service down and an empty list. After: config_stale, passed. Drain, diff and key commands have process tests.

--- a/crates/cli/tests/processes/configuration.rs
+++ b/crates/cli/tests/processes/configuration.rs
@@ -212,3 +212,20 @@
         assert_eq!(call(&site, at, &key).await.status, 401, "a removed organisation's key does not work");
     }
 }
+
+/// An empty list, as after a restart of the interface behind it, must not pass for the end of every VM.
+#[actix_rt::test]
+async fn a_list_without_the_daemon_itself_proves_nothing() {
+    let (site, key) = quiet_site().await;
+    site.daemons[1].process.freeze();
+    for daemon in &site.daemons {
+        site.unlist_vm(&daemon.name).await;
+    }
+    site.kv_fault(DOWN).await;
+    let refused = wait_for("what cannot be confirmed is refused", || async {
+        let answer = call(&site, 0, &key).await;
+        (answer.status != 200).then_some(answer)
+    })
+    .await;
+    assert_eq!((refused.status, refused.error("code").as_str()), (503, "config_stale"));
+}
--- a/crates/cli/tests/processes/leaving.rs
+++ b/crates/cli/tests/processes/leaving.rs
@@ -1,6 +1,6 @@
 //! Planned stops cut nothing, and leaving upstreams get no new work.
 
-use super::support::{HttpClient, Site, SiteShape, wait_for};
+use super::support::{HttpClient, OPERATOR_KEY, Site, SiteShape, cli, wait_for};
 use pimentoslip_standin::{EngineFault, PlainFault};
 use pimentoslip_wire::provider::{VmRole, VmState};
 
@@ -49,6 +49,22 @@
     assert!(log.contains("event=stopping inflight=0"), "{log}");
 }
 
+#[actix_rt::test]
+async fn an_operator_can_drain_a_daemon() {
+    let shape = SiteShape { daemons: vec!["a", "b"], engines: vec![], ..SiteShape::default() };
+    let mut site = Site::start(shape).await;
+    let output = cli(&["drain", "--daemon", &site.daemons[0].control, "--operator-key", OPERATOR_KEY]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let process = &mut site.daemons[0].process;
+    let ended = wait_for("the daemon stops", || std::future::ready(process.ended())).await;
+    assert!(ended.success(), "{ended:?}");
+    wait_for("the other one takes its duties", || async {
+        let status = site.status(1).await?;
+        status.duties.iter().all(|duty| duty.state == "held").then_some(())
+    })
+    .await;
+}
+
 /// How many more requests an engine gets while `count` are sent.
 async fn work_of(site: &Site, key: &pimentoslip_kernel::KeySecret, engine: usize, count: usize) -> usize {
     let before = site.engine_seen(engine).await.len();
--- a/crates/cli/tests/processes/path.rs
+++ b/crates/cli/tests/processes/path.rs
@@ -143,6 +143,21 @@
             assert!(!output.stdout.is_empty());
         }
     }
+    let to = ["--daemon", daemon, "--operator-key", OPERATOR_KEY];
+    let said = |args: &[&str]| {
+        let output = cli(&[args, &to].concat());
+        assert!(output.status.success(), "{args:?}: {}", String::from_utf8_lossy(&output.stderr));
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let base = site.workdir.path("base.toml");
+    assert_eq!(said(&["diff", &base.to_string_lossy()]), "no difference\n");
+    let other = site.workdir.write("other.toml", &site.shape.base.replace("weight = 4", "weight = 5"));
+    assert_eq!(said(&["diff", &other]), "change organisation/velorio\n");
+    let key = said(&["key", "create", "rose"]);
+    let id = key.trim().split('-').nth(1).expect("an id").to_owned();
+    assert!(said(&["key", "list"]).contains(&id) && !said(&["key", "list", "--json"]).contains(key.trim()));
+    said(&["key", "withdraw", "rose", &id]);
+    assert!(said(&["key", "list"]).lines().any(|line| line.contains(&id) && line.ends_with("withdrawn")));
     let refused = cli(&["status", "--daemon", daemon, "--operator-key", "wrong-operator-key"]);
     assert_eq!(refused.status.code(), Some(1));
     let nobody = cli(&["status", "--daemon", "127.0.0.1:1", "--operator-key", OPERATOR_KEY]);
--- a/crates/daemon/src/task/listing_task.rs
+++ b/crates/daemon/src/task/listing_task.rs
@@ -46,19 +46,25 @@
         self.pump();
     }
 
-    /// A daemon that was on the list and is gone from it has ended with its VM.
+    /// A daemon that was on the list and is gone from it has ended with its VM. A list that lacks this very
+    /// daemon is incomplete: it may add daemons, but proves the end of none.
     fn take_entries(&self, entries: Vec<VmEntry>) {
         let now = self.shared.now();
+        let me = &self.shared.settings.name;
         let listed: BTreeMap<SharedName, SharedName> = entries.into_iter().map(|vm| (vm.name, vm.address)).collect();
-        let before = {
+        let complete = listed.contains_key(me);
+        self.shared.listed.store(complete, Ordering::SeqCst);
+        let gone: Vec<SharedName> = {
             let mut known = self.shared.listed_entries.lock().unwrap_or_else(PoisonError::into_inner);
-            std::mem::replace(&mut *known, listed.clone())
+            let gone = known.keys().filter(|name| complete && !listed.contains_key(*name)).cloned().collect();
+            if complete {
+                known.clear();
+            }
+            known.extend(listed);
+            gone
         };
-        self.shared.listed.store(listed.contains_key(&self.shared.settings.name), Ordering::SeqCst);
         let mut members = self.shared.members();
-        for gone in before.keys().filter(|name| !listed.contains_key(*name) && **name != self.shared.settings.name) {
-            members.ended(gone, now);
-        }
+        gone.iter().for_each(|name| members.ended(name, now));
     }
 
     async fn read_reports(&self) {
