Give running members, services and unavailable kinds one piece of code each

Reading the whole change once more: who may still be running stood in four places (rounds, names, pushes of records, gathering of usage), the list of services with their settings in three, and the wait after the provider had none of a kind in two. Behaviour is as before; no test was touched.

--- a/crates/daemon/src/task/domain_duty.rs
+++ b/crates/daemon/src/task/domain_duty.rs
@@ -82,8 +82,7 @@
         self.book.settle_open(authority).await?;
         let services: Vec<(SharedName, ServiceConfig)> = {
             let config = shared.config();
-            let names = config.service_names().into_iter();
-            names.filter_map(|name| Some((name.clone(), config.service(&name)?.clone()))).collect()
+            config.services().map(|(name, service)| (name.clone(), service.clone())).collect()
         };
         for (name, service) in services.iter().filter(|(_, service)| service.upstreams_per_domain > 0) {
             let input = self.input(shared, site, domain, name, service, &services);
@@ -126,14 +125,12 @@
             })
             .sum();
         let domains = site.failure_domains.len().max(1) as u64;
-        let now = shared.now();
-        let unavailable = self.unavailable_until.get(&(name.clone(), true)).is_some_and(|until| now < *until);
         SpendInput {
             wanted: service.upstreams_per_domain,
             standing_min: service.standing_per_domain,
             standing: count(name, false),
             reclaimable: count(name, true),
-            reclaimable_available: !unavailable,
+            reclaimable_available: !self.unavailable(&(name.clone(), true), shared.now()),
             standing_rate: service.standing_cents_per_hour,
             reclaimable_rate: service.reclaimable_cents_per_hour,
             floor_rate: (site.spend_floor_cents_per_hour / domains).saturating_sub(others),
@@ -142,6 +139,11 @@
         }
     }
 
+    /// Whether the provider had none of a service's kind lately.
+    fn unavailable(&self, kind: &(SharedName, bool), now: TimePoint) -> bool {
+        self.unavailable_until.get(kind).is_some_and(|until| now < *until)
+    }
+
     async fn act(
         &mut self,
         shared: &SharedState,
@@ -158,8 +160,7 @@
             SpendAction::StopReclaimable => (OrderAction::Stop, true),
         };
         let kind = (service.clone(), reclaimable);
-        let now = shared.now();
-        if order == OrderAction::Start && self.unavailable_until.get(&kind).is_some_and(|until| now < *until) {
+        if order == OrderAction::Start && self.unavailable(&kind, shared.now()) {
             return Ok(());
         }
         let vm = match order {
--- a/crates/daemon/src/task/exchange_task.rs
+++ b/crates/daemon/src/task/exchange_task.rs
@@ -227,11 +227,8 @@
     peers: &PeerClient,
     records: Vec<RecordEntry>,
 ) -> (Vec<SharedName>, Vec<SharedName>) {
-    let targets: Vec<PeerAddress> = {
-        let members = shared.members();
-        let running = members.possibly_running();
-        running.iter().filter_map(|name| Some((name.clone(), members.get(name)?.control.clone()))).collect()
-    };
+    let targets: Vec<PeerAddress> =
+        shared.members().running_entries().map(|member| (member.name.clone(), member.control.clone())).collect();
     let answers = join_all(targets.iter().map(|peer| exchange(shared, peers, peer, records.clone()))).await;
     let mut confirmed = vec![shared.settings.name.clone()];
     let mut unconfirmed = Vec::new();
--- a/crates/daemon/src/task/listing_task.rs
+++ b/crates/daemon/src/task/listing_task.rs
@@ -99,8 +99,7 @@
     fn pump(&self) {
         let services: Vec<(SharedName, u64)> = {
             let config = self.shared.config();
-            let names = config.service_names().into_iter();
-            names.filter_map(|name| Some((name.clone(), config.service(&name)?.inflight_per_upstream))).collect()
+            config.services().map(|(name, service)| (name.clone(), service.inflight_per_upstream)).collect()
         };
         for (name, inflight_max) in services {
             let capacity = self.shared.routes().capacity(&name, inflight_max);
--- a/crates/daemon/src/task/usage_task.rs
+++ b/crates/daemon/src/task/usage_task.rs
@@ -72,11 +72,8 @@
     async fn gather(&mut self) {
         let own = self.shared.usage_totals().into_iter().map(TotalsLine::from).map(UsageLine::from).collect();
         self.totals.insert(self.shared.process(), own);
-        let controls: Vec<SharedName> = {
-            let members = self.shared.members();
-            let running = members.possibly_running();
-            running.iter().filter_map(|name| Some(members.get(name)?.control.clone())).collect()
-        };
+        let controls: Vec<SharedName> =
+            self.shared.members().running_entries().map(|member| member.control.clone()).collect();
         let calls = controls
             .iter()
             .map(|control| self.peers.call::<_, TotalsAnswer>(control, "/peer/totals", &(), TOTALS_TIMEOUT_MS));
--- a/crates/kernel/src/config/config_view.rs
+++ b/crates/kernel/src/config/config_view.rs
@@ -89,16 +89,18 @@
         }
     }
 
+    /// All services with their settings, sorted by name.
+    pub fn services(&self) -> impl Iterator<Item = (&SharedName, &ServiceConfig)> {
+        self.records.values().filter_map(|entry| match (&entry.name, &*entry.record) {
+            (RecordName::Service(name), ConfigRecord::Service(service)) => Some((name, service)),
+            _ => None,
+        })
+    }
+
     /// Names of all services.
     #[must_use]
     pub fn service_names(&self) -> Vec<SharedName> {
-        self.records
-            .values()
-            .filter_map(|entry| match (&entry.name, &*entry.record) {
-                (RecordName::Service(name), ConfigRecord::Service(_)) => Some(name.clone()),
-                _ => None,
-            })
-            .collect()
+        self.services().map(|(name, _)| name.clone()).collect()
     }
 
     /// Settings of an organisation.
--- a/crates/kernel/src/member_table.rs
+++ b/crates/kernel/src/member_table.rs
@@ -141,14 +141,15 @@
         names
     }
 
-    /// Names of all others that may still be running, reachable or not.
+    /// All others that may still be running, reachable or not.
+    pub fn running_entries(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members.values().filter(|member| member.state != MemberState::Ended)
+    }
+
+    /// Names of all others that may still be running.
     #[must_use]
     pub fn possibly_running(&self) -> Vec<SharedName> {
-        self.members
-            .values()
-            .filter(|member| member.state != MemberState::Ended)
-            .map(|member| member.name.clone())
-            .collect()
+        self.running_entries().map(|member| member.name.clone()).collect()
     }
 
     /// This daemon's place for the duty of `failure_domain`, among that domain's daemons, or among all
@@ -183,13 +184,13 @@
 
     /// Members to exchange with in this round: all when few, else a rotating part of them.
     pub fn next_round(&mut self) -> Vec<MemberEntry> {
-        let candidates: Vec<&MemberEntry> =
-            self.members.values().filter(|member| member.state != MemberState::Ended).collect();
+        let candidates: Vec<&MemberEntry> = self.running_entries().collect();
         if candidates.len() <= FANOUT {
             return candidates.into_iter().cloned().collect();
         }
-        let start = self.round;
-        self.round = (self.round + FANOUT) % candidates.len();
-        (0..FANOUT).map(|step| candidates[(start + step) % candidates.len()].clone()).collect()
+        let count = candidates.len();
+        let round = (0..FANOUT).map(|step| candidates[(self.round + step) % count].clone()).collect();
+        self.round = (self.round + FANOUT) % count;
+        round
     }
 }
