--- a/crates/cli/tests/processes/support/http_client.rs
+++ b/crates/cli/tests/processes/support/http_client.rs
@@ -45,7 +45,7 @@
 impl HttpClient {
     /// Creates a caller with connections of its own.
     pub fn new() -> Self {
-        Self { client: pimentoslip_platform::plain_client() }
+        Self { client: pimentoslip_client::plain_client() }
     }
 
     /// Begins a request.
--- a/crates/platform/tests/contract/key_value.rs
+++ b/crates/client/tests/contract/key_value.rs
@@ -1,7 +1,7 @@
 //! The key-value service.
 
 use super::endpoint;
-use pimentoslip_platform::{EtcdClient, KeyValueClient, PlatformError};
+use pimentoslip_client::{EtcdClient, KeyValueClient, PlatformError};
 use pimentoslip_standin::{KvFault, kv};
 use pimentoslip_wire::kv::TxnRequest;
 use std::{sync::Arc, time::Duration};
--- a/crates/platform/tests/contract/provider.rs
+++ b/crates/client/tests/contract/provider.rs
@@ -1,8 +1,8 @@
 //! The ordering, usage and VM list interfaces, and orders that come too late.
 
 use super::endpoint;
+use pimentoslip_client::{OwnerClock, ProviderClient};
 use pimentoslip_kernel::TimePoint;
-use pimentoslip_platform::{OwnerClock, ProviderClient};
 use pimentoslip_standin::{EngineShape, OrderSettings, engine, orders, usage, vms};
 use pimentoslip_wire::{
     engine::LoadOrder,
--- a/crates/daemon/src/claim/claim_actor.rs
+++ b/crates/daemon/src/claim/claim_actor.rs
@@ -5,12 +5,13 @@
     claim_store::{ClaimBody, ClaimStore},
     shard_of, shard_owner,
 };
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
 use actix::{
     Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture, WrapFuture,
 };
+use pimentoslip_client::KeyValueClient;
 use pimentoslip_kernel::{ClaimAnswer, ClaimKey, ClaimTable};
-use pimentoslip_platform::KeyValueClient;
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::{ClaimRequest, ClaimResponse, SettleRequest, SettleState, StoredAnswer};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::sync::oneshot;
--- a/crates/daemon/src/claim/claim_gate.rs
+++ b/crates/daemon/src/claim/claim_gate.rs
@@ -3,14 +3,14 @@
 use super::{ClaimActor, ClaimMessage, SettleMessage, shard_of, shard_owner};
 use crate::{
     api_error::{ApiError, Result},
-    log_line::LogLine,
     peer_client::PeerClient,
     request_id::RequestId,
     shared_state::SharedState,
 };
 use actix::Addr;
+use pimentoslip_client::EtcdClient;
 use pimentoslip_kernel::{RefusalReason, RunState, SharedName};
-use pimentoslip_platform::EtcdClient;
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::{ClaimRequest, ClaimResponse, SettleRequest, SettleState, StoredAnswer};
 use std::{sync::Arc, time::Duration};
 
--- a/crates/daemon/src/claim/claim_store.rs
+++ b/crates/daemon/src/claim/claim_store.rs
@@ -1,8 +1,8 @@
 //! Claims on record in the platform's service.
 
 use crate::shared_state::SharedState;
+use pimentoslip_client::{KeyValueClient, PlatformError, Result};
 use pimentoslip_kernel::{ClaimKey, SharedName};
-use pimentoslip_platform::{KeyValueClient, PlatformError, Result};
 use pimentoslip_wire::kv::TxnRequest;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
--- a/crates/daemon/src/config_writer.rs
+++ b/crates/daemon/src/config_writer.rs
@@ -1,8 +1,8 @@
 //! Writes configuration records, so that racing operators do not lose each other's changes.
 
 use crate::shared_state::SharedState;
+use pimentoslip_client::{KeyValueClient, PlatformError};
 use pimentoslip_kernel::{ConfigRecord, RecordEntry, RecordName, SharedName};
-use pimentoslip_platform::{KeyValueClient, PlatformError};
 use pimentoslip_wire::kv::TxnRequest;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
--- a/crates/daemon/src/http/admin_api.rs
+++ b/crates/daemon/src/http/admin_api.rs
@@ -3,13 +3,13 @@
 use super::WorkerState;
 use crate::{
     config_writer::{ConfigWriter, WriteError},
-    log_line::LogLine,
     step::StepListMessage,
     task::push_records,
 };
 use actix_web::{HttpResponse, web};
+use pimentoslip_client::KeyValueClient;
 use pimentoslip_kernel::{ConfigRecord, MemberState, RecordEntry, RecordName, SharedName};
-use pimentoslip_platform::KeyValueClient;
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::admin::{
     ApplyRequest, ChangeAnswer, DaemonStatus, DutyStatus, RecordBody, ShowAnswer, StatusAnswer, UpstreamStatus,
 };
--- a/crates/daemon/src/http/peer_api.rs
+++ b/crates/daemon/src/http/peer_api.rs
@@ -3,11 +3,11 @@
 use super::WorkerState;
 use crate::{
     claim::{ClaimMessage, SettleMessage},
-    log_line::LogLine,
     task::answer_exchange,
 };
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
     peer::{ClaimRequest, ClaimResponse, ExchangeRequest, ForwardRequest, SettleRequest, TotalsAnswer, TotalsLine},
--- a/crates/daemon/src/http/worker_state.rs
+++ b/crates/daemon/src/http/worker_state.rs
@@ -3,7 +3,6 @@
 use crate::{
     api_error::Result,
     claim::{ClaimActor, ClaimGate},
-    log_line::LogLine,
     peer_client::PeerClient,
     request_id::RequestId,
     shared_state::SharedState,
@@ -12,8 +11,9 @@
 use actix::Addr;
 use actix_web::HttpResponse;
 use awc::Client;
+use pimentoslip_client::{EtcdClient, plain_client};
 use pimentoslip_kernel::{RefusalReason, TimePoint};
-use pimentoslip_platform::{EtcdClient, plain_client};
+use pimentoslip_telemetry::LogLine;
 use std::sync::{Arc, atomic::Ordering};
 
 /// Clients belong to their thread; the rest is shared.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,6 @@
 mod config_writer;
 mod daemon_settings;
 mod http;
-mod log_line;
 mod metric_set;
 mod peer_client;
 mod request_id;
@@ -17,5 +16,5 @@
 mod upstream;
 
 pub use daemon_settings::{DaemonSettings, SettingFault, command};
-pub use log_line::{LogLine, init_logs, silence_logs};
+pub use pimentoslip_telemetry::{LogLine, init_logs, silence_logs};
 pub use running_daemon::{Result, RunningDaemon, start};
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -2,8 +2,8 @@
 
 use awc::{Client, error::SendRequestError};
 use bytes::Bytes;
+use pimentoslip_client::plain_client;
 use pimentoslip_kernel::SharedName;
-use pimentoslip_platform::plain_client;
 use pimentoslip_wire::{CLUSTER_SECRET_HEADER, CodecError, decode, encode};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{io, time::Duration};
--- a/crates/daemon/src/running_daemon.rs
+++ b/crates/daemon/src/running_daemon.rs
@@ -4,7 +4,6 @@
     DaemonSettings,
     claim::ClaimActor,
     http::{WorkerState, configure_control, configure_public},
-    log_line::LogLine,
     peer_client::PeerClient,
     shared_state::SharedState,
     step::StepActor,
@@ -13,7 +12,8 @@
 use actix::{Actor, Addr};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use anyhow::Context;
-use pimentoslip_platform::{EtcdClient, ProviderClient};
+use pimentoslip_client::{EtcdClient, ProviderClient};
+use pimentoslip_telemetry::LogLine;
 use std::{
     net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering},
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -3,11 +3,11 @@
 use crate::{
     DaemonSettings, admission_gate::AdmissionGate, metric_set::MetricSet, request_id::RequestId, upstream::RunningTable,
 };
+use pimentoslip_client::OwnerClock;
 use pimentoslip_kernel::{
     ConfigView, FreshnessTable, MemberEntry, MemberState, MemberTable, RecordEntry, RetryBudget, RouteTable,
     SharedName, SuspectTable, TimePoint, UsageCount, UsageKey, UsageMeter,
 };
-use pimentoslip_platform::OwnerClock;
 use pimentoslip_wire::peer::MemberBody;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
--- a/crates/daemon/src/step/step_actor.rs
+++ b/crates/daemon/src/step/step_actor.rs
@@ -5,12 +5,13 @@
     step_key,
     step_state::{StepState, WaitingFetch},
 };
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
 use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
 use actix_rt::task::JoinHandle;
 use awc::Client;
+use pimentoslip_client::plain_client;
 use pimentoslip_kernel::{DispatchOrder, RefusalReason, SampleResult, SharedName, StepSpec, TimePoint};
-use pimentoslip_platform::plain_client;
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     admin::StepStatus,
     caller::{FetchAnswer, FetchRequest, OpenAnswer, OpenRequest},
--- a/crates/daemon/src/step/step_gate.rs
+++ b/crates/daemon/src/step/step_gate.rs
@@ -3,13 +3,13 @@
 use super::{FetchMessage, OpenMessage, StepActor, step_actor::StepOutcome, step_key};
 use crate::{
     api_error::{ApiError, Result},
-    log_line::LogLine,
     peer_client::PeerClient,
     request_id::RequestId,
     shared_state::SharedState,
 };
 use actix::Addr;
 use pimentoslip_kernel::{RefusalReason, RunState, SharedName};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     caller::{FetchAnswer, FetchRequest, OpenAnswer, OpenRequest, Refusal},
     peer::{ForwardAnswer, ForwardRequest},
--- a/crates/daemon/src/task/domain_duty.rs
+++ b/crates/daemon/src/task/domain_duty.rs
@@ -4,12 +4,13 @@
     duty_lease::DutyLease,
     order_book::{OrderAuthority, OrderBook},
 };
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
 use futures_util::future::join_all;
+use pimentoslip_client::{EtcdClient, ProviderClient, Result};
 use pimentoslip_kernel::{
     ServiceConfig, ServiceKind, SharedName, SiteConfig, SpendAction, SpendInput, SpendPlanner, TimePoint,
 };
-use pimentoslip_platform::{EtcdClient, ProviderClient, Result};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     engine::LoadOrder,
     provider::{OrderAction, OrderRequest, OrderState},
--- a/crates/daemon/src/task/duty_lease.rs
+++ b/crates/daemon/src/task/duty_lease.rs
@@ -1,8 +1,9 @@
 //! One duty's lease in the platform's service.
 
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
+use pimentoslip_client::{KeyValueClient, PlatformError, Result};
 use pimentoslip_kernel::{HolderEvidence, LeaseHolder, LeaseState, MemberState, PreviousHolder, SharedName, TimePoint};
-use pimentoslip_platform::{KeyValueClient, PlatformError, Result};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::kv::{RangeResponse, TxnRequest};
 use std::sync::{Arc, PoisonError, atomic::Ordering};
 
--- a/crates/daemon/src/task/exchange_task.rs
+++ b/crates/daemon/src/task/exchange_task.rs
@@ -3,13 +3,13 @@
 use super::PeriodicTask;
 use crate::{
     config_writer::{StoredRecord, config_prefix},
-    log_line::LogLine,
     peer_client::{PeerClient, PeerError},
     shared_state::SharedState,
 };
 use futures_util::future::join_all;
+use pimentoslip_client::{EtcdClient, KeyValueClient};
 use pimentoslip_kernel::{MemberEntry, RecordEntry, RecordName, SharedName, TimePoint};
-use pimentoslip_platform::{EtcdClient, KeyValueClient};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
     kv::KeyValue,
--- a/crates/daemon/src/task/listing_task.rs
+++ b/crates/daemon/src/task/listing_task.rs
@@ -1,10 +1,11 @@
 //! Reads the platform's VM list and the engines' load reports.
 
 use super::PeriodicTask;
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
 use futures_util::future::join_all;
+use pimentoslip_client::ProviderClient;
 use pimentoslip_kernel::{ServiceKind, SharedName, UpstreamEntry, UpstreamState};
-use pimentoslip_platform::ProviderClient;
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::provider::{VmEntry, VmRole, VmState};
 use std::{
     collections::BTreeMap,
--- a/crates/daemon/src/task/order_book.rs
+++ b/crates/daemon/src/task/order_book.rs
@@ -1,8 +1,9 @@
 //! Orders on record: each is written before it is sent, and settled after.
 
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
+use pimentoslip_client::{KeyValueClient, PlatformError, ProviderClient, Result};
 use pimentoslip_kernel::{SharedName, TimePoint};
-use pimentoslip_platform::{KeyValueClient, PlatformError, ProviderClient, Result};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     kv::TxnRequest,
     provider::{OrderAnswer, OrderRequest, OrderState},
--- a/crates/daemon/src/task/order_task.rs
+++ b/crates/daemon/src/task/order_task.rs
@@ -3,8 +3,8 @@
 use super::{PeriodicTask, domain_duty::DomainDuty};
 use crate::shared_state::SharedState;
 use futures_util::future::join_all;
+use pimentoslip_client::{EtcdClient, ProviderClient};
 use pimentoslip_kernel::{SharedName, SiteConfig};
-use pimentoslip_platform::{EtcdClient, ProviderClient};
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Takes part in the ordering duty of every failure domain.
--- a/crates/daemon/src/task/usage_task.rs
+++ b/crates/daemon/src/task/usage_task.rs
@@ -1,10 +1,11 @@
 //! Seals and reports usage windows, if this daemon holds the site's reporting duty.
 
 use super::{PeriodicTask, duty_lease::DutyLease};
-use crate::{log_line::LogLine, peer_client::PeerClient, shared_state::SharedState};
+use crate::{peer_client::PeerClient, shared_state::SharedState};
 use futures_util::future::join_all;
+use pimentoslip_client::{EtcdClient, KeyValueClient, PlatformError, ProviderClient, Result};
 use pimentoslip_kernel::{SharedName, TimePoint, UsageLine, UsageWindow};
-use pimentoslip_platform::{EtcdClient, KeyValueClient, PlatformError, ProviderClient, Result};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     kv::TxnRequest,
     peer::{TotalsAnswer, TotalsLine},
--- a/crates/daemon/src/upstream/dispatcher.rs
+++ b/crates/daemon/src/upstream/dispatcher.rs
@@ -3,12 +3,12 @@
 use super::{AttemptError, AttemptFailure, UpstreamGuard, UpstreamRequest, send_once};
 use crate::{
     api_error::{ApiError, Result},
-    log_line::LogLine,
     shared_state::SharedState,
 };
 use awc::{Client, ClientResponse};
 use futures_util::Stream;
 use pimentoslip_kernel::{FailedAttempt, RefusalReason, RetryDecision, RetryPolicy, RouteQuery, RunState, SharedName};
+use pimentoslip_telemetry::LogLine;
 use std::{sync::Arc, time::Duration};
 
 /// A begun answer, with the count on its upstream.
--- a/crates/daemon/src/upstream/stream_body.rs
+++ b/crates/daemon/src/upstream/stream_body.rs
@@ -4,7 +4,6 @@
 use crate::{
     admission_gate::AdmissionGuard,
     api_error::ApiError,
-    log_line::LogLine,
     request_id::RequestId,
     shared_state::{InflightGuard, SharedState},
 };
@@ -12,6 +11,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use pimentoslip_kernel::{RefusalReason, RunState, SharedName, StreamScanner, TimePoint};
+use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::engine::StreamChunk;
 use std::{
     future::Future,
--- a/crates/daemon/src/upstream/upstream_guard.rs
+++ b/crates/daemon/src/upstream/upstream_guard.rs
@@ -1,8 +1,9 @@
 //! A request counted on its upstream.
 
-use crate::{log_line::LogLine, shared_state::SharedState};
+use crate::shared_state::SharedState;
 use actix_rt::net::TcpStream;
 use pimentoslip_kernel::{TimePoint, UpstreamEntry};
+use pimentoslip_telemetry::LogLine;
 use std::{io, sync::Arc, time::Duration};
 
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/daemon/src/log_line.rs
+++ b/crates/telemetry/src/log_line.rs
@@ -1,5 +1,6 @@
 //! Structured logs: one line of key=value pairs for each event.
 
+use crate::BoundedSink;
 use spdlog::{
     LevelFilter, Logger,
     formatter::{PatternFormatter, pattern},
@@ -54,10 +55,21 @@
 
 /// Sends logs to standard error, a line at a time.
 pub fn init_logs() {
-    let layout = pattern!("ts={date}T{time}.{millisecond} level={level} {payload}{eol}");
-    let formatter = PatternFormatter::new(layout);
-    let sink = StdStreamSink::builder().std_stream(StdStream::Stderr).formatter(formatter).build();
+    let sink = StdStreamSink::builder().std_stream(StdStream::Stderr).build();
     let Ok(sink) = sink else { return };
+    install(sink);
+}
+
+/// Sends logs to standard output through a bounded queue.
+pub fn init_stdout_logs() {
+    // Without its writer a process still serves.
+    let Ok(sink) = BoundedSink::start() else { return init_logs() };
+    install(sink);
+}
+
+fn install(sink: impl Sink + 'static) {
+    let layout = pattern!("ts={date}T{time}.{millisecond} level={level} {payload}{eol}");
+    sink.set_formatter(Box::new(PatternFormatter::new(layout)));
     let sink: Arc<dyn Sink> = Arc::new(sink);
     let logger = Logger::builder().sink(sink).flush_level_filter(LevelFilter::All).build();
     if let Ok(logger) = logger {
