--- /dev/null
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -0,0 +1,351 @@
+//! A batch job at its owner: which items run next, what their runs brought, what may be listed.
+
+use super::{ItemResult, ItemState, SampleText};
+use crate::{SharedName, TimePoint};
+use std::collections::BTreeSet;
+
+/// Pause before an item is tried again after a failed run.
+const RETRY_PAUSE_MS: u64 = 50;
+
+/// What the ledger needs to know of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemSpec {
+    /// Items of one group share their prompt.
+    pub group: SharedName,
+    /// Expected length, in tokens; longer items run first.
+    pub expected_tokens: u64,
+    /// Whether a score is wanted.
+    pub scored: bool,
+}
+
+/// Terms of a batch job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchTerms {
+    /// Failed runs, and failed scorings, after which an item is given up.
+    pub attempts_max: u32,
+    /// Oldest version whose events count.
+    pub oldest_version: u64,
+    /// Whether a text must come from one version.
+    pub single_version: bool,
+    /// When items may be given up.
+    pub give_up_at: TimePoint,
+}
+
+/// An item to be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ItemWork {
+    /// Index of the item.
+    pub index: usize,
+    /// Number of the last event that is already known.
+    pub resume_after: Option<u64>,
+}
+
+/// Whether a run may go on after an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventVerdict {
+    /// It was taken in.
+    Taken,
+    /// The text is void and starts anew; the run must end.
+    Restart,
+    /// The run doesn't continue the text; the run must end.
+    Mismatch,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// With the last event.
+    Whole,
+    /// In the middle, or without an answer.
+    Broken,
+    /// The upstream refused to run it.
+    NotRun,
+    /// The upstream ran it and failed.
+    Failed,
+    /// The item can never be run.
+    Impossible,
+}
+
+/// How a scoring ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ScoreEnd {
+    /// With the scorer's signature.
+    Signed(String),
+    /// The scorer failed.
+    Failed,
+    /// Without an answer, or refused.
+    Broken,
+}
+
+/// Results that take positions together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResultChunk {
+    /// Position of the first result.
+    pub first: usize,
+    /// Results in order.
+    pub results: Vec<ItemResult>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum ItemPhase {
+    Waiting { until: TimePoint },
+    Running,
+    ScoreDue { until: TimePoint },
+    Scoring,
+    Finished,
+}
+
+#[derive(Clone, Debug)]
+struct ItemEntry {
+    spec: ItemSpec,
+    phase: ItemPhase,
+    text: SampleText,
+    run_failures: u32,
+    score_failures: u32,
+}
+
+/// The ledger of one batch job.
+#[derive(Debug)]
+pub struct BatchLedger {
+    terms: BatchTerms,
+    items: Vec<ItemEntry>,
+    /// Waiting items; longest first.
+    queue: BTreeSet<(std::cmp::Reverse<u64>, usize)>,
+    /// Items whose text is whole and whose score is due.
+    score_due: BTreeSet<usize>,
+    unlisted: Vec<ItemResult>,
+    chunk: Option<ResultChunk>,
+    listed: usize,
+    ended: bool,
+}
+
+impl BatchLedger {
+    /// Opens the ledger; `listed` are the indexes of the items already listed, in order.
+    #[must_use]
+    pub fn new(terms: BatchTerms, specs: Vec<ItemSpec>, listed: &[usize]) -> Self {
+        let mut items: Vec<ItemEntry> = specs
+            .into_iter()
+            .map(|spec| ItemEntry {
+                spec,
+                phase: ItemPhase::Waiting { until: TimePoint(0) },
+                text: SampleText::default(),
+                run_failures: 0,
+                score_failures: 0,
+            })
+            .collect();
+        for index in listed {
+            if let Some(item) = items.get_mut(*index) {
+                item.phase = ItemPhase::Finished;
+            }
+        }
+        let waiting = items.iter().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
+        let queue = waiting.map(|(index, item)| (std::cmp::Reverse(item.spec.expected_tokens), index)).collect();
+        Self {
+            terms,
+            items,
+            queue,
+            score_due: BTreeSet::new(),
+            unlisted: Vec::new(),
+            chunk: None,
+            listed: listed.len(),
+            ended: false,
+        }
+    }
+
+    /// Number of items.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Number of results that are listed.
+    #[must_use]
+    pub fn listed(&self) -> usize {
+        self.listed
+    }
+
+    /// Whether nothing is left to do.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.ended || self.listed == self.items.len()
+    }
+
+    /// Whether the job was ended by its submitter.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Ends the job: nothing more runs and nothing more is listed.
+    pub fn end(&mut self) {
+        self.ended = true;
+        self.queue.clear();
+        self.score_due.clear();
+    }
+
+    /// The next item to run, which counts as running from now on.
+    pub fn next_run(&mut self, now: TimePoint) -> Option<ItemWork> {
+        let ready = |entry: &&(std::cmp::Reverse<u64>, usize)| match self.items[entry.1].phase {
+            ItemPhase::Waiting { until } => until <= now,
+            _ => false,
+        };
+        let entry = *self.queue.iter().find(ready)?;
+        self.queue.remove(&entry);
+        let item = &mut self.items[entry.1];
+        item.phase = ItemPhase::Running;
+        Some(ItemWork { index: entry.1, resume_after: item.text.last() })
+    }
+
+    /// The next item to score, which counts as being scored from now on.
+    pub fn next_score(&mut self, now: TimePoint) -> Option<usize> {
+        let ready = |index: &&usize| match self.items[**index].phase {
+            ItemPhase::ScoreDue { until } => until <= now,
+            _ => false,
+        };
+        let index = *self.score_due.iter().find(ready)?;
+        self.score_due.remove(&index);
+        self.items[index].phase = ItemPhase::Scoring;
+        Some(index)
+    }
+
+    /// A run brought an event.
+    pub fn event(&mut self, index: usize, number: u64, version: u64, data: &str) -> EventVerdict {
+        let terms = self.terms;
+        let Some(item) = self.items.get_mut(index) else { return EventVerdict::Mismatch };
+        if self.ended || item.phase != ItemPhase::Running {
+            return EventVerdict::Mismatch;
+        }
+        let mixed = terms.single_version && item.text.versions().iter().any(|known| *known != version);
+        if version < terms.oldest_version || mixed {
+            item.text = SampleText::default();
+            return EventVerdict::Restart;
+        }
+        if item.text.push(number, version, data) { EventVerdict::Taken } else { EventVerdict::Mismatch }
+    }
+
+    /// A run ended.
+    pub fn run_ended(&mut self, index: usize, end: RunEnd, now: TimePoint) {
+        let attempts_max = self.terms.attempts_max;
+        let Some(item) = self.items.get_mut(index) else { return };
+        if self.ended || item.phase != ItemPhase::Running {
+            return;
+        }
+        match end {
+            RunEnd::Whole if item.text.last().is_some() && item.spec.scored => {
+                item.phase = ItemPhase::ScoreDue { until: now };
+                self.score_due.insert(index);
+            }
+            RunEnd::Whole if item.text.last().is_some() => self.finish(index, None),
+            RunEnd::Whole | RunEnd::Broken | RunEnd::NotRun => self.requeue(index, now),
+            RunEnd::Failed => {
+                item.run_failures += 1;
+                if item.run_failures >= attempts_max { self.give_up(index) } else { self.requeue(index, now) }
+            }
+            RunEnd::Impossible => self.give_up(index),
+        }
+    }
+
+    /// A scoring ended.
+    pub fn score_ended(&mut self, index: usize, end: ScoreEnd, now: TimePoint) {
+        let attempts_max = self.terms.attempts_max;
+        let Some(item) = self.items.get_mut(index) else { return };
+        if self.ended || item.phase != ItemPhase::Scoring {
+            return;
+        }
+        match end {
+            ScoreEnd::Signed(signature) => return self.finish(index, Some(signature)),
+            ScoreEnd::Failed => item.score_failures += 1,
+            ScoreEnd::Broken => {}
+        }
+        if item.score_failures >= attempts_max {
+            return self.give_up(index);
+        }
+        item.phase = ItemPhase::ScoreDue { until: now.plus_ms(RETRY_PAUSE_MS) };
+        self.score_due.insert(index);
+    }
+
+    /// Gives up what is past its retention. Running items are given up too; their runs must end.
+    pub fn expire(&mut self, now: TimePoint) {
+        if self.ended || now < self.terms.give_up_at {
+            return;
+        }
+        for index in 0..self.items.len() {
+            if self.items[index].phase != ItemPhase::Finished {
+                self.give_up(index);
+            }
+        }
+    }
+
+    /// Gives up all that is left, because the job's route is gone.
+    pub fn abandon(&mut self) {
+        self.terms.give_up_at = TimePoint(0);
+        self.expire(TimePoint(0));
+    }
+
+    /// Results to be listed next, at most `bytes_max` of them unless the first alone is larger. The same
+    /// chunk is returned until it is listed.
+    pub fn chunk(&mut self, bytes_max: usize) -> Option<&ResultChunk> {
+        if self.ended {
+            return None;
+        }
+        if self.chunk.is_none() && !self.unlisted.is_empty() {
+            let mut bytes = 0;
+            let fits = self.unlisted.iter().take_while(|result| {
+                bytes += result.size();
+                bytes <= bytes_max
+            });
+            let count = fits.count().max(1);
+            let results = self.unlisted.drain(..count).collect();
+            self.chunk = Some(ResultChunk { first: self.listed, results });
+        }
+        self.chunk.as_ref()
+    }
+
+    /// The chunk at `first` is stored, so its results are listed.
+    pub fn chunk_listed(&mut self, first: usize) {
+        if self.chunk.as_ref().is_none_or(|chunk| chunk.first != first) {
+            return;
+        }
+        if let Some(chunk) = self.chunk.take() {
+            self.listed += chunk.results.len();
+        }
+    }
+
+    /// Items that run or are being scored.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.items.iter().filter(|item| matches!(item.phase, ItemPhase::Running | ItemPhase::Scoring)).count()
+    }
+
+    /// Whether the item still runs.
+    #[must_use]
+    pub fn is_running(&self, index: usize) -> bool {
+        !self.ended && self.items.get(index).is_some_and(|item| item.phase == ItemPhase::Running)
+    }
+
+    fn requeue(&mut self, index: usize, now: TimePoint) {
+        let item = &mut self.items[index];
+        item.phase = ItemPhase::Waiting { until: now.plus_ms(RETRY_PAUSE_MS) };
+        self.queue.insert((std::cmp::Reverse(item.spec.expected_tokens), index));
+    }
+
+    fn finish(&mut self, index: usize, score: Option<String>) {
+        let (text, versions) = std::mem::take(&mut self.items[index].text).into_parts();
+        self.put(ItemResult { index, state: ItemState::Completed, text, versions, score });
+    }
+
+    fn give_up(&mut self, index: usize) {
+        let (text, versions) = (String::new(), Vec::new());
+        self.put(ItemResult { index, state: ItemState::Terminated, text, versions, score: None });
+    }
+
+    fn put(&mut self, result: ItemResult) {
+        let index = result.index;
+        let item = &mut self.items[index];
+        item.phase = ItemPhase::Finished;
+        item.text = SampleText::default();
+        self.queue.remove(&(std::cmp::Reverse(item.spec.expected_tokens), index));
+        self.score_due.remove(&index);
+        self.unlisted.push(result);
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/batch/mod.rs
@@ -0,0 +1,9 @@
+//! Batch jobs: which items run, which are finished, which are listed.
+
+mod batch_ledger;
+mod item_result;
+mod sample_text;
+
+pub use batch_ledger::{BatchLedger, BatchTerms, EventVerdict, ItemSpec, ItemWork, ResultChunk, RunEnd, ScoreEnd};
+pub use item_result::{ItemResult, ItemState};
+pub use sample_text::SampleText;
--- /dev/null
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -0,0 +1,45 @@
+//! A text while its events arrive.
+
+/// Events received so far, from one or several runs that follow each other without a gap.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SampleText {
+    text: String,
+    last: Option<u64>,
+    versions: Vec<u64>,
+}
+
+impl SampleText {
+    /// Number of the last event, if there is one.
+    #[must_use]
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Versions that generated the text, ascending.
+    #[must_use]
+    pub fn versions(&self) -> &[u64] {
+        &self.versions
+    }
+
+    /// Appends an event. False if its number doesn't follow the last one's.
+    pub fn push(&mut self, number: u64, version: u64, data: &str) -> bool {
+        if let Some(last) = self.last {
+            if number != last + 1 {
+                return false;
+            }
+            self.text.push('\n');
+        }
+        self.text.push_str(data);
+        self.last = Some(number);
+        if let Err(at) = self.versions.binary_search(&version) {
+            self.versions.insert(at, version);
+        }
+        true
+    }
+
+    /// The text and its versions.
+    #[must_use]
+    pub fn into_parts(self) -> (String, Vec<u64>) {
+        (self.text, self.versions)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/duty/mod.rs
@@ -0,0 +1,9 @@
+//! Duties that one daemon holds at a time.
+
+mod duty_term;
+mod usage_tally;
+mod version_planner;
+
+pub use duty_term::DutyTerm;
+pub use usage_tally::UsageTally;
+pub use version_planner::{LoadOrder, OrderOutcome, VersionPlanner};
--- /dev/null
+++ b/crates/kernel/src/ownership_table.rs
@@ -0,0 +1,136 @@
+//! Which daemon owns which batch job, and when a job without an owner is claimed.
+
+use crate::{SharedName, TimePoint, rendezvous};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The preferred daemon claims at once; the others wait this long, longer than a claim takes.
+const CLAIM_DELAY_MS: u64 = 1_000;
+/// The former owner's chance to claim again after its lease lapsed with the store.
+const REJOIN_MS: u64 = 300;
+
+/// An ownership record as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerRecord {
+    /// Daemon.
+    pub daemon: SharedName,
+    /// Incarnation of the daemon's process.
+    pub incarnation: u64,
+    /// Revision of the record, which fences the owner's writes.
+    pub revision: u64,
+}
+
+/// A claim to be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimOrder {
+    /// Job.
+    pub job: SharedName,
+    /// Revision of the record that it replaces; 0 if there is none.
+    pub replaces: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct OwnershipEntry {
+    accepted: bool,
+    closed: bool,
+    owner: Option<OwnerRecord>,
+    vacant_since: TimePoint,
+}
+
+/// Jobs, their owners, and the daemons that may own them.
+#[derive(Debug)]
+pub struct OwnershipTable {
+    daemon: SharedName,
+    incarnation: u64,
+    entries: BTreeMap<SharedName, OwnershipEntry>,
+    daemons: BTreeSet<SharedName>,
+}
+
+impl OwnershipTable {
+    /// Creates the table of one process.
+    #[must_use]
+    pub fn new(daemon: SharedName, incarnation: u64) -> Self {
+        Self { daemon, incarnation, entries: BTreeMap::new(), daemons: BTreeSet::new() }
+    }
+
+    /// A daemon is present.
+    pub fn daemon_joined(&mut self, daemon: SharedName) {
+        self.daemons.insert(daemon);
+    }
+
+    /// A daemon's lease has ended.
+    pub fn daemon_left(&mut self, daemon: &str) {
+        self.daemons.remove(daemon);
+    }
+
+    /// A job is on record.
+    pub fn job_accepted(&mut self, job: SharedName, now: TimePoint) {
+        let entry =
+            self.entries.entry(job).or_insert_with(|| OwnershipEntry { vacant_since: now, ..Default::default() });
+        entry.accepted = true;
+    }
+
+    /// A job needs no owner any more.
+    pub fn job_closed(&mut self, job: &str) {
+        if let Some(entry) = self.entries.get_mut(job) {
+            entry.closed = true;
+        }
+    }
+
+    /// A job is off record.
+    pub fn job_forgotten(&mut self, job: &str) {
+        self.entries.remove(job);
+    }
+
+    /// A job's owner is on record. Older records than the known one are ignored.
+    pub fn owner_known(&mut self, job: SharedName, owner: OwnerRecord, now: TimePoint) {
+        let entry =
+            self.entries.entry(job).or_insert_with(|| OwnershipEntry { vacant_since: now, ..Default::default() });
+        if entry.owner.as_ref().is_none_or(|known| known.revision <= owner.revision) {
+            entry.owner = Some(owner);
+        }
+    }
+
+    /// A job's ownership record was removed at `revision`.
+    pub fn owner_gone(&mut self, job: &str, revision: u64, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(job) else { return };
+        if entry.owner.as_ref().is_some_and(|owner| owner.revision <= revision) {
+            entry.owner = None;
+            entry.vacant_since = now;
+        }
+    }
+
+    /// The owner of `job`, if one is known.
+    #[must_use]
+    pub fn owner(&self, job: &str) -> Option<&OwnerRecord> {
+        self.entries.get(job)?.owner.as_ref()
+    }
+
+    /// Whether this process owns `job`.
+    #[must_use]
+    pub fn is_mine(&self, job: &str) -> bool {
+        self.owner(job).is_some_and(|owner| owner.daemon == self.daemon && owner.incarnation == self.incarnation)
+    }
+
+    /// Jobs that this process should claim now. `held` tells whether it has a job's state in memory.
+    #[must_use]
+    pub fn claims(&self, now: TimePoint, held: impl Fn(&str) -> bool) -> Vec<ClaimOrder> {
+        let daemons: Vec<&SharedName> = self.daemons.iter().collect();
+        let open = self.entries.iter().filter(|(_, entry)| entry.accepted && !entry.closed);
+        let due = open.filter_map(|(job, entry)| {
+            let claim = |replaces| Some(ClaimOrder { job: job.clone(), replaces });
+            if let Some(owner) = &entry.owner {
+                // The process that this one replaced is gone.
+                let former = owner.daemon == self.daemon && owner.incarnation < self.incarnation;
+                return if former { claim(owner.revision) } else { None };
+            }
+            let preferred = rendezvous::owner(job, &daemons).is_some_and(|daemon| **daemon == self.daemon);
+            let delay_ms = match (held(job), preferred) {
+                (true, _) => 0,
+                (false, true) => REJOIN_MS,
+                (false, false) => CLAIM_DELAY_MS,
+            };
+            if now >= entry.vacant_since.plus_ms(delay_ms) { claim(0) } else { None }
+        });
+        due.collect()
+    }
+}
--- a/crates/kernel/src/rendezvous.rs
+++ b/crates/kernel/src/rendezvous.rs
@@ -18,6 +18,8 @@
         .max_by(|a, b| weight(key, a.as_ref()).cmp(&weight(key, b.as_ref())).then_with(|| b.as_ref().cmp(a.as_ref())))
 }
 
-fn weight(key: &str, member: &str) -> u64 {
+/// The weight of `member` for `key`.
+#[must_use]
+pub fn weight(key: &str, member: &str) -> u64 {
     fingerprint(&[key.as_bytes(), member.as_bytes()])
 }
--- /dev/null
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -0,0 +1,211 @@
+//! The upstreams that a daemon knows, their load, and the choice among them.
+
+use super::{SamplerRecord, SamplerState};
+use crate::{SharedName, TimePoint, rendezvous};
+use std::collections::BTreeMap;
+
+/// First pause after a failed attempt; doubles with each further failure in a row.
+const BACKOFF_BASE_MS: u64 = 250;
+/// Longest pause; an upstream that restarts is back after some seconds.
+const BACKOFF_MAX_MS: u64 = 4_000;
+/// Pause after a refusal: about the time in which a slot becomes free.
+const REFUSAL_PAUSE_MS: u64 = 200;
+/// What an upstream said about its load counts this long.
+const LOAD_REPORT_LIFE_MS: u64 = 1_000;
+/// A request's share in the moving average of the pace is one in this many.
+const PACE_WEIGHT: u64 = 8;
+/// Cost of another failure domain, in thousandths of a slot.
+const AWAY_COST: u64 = 150;
+/// Scale of costs.
+const COST_SCALE: u64 = 1_000;
+
+/// How an attempt ended, as far as the upstream's standing goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SamplerOutcome {
+    /// It answered; took this many milliseconds for a unit of work, where that is known.
+    Answered(Option<u64>),
+    /// It refused to run the request.
+    Refused,
+    /// It was unreachable, or broke off.
+    Failed,
+    /// The caller left; nothing is learned.
+    Abandoned,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct SamplerQuery<'a> {
+    /// Service to run on.
+    pub service: &'a str,
+    /// Model and the oldest version of it that will do.
+    pub model: Option<(&'a str, u64)>,
+    /// Failure domain of the daemon.
+    pub failure_domain: &'a str,
+    /// Ids of upstreams already tried.
+    pub excluded: &'a [SharedName],
+    /// Whether an upstream without a free slot will do.
+    pub may_queue: bool,
+    /// Spreads equal choices; requests with one key prefer one upstream.
+    pub affinity: &'a str,
+}
+
+#[derive(Clone, Debug)]
+struct SamplerEntry {
+    record: SamplerRecord,
+    inflight: u64,
+    others: u64,
+    others_until: TimePoint,
+    failures: u32,
+    paused_until: TimePoint,
+    pace_ms: Option<u64>,
+}
+
+impl SamplerEntry {
+    fn new(record: SamplerRecord) -> Self {
+        Self {
+            record,
+            inflight: 0,
+            others: 0,
+            others_until: TimePoint(0),
+            failures: 0,
+            paused_until: TimePoint(0),
+            pace_ms: None,
+        }
+    }
+
+    /// Requests on it as far as known: its own are exact, others' are as last reported.
+    fn load(&self, now: TimePoint) -> u64 {
+        let others = if now < self.others_until { self.others } else { 0 };
+        self.inflight + others
+    }
+
+    fn serves(&self, query: &SamplerQuery<'_>) -> bool {
+        let record = &self.record;
+        let model_fits = query
+            .model
+            .is_none_or(|(model, oldest)| record.versions.get(model).is_some_and(|version| *version >= oldest));
+        record.state == SamplerState::Ready && *record.service == *query.service && model_fits
+    }
+}
+
+/// All upstreams by id.
+#[derive(Debug, Default)]
+pub struct SamplerTable {
+    entries: BTreeMap<SharedName, SamplerEntry>,
+}
+
+impl SamplerTable {
+    /// Takes in an upstream's latest record.
+    pub fn upsert(&mut self, record: SamplerRecord) {
+        match self.entries.get_mut(&record.id) {
+            Some(entry)
+                if entry.record.address == record.address && entry.record.started_unix_ms == record.started_unix_ms =>
+            {
+                entry.record = record;
+            }
+            _ => {
+                self.entries.insert(record.id.clone(), SamplerEntry::new(record));
+            }
+        }
+    }
+
+    /// An upstream is off the list.
+    pub fn remove(&mut self, id: &str) {
+        self.entries.remove(id);
+    }
+
+    /// Replaces the whole list.
+    pub fn replace(&mut self, records: Vec<SamplerRecord>) {
+        self.entries.retain(|id, _| records.iter().any(|record| record.id == *id));
+        for record in records {
+            self.upsert(record);
+        }
+    }
+
+    /// The record of `id`.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&SamplerRecord> {
+        self.entries.get(id).map(|entry| &entry.record)
+    }
+
+    /// All records, by id.
+    pub fn records(&self) -> impl Iterator<Item = &SamplerRecord> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+
+    /// This daemon's requests on `id`.
+    #[must_use]
+    pub fn inflight(&self, id: &str) -> u64 {
+        self.entries.get(id).map_or(0, |entry| entry.inflight)
+    }
+
+    /// Whether any upstream would serve the query if it had room.
+    #[must_use]
+    pub fn any(&self, query: &SamplerQuery<'_>) -> bool {
+        self.entries.values().any(|entry| entry.serves(query))
+    }
+
+    /// Chooses the upstream with the shortest expected wait and counts the request on it.
+    pub fn pick(&mut self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SamplerRecord> {
+        let id = self.choose(query, now)?;
+        let entry = self.entries.get_mut(&id)?;
+        entry.inflight += 1;
+        Some(entry.record.clone())
+    }
+
+    fn choose(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SharedName> {
+        let serving = || self.entries.values().filter(|entry| entry.serves(query));
+        let fastest_ms = serving().filter_map(|entry| entry.pace_ms).min().unwrap_or(1).max(1);
+        let candidates = serving()
+            .filter(|entry| !query.excluded.contains(&entry.record.id))
+            .filter(|entry| entry.paused_until <= now)
+            .filter(|entry| query.may_queue || entry.load(now) < entry.record.slots);
+        candidates
+            .min_by_key(|entry| {
+                let away = *entry.record.failure_domain != *query.failure_domain;
+                let slots = entry.record.slots.max(1);
+                let wait = (entry.load(now) + 1) * COST_SCALE / slots + if away { AWAY_COST } else { 0 };
+                let pace_ms = entry.pace_ms.unwrap_or(fastest_ms);
+                (wait * pace_ms / fastest_ms, std::cmp::Reverse(rendezvous::weight(query.affinity, &entry.record.id)))
+            })
+            .map(|entry| entry.record.id.clone())
+    }
+
+    /// A request on `id` ended.
+    pub fn ended(&mut self, id: &str, outcome: SamplerOutcome, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        entry.inflight = entry.inflight.saturating_sub(1);
+        match outcome {
+            SamplerOutcome::Answered(pace_ms) => {
+                entry.failures = 0;
+                if let Some(ms) = pace_ms {
+                    let pace_ms = entry.pace_ms.map_or(ms, |pace| (pace * (PACE_WEIGHT - 1) + ms) / PACE_WEIGHT);
+                    entry.pace_ms = Some(pace_ms.max(1));
+                }
+            }
+            SamplerOutcome::Refused => entry.paused_until = entry.paused_until.max(now.plus_ms(REFUSAL_PAUSE_MS)),
+            SamplerOutcome::Failed => {
+                let pause_ms = (BACKOFF_BASE_MS << entry.failures.min(8)).min(BACKOFF_MAX_MS);
+                entry.paused_until = entry.paused_until.max(now.plus_ms(pause_ms));
+                entry.failures += 1;
+            }
+            SamplerOutcome::Abandoned => {}
+        }
+    }
+
+    /// What an upstream said about its load: requests running and waiting.
+    pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        entry.others = requests.saturating_sub(entry.inflight);
+        entry.others_until = now.plus_ms(LOAD_REPORT_LIFE_MS);
+    }
+
+    /// Slots of ready upstreams that serve `query`, and how many of them are taken.
+    #[must_use]
+    pub fn occupancy(&self, query: &SamplerQuery<'_>, now: TimePoint) -> (u64, u64) {
+        let serving = self.entries.values().filter(|entry| entry.serves(query));
+        serving.fold((0, 0), |(slots, taken), entry| {
+            (slots + entry.record.slots, taken + entry.load(now).min(entry.record.slots))
+        })
+    }
+}
