Run batch jobs to their end: release the ledger between two uses, count the scorer's own attempts

Cause: the loop that deals items held the ledger's borrow over its second use, which ended the task that runs a job as soon as no upstream had room; a settled job was opened again every 200 ms; an item was given up after its own route's number of scorer failures, though the scorer's route allows more.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -1,6 +1,5 @@
 //! Counters and histograms of the daemon.
 
-use pimentoslip_platform::StorePurpose;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -93,8 +92,8 @@
     }
 
     /// Counts a call to the store.
-    pub fn store_called(purpose: StorePurpose) {
-        Self::global().store_calls.get_or_create(&PurposeLabel { purpose: purpose.as_str() }).inc();
+    pub fn store_called(purpose: &'static str) {
+        Self::global().store_calls.get_or_create(&PurposeLabel { purpose }).inc();
     }
 
     /// Counts an event of a family by reason.
--- a/crates/edge/src/http/worker_parts.rs
+++ b/crates/edge/src/http/worker_parts.rs
@@ -30,7 +30,7 @@
     /// Creates the parts of the current thread.
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
-        let store = StoreClient::new(state.settings.store, EdgeMetrics::store_called);
+        let store = StoreClient::new(state.settings.store, EdgeMetrics::store_called).purposed("serve_batches");
         Self { upstreams: client_with_user_timeout(UPSTREAM_USER_TIMEOUT), store, state }
     }
 }
--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -57,7 +57,7 @@
 fn start_owned(state: &Arc<EdgeState>, upstreams: &Client, store: &StoreClient) {
     let owned: Vec<SharedName> = {
         let (jobs, ownership) = (state.jobs(), state.ownership());
-        let open = jobs.iter().filter(|(_, view)| !view.ended);
+        let open = jobs.iter().filter(|(_, view)| !view.ended && !view.settled);
         open.map(|(job, _)| job.clone()).filter(|job| ownership.is_mine(job)).collect()
     };
     for job in owned {
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -15,6 +15,8 @@
     pub entry: JobEntry,
     /// Whether its submitter ended it.
     pub ended: bool,
+    /// Whether all its results are listed.
+    pub settled: bool,
     /// Known groups of results: the positions after them by the positions at which they begin.
     pub chunks: BTreeMap<usize, usize>,
 }
@@ -35,7 +37,7 @@
     /// A job is on record.
     pub fn accepted(&mut self, job: SharedName, entry: JobEntry) {
         let ended = self.ended.contains(&job);
-        self.jobs.entry(job).or_insert_with(|| JobView { entry, ended, chunks: BTreeMap::new() });
+        self.jobs.entry(job).or_insert_with(|| JobView { entry, ended, settled: false, chunks: BTreeMap::new() });
     }
 
     /// A job was ended by its submitter.
@@ -47,6 +49,13 @@
         }
     }
 
+    /// All results of a job are listed.
+    pub fn settled(&mut self, job: &str) {
+        if let Some(view) = self.jobs.get_mut(job) {
+            view.settled = true;
+        }
+    }
+
     /// A job is off record.
     pub fn forgotten(&mut self, job: &str) {
         self.jobs.remove(job);
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -35,7 +35,7 @@
     let entry =
         decode::<JobEntry>(&item.value).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
     let ended = store.get(&KeyLayout::end(job)).await?.is_some();
-    Ok(Some(JobView { entry, ended, chunks: BTreeMap::new() }))
+    Ok(Some(JobView { entry, ended, settled: false, chunks: BTreeMap::new() }))
 }
 
 /// Results from `position` on, at most about `bytes_max` of text. Waits until `until` for the first one.
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -165,6 +165,8 @@
             }
         }
         if job.ledger.borrow().is_settled() {
+            state.ownership().job_closed(&job.id);
+            state.jobs().settled(&job.id);
             return;
         }
         let _ = actix_rt::time::timeout(LOOK_PERIOD, job.changed.notified()).await;
@@ -183,7 +185,9 @@
     let Some(batch) = rule.batch() else { return };
     job.ledger.borrow_mut().expire(now);
     let give_up_at = job.submitted.plus_ms(batch.retention_ms);
-    while let Some(work) = job.ledger.borrow_mut().next_run(now) {
+    loop {
+        let next = job.ledger.borrow_mut().next_run(now);
+        let Some(work) = next else { break };
         let Some(guard) = place(job, &rule, work) else {
             job.ledger.borrow_mut().put_back(work.index);
             break;
@@ -191,7 +195,8 @@
         runs.spawn_local(run_item(job.clone(), work, guard, rule.priority, give_up_at));
     }
     while job.ledger.borrow().scoring() < SCORES_MAX {
-        let Some(index) = job.ledger.borrow_mut().next_score(now) else { break };
+        let next = job.ledger.borrow_mut().next_score(now);
+        let Some(index) = next else { break };
         runs.spawn_local(score_item(job.clone(), index));
     }
 }
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -22,10 +22,19 @@
         .field("result", reason)
         .info();
     let now = job.state.now();
-    job.ledger.borrow_mut().score_ended(index, end, now);
+    job.ledger.borrow_mut().score_ended(index, end, failures_max(&job, index), now);
     job.changed.notify_one();
 }
 
+/// Failures of the scorer after which an item may be given up: both routes allow as many attempts.
+fn failures_max(job: &OwnedJob, index: usize) -> u32 {
+    let own = job.route().map_or(1, |rule| rule.attempts_max);
+    let scorer = job.submission.items[index].scorer.as_ref();
+    let config = job.state.config();
+    let rule = scorer.and_then(|scorer| config.as_ref()?.route(&scorer.host, &scorer.path).cloned());
+    own.max(rule.map_or(1, |rule| rule.attempts_max))
+}
+
 async fn score(job: &OwnedJob, index: usize) -> (ScoreEnd, &'static str) {
     let state = &job.state;
     let Some(scorer) = &job.submission.items[index].scorer else { return (ScoreEnd::Broken, "no_scorer") };
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -82,13 +82,13 @@
 fn spawn_tasks(state: &Arc<EdgeState>) {
     let parts = WorkerParts::new(state.clone());
     let (store, upstreams) = (parts.store, parts.upstreams);
-    actix_rt::spawn(follow(state.clone(), store.clone(), OperatorKeys::new(state.clone())));
-    actix_rt::spawn(follow(state.clone(), store.clone(), ListedUpstreams::new(state.clone())));
-    actix_rt::spawn(follow(state.clone(), store.clone(), FollowedKeys::new(state.clone())));
-    actix_rt::spawn(keep_lease(state.clone(), store.clone()));
-    actix_rt::spawn(claim_jobs(state.clone(), upstreams.clone(), store.clone()));
-    actix_rt::spawn(hold_duty(state.clone(), upstreams, store.clone()));
-    actix_rt::spawn(record_usage(state.clone(), store));
+    actix_rt::spawn(follow(state.clone(), store.purposed("follow_operator"), OperatorKeys::new(state.clone())));
+    actix_rt::spawn(follow(state.clone(), store.purposed("follow_upstreams"), ListedUpstreams::new(state.clone())));
+    actix_rt::spawn(follow(state.clone(), store.purposed("follow_daemons"), FollowedKeys::new(state.clone())));
+    actix_rt::spawn(keep_lease(state.clone(), store.purposed("lease")));
+    actix_rt::spawn(claim_jobs(state.clone(), upstreams.clone(), store.purposed("own_jobs")));
+    actix_rt::spawn(hold_duty(state.clone(), upstreams, store.purposed("duty")));
+    actix_rt::spawn(record_usage(state.clone(), store.purposed("usage")));
 }
 
 fn serve_front(state: &Arc<EdgeState>) -> Result<ServerHandle> {
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -21,7 +21,7 @@
 /// Terms of a batch job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BatchTerms {
-    /// Failed runs, and failed scorings, after which an item is given up.
+    /// Failed runs after which an item is given up.
     pub attempts_max: u32,
     /// Oldest version whose events count.
     pub oldest_version: u64,
@@ -245,9 +245,8 @@
         }
     }
 
-    /// A scoring ended.
-    pub fn score_ended(&mut self, index: usize, end: ScoreEnd, now: TimePoint) {
-        let attempts_max = self.terms.attempts_max;
+    /// A scoring ended. The item is given up after `failures_max` failures of its scorer.
+    pub fn score_ended(&mut self, index: usize, end: ScoreEnd, failures_max: u32, now: TimePoint) {
         let Some(item) = self.items.get_mut(index) else { return };
         if self.ended || item.phase != ItemPhase::Scoring {
             return;
@@ -257,7 +256,7 @@
             ScoreEnd::Failed => item.score_failures += 1,
             ScoreEnd::Broken => {}
         }
-        if item.score_failures >= attempts_max {
+        if item.score_failures >= failures_max.max(1) {
             return self.give_up(index);
         }
         item.phase = ItemPhase::ScoreDue { until: now.plus_ms(RETRY_PAUSE_MS) };
