Bind the duty's term to its lease, and keep a job's runs while its owner record is missing

A job's runs were thrown away whenever the lease lapsed with the store, although the same process claimed the job again at once.

--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -3,8 +3,8 @@
 use super::{load_duty::LoadDuty, retire_duty::RetireDuty, usage_duty::UsageDuty};
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState};
 use awc::Client;
-use pimentoslip_kernel::{DutyTerm, TimePoint, fingerprint};
-use pimentoslip_platform::{CommitOutcome, StoreClient, StoreCommit};
+use pimentoslip_kernel::{DutyTerm, LeaseStanding, TimePoint, fingerprint};
+use pimentoslip_platform::{CommitOutcome, StoreClient, StoreCommit, StoreItem};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -55,18 +55,20 @@
 
 /// Whether this process holds the duty; brings the term up to date with the lease.
 fn is_held(state: &EdgeState, term: &SharedTerm) -> bool {
-    let view = state.lease().clone();
+    let standing = {
+        let view = state.lease();
+        let recorded = view.duty.as_ref().map(|(revision, _)| *revision);
+        LeaseStanding { lease: view.lease, ends_at: view.ends_at, recorded }
+    };
     let mut term = term.borrow_mut();
     let Some(current) = term.as_mut() else { return false };
-    let recorded = view.duty.as_ref().is_none_or(|(revision, _)| *revision == current.fencing_token);
-    if view.lease.is_none() || !recorded || (view.duty.is_none() && state.now() > current.ends_at()) {
-        LogLine::new("duty_lost").field("fencing_token", current.fencing_token).warn();
-        *term = None;
-        EdgeMetrics::global().duty_held.set(0);
-        return false;
+    if current.refresh(standing, state.now()) {
+        return true;
     }
-    current.renewed(view.ends_at, 0);
-    true
+    LogLine::new("duty_lost").field("fencing_token", current.fencing_token).warn();
+    *term = None;
+    EdgeMetrics::global().duty_held.set(0);
+    false
 }
 
 async fn take(state: &EdgeState, store: &StoreClient, term: &SharedTerm) {
@@ -91,8 +93,8 @@
         Ok(CommitOutcome::Done(revision)) => revision,
         Ok(CommitOutcome::Conflict(items)) => {
             // An earlier write of this process may have been done without an answer.
-            let own = |item: &&pimentoslip_platform::StoreItem| {
-                decode::<DaemonEntry>(&item.value).is_ok_and(|entry| entry == state.signature())
+            let own = |item: &&StoreItem| {
+                item.lease == lease && decode::<DaemonEntry>(&item.value).is_ok_and(|entry| entry == state.signature())
             };
             let Some(item) = items.iter().find(own) else { return };
             item.revision
@@ -113,9 +115,7 @@
         .field("waits_ms", handover_ms.unwrap_or(0))
         .info();
     EdgeMetrics::global().duty_held.set(1);
-    let mut begun = DutyTerm::begin(revision, now, now, 0, handover_ms);
-    begun.renewed(ends_at, 0);
-    *term.borrow_mut() = Some(begun);
+    *term.borrow_mut() = Some(DutyTerm::begin(revision, lease, now, ends_at, handover_ms));
     let mut view = state.lease();
     view.duty = Some((revision, state.signature()));
 }
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -53,8 +53,10 @@
     state.jobs().release(&id);
 }
 
-fn is_mine(state: &EdgeState, job: &str) -> bool {
-    state.ownership().is_mine(job) && !state.jobs().is_ended(job) && !state.is_draining()
+/// Whether this process has no more to do for `job`. A missing owner is no reason to stop: the lease may have lapsed
+/// with the store, and this process claims the job again.
+fn is_over(state: &EdgeState, job: &str) -> bool {
+    state.ownership().is_taken(job) || state.jobs().is_ended(job) || state.is_draining()
 }
 
 /// Reads what the job needs, as often as it takes.
@@ -62,7 +64,7 @@
     let kept = state.jobs().take_submission(id);
     let fresh = kept.is_some();
     loop {
-        if !is_mine(state, id) {
+        if is_over(state, id) {
             return None;
         }
         let submission = match &kept {
@@ -145,7 +147,7 @@
     let mut list_at = state.now();
     loop {
         while runs.try_join_next().is_some() {}
-        if !is_mine(state, &job.id) {
+        if is_over(state, &job.id) {
             if state.jobs().is_ended(&job.id) {
                 job.ledger.borrow_mut().end();
             }
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -30,9 +30,11 @@
 /// Port for metrics beside the address for operators.
 const METRICS_PORT: u16 = 9_464;
 /// After SIGTERM connections are taken for this long, until the balancer has noticed.
-const LEAVE_MS: u64 = 3_000;
-/// The process ends this long before it would be killed.
-const GRACE_MARGIN_MS: u64 = 1_000;
+const LEAVE_MS: u64 = 3_200;
+/// Requests are waited for until this long before the process would be killed.
+const GRACE_MARGIN_MS: u64 = 3_000;
+/// Requests that came last have this long, in seconds.
+const LAST_REQUESTS_SECONDS: u64 = 2;
 const POLL: Duration = Duration::from_millis(50);
 
 /// Serves until SIGTERM.
@@ -61,7 +63,8 @@
         }
     }
     leave(&state).await;
-    front.stop(false).await;
+    // Idle connections are closed, and requests that came last are finished.
+    front.stop(true).await;
     LogLine::new("stopped").field("requests", state.requests()).info();
     // The log's writer needs a moment for the last lines.
     actix_rt::time::sleep(POLL).await;
@@ -101,6 +104,7 @@
     .workers(1)
     .client_request_timeout(HEADER_TIMEOUT)
     .keep_alive(KEEP_ALIVE)
+    .shutdown_timeout(LAST_REQUESTS_SECONDS)
     .on_connect(ClientWatch::on_connect)
     .disable_signals()
     .listen(bind(address)?)?
--- a/crates/kernel/src/duty/duty_term.rs
+++ b/crates/kernel/src/duty/duty_term.rs
@@ -2,11 +2,24 @@
 
 use crate::TimePoint;
 
+/// The lease under which this process holds things, as known now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseStanding {
+    /// The lease, while it is not known to have ended.
+    pub lease: Option<u64>,
+    /// The end of the lease unless it is renewed.
+    pub ends_at: TimePoint,
+    /// Revision of the duty's record, if there is one.
+    pub recorded: Option<u64>,
+}
+
 /// What a holder may do: act from one point in time to another, under one fencing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyTerm {
     /// Grows with each change of holder.
     pub fencing_token: u64,
+    /// The lease on which the duty's record hangs. A later lease of the same process is no part of the term.
+    lease: u64,
     /// Before this the former holder's calls may still arrive.
     acts_from: TimePoint,
     /// From here on another may hold the duty.
@@ -14,22 +27,27 @@
 }
 
 impl DutyTerm {
-    /// Begins a term that was granted by a call sent at `asked`. `handover_ms` is the time for which calls of a
-    /// former holder that is another daemon may still arrive; none if there was none.
+    /// Begins a term under `lease`, which ends at `ends_at`. `handover_ms` is the time for which calls of a former
+    /// holder that is another daemon may still arrive; none if there was none.
     #[must_use]
     pub fn begin(
         fencing_token: u64,
-        asked: TimePoint,
+        lease: u64,
         granted: TimePoint,
-        lease_ms: u64,
+        ends_at: TimePoint,
         handover_ms: Option<u64>,
     ) -> Self {
-        Self { fencing_token, acts_from: granted.plus_ms(handover_ms.unwrap_or(0)), ends_at: asked.plus_ms(lease_ms) }
+        Self { fencing_token, lease, acts_from: granted.plus_ms(handover_ms.unwrap_or(0)), ends_at }
     }
 
-    /// A renewal sent at `asked` was answered.
-    pub fn renewed(&mut self, asked: TimePoint, lease_ms: u64) {
-        self.ends_at = self.ends_at.max(asked.plus_ms(lease_ms));
+    /// Brings the term up to date. False if it is over for good.
+    pub fn refresh(&mut self, standing: LeaseStanding, now: TimePoint) -> bool {
+        let replaced = standing.recorded.is_some_and(|revision| revision != self.fencing_token);
+        if standing.lease != Some(self.lease) || replaced || now >= self.ends_at.max(standing.ends_at) {
+            return false;
+        }
+        self.ends_at = self.ends_at.max(standing.ends_at);
+        true
     }
 
     /// Whether the holder may act at `now` with a call that takes up to `call_ms`.
@@ -37,10 +55,4 @@
     pub fn may_act(&self, now: TimePoint, call_ms: u64) -> bool {
         now >= self.acts_from && now.plus_ms(call_ms) < self.ends_at
     }
-
-    /// When the term ends unless it is renewed.
-    #[must_use]
-    pub fn ends_at(&self) -> TimePoint {
-        self.ends_at
-    }
 }
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -4,6 +4,6 @@
 mod usage_tally;
 mod version_planner;
 
-pub use duty_term::DutyTerm;
+pub use duty_term::{DutyTerm, LeaseStanding};
 pub use usage_tally::UsageTally;
 pub use version_planner::{LoadOrder, OrderOutcome, VersionPlanner};
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -111,6 +111,12 @@
         self.owner(job).is_some_and(|owner| owner.daemon == self.daemon && owner.incarnation == self.incarnation)
     }
 
+    /// Whether another process is known to own `job`.
+    #[must_use]
+    pub fn is_taken(&self, job: &str) -> bool {
+        self.owner(job).is_some() && !self.is_mine(job)
+    }
+
     /// Jobs that this process should claim now. `held` tells whether it has a job's state in memory.
     #[must_use]
     pub fn claims(&self, now: TimePoint, held: impl Fn(&str) -> bool) -> Vec<ClaimOrder> {
