--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -37,15 +37,14 @@
             vacant_since = None;
             continue;
         }
-        let vacant = state.lease().duty.is_none() && state.config().is_some();
-        if !vacant {
+        let Some(replaces) = replaceable(&state) else {
             vacant_since = None;
             continue;
-        }
+        };
         let since = *vacant_since.get_or_insert(now);
         let own_ms = fingerprint(&[state.settings.vm.as_bytes()]) % TAKE_SPREAD_MS;
-        if now >= since.plus_ms(own_ms) {
-            take(&state, &store, &term).await;
+        if replaces > 0 || now >= since.plus_ms(own_ms) {
+            take(&state, &store, &term, replaces).await;
             vacant_since = None;
         }
     }
@@ -71,7 +70,21 @@
     false
 }
 
-async fn take(state: &EdgeState, store: &StoreClient, term: &SharedTerm) {
+/// Revision of the record that this process may replace, 0 if there is none: its own former process's, which is
+/// gone, or nobody's.
+fn replaceable(state: &EdgeState) -> Option<u64> {
+    state.config()?;
+    let view = state.lease();
+    match &view.duty {
+        None => Some(0),
+        Some((revision, holder)) => {
+            let former = holder.daemon == state.settings.vm && holder.incarnation < state.incarnation;
+            former.then_some(*revision)
+        }
+    }
+}
+
+async fn take(state: &EdgeState, store: &StoreClient, term: &SharedTerm, replaces: u64) {
     let (lease, ends_at) = {
         let view = state.lease();
         (view.lease, view.ends_at)
@@ -84,11 +97,10 @@
             return;
         }
     };
-    let commit = StoreCommit::default().expect(KeyLayout::DUTY, 0).put(KeyLayout::DUTY, entry.clone(), lease).put(
-        KeyLayout::DUTY_LAST,
-        entry,
-        0,
-    );
+    let commit = StoreCommit::default()
+        .expect(KeyLayout::DUTY, replaces)
+        .put(KeyLayout::DUTY, entry.clone(), lease)
+        .put(KeyLayout::DUTY_LAST, entry, 0);
     let revision = match store.commit(&commit).await {
         Ok(CommitOutcome::Done(revision)) => revision,
         Ok(CommitOutcome::Conflict(items)) => {
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -9,6 +9,10 @@
 
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0];
 
+/// Purposes of calls to the store.
+const STORE_PURPOSES: [&str; 8] =
+    ["follow_operator", "follow_upstreams", "follow_daemons", "lease", "own_jobs", "serve_batches", "duty", "usage"];
+
 /// Labels by what was done with a request, or why.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -96,6 +100,14 @@
         Self::global().store_calls.get_or_create(&PurposeLabel { purpose }).inc();
     }
 
+    /// Calls to the store so far, by purpose, as one field of a log line.
+    #[must_use]
+    pub fn store_calls_text(&self) -> String {
+        let count = |purpose: &&'static str| self.store_calls.get_or_create(&PurposeLabel { purpose }).get();
+        let pairs: Vec<String> = STORE_PURPOSES.iter().map(|purpose| format!("{purpose}:{}", count(purpose))).collect();
+        pairs.join(",")
+    }
+
     /// Counts an event of a family by reason.
     pub fn count(family: &Family<ReasonLabel, Counter>, reason: &'static str) {
         family.get_or_create(&ReasonLabel { reason }).inc();
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -3,6 +3,7 @@
 use crate::{
     client_watch::ClientWatch,
     duty::{hold_duty, record_usage},
+    edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
     http::{WorkerParts, configure_control, configure_front, configure_ready},
     job::claim_jobs,
@@ -35,6 +36,8 @@
 const GRACE_MARGIN_MS: u64 = 3_000;
 /// Requests that came last have this long, in seconds.
 const LAST_REQUESTS_SECONDS: u64 = 2;
+/// Time between two lines about calls to the store.
+const CALLS_PERIOD: Duration = Duration::from_secs(10);
 const POLL: Duration = Duration::from_millis(50);
 
 /// Serves until SIGTERM.
@@ -91,9 +94,18 @@
     actix_rt::spawn(keep_lease(state.clone(), store.purposed("lease")));
     actix_rt::spawn(claim_jobs(state.clone(), upstreams.clone(), store.purposed("own_jobs")));
     actix_rt::spawn(hold_duty(state.clone(), upstreams, store.purposed("duty")));
+    actix_rt::spawn(report_calls());
     actix_rt::spawn(record_usage(state.clone(), store.purposed("usage")));
 }
 
+/// Writes how often the store was called, which its operators charge for.
+async fn report_calls() {
+    loop {
+        actix_rt::time::sleep(CALLS_PERIOD).await;
+        LogLine::new("store_calls").field("by_purpose", EdgeMetrics::global().store_calls_text()).info();
+    }
+}
+
 fn serve_front(state: &Arc<EdgeState>) -> Result<ServerHandle> {
     let address = state.settings.public.context("the settings name no address for callers")?;
     let shared = state.clone();
--- a/crates/edge/src/store/followed_keys.rs
+++ b/crates/edge/src/store/followed_keys.rs
@@ -31,7 +31,12 @@
             match decode::<JobEntry>(&item.value) {
                 Ok(entry) => {
                     self.state.jobs().accepted(job.into(), entry);
-                    self.state.ownership().job_accepted(job.into(), now);
+                    let ended = self.state.jobs().is_ended(job);
+                    let mut ownership = self.state.ownership();
+                    ownership.job_accepted(job.into(), now);
+                    if ended {
+                        ownership.job_closed(job);
+                    }
                 }
                 Err(error) => unreadable(item, &error),
             }
