Keep batch jobs of one route at one daemon, and hand them over directly

Cause: each step was owned by whichever daemon its client reached, so that connections to engines were opened anew for every step and no daemon knew what runs where; store calls were the largest price.

--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -6,7 +6,7 @@
     proxy::read_body,
     request_context::{RequestContext, text},
 };
-use crate::job::{self, JobView, SubmitOutcome};
+use crate::job::{self, JobView, NewJob, SubmitOutcome};
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
 use form_urlencoded::parse;
 use pimentoslip_kernel::RouteRule;
@@ -50,7 +50,9 @@
     };
     let (step, items) = (submission.step, submission.items.len());
     let deadline = context.deadline.min(parts.state.now().plus_ms(WRITE_MS_MAX));
-    let outcome = job::submit(&parts.state, &parts.store, &context.id, entry, submission, &body, deadline).await;
+    let new = NewJob { id: context.id.clone(), entry, kind: rule.name.clone(), body };
+    drop(submission);
+    let outcome = job::submit(parts, &new, deadline).await;
     LogLine::new("job_submitted")
         .field("job", &context.id)
         .field("route", &rule.name)
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod api_refusal;
 mod batch_api;
 mod front_app;
+mod peer_api;
 mod proxy;
 mod ready_app;
 mod request_context;
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -1,7 +1,7 @@
 //! The balancer's probe, and metrics.
 
-use super::WorkerParts;
-use crate::edge_metrics::EdgeMetrics;
+use super::{WorkerParts, peer_api};
+use crate::{edge_metrics::EdgeMetrics, job::JOB_PUSH_PATH};
 use actix_web::{HttpResponse, web};
 use pimentoslip_platform::READY_PATH;
 
@@ -26,5 +26,7 @@
 
 /// Routes of the address for operators.
 pub fn configure_control(app: &mut web::ServiceConfig) {
-    app.route("/metrics", web::get().to(metrics));
+    app.app_data(web::PayloadConfig::new(peer_api::PUSH_BYTES_MAX))
+        .route(JOB_PUSH_PATH, web::post().to(peer_api::take_job))
+        .route("/metrics", web::get().to(metrics));
 }
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -19,6 +19,8 @@
     pub settled: bool,
     /// Known groups of results: the positions after them by the positions at which they begin.
     pub chunks: BTreeMap<usize, usize>,
+    /// Number of results that were listed at a revision of the store.
+    pub tail: Option<(usize, u64)>,
 }
 
 /// Batch jobs by id.
@@ -37,7 +39,13 @@
     /// A job is on record.
     pub fn accepted(&mut self, job: SharedName, entry: JobEntry) {
         let ended = self.ended.contains(&job);
-        self.jobs.entry(job).or_insert_with(|| JobView { entry, ended, settled: false, chunks: BTreeMap::new() });
+        self.jobs.entry(job).or_insert_with(|| JobView {
+            entry,
+            ended,
+            settled: false,
+            chunks: BTreeMap::new(),
+            tail: None,
+        });
     }
 
     /// A job was ended by its submitter.
@@ -87,6 +95,15 @@
         }
     }
 
+    /// At `revision` just the first `listed` results of `job` were listed.
+    pub fn tail_known(&mut self, job: &str, listed: usize, revision: u64) {
+        if let Some(view) = self.jobs.get_mut(job)
+            && view.tail.is_none_or(|(_, known)| known < revision)
+        {
+            view.tail = Some((listed, revision));
+        }
+    }
+
     /// Keeps a submission for the task that will run it.
     pub fn keep_submission(&mut self, job: SharedName, submission: Arc<BatchSubmission>) {
         self.submissions.insert(job, submission);
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -35,7 +35,7 @@
     let entry =
         decode::<JobEntry>(&item.value).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
     let ended = store.get(&KeyLayout::end(job)).await?.is_some();
-    Ok(Some(JobView { entry, ended, settled: false, chunks: BTreeMap::new() }))
+    Ok(Some(JobView { entry, ended, settled: false, chunks: BTreeMap::new(), tail: None }))
 }
 
 /// Results from `position` on, at most about `bytes_max` of text. Waits until `until` for the first one.
@@ -47,7 +47,12 @@
     bytes_max: usize,
     until: TimePoint,
 ) -> Result<PageRead> {
-    let mut read = read_from(state, store, job, position, bytes_max).await?;
+    let tail = state.jobs().get(job).and_then(|view| view.tail).filter(|(listed, _)| *listed == position);
+    let mut read = match tail {
+        // Nothing was listed there at that revision, so the watch tells everything.
+        Some((_, revision)) if until > state.now() => PageRead { results: Vec::new(), revision },
+        _ => read_from(state, store, job, position, bytes_max).await?,
+    };
     while read.results.is_empty() {
         let left_ms = until.since_ms(state.now());
         if left_ms == 0 || state.jobs().is_ended(job) {
@@ -55,6 +60,7 @@
         }
         let batch = match store.watch(&KeyLayout::chunks(job), read.revision, left_ms).await {
             Ok(batch) => batch,
+            Err(StoreError::HistoryGone) => return read_from(state, store, job, position, bytes_max).await,
             // What was read before still holds.
             Err(error) => {
                 LogLine::new("result_watch_failed").field("job", job).field("reason", error).warn();
@@ -67,6 +73,9 @@
             StoreChange::Removed { .. } => None,
         });
         take_results(state, job, written, position, bytes_max, &mut read.results)?;
+        if text_bytes(&read.results) < bytes_max {
+            state.jobs().tail_known(job, position + read.results.len(), read.revision);
+        }
     }
     Ok(read)
 }
@@ -91,13 +100,20 @@
         after = page.items.last().map(|item| item.key.clone()).or(after);
         let more = page.more && !page.items.is_empty();
         take_results(state, job, page.items.into_iter(), position, bytes_max, &mut results)?;
-        let bytes: usize = results.iter().map(|result: &ResultEntry| result.text.len()).sum();
+        let bytes = text_bytes(&results);
+        if !more && bytes < bytes_max {
+            state.jobs().tail_known(job, position + results.len(), page.revision);
+        }
         if !more || bytes >= bytes_max {
             return Ok(PageRead { results, revision: page.revision });
         }
     }
 }
 
+fn text_bytes(results: &[ResultEntry]) -> usize {
+    results.iter().map(|result| result.text.len()).sum()
+}
+
 /// Appends the results at `position` and after from `items`, as long as they follow each other.
 fn take_results(
     state: &EdgeState,
@@ -107,7 +123,7 @@
     bytes_max: usize,
     results: &mut Vec<ResultEntry>,
 ) -> Result<()> {
-    let mut bytes: usize = results.iter().map(|result| result.text.len()).sum();
+    let mut bytes = text_bytes(results);
     for item in items {
         let entry: ResultsEntry =
             decode(&item.value).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -26,7 +26,7 @@
 /// Longest time between two looks at a job.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two writes of results, in which further ones gather, in milliseconds.
-const LIST_PERIOD_MS: u64 = 250;
+const LIST_PERIOD_MS: u64 = 400;
 /// Largest write of results in bytes, below the platform's limit on values.
 const CHUNK_BYTES_MAX: usize = 600_000;
 /// Pause before a job's record is read again.
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -1,13 +1,15 @@
 //! Puts batch jobs and their ends on record.
 
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, http::WorkerParts};
+use awc::Client;
 use bytes::Bytes;
-use pimentoslip_kernel::{OwnerRecord, SharedName, TimePoint};
-use pimentoslip_platform::{BatchSubmission, CommitOutcome, StoreClient, StoreCommit, StoreError};
+use pimentoslip_kernel::{DaemonPresence, OwnerRecord, SharedName, TimePoint};
+use pimentoslip_platform::{CommitOutcome, StoreClient, StoreCommit, StoreError, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
-    stored::{JobEntry, KeyLayout},
+    peer::JobPush,
+    stored::{DaemonEntry, JobEntry, KeyLayout},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -16,6 +18,11 @@
 /// Pause before a write is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
+/// Longest wait for the owner to take a job in; it answers in milliseconds.
+const PUSH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Path at which daemons take jobs in.
+pub const JOB_PUSH_PATH: &str = "/peer/job";
+
 /// How a submission ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -29,39 +36,48 @@
     Unknown,
 }
 
-/// Puts a job on record, owned by this daemon.
-pub async fn submit(
-    state: &Arc<EdgeState>,
-    store: &StoreClient,
-    job: &SharedName,
-    entry: JobEntry,
-    submission: BatchSubmission,
-    body: &Bytes,
-    deadline: TimePoint,
-) -> SubmitOutcome {
+/// A job that is to be put on record.
+#[derive(Clone, Debug)]
+pub struct NewJob {
+    /// Job.
+    pub id: SharedName,
+    /// Its record.
+    pub entry: JobEntry,
+    /// Jobs of one kind have one owner.
+    pub kind: SharedName,
+    /// The submission's body.
+    pub body: Bytes,
+}
+
+/// The daemon that will own a job.
+#[derive(Clone, Debug)]
+struct ChosenOwner {
+    signature: DaemonEntry,
+    presence: DaemonPresence,
+}
+
+/// Puts a job on record with an owner, and hands it to the owner.
+pub async fn submit(parts: &WorkerParts, job: &NewJob, deadline: TimePoint) -> SubmitOutcome {
+    let state = &parts.state;
+    let mut owner = choose_owner(state, &job.kind);
     let mut unknown = false;
     loop {
-        let lease = state.lease().lease;
-        let Some(commit) = submission_commit(state, job, &entry, body, lease) else { return SubmitOutcome::NotDone };
-        match store.commit(&commit).await {
+        let Some(commit) = submission_commit(job, owner.as_ref()) else { return SubmitOutcome::NotDone };
+        match parts.store.commit(&commit).await {
             Ok(CommitOutcome::Done(revision)) => {
-                accept(state, job, entry, submission, lease.map(|_| revision));
+                accept(parts, job, owner, revision);
                 return SubmitOutcome::Accepted;
             }
             Ok(CommitOutcome::Conflict(items)) => {
                 let record = items.first().and_then(|item| decode::<JobEntry>(&item.value).ok());
-                let foreign = record.is_some_and(|record| record.organisation != entry.organisation);
+                let foreign = record.is_some_and(|record| record.organisation != job.entry.organisation);
                 return if foreign { SubmitOutcome::Foreign } else { SubmitOutcome::Accepted };
             }
             Err(error) => {
-                LogLine::new("submit_retry").field("job", job).field("reason", &error).warn();
+                LogLine::new("submit_retry").field("job", &job.id).field("reason", &error).warn();
                 match error {
-                    StoreError::LeaseGone => {
-                        let mut view = state.lease();
-                        if view.lease == lease {
-                            view.lease = None;
-                        }
-                    }
+                    // Any daemon may claim a job without an owner.
+                    StoreError::LeaseGone => owner = None,
                     StoreError::NotDone { .. } => {}
                     _ => unknown = true,
                 }
@@ -74,36 +90,81 @@
     }
 }
 
-/// The commit that puts a job, its parts and, under a lease, its owner on record.
-fn submission_commit(
-    state: &EdgeState,
-    job: &str,
-    entry: &JobEntry,
-    body: &Bytes,
-    lease: Option<u64>,
-) -> Option<StoreCommit> {
-    let record = encode(entry).ok()?;
-    let mut commit = StoreCommit::default().expect(KeyLayout::job(job), 0).put(KeyLayout::job(job), record, 0);
-    if let Some(lease) = lease {
-        commit = commit.put(KeyLayout::owner(job), encode(&state.signature()).ok()?, lease);
+fn choose_owner(state: &EdgeState, kind: &str) -> Option<ChosenOwner> {
+    let ownership = state.ownership();
+    let (daemon, presence) = ownership.preferred(kind)?;
+    let signature = DaemonEntry { daemon: daemon.clone(), incarnation: presence.incarnation };
+    Some(ChosenOwner { signature, presence: presence.clone() })
+}
+
+/// The commit that puts a job, its parts and its owner on record.
+fn submission_commit(job: &NewJob, owner: Option<&ChosenOwner>) -> Option<StoreCommit> {
+    let record = encode(&job.entry).ok()?;
+    let key = KeyLayout::job(&job.id);
+    let mut commit = StoreCommit::default().expect(key.clone(), 0).put(key, record, 0);
+    if let Some(owner) = owner {
+        commit = commit.put(KeyLayout::owner(&job.id), encode(&owner.signature).ok()?, owner.presence.lease);
+    }
+    let length = job.body.len();
+    let parts = (0..length).step_by(PART_BYTES_MAX).map(|from| job.body.slice(from..length.min(from + PART_BYTES_MAX)));
+    Some(parts.enumerate().fold(commit, |commit, (number, part)| commit.put(KeyLayout::part(&job.id, number), part, 0)))
+}
+
+fn accept(parts: &WorkerParts, job: &NewJob, owner: Option<ChosenOwner>, revision: u64) {
+    let Some(owner) = owner else { return receive(&parts.state, job, None) };
+    let record = owner.signature.clone().into_owner(revision);
+    if owner.signature == parts.state.signature() {
+        return receive(&parts.state, job, Some(record));
+    }
+    {
+        let now = parts.state.now();
+        parts.state.jobs().accepted(job.id.clone(), job.entry.clone());
+        let mut ownership = parts.state.ownership();
+        ownership.job_accepted(job.id.clone(), now);
+        ownership.owner_known(job.id.clone(), record, now);
     }
-    let parts =
-        (0..body.len()).step_by(PART_BYTES_MAX).map(|from| body.slice(from..body.len().min(from + PART_BYTES_MAX)));
-    Some(parts.enumerate().fold(commit, |commit, (number, part)| commit.put(KeyLayout::part(job, number), part, 0)))
+    let push = JobPush {
+        job: job.id.clone(),
+        entry: job.entry.clone(),
+        incarnation: owner.signature.incarnation,
+        revision,
+        body: job.body.to_vec(),
+    };
+    actix_rt::spawn(push_job(parts.upstreams.clone(), owner.presence.control, push));
+}
+
+/// Hands a job to its owner. If that fails, the owner reads the job from the store.
+async fn push_job(client: Client, control: SharedName, push: JobPush) {
+    let body = match encode(&push) {
+        Ok(body) => body,
+        Err(error) => return LogLine::new("job_not_pushed").field("job", &push.job).field("reason", error).warn(),
+    };
+    let request = client.post(format!("http://{control}{JOB_PUSH_PATH}")).timeout(PUSH_TIMEOUT);
+    let result = match request.send_body(body).await {
+        Ok(answer) => answer.status().as_u16().to_string(),
+        Err(error) => error.to_string(),
+    };
+    LogLine::new("job_pushed").field("job", &push.job).field("owner", control).field("result", result).info();
 }
 
-fn accept(state: &EdgeState, job: &SharedName, entry: JobEntry, submission: BatchSubmission, owned: Option<u64>) {
+/// Takes a job in that is on record.
+pub fn receive(state: &EdgeState, job: &NewJob, owner: Option<OwnerRecord>) {
+    let submission = match decode_submission(&job.body) {
+        Ok(submission) => submission,
+        Err(error) => return LogLine::new("submission_malformed").field("job", &job.id).field("reason", error).warn(),
+    };
     let now = state.now();
     {
         let mut jobs = state.jobs();
-        jobs.accepted(job.clone(), entry);
-        jobs.keep_submission(job.clone(), Arc::new(submission));
+        jobs.accepted(job.id.clone(), job.entry.clone());
+        if !jobs.is_held(&job.id) {
+            jobs.keep_submission(job.id.clone(), Arc::new(submission));
+        }
     }
     let mut ownership = state.ownership();
-    ownership.job_accepted(job.clone(), now);
-    if let Some(revision) = owned {
-        let daemon = state.settings.vm.clone();
-        ownership.owner_known(job.clone(), OwnerRecord { daemon, incarnation: state.incarnation, revision }, now);
+    ownership.job_accepted(job.id.clone(), now);
+    if let Some(owner) = owner {
+        ownership.owner_known(job.id.clone(), owner, now);
     }
     drop(ownership);
     state.job_changed.notify_waiters();
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -12,4 +12,4 @@
 pub use claim_task::claim_jobs;
 pub use job_index::{JobIndex, JobView};
 pub use job_reader::{read_body, read_page, view};
-pub use job_writer::{SubmitOutcome, end, submit};
+pub use job_writer::{JOB_PUSH_PATH, NewJob, SubmitOutcome, end, receive, submit};
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -4,7 +4,10 @@
 use pimentoslip_kernel::TimePoint;
 use pimentoslip_platform::{StoreClient, StoreCommit, StoreError};
 use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::{encode, stored::KeyLayout};
+use pimentoslip_wire::{
+    encode,
+    stored::{KeyLayout, PresenceEntry},
+};
 use std::{sync::Arc, time::Duration};
 
 /// Time to live of the lease: a dead daemon's jobs are taken over after it.
@@ -64,7 +67,9 @@
             return RETRY_PAUSE;
         }
     };
-    let entry = match encode(&state.signature()) {
+    let control = state.settings.control.map(|address| address.to_string()).unwrap_or_default();
+    let presence = PresenceEntry { incarnation: state.incarnation, lease, control: control.into() };
+    let entry = match encode(&presence) {
         Ok(entry) => entry,
         Err(error) => {
             LogLine::new("lease_not_used").field("reason", error).warn();
--- a/crates/edge/src/store/followed_keys.rs
+++ b/crates/edge/src/store/followed_keys.rs
@@ -2,12 +2,12 @@
 
 use super::FollowedPrefix;
 use crate::edge_state::EdgeState;
-use pimentoslip_kernel::TimePoint;
+use pimentoslip_kernel::{DaemonPresence, TimePoint};
 use pimentoslip_platform::{RangePage, StoreChange, StoreItem};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    stored::{DaemonEntry, JobEntry, KeyLayout},
+    stored::{DaemonEntry, JobEntry, KeyLayout, PresenceEntry},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -43,6 +43,15 @@
         } else if let Some(job) = KeyLayout::parse_end(&item.key) {
             self.state.jobs().ended(job);
             self.state.ownership().job_closed(job);
+        } else if let Some(daemon) = KeyLayout::parse_daemon(&item.key) {
+            match decode::<PresenceEntry>(&item.value) {
+                Ok(entry) => {
+                    let PresenceEntry { incarnation, lease, control } = entry;
+                    let presence = DaemonPresence { incarnation, lease, control };
+                    self.state.ownership().daemon_joined(daemon.into(), presence);
+                }
+                Err(error) => unreadable(item, &error),
+            }
         } else {
             match decode::<DaemonEntry>(&item.value) {
                 Ok(entry) => self.signed(item, entry, now),
@@ -55,8 +64,6 @@
     fn signed(&self, item: &StoreItem, entry: DaemonEntry, now: TimePoint) {
         if let Some(job) = KeyLayout::parse_owner(&item.key) {
             self.state.ownership().owner_known(job.into(), entry.into_owner(item.revision), now);
-        } else if let Some(daemon) = KeyLayout::parse_daemon(&item.key) {
-            self.state.ownership().daemon_joined(daemon.into());
         } else if item.key == KeyLayout::DUTY {
             LogLine::new("duty_holder").field("holder", &entry.daemon).field("fencing_token", item.revision).info();
             self.state.lease().duty = Some((item.revision, entry));
@@ -88,7 +95,7 @@
 
 impl FollowedPrefix for FollowedKeys {
     const PREFIX: &'static str = KeyLayout::FOLLOWED;
-    const GATHER_MS: u64 = 100;
+    const GATHER_MS: u64 = 300;
 
     fn reset(&mut self, page: RangePage, now: TimePoint) {
         let listed: BTreeSet<String> = page.items.iter().map(|item| item.key.clone()).collect();
--- a/crates/edge/src/store/follower.rs
+++ b/crates/edge/src/store/follower.rs
@@ -6,9 +6,9 @@
 use pimentoslip_telemetry::LogLine;
 use std::{sync::Arc, time::Duration};
 
-/// Longest wait of one watch. A watch on a silent connection is given up after it, so it stays well below the
-/// two seconds in which a change must be in force.
-const WATCH_WAIT_MS: u64 = 1_000;
+/// Longest wait of one watch. A watch on a silent connection is given up after it; a VM whose connections were cut
+/// counts as disturbed for three seconds, in which a change need not be in force.
+const WATCH_WAIT_MS: u64 = 2_300;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -46,7 +46,7 @@
 pub use freshness_table::FreshnessTable;
 pub use lease_holder::{HolderEvidence, LeaseHolder, LeaseState, PreviousHolder};
 pub use member_table::{MemberEntry, MemberState, MemberTable};
-pub use ownership_table::{ClaimOrder, OwnerRecord, OwnershipTable};
+pub use ownership_table::{ClaimOrder, DaemonPresence, OwnerRecord, OwnershipTable};
 pub use refusal_reason::{RefusalReason, RunState};
 pub use rendezvous::{owner, rank};
 pub use request_class::RequestClass;
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -1,7 +1,7 @@
 //! Which daemon owns which batch job, and when a job without an owner is claimed.
 
 use crate::{SharedName, TimePoint, rendezvous};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The preferred daemon claims at once; the others wait this long, longer than a claim takes.
 const CLAIM_DELAY_MS: u64 = 1_000;
@@ -19,6 +19,17 @@
     pub revision: u64,
 }
 
+/// A daemon that may own jobs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonPresence {
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Its lease.
+    pub lease: u64,
+    /// Address for other daemons.
+    pub control: SharedName,
+}
+
 /// A claim to be made.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimOrder {
@@ -42,19 +53,19 @@
     daemon: SharedName,
     incarnation: u64,
     entries: BTreeMap<SharedName, OwnershipEntry>,
-    daemons: BTreeSet<SharedName>,
+    daemons: BTreeMap<SharedName, DaemonPresence>,
 }
 
 impl OwnershipTable {
     /// Creates the table of one process.
     #[must_use]
     pub fn new(daemon: SharedName, incarnation: u64) -> Self {
-        Self { daemon, incarnation, entries: BTreeMap::new(), daemons: BTreeSet::new() }
+        Self { daemon, incarnation, entries: BTreeMap::new(), daemons: BTreeMap::new() }
     }
 
     /// A daemon is present.
-    pub fn daemon_joined(&mut self, daemon: SharedName) {
-        self.daemons.insert(daemon);
+    pub fn daemon_joined(&mut self, daemon: SharedName, presence: DaemonPresence) {
+        self.daemons.insert(daemon, presence);
     }
 
     /// A daemon's lease has ended.
@@ -111,6 +122,14 @@
         self.owner(job).is_some_and(|owner| owner.daemon == self.daemon && owner.incarnation == self.incarnation)
     }
 
+    /// The daemon that should own the jobs of `kind`. Jobs of one kind stay together, because their owner knows best
+    /// what it runs where, and keeps connections to those upstreams.
+    #[must_use]
+    pub fn preferred(&self, kind: &str) -> Option<(&SharedName, &DaemonPresence)> {
+        let daemons: Vec<&SharedName> = self.daemons.keys().collect();
+        self.daemons.get_key_value(*rendezvous::owner(kind, &daemons)?)
+    }
+
     /// Whether another process is known to own `job`.
     #[must_use]
     pub fn is_taken(&self, job: &str) -> bool {
@@ -120,7 +139,7 @@
     /// Jobs that this process should claim now. `held` tells whether it has a job's state in memory.
     #[must_use]
     pub fn claims(&self, now: TimePoint, held: impl Fn(&str) -> bool) -> Vec<ClaimOrder> {
-        let daemons: Vec<&SharedName> = self.daemons.iter().collect();
+        let daemons: Vec<&SharedName> = self.daemons.keys().collect();
         let open = self.entries.iter().filter(|(_, entry)| entry.accepted && !entry.closed);
         let due = open.filter_map(|(job, entry)| {
             let claim = |replaces| Some(ClaimOrder { job: job.clone(), replaces });
--- /dev/null
+++ b/crates/wire/src/peer/job_push.rs
@@ -0,0 +1,21 @@
+//! A batch job on its way from the daemon that accepted it to the one that runs it.
+
+use crate::stored::JobEntry;
+use pimentoslip_kernel::SharedName;
+use serde::{Deserialize, Serialize};
+
+/// Saves the owner a read of the store; the store has all of it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobPush {
+    /// Job.
+    pub job: SharedName,
+    /// Its record.
+    pub entry: JobEntry,
+    /// Incarnation of the owner that is meant.
+    pub incarnation: u64,
+    /// Revision of the ownership record.
+    pub revision: u64,
+    /// The submission's body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
--- a/crates/wire/src/stored/daemon_entry.rs
+++ b/crates/wire/src/stored/daemon_entry.rs
@@ -19,3 +19,14 @@
         OwnerRecord { daemon: self.daemon, incarnation: self.incarnation, revision }
     }
 }
+
+/// A daemon's presence. Others may hang an ownership record on its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PresenceEntry {
+    /// Start of its process in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Its lease.
+    pub lease: u64,
+    /// Address for other daemons, `ip:port`.
+    pub control: SharedName,
+}
--- a/crates/wire/src/stored/mod.rs
+++ b/crates/wire/src/stored/mod.rs
@@ -6,7 +6,7 @@
 mod result_entry;
 mod usage_entry;
 
-pub use daemon_entry::DaemonEntry;
+pub use daemon_entry::{DaemonEntry, PresenceEntry};
 pub use job_entry::JobEntry;
 pub use key_layout::KeyLayout;
 pub use result_entry::{ResultEntry, ResultsEntry};
