Take an empty whole answer to a resumed run for the text's end; move runs from slow upstreams

Cause: a run that was cut after its last event was resumed beyond its end; the empty answer names no version and was taken for spoilt, so the item ran for ever and its step was late.

--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -28,7 +28,7 @@
     let mut retire = RetireDuty::new(state.clone(), store.clone());
     let mut vacant_since: Option<TimePoint> = None;
     while !state.is_draining() {
-        actix_rt::time::sleep(ROUND_PERIOD).await;
+        let _ = actix_rt::time::timeout(ROUND_PERIOD, state.upstreams_changed.notified()).await;
         let now = state.now();
         if is_held(&state, &term) {
             loads.round();
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -26,6 +26,8 @@
     pub draining: AtomicBool,
     /// Wakes the tasks that run batch jobs.
     pub job_changed: Notify,
+    /// Wakes the duty's holder.
+    pub upstreams_changed: Notify,
     time: SteadyTime,
     requests: AtomicUsize,
     config: RwLock<Option<Arc<TrafficConfig>>>,
@@ -73,6 +75,7 @@
             incarnation,
             draining: AtomicBool::new(false),
             job_changed: Notify::new(),
+            upstreams_changed: Notify::new(),
             time: SteadyTime::new(&clock),
             requests: AtomicUsize::new(0),
             config: RwLock::new(None),
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -10,13 +10,15 @@
     header::{HeaderMap, HeaderName, HeaderValue},
 };
 use futures_util::StreamExt;
-use pimentoslip_kernel::{EventVerdict, ItemWork, RunEnd, SamplerOutcome, SharedName, TimePoint};
+use pimentoslip_kernel::{
+    EventVerdict, ItemWork, RunEnd, RunPace, SamplerOutcome, SamplerQuery, SharedName, TimePoint,
+};
 use pimentoslip_platform::{EventReader, header};
 use pimentoslip_telemetry::LogLine;
 use std::time::Duration;
 
-/// Longest silence of a stream; longer than a load of weights and than a slow upstream's prefill.
-const SILENCE_MAX: Duration = Duration::from_millis(2_500);
+/// Longest wait for the header of an answer; longer than a load of weights.
+const FIRST_ANSWER_MAX: Duration = Duration::from_millis(2_000);
 /// Longest run in milliseconds; a run that was cut goes on elsewhere.
 const RUN_MS_MAX: u64 = 30_000;
 
@@ -30,7 +32,10 @@
 impl RunReport {
     fn of(failure: AttemptFailure) -> Self {
         let end = if failure.may_have_run() { RunEnd::Broken } else { RunEnd::NotRun };
-        Self { end, reason: failure.as_str(), outcome: failure.outcome() }
+        // A refusal concerns the item's model only.
+        let outcome = if end == RunEnd::NotRun { SamplerOutcome::Answered(None) } else { failure.outcome() };
+        let outcome = if failure == AttemptFailure::Unreachable { failure.outcome() } else { outcome };
+        Self { end, reason: failure.as_str(), outcome }
     }
 }
 
@@ -38,12 +43,13 @@
 pub async fn run_item(job: OwnedJob, work: ItemWork, mut guard: SamplerGuard, priority: u32, give_up_at: TimePoint) {
     let state = job.state.clone();
     let began = state.now();
-    let report = stream_item(&job, work, &guard, priority, give_up_at).await;
+    let mut pace = RunPace::new(began);
+    let report = stream_item(&job, work, &guard, priority, give_up_at, &mut pace).await;
     let events = job.ledger.borrow().events(work.index);
     let took_ms = state.now().since_ms(began);
     let fresh = events.saturating_sub(work.resume_after.map_or(0, |last| last + 1));
     guard.end(match report.outcome {
-        SamplerOutcome::Answered(_) if fresh > 0 => SamplerOutcome::Answered(Some(took_ms / fresh)),
+        SamplerOutcome::Answered(_) => SamplerOutcome::Answered(pace.pace_ms()),
         outcome => outcome,
     });
     EdgeMetrics::count(&EdgeMetrics::global().runs, report.reason);
@@ -57,6 +63,11 @@
         .field("took_ms", took_ms)
         .field("result", report.reason)
         .info();
+    if report.end == RunEnd::NotRun
+        && let Some(model) = model(&job, work.index)
+    {
+        state.samplers().model_refused(&guard.record.id, &model, state.now());
+    }
     drop(guard);
     job.ledger.borrow_mut().run_ended(work.index, report.end, state.now());
     job.changed.notify_one();
@@ -91,18 +102,19 @@
     guard: &SamplerGuard,
     priority: u32,
     give_up_at: TimePoint,
+    pace: &mut RunPace,
 ) -> RunReport {
     let state = &job.state;
     let now = state.now();
     let call = item_call(job, work, priority, give_up_at.min(now.plus_ms(RUN_MS_MAX)));
-    let begun = actix_rt::time::timeout(SILENCE_MAX, begin(&job.upstreams, &call, guard, now)).await;
+    let begun = actix_rt::time::timeout(FIRST_ANSWER_MAX, begin(&job.upstreams, &call, guard, now)).await;
     let mut answer = match begun {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => return RunReport::of(error.failure),
         Err(_) => return RunReport::of(AttemptFailure::TimedOut),
     };
     match answer.status() {
-        StatusCode::OK => {}
+        status if status.is_success() => {}
         StatusCode::UNPROCESSABLE_ENTITY => {
             return RunReport {
                 end: RunEnd::Impossible,
@@ -117,22 +129,34 @@
                 outcome: SamplerOutcome::Answered(None),
             };
         }
-        _ => return RunReport::of(AttemptFailure::Spoilt),
+        status => {
+            LogLine::new("item_status").field("item", &call.id).field("status", status.as_u16()).warn();
+            return RunReport::of(AttemptFailure::Spoilt);
+        }
     }
     let version = answer.headers().get(header::VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    let Some(mut version) = version else { return RunReport::of(AttemptFailure::Spoilt) };
+    let mut version: Option<u64> = version;
     let headers = answer.headers().clone();
     let mut events = EventReader::default();
     loop {
-        let chunk = match actix_rt::time::timeout(SILENCE_MAX, answer.next()).await {
+        let elsewhere_ms = pace_elsewhere(job, work.index, guard);
+        if elsewhere_ms.is_some_and(|ms| pace.is_slow(ms)) {
+            return RunReport { end: RunEnd::Broken, reason: "moved_slow", outcome: SamplerOutcome::Answered(None) };
+        }
+        let silence = Duration::from_millis(pace.silent_at(elsewhere_ms).since_ms(state.now()));
+        let chunk = match actix_rt::time::timeout(silence, answer.next()).await {
             Ok(Some(Ok(chunk))) => chunk,
             Ok(None) => return whole(&events),
             Ok(Some(Err(error))) if ends_with_connection(&headers) && is_orderly_end(&error) => return whole(&events),
             Ok(Some(Err(_))) => return RunReport::of(AttemptFailure::Lost),
             Err(_) => return RunReport::of(AttemptFailure::TimedOut),
         };
-        for event in events.feed(&chunk) {
-            version = event.version.unwrap_or(version);
+        let arrived = events.feed(&chunk);
+        pace.events(arrived.len() as u64, state.now());
+        for event in arrived {
+            version = event.version.or(version);
+            // An event of unknown version cannot be kept.
+            let Some(version) = version else { return RunReport::of(AttemptFailure::Spoilt) };
             let verdict = job.ledger.borrow_mut().event(work.index, event.number, version, &event.data);
             match verdict {
                 EventVerdict::Taken => {}
@@ -152,6 +176,20 @@
     }
 }
 
+/// Milliseconds of an event at the fastest other upstream that would take the item now.
+fn pace_elsewhere(job: &OwnedJob, index: usize, guard: &SamplerGuard) -> Option<u64> {
+    let model = model(job, index);
+    let query = SamplerQuery {
+        service: &guard.record.service,
+        model: model.as_deref().map(|model| (model, job.submission.oldest_version)),
+        failure_domain: &job.state.settings.failure_domain,
+        excluded: &[],
+        may_queue: false,
+        affinity: "",
+    };
+    job.state.samplers().pace_elsewhere(&query, &guard.record.id, job.state.now())
+}
+
 fn whole(events: &EventReader) -> RunReport {
     if !events.is_between_events() {
         return RunReport::of(AttemptFailure::Spoilt);
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -158,7 +158,7 @@
         }
         let now = state.now();
         deal(job, &mut runs, now);
-        if now >= list_at {
+        if now >= list_at || job.ledger.borrow().is_finished() {
             match list(job).await {
                 Listing::Nothing => {}
                 Listing::Done => list_at = state.now().plus_ms(LIST_PERIOD_MS),
--- a/crates/edge/src/store/listed_upstreams.rs
+++ b/crates/edge/src/store/listed_upstreams.rs
@@ -91,6 +91,7 @@
             }
         }
         self.state.job_changed.notify_waiters();
+        self.state.upstreams_changed.notify_waiters();
     }
 
     fn regained(&mut self, _lost: TimePoint, now: TimePoint) {
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -316,6 +316,12 @@
         self.items.iter().filter(|item| item.phase == ItemPhase::Scoring).count()
     }
 
+    /// Whether every item is finished, so that no further result will join those that wait to be listed.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.items.iter().all(|item| item.phase == ItemPhase::Finished)
+    }
+
     /// Events of the item's text so far.
     #[must_use]
     pub fn events(&self, index: usize) -> u64 {
--- a/crates/kernel/src/duty/version_planner.rs
+++ b/crates/kernel/src/duty/version_planner.rs
@@ -7,6 +7,9 @@
 const LOADING_DIVISOR: usize = 5;
 /// A load that was accepted but does not show in the list is taken for lost after this.
 const LOAD_LOST_MS: u64 = 6_000;
+/// A step of training is asked for when its version is named, and allows the version before. Loads begin when most
+/// of its samples run, since an upstream starts nothing while it loads.
+const LOAD_DELAY_MS: u64 = 700;
 /// Pause after an order that was not accepted.
 const RETRY_PAUSE_MS: u64 = 400;
 /// Longest wait for the answer of an order, in the planner's books.
@@ -56,6 +59,8 @@
 #[derive(Debug, Default)]
 pub struct VersionPlanner {
     plans: BTreeMap<SharedName, UpstreamPlan>,
+    /// When each model's newest version was first seen.
+    seen: BTreeMap<SharedName, (u64, TimePoint)>,
 }
 
 impl VersionPlanner {
@@ -69,6 +74,7 @@
         now: TimePoint,
     ) -> Vec<LoadOrder> {
         self.sync(upstreams);
+        self.note(named, now);
         let ready: Vec<&SamplerRecord> =
             upstreams.iter().filter(|record| record.state == SamplerState::Ready).collect();
         self.deal(&ready, models, named);
@@ -131,6 +137,15 @@
         }
     }
 
+    fn note(&mut self, named: &BTreeMap<SharedName, u64>, now: TimePoint) {
+        for (model, version) in named {
+            let seen = self.seen.entry(model.clone()).or_insert((*version, now));
+            if seen.0 < *version {
+                *seen = (*version, now);
+            }
+        }
+    }
+
     /// Gives each upstream one model, evenly, and moves as few as possible.
     fn deal(&mut self, ready: &[&SamplerRecord], models: &[SharedName], named: &BTreeMap<SharedName, u64>) {
         let trained: Vec<&SharedName> = models.iter().filter(|model| named.contains_key(*model)).collect();
@@ -210,7 +225,8 @@
         let due = plan.model.as_ref() == Some(model)
             && record.versions.get(model).is_some_and(|held| *held < version)
             && plan.loading_until <= now
-            && plan.next_at <= now;
+            && plan.next_at <= now
+            && self.seen.get(model).is_some_and(|(_, since)| now >= since.plus_ms(LOAD_DELAY_MS));
         if !due {
             return None;
         }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -10,6 +10,8 @@
 const BACKOFF_MAX_MS: u64 = 4_000;
 /// Pause after a refusal: about the time in which a slot becomes free.
 const REFUSAL_PAUSE_MS: u64 = 200;
+/// Pause after a refusal for one model: a fraction of the time in which weights are loaded.
+const MODEL_REFUSAL_PAUSE_MS: u64 = 300;
 /// What an upstream said about its load counts this long.
 const LOAD_REPORT_LIFE_MS: u64 = 1_000;
 /// A request's share in the moving average of the pace is one in this many.
@@ -57,6 +59,8 @@
     others_until: TimePoint,
     failures: u32,
     paused_until: TimePoint,
+    /// Until then it refuses requests for these models, because it loads weights.
+    refuses_until: BTreeMap<SharedName, TimePoint>,
     pace_ms: Option<u64>,
 }
 
@@ -69,6 +73,7 @@
             others_until: TimePoint(0),
             failures: 0,
             paused_until: TimePoint(0),
+            refuses_until: BTreeMap::new(),
             pace_ms: None,
         }
     }
@@ -79,6 +84,11 @@
         self.inflight + others
     }
 
+    fn is_open(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
+        let refuses_until = query.model.and_then(|(model, _)| self.refuses_until.get(model));
+        self.paused_until <= now && refuses_until.is_none_or(|until| *until <= now)
+    }
+
     fn serves(&self, query: &SamplerQuery<'_>) -> bool {
         let record = &self.record;
         let model_fits = query
@@ -158,7 +168,7 @@
         let fastest_ms = serving().filter_map(|entry| entry.pace_ms).min().unwrap_or(1).max(1);
         let candidates = serving()
             .filter(|entry| !query.excluded.contains(&entry.record.id))
-            .filter(|entry| entry.paused_until <= now)
+            .filter(|entry| entry.is_open(query, now))
             .filter(|entry| query.may_queue || entry.load(now) < entry.record.slots);
         candidates
             .min_by_key(|entry| {
@@ -171,6 +181,14 @@
             .map(|entry| entry.record.id.clone())
     }
 
+    /// Pace in milliseconds of the fastest upstream other than `id` that has room for the query.
+    #[must_use]
+    pub fn pace_elsewhere(&self, query: &SamplerQuery<'_>, id: &str, now: TimePoint) -> Option<u64> {
+        let others = self.entries.values().filter(|entry| entry.serves(query) && *entry.record.id != *id);
+        let free = others.filter(|entry| entry.is_open(query, now) && entry.load(now) < entry.record.slots);
+        free.filter_map(|entry| entry.pace_ms).min()
+    }
+
     /// A request on `id` ended.
     pub fn ended(&mut self, id: &str, outcome: SamplerOutcome, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(id) else { return };
@@ -193,6 +211,13 @@
         }
     }
 
+    /// An upstream refused a request for `model` although it seemed to have room: it loads weights.
+    pub fn model_refused(&mut self, id: &str, model: &SharedName, now: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.refuses_until.insert(model.clone(), now.plus_ms(MODEL_REFUSAL_PAUSE_MS));
+        }
+    }
+
     /// What an upstream said about its load: requests running and waiting.
     pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(id) else { return };
