Reach the store through a peer, hand jobs over at a planned stop, run older jobs first

Cause: two daemons cut off from the store kept their jobs for three seconds without being able to list a result, and lost their duty and their news; a stopped daemon's jobs began again from nothing; several jobs of a route at one owner competed for slots, so that all of them were late.

--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -1,10 +1,10 @@
 //! Takes the duty when nobody holds it, and works while it is held.
 
 use super::{load_duty::LoadDuty, retire_duty::RetireDuty, usage_duty::UsageDuty};
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState};
+use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use pimentoslip_kernel::{DutyTerm, LeaseStanding, TimePoint, fingerprint};
-use pimentoslip_platform::{CommitOutcome, StoreClient, StoreCommit, StoreItem};
+use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreItem};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -21,7 +21,7 @@
 pub type SharedTerm = Rc<RefCell<Option<DutyTerm>>>;
 
 /// Runs until the daemon drains.
-pub async fn hold_duty(state: Arc<EdgeState>, upstreams: Client, store: StoreClient) {
+pub async fn hold_duty(state: Arc<EdgeState>, upstreams: Client, store: StoreAccess) {
     let term: SharedTerm = Rc::default();
     let mut loads = LoadDuty::new(state.clone(), upstreams, term.clone());
     let mut usage = UsageDuty::new(state.clone(), store.clone(), term.clone());
@@ -84,7 +84,7 @@
     }
 }
 
-async fn take(state: &EdgeState, store: &StoreClient, term: &SharedTerm, replaces: u64) {
+async fn take(state: &EdgeState, store: &StoreAccess, term: &SharedTerm, replaces: u64) {
     let (lease, ends_at) = {
         let view = state.lease();
         (view.lease, view.ends_at)
--- a/crates/edge/src/duty/retire_duty.rs
+++ b/crates/edge/src/duty/retire_duty.rs
@@ -1,22 +1,22 @@
 //! Answers requests to empty a VM. No VM holds anything that must last, so each is empty at once.
 
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, store::StoreAccess};
 use pimentoslip_kernel::SharedName;
-use pimentoslip_platform::{StoreClient, StoreCommit, encode_retired, retire_status_key};
+use pimentoslip_platform::{StoreCommit, encode_retired, retire_status_key};
 use pimentoslip_telemetry::LogLine;
 use std::sync::Arc;
 
 /// Says of each VM that is to be emptied that it is.
 pub struct RetireDuty {
     state: Arc<EdgeState>,
-    store: StoreClient,
+    store: StoreAccess,
     said: Vec<SharedName>,
 }
 
 impl RetireDuty {
     /// Writes to `store`.
     #[must_use]
-    pub fn new(state: Arc<EdgeState>, store: StoreClient) -> Self {
+    pub fn new(state: Arc<EdgeState>, store: StoreAccess) -> Self {
         Self { state, store, said: Vec::new() }
     }
 
--- a/crates/edge/src/duty/usage_count_task.rs
+++ b/crates/edge/src/duty/usage_count_task.rs
@@ -1,8 +1,8 @@
 //! Puts this daemon's counts of each usage window on record.
 
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, store::StoreAccess};
 use bytes::Bytes;
-use pimentoslip_platform::{StoreClient, StoreCommit};
+use pimentoslip_platform::StoreCommit;
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     encode,
@@ -16,7 +16,7 @@
 const LATE_MS: u64 = 2_200;
 
 /// Runs as long as the process.
-pub async fn record_usage(state: Arc<EdgeState>, store: StoreClient) {
+pub async fn record_usage(state: Arc<EdgeState>, store: StoreAccess) {
     loop {
         actix_rt::time::sleep(LOOK_PERIOD).await;
         let before = state.unix_ms().saturating_sub(LATE_MS);
@@ -25,7 +25,7 @@
 }
 
 /// Records the windows that ended before `unix_ms`.
-pub async fn record_ended(state: &EdgeState, store: &StoreClient, unix_ms: u64) {
+pub async fn record_ended(state: &EdgeState, store: &StoreAccess, unix_ms: u64) {
     let ended = state.usage().ended(unix_ms);
     for (window, counts) in ended {
         let total: u64 = counts.values().sum();
@@ -43,6 +43,6 @@
 }
 
 /// Records what was counted so far, before the process ends.
-pub async fn record_usage_now(state: &EdgeState, store: &StoreClient) {
+pub async fn record_usage_now(state: &EdgeState, store: &StoreAccess) {
     record_ended(state, store, u64::MAX).await;
 }
--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -1,9 +1,9 @@
 //! Seals and reports usage windows.
 
 use super::duty_task::SharedTerm;
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, store::StoreAccess};
 use pimentoslip_kernel::{SharedName, UsageTally};
-use pimentoslip_platform::{CommitOutcome, DutyCall, DutyClient, DutyOutcome, StoreClient, StoreCommit};
+use pimentoslip_platform::{CommitOutcome, DutyCall, DutyClient, DutyOutcome, StoreCommit};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -19,7 +19,7 @@
 /// Reports windows in order.
 pub struct UsageDuty {
     state: Arc<EdgeState>,
-    store: StoreClient,
+    store: StoreAccess,
     provider: Option<DutyClient>,
     term: SharedTerm,
     /// Token of the term for which `next` holds.
@@ -33,7 +33,7 @@
 impl UsageDuty {
     /// Reports under `term`.
     #[must_use]
-    pub fn new(state: Arc<EdgeState>, store: StoreClient, term: SharedTerm) -> Self {
+    pub fn new(state: Arc<EdgeState>, store: StoreAccess, term: SharedTerm) -> Self {
         let provider = state.settings.provider.map(DutyClient::new);
         Self { state, store, provider, term, token: 0, next: None, unreported: BTreeMap::new() }
     }
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -1,7 +1,7 @@
 //! The balancer's probe, and metrics.
 
 use super::{WorkerParts, peer_api};
-use crate::{edge_metrics::EdgeMetrics, job::JOB_PUSH_PATH};
+use crate::{edge_metrics::EdgeMetrics, job::JOB_PUSH_PATH, store::RELAY_PATH};
 use actix_web::{HttpResponse, web};
 use pimentoslip_platform::READY_PATH;
 
@@ -28,5 +28,6 @@
 pub fn configure_control(app: &mut web::ServiceConfig) {
     app.app_data(web::PayloadConfig::new(peer_api::PUSH_BYTES_MAX))
         .route(JOB_PUSH_PATH, web::post().to(peer_api::take_job))
+        .route(&format!("{RELAY_PATH}{{call:.*}}"), web::to(peer_api::relay))
         .route("/metrics", web::get().to(metrics));
 }
--- a/crates/edge/src/http/worker_parts.rs
+++ b/crates/edge/src/http/worker_parts.rs
@@ -1,6 +1,6 @@
 //! What the handlers of one worker thread share.
 
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState};
+use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use pimentoslip_client::client_with_user_timeout;
 use pimentoslip_platform::StoreClient;
@@ -17,7 +17,9 @@
     /// Client for upstreams.
     pub upstreams: Client,
     /// Client for the store.
-    pub store: StoreClient,
+    pub store: StoreAccess,
+    /// Client for the store that passes peers' calls on.
+    pub relay: StoreClient,
 }
 
 impl std::fmt::Debug for WorkerParts {
@@ -30,7 +32,12 @@
     /// Creates the parts of the current thread.
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
-        let store = StoreClient::new(state.settings.store, EdgeMetrics::store_called).purposed("serve_batches");
-        Self { upstreams: client_with_user_timeout(UPSTREAM_USER_TIMEOUT), store, state }
+        let direct = StoreClient::new(state.settings.store, EdgeMetrics::store_called);
+        Self {
+            upstreams: client_with_user_timeout(UPSTREAM_USER_TIMEOUT),
+            store: StoreAccess::new(state.clone(), direct.purposed("serve_batches")),
+            relay: direct.purposed("relay"),
+            state,
+        }
     }
 }
--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -1,10 +1,10 @@
 //! Claims jobs without an owner, and starts work on jobs that this daemon owns.
 
 use super::job_runner::run_job;
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState};
+use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use pimentoslip_kernel::{ClaimOrder, OwnerRecord, SharedName};
-use pimentoslip_platform::{CommitOutcome, StoreClient, StoreCommit};
+use pimentoslip_platform::{CommitOutcome, StoreCommit};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{encode, stored::KeyLayout};
 use std::{sync::Arc, time::Duration};
@@ -13,7 +13,7 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
 
 /// Runs until the daemon drains.
-pub async fn claim_jobs(state: Arc<EdgeState>, upstreams: Client, store: StoreClient) {
+pub async fn claim_jobs(state: Arc<EdgeState>, upstreams: Client, store: StoreAccess) {
     while !state.is_draining() {
         let _ = actix_rt::time::timeout(LOOK_PERIOD, state.job_changed.notified()).await;
         let now = state.now();
@@ -31,7 +31,7 @@
     }
 }
 
-async fn claim_job(state: &EdgeState, store: &StoreClient, claim: &ClaimOrder, lease: u64) {
+async fn claim_job(state: &EdgeState, store: &StoreAccess, claim: &ClaimOrder, lease: u64) {
     let Ok(entry) = encode(&state.signature()) else { return };
     let key = KeyLayout::owner(&claim.job);
     let commit = StoreCommit::default().expect(key.clone(), claim.replaces).put(key, entry, lease);
@@ -54,7 +54,7 @@
     }
 }
 
-fn start_owned(state: &Arc<EdgeState>, upstreams: &Client, store: &StoreClient) {
+fn start_owned(state: &Arc<EdgeState>, upstreams: &Client, store: &StoreAccess) {
     let owned: Vec<SharedName> = {
         let (jobs, ownership) = (state.jobs(), state.ownership());
         let open = jobs.iter().filter(|(_, view)| !view.ended && !view.settled);
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -1,6 +1,7 @@
 //! Batch jobs that the daemon knows of.
 
-use pimentoslip_kernel::SharedName;
+use bytes::Bytes;
+use pimentoslip_kernel::{LedgerState, SharedName, TimePoint};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::JobEntry;
 use std::{
@@ -23,6 +24,17 @@
     pub tail: Option<(usize, u64)>,
 }
 
+/// What this process has of a job that it does not run yet.
+#[derive(Clone, Debug)]
+pub struct KeptJob {
+    /// What was submitted.
+    pub submission: Arc<BatchSubmission>,
+    /// The submission's body.
+    pub body: Bytes,
+    /// What a former owner knew, if the job has run before.
+    pub ledger: Option<LedgerState>,
+}
+
 /// Batch jobs by id.
 #[derive(Debug, Default)]
 pub struct JobIndex {
@@ -30,9 +42,11 @@
     /// Ended jobs, also those whose record has not been seen yet.
     ended: HashSet<SharedName>,
     /// Submissions accepted here that are not being run yet.
-    submissions: HashMap<SharedName, Arc<BatchSubmission>>,
+    submissions: HashMap<SharedName, KeptJob>,
     /// Jobs whose state is in this process.
     held: HashSet<SharedName>,
+    /// Jobs with waiting items, by route: when they were submitted.
+    waiting: BTreeMap<(SharedName, SharedName), TimePoint>,
 }
 
 impl JobIndex {
@@ -105,12 +119,12 @@
     }
 
     /// Keeps a submission for the task that will run it.
-    pub fn keep_submission(&mut self, job: SharedName, submission: Arc<BatchSubmission>) {
-        self.submissions.insert(job, submission);
+    pub fn keep_submission(&mut self, job: SharedName, kept: KeptJob) {
+        self.submissions.insert(job, kept);
     }
 
     /// The kept submission of `job`, if there is one.
-    pub fn take_submission(&mut self, job: &str) -> Option<Arc<BatchSubmission>> {
+    pub fn take_submission(&mut self, job: &str) -> Option<KeptJob> {
         self.submissions.remove(job)
     }
 
@@ -122,6 +136,29 @@
     /// `job` is no longer run by this process.
     pub fn release(&mut self, job: &str) {
         self.held.remove(job);
+        self.waiting.retain(|(_, waiting), _| **waiting != *job);
+    }
+
+    /// Whether items of `job`, a job of `route` that was submitted at `submitted`, may be run now: those of older jobs
+    /// of the route go first.
+    #[must_use]
+    pub fn is_first(&self, route: &str, job: &str, submitted: TimePoint) -> bool {
+        let others = self.waiting.iter().filter(|((kind, other), _)| **kind == *route && **other != *job);
+        !others.into_iter().any(|((_, other), since)| (*since, &**other) < (submitted, job))
+    }
+
+    /// Notes whether items of `job` wait to be run.
+    pub fn set_waiting(&mut self, route: SharedName, job: SharedName, submitted: Option<TimePoint>) {
+        match submitted {
+            Some(submitted) => self.waiting.insert((route, job), submitted),
+            None => self.waiting.remove(&(route, job)),
+        };
+    }
+
+    /// Jobs that this process runs.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.len()
     }
 
     /// Whether this process has the state of `job`.
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -1,12 +1,10 @@
 //! Reads batch jobs from the store.
 
 use super::JobView;
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, store::StoreAccess};
 use bytes::{Bytes, BytesMut};
 use pimentoslip_kernel::TimePoint;
-use pimentoslip_platform::{
-    BatchSubmission, RangePage, StoreChange, StoreClient, StoreError, StoreItem, decode_submission,
-};
+use pimentoslip_platform::{BatchSubmission, RangePage, StoreChange, StoreError, StoreItem, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
@@ -27,7 +25,7 @@
 }
 
 /// The job as known here or on record; none if there is none on record.
-pub async fn view(state: &EdgeState, store: &StoreClient, job: &str) -> Result<Option<JobView>> {
+pub async fn view(state: &EdgeState, store: &StoreAccess, job: &str) -> Result<Option<JobView>> {
     if let Some(view) = state.jobs().get(job) {
         return Ok(Some(view.clone()));
     }
@@ -41,7 +39,7 @@
 /// Results from `position` on, at most about `bytes_max` of text. Waits until `until` for the first one.
 pub async fn read_page(
     state: &EdgeState,
-    store: &StoreClient,
+    store: &StoreAccess,
     job: &str,
     position: usize,
     bytes_max: usize,
@@ -82,7 +80,7 @@
 
 async fn read_from(
     state: &EdgeState,
-    store: &StoreClient,
+    store: &StoreAccess,
     job: &str,
     position: usize,
     bytes_max: usize,
@@ -143,7 +141,7 @@
 }
 
 /// The submission's body as it came.
-async fn read_submission_bytes(store: &StoreClient, job: &str) -> Result<Bytes> {
+async fn read_submission_bytes(store: &StoreAccess, job: &str) -> Result<Bytes> {
     let page = store.range(&KeyLayout::parts(job)).await?;
     let mut body = BytesMut::new();
     for item in &page.items {
@@ -152,20 +150,21 @@
     Ok(body.freeze())
 }
 
-/// The submission as it came.
-pub async fn read_submission(store: &StoreClient, job: &str) -> Result<BatchSubmission> {
+/// The submission, with its body as it came.
+pub async fn read_submission(store: &StoreAccess, job: &str) -> Result<(BatchSubmission, Bytes)> {
     let body = read_submission_bytes(store, job).await?;
-    decode_submission(&body).map_err(|error| StoreError::Malformed { problem: error.to_string() })
+    let submission = decode_submission(&body).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
+    Ok((submission, body))
 }
 
 /// The body of an item, if the job has it.
-pub async fn read_body(store: &StoreClient, job: &str, id: &str) -> Result<Option<Bytes>> {
-    let submission = read_submission(store, job).await?;
+pub async fn read_body(store: &StoreAccess, job: &str, id: &str) -> Result<Option<Bytes>> {
+    let (submission, _) = read_submission(store, job).await?;
     Ok(submission.items.into_iter().find(|item| *item.id == *id).map(|item| item.body))
 }
 
 /// Indexes of all listed items, in order.
-pub async fn read_listed(state: &EdgeState, store: &StoreClient, job: &str) -> Result<Vec<usize>> {
+pub async fn read_listed(state: &EdgeState, store: &StoreAccess, job: &str) -> Result<Vec<usize>> {
     let page = store.range(&KeyLayout::chunks(job)).await?;
     let mut results = Vec::new();
     take_results(state, job, page.items.into_iter(), 0, usize::MAX, &mut results)?;
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -1,15 +1,19 @@
 //! Runs one owned job: deals its items to upstreams and lists their results.
 
 use super::{
+    KeptJob,
     item_run::{model, run_item},
     job_reader::{read_listed, read_submission},
+    job_writer::{NewJob, hand_over},
     owned_job::OwnedJob,
     score_run::score_item,
 };
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, relay::SamplerGuard};
+use crate::{
+    edge_metrics::EdgeMetrics, edge_state::EdgeState, http::WorkerParts, relay::SamplerGuard, store::StoreAccess,
+};
 use awc::Client;
 use pimentoslip_kernel::{BatchLedger, BatchTerms, ItemSpec, ItemWork, RouteRule, SamplerQuery, SharedName, TimePoint};
-use pimentoslip_platform::{BatchItem, BatchSubmission, CommitOutcome, StoreClient, StoreCommit, StoreError, header};
+use pimentoslip_platform::{BatchItem, BatchSubmission, CommitOutcome, StoreCommit, StoreError, header};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     encode,
@@ -35,9 +39,12 @@
 const SCORES_MAX: usize = 32;
 
 /// Owns `job` until it is settled or another daemon owns it.
-pub async fn run_job(state: Arc<EdgeState>, upstreams: Client, store: StoreClient, id: SharedName) {
+pub async fn run_job(state: Arc<EdgeState>, upstreams: Client, store: StoreAccess, id: SharedName) {
     if let Some(job) = open_job(&state, upstreams, store, &id).await {
         work(&job).await;
+        if state.is_draining() && !job.ledger.borrow().is_settled() {
+            part(&job).await;
+        }
         let ledger = job.ledger.borrow();
         let ms = state.now().since_ms(job.submitted);
         EdgeMetrics::global().batch_time.observe(ms as f64 / 1_000.0);
@@ -60,21 +67,26 @@
 }
 
 /// Reads what the job needs, as often as it takes.
-async fn open_job(state: &Arc<EdgeState>, upstreams: Client, store: StoreClient, id: &SharedName) -> Option<OwnedJob> {
+async fn open_job(state: &Arc<EdgeState>, upstreams: Client, store: StoreAccess, id: &SharedName) -> Option<OwnedJob> {
     let kept = state.jobs().take_submission(id);
-    let fresh = kept.is_some();
+    // A job that has not run before has nothing listed.
+    let fresh = kept.as_ref().is_some_and(|kept| kept.ledger.is_none());
     loop {
         if is_over(state, id) {
             return None;
         }
         let submission = match &kept {
-            Some(submission) => Ok(submission.clone()),
-            None => read_submission(&store, id).await.map(Arc::new),
+            Some(kept) => Ok(kept.clone()),
+            None => read_submission(&store, id).await.map(|(submission, body)| KeptJob {
+                submission: Arc::new(submission),
+                body,
+                ledger: None,
+            }),
         };
         let listed = if fresh { Ok(Vec::new()) } else { read_listed(state, &store, id).await };
         match (submission, listed) {
-            (Ok(submission), Ok(listed)) => {
-                return build_job(state, upstreams, store, id, submission, &listed);
+            (Ok(kept), Ok(listed)) => {
+                return build_job(state, upstreams, store, id, kept, &listed);
             }
             (Err(error), _) | (_, Err(error)) => {
                 LogLine::new("job_unread").field("job", id).field("reason", error).warn();
@@ -87,11 +99,12 @@
 fn build_job(
     state: &Arc<EdgeState>,
     upstreams: Client,
-    store: StoreClient,
+    store: StoreAccess,
     id: &SharedName,
-    submission: Arc<BatchSubmission>,
+    kept: KeptJob,
     listed: &[usize],
 ) -> Option<OwnedJob> {
+    let KeptJob { submission, body, ledger: former } = kept;
     let entry = state.jobs().get(id)?.entry.clone();
     let revision = state.ownership().owner(id)?.revision;
     let age_ms = state.unix_ms().saturating_sub(entry.submitted_unix_ms);
@@ -99,11 +112,17 @@
     let rule = state.config().and_then(|config| config.route(&entry.host, &entry.path).cloned());
     let terms = terms(rule.as_deref(), &submission, submitted);
     let specs = submission.items.iter().map(item_spec).collect();
+    let mut ledger = BatchLedger::new(terms, specs, listed);
+    let handed = former.as_ref().map_or(0, |former| former.items.len() + former.unlisted.len());
+    if let Some(former) = former {
+        ledger.restore(former);
+    }
     LogLine::new("job_begun")
         .field("job", id)
         .field("step", submission.step)
         .field("items", submission.items.len())
         .field("listed", listed.len())
+        .field("handed_over", handed)
         .field("oldest_version", submission.oldest_version)
         .field("age_ms", age_ms)
         .field("revision", revision)
@@ -113,13 +132,15 @@
         upstreams,
         store,
         id: id.clone(),
-        organisation: Some(entry.organisation).filter(|organisation| !organisation.is_empty()),
-        host: entry.host,
-        path: entry.path,
+        organisation: Some(entry.organisation.clone()).filter(|organisation| !organisation.is_empty()),
+        host: entry.host.clone(),
+        path: entry.path.clone(),
+        entry,
+        body,
         submission,
         submitted,
         revision: Rc::new(Cell::new(revision)),
-        ledger: Rc::new(RefCell::new(BatchLedger::new(terms, specs, listed))),
+        ledger: Rc::new(RefCell::new(ledger)),
         changed: Rc::new(Notify::new()),
     })
 }
@@ -140,6 +161,15 @@
     ItemSpec { group: item.group.clone(), expected_tokens: hint.unwrap_or(item.tokens), scored: item.scorer.is_some() }
 }
 
+/// Hands an unfinished job to another daemon.
+async fn part(job: &OwnedJob) {
+    let kind = job.route().map_or_else(|| job.path.clone(), |rule| rule.name.clone());
+    let new = NewJob { id: job.id.clone(), entry: job.entry.clone(), kind, body: job.body.clone() };
+    let ledger = job.ledger.borrow().state();
+    let parts = WorkerParts::new(job.state.clone());
+    hand_over(&parts, &new, job.revision.get(), ledger).await;
+}
+
 async fn work(job: &OwnedJob) {
     let state = &job.state;
     // Dropping the set ends all runs and closes their connections.
@@ -187,7 +217,9 @@
     let Some(batch) = rule.batch() else { return };
     job.ledger.borrow_mut().expire(now);
     let give_up_at = job.submitted.plus_ms(batch.retention_ms);
-    loop {
+    let waits = job.ledger.borrow().waiting() > 0;
+    state_waiting(job, &rule, waits);
+    while waits && job.state.jobs().is_first(&rule.name, &job.id, job.submitted) {
         let next = job.ledger.borrow_mut().next_run(now);
         let Some(work) = next else { break };
         let Some(guard) = place(job, &rule, work) else {
@@ -196,6 +228,8 @@
         };
         runs.spawn_local(run_item(job.clone(), work, guard, rule.priority, give_up_at));
     }
+    let waits = job.ledger.borrow().waiting() > 0;
+    state_waiting(job, &rule, waits);
     while job.ledger.borrow().scoring() < SCORES_MAX {
         let next = job.ledger.borrow_mut().next_score(now);
         let Some(index) = next else { break };
@@ -203,6 +237,11 @@
     }
 }
 
+fn state_waiting(job: &OwnedJob, rule: &RouteRule, waits: bool) {
+    let submitted = waits.then_some(job.submitted);
+    job.state.jobs().set_waiting(rule.name.clone(), job.id.clone(), submitted);
+}
+
 /// Chooses the upstream for an item.
 fn place(job: &OwnedJob, rule: &RouteRule, work: ItemWork) -> Option<SamplerGuard> {
     let item = &job.submission.items[work.index];
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -1,10 +1,11 @@
 //! Puts batch jobs and their ends on record.
 
-use crate::{edge_state::EdgeState, http::WorkerParts};
+use super::KeptJob;
+use crate::{edge_state::EdgeState, http::WorkerParts, store::StoreAccess};
 use awc::Client;
 use bytes::Bytes;
-use pimentoslip_kernel::{DaemonPresence, OwnerRecord, SharedName, TimePoint};
-use pimentoslip_platform::{CommitOutcome, StoreClient, StoreCommit, StoreError, decode_submission};
+use pimentoslip_kernel::{DaemonPresence, LedgerState, OwnerRecord, SharedName, TimePoint};
+use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreError, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -59,7 +60,7 @@
 /// Puts a job on record with an owner, and hands it to the owner.
 pub async fn submit(parts: &WorkerParts, job: &NewJob, deadline: TimePoint) -> SubmitOutcome {
     let state = &parts.state;
-    let mut owner = choose_owner(state, &job.kind);
+    let mut owner = choose_owner(state, &job.kind, None);
     let mut unknown = false;
     loop {
         let Some(commit) = submission_commit(job, owner.as_ref()) else { return SubmitOutcome::NotDone };
@@ -90,9 +91,9 @@
     }
 }
 
-fn choose_owner(state: &EdgeState, kind: &str) -> Option<ChosenOwner> {
+fn choose_owner(state: &EdgeState, kind: &str, excluded: Option<&str>) -> Option<ChosenOwner> {
     let ownership = state.ownership();
-    let (daemon, presence) = ownership.preferred(kind)?;
+    let (daemon, presence) = ownership.preferred(kind, excluded)?;
     let signature = DaemonEntry { daemon: daemon.clone(), incarnation: presence.incarnation };
     Some(ChosenOwner { signature, presence: presence.clone() })
 }
@@ -111,10 +112,10 @@
 }
 
 fn accept(parts: &WorkerParts, job: &NewJob, owner: Option<ChosenOwner>, revision: u64) {
-    let Some(owner) = owner else { return receive(&parts.state, job, None) };
+    let Some(owner) = owner else { return receive(&parts.state, job, None, None) };
     let record = owner.signature.clone().into_owner(revision);
     if owner.signature == parts.state.signature() {
-        return receive(&parts.state, job, Some(record));
+        return receive(&parts.state, job, Some(record), None);
     }
     {
         let now = parts.state.now();
@@ -128,6 +129,7 @@
         entry: job.entry.clone(),
         incarnation: owner.signature.incarnation,
         revision,
+        state: None,
         body: job.body.to_vec(),
     };
     actix_rt::spawn(push_job(parts.upstreams.clone(), owner.presence.control, push));
@@ -147,8 +149,34 @@
     LogLine::new("job_pushed").field("job", &push.job).field("owner", control).field("result", result).info();
 }
 
+/// Hands a job to another daemon with all that is known of it, before this one stops.
+pub async fn hand_over(parts: &WorkerParts, job: &NewJob, revision: u64, ledger: LedgerState) {
+    let own = parts.state.settings.vm.clone();
+    let Some(owner) = choose_owner(&parts.state, &job.kind, Some(&own)) else { return };
+    let Ok(signature) = encode(&owner.signature) else { return };
+    let key = KeyLayout::owner(&job.id);
+    let commit = StoreCommit::default().expect(key.clone(), revision).put(key, signature, owner.presence.lease);
+    match parts.store.commit(&commit).await {
+        Ok(CommitOutcome::Done(revision)) => {
+            let push = JobPush {
+                job: job.id.clone(),
+                entry: job.entry.clone(),
+                incarnation: owner.signature.incarnation,
+                revision,
+                state: Some(ledger),
+                body: job.body.to_vec(),
+            };
+            push_job(parts.upstreams.clone(), owner.presence.control, push).await;
+        }
+        Ok(CommitOutcome::Conflict(_)) => {
+            LogLine::new("job_not_handed_over").field("job", &job.id).field("reason", "owner changed").info()
+        }
+        Err(error) => LogLine::new("job_not_handed_over").field("job", &job.id).field("reason", error).warn(),
+    }
+}
+
 /// Takes a job in that is on record.
-pub fn receive(state: &EdgeState, job: &NewJob, owner: Option<OwnerRecord>) {
+pub fn receive(state: &EdgeState, job: &NewJob, owner: Option<OwnerRecord>, ledger: Option<LedgerState>) {
     let submission = match decode_submission(&job.body) {
         Ok(submission) => submission,
         Err(error) => return LogLine::new("submission_malformed").field("job", &job.id).field("reason", error).warn(),
@@ -158,7 +186,10 @@
         let mut jobs = state.jobs();
         jobs.accepted(job.id.clone(), job.entry.clone());
         if !jobs.is_held(&job.id) {
-            jobs.keep_submission(job.id.clone(), Arc::new(submission));
+            jobs.keep_submission(
+                job.id.clone(),
+                KeptJob { submission: Arc::new(submission), body: job.body.clone(), ledger },
+            );
         }
     }
     let mut ownership = state.ownership();
@@ -171,7 +202,7 @@
 }
 
 /// Puts a job's end on record. False if that is not certain.
-pub async fn end(state: &EdgeState, store: &StoreClient, job: &str, deadline: TimePoint) -> bool {
+pub async fn end(state: &EdgeState, store: &StoreAccess, job: &str, deadline: TimePoint) -> bool {
     if state.jobs().is_ended(job) {
         return true;
     }
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -10,6 +10,6 @@
 mod score_run;
 
 pub use claim_task::claim_jobs;
-pub use job_index::{JobIndex, JobView};
+pub use job_index::{JobIndex, JobView, KeptJob};
 pub use job_reader::{read_body, read_page, view};
 pub use job_writer::{JOB_PUSH_PATH, NewJob, SubmitOutcome, end, receive, submit};
--- a/crates/edge/src/job/owned_job.rs
+++ b/crates/edge/src/job/owned_job.rs
@@ -1,9 +1,11 @@
 //! A batch job that this daemon runs.
 
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
+use bytes::Bytes;
 use pimentoslip_kernel::{BatchLedger, RouteRule, SharedName, TimePoint};
-use pimentoslip_platform::{BatchSubmission, StoreClient};
+use pimentoslip_platform::BatchSubmission;
+use pimentoslip_wire::stored::JobEntry;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -19,7 +21,7 @@
     /// Client for upstreams.
     pub upstreams: Client,
     /// Client for the store.
-    pub store: StoreClient,
+    pub store: StoreAccess,
     /// Job.
     pub id: SharedName,
     /// Organisation; none where the operators use no organisations.
@@ -28,6 +30,10 @@
     pub host: SharedName,
     /// Path of the submission.
     pub path: SharedName,
+    /// Its record.
+    pub entry: JobEntry,
+    /// The submission's body, for the next owner.
+    pub body: Bytes,
     /// What was submitted.
     pub submission: Arc<BatchSubmission>,
     /// When the job was submitted.
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -1,8 +1,8 @@
 //! Keeps the daemon's lease, on which its presence, its jobs and the duty hang.
 
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, store::StoreAccess};
 use pimentoslip_kernel::TimePoint;
-use pimentoslip_platform::{StoreClient, StoreCommit, StoreError};
+use pimentoslip_platform::{StoreCommit, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     encode,
@@ -18,7 +18,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Takes and renews the lease until the daemon drains.
-pub async fn keep_lease(state: Arc<EdgeState>, store: StoreClient) {
+pub async fn keep_lease(state: Arc<EdgeState>, store: StoreAccess) {
     let lease_ms = LEASE_MS.max(state.settings.lease_ms_min);
     while !state.is_draining() {
         let held = state.lease().lease;
@@ -58,7 +58,7 @@
     view.ends_at = TimePoint(0);
 }
 
-async fn take(state: &EdgeState, store: &StoreClient, lease_ms: u64) -> Duration {
+async fn take(state: &EdgeState, store: &StoreAccess, lease_ms: u64) -> Duration {
     let asked = state.now();
     let lease = match store.grant(lease_ms).await {
         Ok(lease) => lease,
@@ -89,7 +89,7 @@
 }
 
 /// Ends the lease, so that others take over at once.
-pub async fn end_lease(state: &EdgeState, store: &StoreClient) {
+pub async fn end_lease(state: &EdgeState, store: &StoreAccess) {
     let held = state.lease().lease.take();
     state.lease().ends_at = TimePoint(0);
     let Some(lease) = held else { return };
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -38,6 +38,8 @@
 const LAST_REQUESTS_SECONDS: u64 = 2;
 /// Time between two lines about calls to the store.
 const CALLS_PERIOD: Duration = Duration::from_secs(10);
+/// Longest time for handing jobs over, in milliseconds; it takes two calls for each.
+const HAND_OVER_MS: u64 = 700;
 const POLL: Duration = Duration::from_millis(50);
 
 /// Serves until SIGTERM.
@@ -158,8 +160,11 @@
     state.draining.store(true, Ordering::SeqCst);
     state.job_changed.notify_waiters();
     let store = WorkerParts::new(state.clone()).store;
-    // The runs of owned jobs end before others may begin them.
-    actix_rt::time::sleep(POLL).await;
+    // Owned jobs are handed over before the lease ends, on which their records hang.
+    let handed_by = began.plus_ms(HAND_OVER_MS);
+    while state.jobs().held() > 0 && state.now() < handed_by {
+        actix_rt::time::sleep(POLL).await;
+    }
     end_lease(state, &store).await;
     let leave_at = began.plus_ms(LEAVE_MS);
     let last = began.plus_ms(state.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS));
--- a/crates/edge/src/store/follower.rs
+++ b/crates/edge/src/store/follower.rs
@@ -1,8 +1,9 @@
 //! Keeps a prefix of the store in view.
 
+use super::StoreAccess;
 use crate::edge_state::EdgeState;
 use pimentoslip_kernel::TimePoint;
-use pimentoslip_platform::{RangePage, StoreChange, StoreClient, StoreError};
+use pimentoslip_platform::{RangePage, StoreChange, StoreError};
 use pimentoslip_telemetry::LogLine;
 use std::{sync::Arc, time::Duration};
 
@@ -33,7 +34,7 @@
 }
 
 /// Follows `prefix` for as long as the process lives.
-pub async fn follow<F: FollowedPrefix>(state: Arc<EdgeState>, store: StoreClient, mut prefix: F) {
+pub async fn follow<F: FollowedPrefix>(state: Arc<EdgeState>, store: StoreAccess, mut prefix: F) {
     let mut lost: Option<TimePoint> = None;
     loop {
         let page = store.range(F::PREFIX).await;
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -2,6 +2,7 @@
 
 use super::{ItemResult, ItemState, SampleText};
 use crate::{SharedName, TimePoint};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
 /// Pause before an item is tried again after a failed run.
@@ -86,6 +87,30 @@
     pub results: Vec<ItemResult>,
 }
 
+/// What an owner knows beyond the record, for the next owner.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerState {
+    /// Finished items that may not be listed yet, in order.
+    pub unlisted: Vec<ItemResult>,
+    /// Texts of unfinished items.
+    pub items: Vec<PartialItem>,
+}
+
+/// An unfinished item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartialItem {
+    /// Index of the item.
+    pub index: usize,
+    /// Events so far.
+    pub text: SampleText,
+    /// Whether the text is whole and only the score is missing.
+    pub whole: bool,
+    /// Failed runs.
+    pub run_failures: u32,
+    /// Failures of the scorer.
+    pub score_failures: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ItemPhase {
     Waiting { until: TimePoint },
@@ -152,6 +177,51 @@
         }
     }
 
+    /// What the next owner needs beyond the record.
+    #[must_use]
+    pub fn state(&self) -> LedgerState {
+        let pending = self.chunk.iter().flat_map(|chunk| &chunk.results);
+        let unfinished = self.items.iter().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
+        let partial = unfinished.map(|(index, item)| PartialItem {
+            index,
+            text: item.text.clone(),
+            whole: matches!(item.phase, ItemPhase::ScoreDue { .. } | ItemPhase::Scoring),
+            run_failures: item.run_failures,
+            score_failures: item.score_failures,
+        });
+        LedgerState { unlisted: pending.chain(&self.unlisted).cloned().collect(), items: partial.collect() }
+    }
+
+    /// Takes over what a former owner knew. Items that are finished here stay as they are.
+    pub fn restore(&mut self, state: LedgerState) {
+        for part in state.items {
+            let Some(item) = self.items.get_mut(part.index) else { continue };
+            let untouched = matches!(item.phase, ItemPhase::Waiting { .. }) && item.text.last().is_none();
+            if !untouched {
+                continue;
+            }
+            item.text = part.text;
+            item.run_failures = part.run_failures;
+            item.score_failures = part.score_failures;
+            if part.whole && item.text.last().is_some() {
+                item.phase = ItemPhase::ScoreDue { until: TimePoint(0) };
+                self.queue.remove(&(std::cmp::Reverse(item.spec.expected_tokens), part.index));
+                self.score_due.insert(part.index);
+            }
+        }
+        for result in state.unlisted {
+            if self.items.get(result.index).is_some_and(|item| item.phase != ItemPhase::Finished) {
+                self.put(result);
+            }
+        }
+    }
+
+    /// Items that wait to be run.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Number of items.
     #[must_use]
     pub fn total(&self) -> usize {
--- a/crates/kernel/src/batch/mod.rs
+++ b/crates/kernel/src/batch/mod.rs
@@ -5,7 +5,9 @@
 mod run_pace;
 mod sample_text;
 
-pub use batch_ledger::{BatchLedger, BatchTerms, EventVerdict, ItemSpec, ItemWork, ResultChunk, RunEnd, ScoreEnd};
+pub use batch_ledger::{
+    BatchLedger, BatchTerms, EventVerdict, ItemSpec, ItemWork, LedgerState, PartialItem, ResultChunk, RunEnd, ScoreEnd,
+};
 pub use item_result::{ItemResult, ItemState};
 pub use run_pace::RunPace;
 pub use sample_text::SampleText;
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -1,7 +1,9 @@
 //! A text while its events arrive.
 
+use serde::{Deserialize, Serialize};
+
 /// Events received so far, from one or several runs that follow each other without a gap.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SampleText {
     text: String,
     last: Option<u64>,
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -73,6 +73,11 @@
         self.daemons.remove(daemon);
     }
 
+    /// Daemons that are present.
+    pub fn daemons(&self) -> impl Iterator<Item = (&SharedName, &DaemonPresence)> {
+        self.daemons.iter()
+    }
+
     /// A job is on record.
     pub fn job_accepted(&mut self, job: SharedName, now: TimePoint) {
         let entry =
@@ -125,8 +130,8 @@
     /// The daemon that should own the jobs of `kind`. Jobs of one kind stay together, because their owner knows best
     /// what it runs where, and keeps connections to those upstreams.
     #[must_use]
-    pub fn preferred(&self, kind: &str) -> Option<(&SharedName, &DaemonPresence)> {
-        let daemons: Vec<&SharedName> = self.daemons.keys().collect();
+    pub fn preferred(&self, kind: &str, excluded: Option<&str>) -> Option<(&SharedName, &DaemonPresence)> {
+        let daemons: Vec<&SharedName> = self.daemons.keys().filter(|daemon| Some(&***daemon) != excluded).collect();
         self.daemons.get_key_value(*rendezvous::owner(kind, &daemons)?)
     }
 
--- a/crates/wire/src/peer/job_push.rs
+++ b/crates/wire/src/peer/job_push.rs
@@ -1,7 +1,7 @@
 //! A batch job on its way from the daemon that accepted it to the one that runs it.
 
 use crate::stored::JobEntry;
-use pimentoslip_kernel::SharedName;
+use pimentoslip_kernel::{LedgerState, SharedName};
 use serde::{Deserialize, Serialize};
 
 /// Saves the owner a read of the store; the store has all of it.
@@ -15,6 +15,8 @@
     pub incarnation: u64,
     /// Revision of the ownership record.
     pub revision: u64,
+    /// What a former owner knows beyond the record, if the job has run before.
+    pub state: Option<LedgerState>,
     /// The submission's body.
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
