--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -11,7 +11,7 @@
 };
 use futures_util::StreamExt;
 use pimentoslip_kernel::{
-    EventVerdict, ItemWork, RunEnd, RunPace, SamplerOutcome, SamplerQuery, SharedName, TimePoint,
+    EventVerdict, FIRST_EVENT, ItemWork, RunEnd, RunPace, SamplerOutcome, SamplerQuery, SharedName, TimePoint,
 };
 use pimentoslip_platform::{EventReader, header};
 use pimentoslip_telemetry::LogLine;
@@ -47,7 +47,7 @@
     let report = stream_item(&job, work, &guard, priority, give_up_at, &mut pace).await;
     let events = job.ledger.borrow().events(work.index);
     let took_ms = state.now().since_ms(began);
-    let fresh = events.saturating_sub(work.resume_after.map_or(0, |last| last + 1));
+    let fresh = events.saturating_sub(work.resume_after.map_or(0, |last| last + 1 - FIRST_EVENT));
     guard.end(match report.outcome {
         SamplerOutcome::Answered(_) => SamplerOutcome::Answered(pace.pace_ms()),
         outcome => outcome,
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -1,6 +1,6 @@
 //! A batch job at its owner: which items run next, what their runs brought, what may be listed.
 
-use super::{ItemResult, ItemState, SampleText};
+use super::{FIRST_EVENT, ItemResult, ItemState, SampleText};
 use crate::{SharedName, TimePoint};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -395,7 +395,7 @@
     /// Events of the item's text so far.
     #[must_use]
     pub fn events(&self, index: usize) -> u64 {
-        self.items.get(index).and_then(|item| item.text.last()).map_or(0, |last| last + 1)
+        self.items.get(index).and_then(|item| item.text.last()).map_or(0, |last| last + 1 - FIRST_EVENT)
     }
 
     /// No upstream has room for an item that [`Self::next_run`] returned.
--- a/crates/kernel/src/batch/mod.rs
+++ b/crates/kernel/src/batch/mod.rs
@@ -10,4 +10,4 @@
 };
 pub use item_result::{ItemResult, ItemState};
 pub use run_pace::RunPace;
-pub use sample_text::SampleText;
+pub use sample_text::{FIRST_EVENT, SampleText};
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Number of a text's first event.
+pub const FIRST_EVENT: u64 = 1;
+
 /// Events received so far, from one or several runs that follow each other without a gap.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SampleText {
@@ -23,12 +26,12 @@
         &self.versions
     }
 
-    /// Appends an event. False if its number doesn't follow the last one's.
+    /// Appends an event. False if its number doesn't follow the last one's, or isn't the first one's.
     pub fn push(&mut self, number: u64, version: u64, data: &str) -> bool {
-        if let Some(last) = self.last {
-            if number != last + 1 {
-                return false;
-            }
+        if number != self.last.map_or(FIRST_EVENT, |last| last + 1) {
+            return false;
+        }
+        if self.last.is_some() {
             self.text.push('\n');
         }
         self.text.push_str(data);
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -2,11 +2,16 @@
 
 mod sequence;
 
+mod batches;
 mod claims;
 mod configuration;
 mod duties;
 mod fairness;
+mod fleet_laws;
+mod ownership;
 mod routes;
 mod small_laws;
 mod steps;
+mod terms;
 mod usage;
+mod versions;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod engine_fault;
 mod engine_model;
 mod engine_service;
+mod fleet;
 mod kv_fault;
 mod kv_service;
 mod kv_store;
@@ -21,6 +22,9 @@
 pub use engine_fault::EngineFault;
 pub use engine_model::{EngineModel, EngineShape};
 pub use engine_service::engine;
+pub use fleet::{
+    FleetProvider, FleetSampler, FleetStore, SamplerFault, SamplerShape, SeenCall, StoreFault, StoreMemory, UsageReport,
+};
 pub use kv_fault::KvFault;
 pub use kv_service::kv;
 pub use kv_store::KvStore;
