--- a/crates/cli/src/bin/pimentoslipd.rs
+++ b/crates/cli/src/bin/pimentoslipd.rs
@@ -1,7 +1,7 @@
 //! `pimentoslipd`: serves until it is told to stop.
 
 use actix_rt::signal::unix::{SignalKind, signal};
-use clap::Command;
+use clap::{Arg, ArgMatches, Command, value_parser};
 use pimentoslip_daemon::{DaemonSettings, command, init_logs, start};
 use pimentoslip_edge::{run_edge, run_storage};
 use pimentoslip_platform::ProcessSettings;
@@ -12,18 +12,23 @@
 
 #[actix_rt::main]
 async fn main() -> ExitCode {
+    let metrics = Arg::new("metrics-port")
+        .long("metrics-port")
+        .env("PIMENTOSLIP_METRICS_PORT")
+        .value_parser(value_parser!(u16))
+        .help("Port for metrics, beside the address for operators");
     let command = command()
         .subcommand_negates_reqs(true)
-        .subcommand(Command::new("edge").about("Serve on the users' platform, as its settings file says"))
+        .subcommand(Command::new("edge").about("Serve on the users' platform, as its settings file says").arg(metrics))
         .subcommand(Command::new("storage").about("Run on a VM with a disk of the users' platform"));
     let matches = command.get_matches();
-    match matches.subcommand_name() {
-        Some(role) => serve_platform(role).await,
+    match matches.subcommand() {
+        Some((role, args)) => serve_platform(role, args).await,
         None => serve_flags(&matches).await,
     }
 }
 
-async fn serve_platform(role: &str) -> ExitCode {
+async fn serve_platform(role: &str, args: &ArgMatches) -> ExitCode {
     let settings = match ProcessSettings::from_env() {
         Ok(settings) => settings,
         Err(error) => {
@@ -32,10 +37,13 @@
         }
     };
     init_stdout_logs();
-    finish(if role == "edge" { run_edge(settings).await } else { run_storage(settings).await })
+    if role == "storage" {
+        return finish(run_storage(settings).await);
+    }
+    finish(run_edge(settings, args.get_one("metrics-port").copied()).await)
 }
 
-async fn serve_flags(matches: &clap::ArgMatches) -> ExitCode {
+async fn serve_flags(matches: &ArgMatches) -> ExitCode {
     let settings = match DaemonSettings::from_matches(matches) {
         Ok(settings) => settings,
         Err(faults) => {
--- /dev/null
+++ b/crates/cli/tests/processes/platform_duties.rs
@@ -0,0 +1,86 @@
+//! Duties on the users' platform: one holder at a time, weights loaded in order, usage reported once.
+
+use crate::support::{Fleet, wait_for};
+use std::collections::BTreeMap;
+
+#[actix_rt::test]
+async fn named_versions_reach_every_engine_under_one_holder() {
+    let fleet = Fleet::start(3).await;
+    for version in 2..=3 {
+        fleet.store.put("op/version/verse", &serde_json::json!({ "model": "verse", "version": version }));
+        wait_for("all engines have it", || async {
+            let loaded = |engine: &pimentoslip_standin::FleetSampler| {
+                engine.orders().last().is_some_and(|order| order["version"] == version)
+            };
+            fleet.engines.iter().all(loaded).then_some(())
+        })
+        .await;
+    }
+    let orders: Vec<_> = fleet.engines.iter().flat_map(|engine| engine.orders()).collect();
+    assert_eq!(orders.len(), 4, "each engine loads each version once: {orders:?}");
+    assert!(orders.iter().all(|order| order["holder"] == orders[0]["holder"]));
+    assert!(orders.iter().all(|order| order["fencingToken"] == orders[0]["fencingToken"]));
+    assert!(orders.iter().all(|order| order["expected"].is_u64()), "late orders are guarded against");
+}
+
+#[actix_rt::test]
+async fn usage_windows_are_reported_once_and_go_on_after_the_holder_died() {
+    let mut fleet = Fleet::start(3).await;
+    for number in 0..12 {
+        assert_eq!(fleet.quote(number % 3, &format!("q-{number}")).await.status, 200);
+    }
+    let counted = |fleet: &Fleet| -> u64 {
+        let reports: BTreeMap<u64, u64> = fleet
+            .provider
+            .reports()
+            .iter()
+            .map(|report| (report.window, report.counts["rose"].as_u64().unwrap_or(0)))
+            .collect();
+        reports.values().sum()
+    };
+    wait_for("all requests are reported", || async { (counted(&fleet) == 12).then_some(()) }).await;
+    let first = fleet.provider.reports()[0].clone();
+    let holder = fleet.edges.iter().position(|edge| edge.vm == first.holder).expect("the holder is an edge");
+    fleet.edges[holder].process.kill();
+    wait_for("another one reports", || async {
+        fleet.provider.reports().iter().any(|report| report.holder != first.holder).then_some(())
+    })
+    .await;
+    let reports = fleet.provider.reports();
+    let mut sealed = BTreeMap::new();
+    let mut token = 0;
+    for report in &reports {
+        assert!(report.fencing_token >= token, "tokens never fall: {reports:?}");
+        token = report.fencing_token;
+        let counts = sealed.entry(report.window).or_insert_with(|| report.counts.clone());
+        assert_eq!(*counts, report.counts, "a window has one set of counts");
+    }
+    let holders: std::collections::BTreeSet<_> =
+        reports.iter().map(|report| (report.fencing_token, report.holder.clone())).collect();
+    assert_eq!(holders.len(), 2, "one holder a token: {holders:?}");
+}
+
+#[actix_rt::test]
+async fn a_vm_that_is_to_be_emptied_is_said_to_be_empty() {
+    let fleet = Fleet::start(1).await;
+    fleet.store.put("op/retire/storage-1", &serde_json::json!({ "durationS": 10 }));
+    let status =
+        wait_for("the status is written", || async { fleet.store.memory().value("status/retire/storage-1") }).await;
+    assert_eq!(status, br#"{"state":"completed"}"#);
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_ends_in_time_and_a_restart_serves_again() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.edges[0].process.terminate();
+    wait_for("the edge is out of rotation", || async { (fleet.readiness(0).await != 200).then_some(()) }).await;
+    assert_eq!(fleet.quote(0, "during").await.status, 200, "it serves until it is gone");
+    wait_for("the process ends", || {
+        let ended = fleet.edges[0].process.ended();
+        async move { ended }
+    })
+    .await;
+    fleet.restart(0);
+    wait_for("the edge is ready again", || async { (fleet.readiness(0).await == 200).then_some(()) }).await;
+    assert_eq!(fleet.quote(0, "after").await.status, 200);
+}
--- /dev/null
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -0,0 +1,214 @@
+//! Batch jobs on the users' platform: accepted once, listed once, the same at every edge, whatever fails.
+
+use crate::support::{Fleet, item, submission, wait_for};
+use pimentoslip_standin::{RelayRule, SamplerFault, StoreFault, TcpRelay};
+use serde_json::Value;
+use std::time::Duration;
+
+fn text(id: &str, events: u64) -> String {
+    (1..=events).map(|number| format!("{id}:{number}")).collect::<Vec<_>>().join("\n")
+}
+
+fn by_id<'a>(results: &'a [Value], id: &str) -> &'a Value {
+    results.iter().find(|result| result["id"] == id).unwrap_or_else(|| panic!("{id} is not listed: {results:?}"))
+}
+
+/// The edge that owns `job`.
+fn owner(fleet: &Fleet, job: &str) -> Option<usize> {
+    let begun = format!("event=job_begun job={job} ");
+    let mut owners = (0..fleet.edges.len()).filter(|edge| fleet.edges[*edge].process.log().contains(&begun));
+    owners.next_back()
+}
+
+#[actix_rt::test]
+async fn a_job_is_accepted_once_and_reads_the_same_everywhere() {
+    let fleet = Fleet::start(3).await;
+    let job = submission(1, &[item("a", 3, true), item("b", 12, true), item("c", 1, false)]);
+    for edge in 0..3 {
+        assert_eq!(fleet.submit(edge, "job", &job).await.status, 202, "at edge {edge}");
+    }
+    let results = fleet.results(0, "job").await;
+    for (id, events) in [("a", 3), ("b", 12), ("c", 1)] {
+        let result = by_id(&results, id);
+        assert_eq!(result["state"], "completed");
+        assert_eq!(result["text"], text(id, events));
+        assert_eq!(result["versions"], serde_json::json!([1]));
+        assert_eq!(fleet.runs(id).len(), 1, "{id} ran once");
+        assert_eq!(fleet.runs(id)[0].organisation, "rose");
+    }
+    assert_eq!(by_id(&results, "a")["score"], "signed score-a");
+    assert!(by_id(&results, "c").get("score").is_none());
+    for edge in 1..3 {
+        assert_eq!(fleet.results(edge, "job").await, results);
+        let middle = fleet.about(edge, "GET", "/pimentoslip/lots/job?after=1").await.json();
+        assert_eq!(middle["results"], Value::from(results[1..].to_vec()));
+    }
+    let body = fleet.about(2, "GET", "/pimentoslip/items/job?id=b").await;
+    assert_eq!(body.status, 200);
+    for edge in 0..3 {
+        assert_eq!(fleet.about(edge, "DELETE", "/pimentoslip/lots/job").await.status, 200);
+    }
+    assert_eq!(fleet.results(1, "job").await, results, "an ended job can still be read");
+}
+
+#[actix_rt::test]
+async fn an_ended_job_is_cut_at_its_owner() {
+    let fleet = Fleet::start(3).await;
+    assert_eq!(fleet.submit(0, "job", &submission(1, &[item("long", 2_000, false)])).await.status, 202);
+    wait_for("the item runs", || async { (!fleet.runs("long").is_empty()).then_some(()) }).await;
+    assert_eq!(fleet.about(1, "DELETE", "/pimentoslip/lots/job").await.status, 200);
+    let working = || fleet.engines.iter().map(|engine| engine.working()).sum::<usize>();
+    wait_for("the run is cut", || async { (working() == 0).then_some(()) }).await;
+}
+
+#[actix_rt::test]
+async fn texts_are_whole_whatever_a_run_does() {
+    // fault of the first run, events of the text, runs that go on after an event
+    let cases = [
+        (SamplerFault::CutAfter(2), true),
+        (SamplerFault::CutAtEnd, true),
+        (SamplerFault::Refuse, false),
+        (SamplerFault::Status(500), false),
+        (SamplerFault::LoseAnswer, false),
+        (SamplerFault::WrongId, false),
+    ];
+    let fleet = Fleet::start(1).await;
+    for (number, (fault, resumed)) in cases.into_iter().enumerate() {
+        let (job, id) = (format!("job-{number}"), format!("item-{number}"));
+        fleet.engines.iter().for_each(|engine| engine.set_faults([fault]));
+        assert_eq!(fleet.submit(0, &job, &submission(1, &[item(&id, 5, true)])).await.status, 202);
+        let results = fleet.results(0, &job).await;
+        assert_eq!(by_id(&results, &id)["text"], text(&id, 5), "{fault:?}");
+        assert_eq!(by_id(&results, &id)["versions"], serde_json::json!([1]), "{fault:?}");
+        let resumes = fleet.runs(&id).iter().filter(|run| run.last_event.is_some()).count();
+        assert_eq!(resumes > 0, resumed, "{fault:?}: {:?}", fleet.runs(&id));
+        fleet.engines.iter().for_each(|engine| engine.set_faults([]));
+    }
+}
+
+#[actix_rt::test]
+async fn items_are_given_up_only_for_a_reason() {
+    let fleet = Fleet::start(1).await;
+    // faults of the engines, faults of the scorers, state
+    let cases = [
+        ("impossible", vec![SamplerFault::Status(422)], vec![], "terminated"),
+        ("failing", vec![SamplerFault::Status(500); 4], vec![], "terminated"),
+        ("unscored", vec![], vec![SamplerFault::Status(500); 4], "terminated"),
+        ("once-unscored", vec![], vec![SamplerFault::Status(500)], "completed"),
+    ];
+    for (id, engine_faults, scorer_faults, state) in cases {
+        fleet.engines.iter().for_each(|engine| engine.set_faults(engine_faults.clone()));
+        fleet.desks.iter().for_each(|desk| desk.set_faults([]));
+        fleet.desks[0].set_faults(scorer_faults.clone());
+        if scorer_faults.len() > 1 {
+            fleet.desks[1].set_faults(scorer_faults);
+        }
+        assert_eq!(fleet.submit(0, id, &submission(1, &[item(id, 2, true)])).await.status, 202);
+        let results = fleet.results(0, id).await;
+        assert_eq!(results[0]["state"], state, "{id}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_job_outlives_its_owner() {
+    let mut fleet = Fleet::start(3).await;
+    let items: Vec<Value> = (0..8).map(|n| item(&format!("i{n}"), if n < 4 { 1 } else { 120 }, false)).collect();
+    assert_eq!(fleet.submit(0, "job", &submission(1, &items)).await.status, 202);
+    let owned = wait_for("the job has an owner", || async { owner(&fleet, "job") }).await;
+    let reader = (owned + 1) % 3;
+    let early = wait_for("the short items are listed", || async {
+        let page = fleet.about(reader, "GET", "/pimentoslip/lots/job?after=0").await.json();
+        page["results"].as_array().filter(|results| results.len() >= 2).cloned()
+    })
+    .await;
+    fleet.edges[owned].process.kill();
+    let results = fleet.results(reader, "job").await;
+    assert_eq!(results[..early.len()], early, "what was read stays at its position");
+    assert_eq!(fleet.results((owned + 2) % 3, "job").await, results);
+    for n in 4..8 {
+        assert_eq!(by_id(&results, &format!("i{n}"))["text"], text(&format!("i{n}"), 120));
+    }
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_hands_jobs_over_in_the_middle_of_their_texts() {
+    let fleet = Fleet::start(3).await;
+    let items: Vec<Value> = (0..4).map(|n| item(&format!("i{n}"), 200, true)).collect();
+    assert_eq!(fleet.submit(0, "job", &submission(1, &items)).await.status, 202);
+    let owned = wait_for("the job has an owner", || async { owner(&fleet, "job") }).await;
+    wait_for("all items run", || async { (0..4).all(|n| !fleet.runs(&format!("i{n}")).is_empty()).then_some(()) })
+        .await;
+    actix_rt::time::sleep(Duration::from_millis(400)).await;
+    fleet.edges[owned].process.terminate();
+    let results = fleet.results((owned + 1) % 3, "job").await;
+    for n in 0..4 {
+        let id = format!("i{n}");
+        assert_eq!(by_id(&results, &id)["text"], text(&id, 200));
+        let runs = fleet.runs(&id);
+        assert!(runs[1..].iter().all(|run| run.last_event.is_some()), "{id} began anew: {runs:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_submission_whose_answer_was_lost_is_accepted_once() {
+    let fleet = Fleet::start(2).await;
+    fleet.store.set_fault(StoreFault { lose_commits: 1, down: false });
+    let job = submission(1, &[item("a", 3, false)]);
+    assert_eq!(fleet.submit(0, "job", &job).await.status, 202);
+    assert_eq!(fleet.submit(1, "job", &job).await.status, 202);
+    assert_eq!(fleet.results(1, "job").await.len(), 1);
+    assert_eq!(fleet.runs("a").len(), 1);
+}
+
+#[actix_rt::test]
+async fn without_the_store_requests_go_on_and_jobs_are_refused_as_not_run() {
+    let fleet = Fleet::start(2).await;
+    fleet.store.set_fault(StoreFault { down: true, lose_commits: 0 });
+    let job = submission(1, &[item("a", 3, false)]);
+    assert_eq!(fleet.submit(0, "job", &job).await.status, 503);
+    assert_eq!(fleet.about(1, "GET", "/pimentoslip/lots/job").await.status, 503, "nobody can say that it is unknown");
+    assert_eq!(fleet.quote(0, "still").await.status, 200);
+    fleet.store.set_fault(StoreFault::default());
+    assert_eq!(fleet.about(1, "GET", "/pimentoslip/lots/job").await.status, 404);
+    assert!(fleet.runs("a").is_empty());
+    assert_eq!(fleet.submit(0, "job", &job).await.status, 202);
+    assert_eq!(fleet.results(1, "job").await.len(), 1);
+}
+
+#[actix_rt::test]
+async fn an_edge_that_does_not_reach_the_store_goes_through_a_peer() {
+    let mut fleet = Fleet::without_edges();
+    fleet.configure(2, &[("rose", crate::support::KEY)]);
+    let relay = TcpRelay::start(fleet.store.address).await.expect("a relay");
+    let store = fleet.store.address;
+    fleet.add_edge(relay.address);
+    fleet.add_edge(store);
+    fleet.wait_ready().await;
+    relay.set(RelayRule::Cut);
+    let job = submission(1, &[item("a", 40, false)]);
+    let accepted = wait_for("the cut-off edge accepts a job", || async {
+        (fleet.submit(0, "job", &job).await.status == 202).then_some(())
+    });
+    accepted.await;
+    assert_eq!(fleet.results(0, "job").await.len(), 1);
+    fleet.configure(3, &[("tray", crate::support::OTHER_KEY)]);
+    wait_for("a key is withdrawn there too", || async { (fleet.quote(0, "q").await.status == 401).then_some(()) })
+        .await;
+}
+
+#[actix_rt::test]
+async fn a_large_job_fits_into_several_values() {
+    let fleet = Fleet::start(2).await;
+    let items: Vec<Value> = (0..250)
+        .map(|n| {
+            let mut item = item(&format!("i{n}"), 1, false);
+            item["body"] = Value::from("QUJD".repeat(900));
+            item
+        })
+        .collect();
+    let job = submission(1, &items);
+    assert!(job.to_string().len() > 900_000);
+    assert_eq!(fleet.submit(0, "job", &job).await.status, 202);
+    assert_eq!(fleet.results(1, "job").await.len(), 250);
+    assert_eq!(fleet.about(0, "GET", "/pimentoslip/items/job?id=i249").await.body, "ABC".repeat(900));
+}
--- /dev/null
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -0,0 +1,165 @@
+//! Requests on the users' platform: whole answers, true refusals, nobody else's key.
+
+use crate::support::{Fleet, KEY, OTHER_KEY, wait_for};
+use pimentoslip_standin::SamplerFault;
+use std::time::Duration;
+
+#[actix_rt::test]
+async fn a_request_runs_for_its_organisation_and_comes_back_unchanged() {
+    let fleet = Fleet::start(2).await;
+    for edge in 0..2 {
+        let id = format!("quote-{edge}");
+        let reply = fleet.quote(edge, &id).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, format!("answer to {id}").as_str()));
+        assert_eq!(reply.header("server-signature"), format!("signed {id}"));
+        assert_eq!(reply.header("request-id"), id);
+        let seen: Vec<_> = fleet.desks.iter().flat_map(|desk| desk.seen()).filter(|call| call.id == id).collect();
+        assert_eq!(seen.len(), 1);
+        assert_eq!((seen[0].organisation.as_str(), seen[0].keyed), ("rose", false));
+        assert_eq!((seen[0].path.as_str(), seen[0].body.as_slice()), ("/quote/roses", &b"how much"[..]));
+        assert!(seen[0].deadline_ms <= 1_500, "the route's timeout is shorter than the caller's");
+    }
+}
+
+#[actix_rt::test]
+async fn refusals_say_why_and_nothing_runs() {
+    let fleet = Fleet::start(1).await;
+    let bearer = format!("Bearer {KEY}");
+    // path, key, status
+    let cases = [
+        ("/nowhere/x", Some(bearer.as_str()), 404),
+        ("/quote/x", None, 401),
+        ("/quote/x", Some("Bearer nobody"), 401),
+        ("/quote/x", Some("Basic x"), 401),
+        ("/cards/x", None, 401),
+        ("/pimentoslip/lots/unknown", Some(bearer.as_str()), 404),
+        ("/pimentoslip/lots/unknown", None, 401),
+        ("/pimentoslip/items/unknown?id=x", Some(bearer.as_str()), 404),
+    ];
+    for (path, key, status) in cases {
+        let mut headers = vec![("request-id", "refused"), ("deadline-ms", "1000")];
+        headers.extend(key.map(|key| ("authorization", key)));
+        let method = if path.starts_with("/pimentoslip") { "GET" } else { "POST" };
+        assert_eq!(fleet.call(0, method, path, &headers, "").await.status, status, "{path} with {key:?}");
+    }
+    let open = [("request-id", "open"), ("deadline-ms", "1000")];
+    assert_eq!(fleet.call(0, "POST", "/score/x", &open, "").await.status, 200, "an open route needs no key");
+    let seen: Vec<_> = fleet.desks.iter().flat_map(|desk| desk.seen()).map(|call| call.id).collect();
+    assert_eq!(seen, ["open"]);
+}
+
+#[actix_rt::test]
+async fn an_edge_without_a_configuration_is_not_ready_and_refuses_with_503() {
+    let mut fleet = Fleet::without_edges();
+    let store = fleet.store.address;
+    fleet.add_edge(store);
+    wait_for("the edge answers", || async { (fleet.readiness(0).await == 503).then_some(()) }).await;
+    let reply = fleet.quote(0, "early").await;
+    assert_eq!(reply.status, 503);
+    assert!(!reply.header("retry-after").is_empty());
+    fleet.configure(2, &[("rose", KEY)]);
+    wait_for("the edge is ready", || async { (fleet.readiness(0).await == 200).then_some(()) }).await;
+    assert_eq!(fleet.quote(0, "later").await.status, 200);
+}
+
+#[actix_rt::test]
+async fn a_withdrawn_key_stops_working_and_an_older_version_brings_nothing_back() {
+    let fleet = Fleet::start(1).await;
+    fleet.configure(5, &[("tray", OTHER_KEY)]);
+    wait_for("the key is refused", || async { (fleet.quote(0, "q").await.status == 401).then_some(()) }).await;
+    fleet.configure(4, &[("rose", KEY), ("tray", OTHER_KEY)]);
+    fleet.store.put("op/config", &serde_json::json!("not a configuration"));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(fleet.quote(0, "q").await.status, 401);
+}
+
+#[actix_rt::test]
+async fn an_idempotent_request_survives_the_failure_of_one_upstream() {
+    let fleet = Fleet::start(1).await;
+    let faults = [
+        SamplerFault::Refuse,
+        SamplerFault::Status(500),
+        SamplerFault::LoseAnswer,
+        SamplerFault::WrongId,
+        SamplerFault::Truncate,
+    ];
+    for (number, fault) in faults.into_iter().enumerate() {
+        let id = format!("tough-{number}");
+        fleet.desks[0].set_faults([fault]);
+        let reply = fleet.quote(0, &id).await;
+        let reply = if reply.status == 200 { reply } else { fleet.quote(0, &id).await };
+        assert_eq!((reply.status, reply.body.as_str()), (200, format!("answer to {id}").as_str()), "{fault:?}");
+        fleet.desks[0].set_faults([]);
+        // A failed upstream rests for a moment.
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_may_run_once_is_sent_once_and_never_called_unrun() {
+    let fleet = Fleet::start(1).await;
+    for (number, fault) in
+        [SamplerFault::LoseAnswer, SamplerFault::WrongId, SamplerFault::Truncate].into_iter().enumerate()
+    {
+        let id = format!("once-{number}");
+        fleet.desks.iter().for_each(|desk| desk.set_faults([fault]));
+        let key = format!("Bearer {KEY}");
+        let headers = [("request-id", id.as_str()), ("deadline-ms", "2000"), ("authorization", key.as_str())];
+        let reply = fleet.call(0, "POST", "/once/order", &headers, "one wreath").await;
+        assert_eq!(reply.status, 502, "{fault:?}");
+        let runs = fleet.desks.iter().flat_map(|desk| desk.seen()).filter(|call| call.id == id).count();
+        assert_eq!(runs, 1, "{fault:?}");
+        fleet.desks.iter().for_each(|desk| desk.set_faults([]));
+        actix_rt::time::sleep(Duration::from_millis(600)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_no_upstream_takes_is_refused_as_not_run() {
+    let fleet = Fleet::start(1).await;
+    fleet.desks.iter().for_each(|desk| desk.set_faults([SamplerFault::Refuse; 40]));
+    let reply = fleet.quote(0, "unlucky").await;
+    assert_eq!(reply.status, 503);
+    assert!(!reply.header("retry-after").is_empty());
+    assert!(fleet.desks.iter().all(|desk| desk.seen().is_empty()));
+}
+
+#[actix_rt::test]
+async fn a_request_past_its_routes_timeout_may_have_run() {
+    let fleet = Fleet::start(1).await;
+    fleet.desks.iter().for_each(|desk| desk.set_faults([SamplerFault::Hang; 4]));
+    assert_eq!(fleet.quote(0, "late").await.status, 504);
+}
+
+#[actix_rt::test]
+async fn an_upstream_hears_that_the_client_left() {
+    let fleet = Fleet::start(1).await;
+    fleet.desks.iter().for_each(|desk| desk.set_faults([SamplerFault::Hang]));
+    let working = || fleet.desks.iter().map(|desk| desk.working()).sum::<usize>();
+    let gone = actix_rt::time::timeout(Duration::from_millis(400), fleet.quote(0, "left")).await;
+    assert!(gone.is_err(), "the request hangs");
+    wait_for("the upstream is let go", || async { (working() == 0).then_some(()) }).await;
+    let log = fleet.edges[0].process.log();
+    assert!(log.contains("event=client_left request_id=left"), "{log}");
+}
+
+#[actix_rt::test]
+async fn a_leaving_upstream_and_an_unreadable_entry_get_nothing() {
+    let fleet = Fleet::start(1).await;
+    fleet.desks[0].leave();
+    fleet.store.put("servers/strange", &serde_json::json!({ "service": 7, "address": "nowhere" }));
+    fleet.store.memory().put("servers/bytes", vec![0xff, 0xfe], 0);
+    wait_for("the entries are read", || async {
+        let log = fleet.edges[0].process.log();
+        (log.contains("upstream=desk-1 service=desk")
+            && log.contains("state=leaving")
+            && log.contains("upstream=bytes"))
+        .then_some(())
+    })
+    .await;
+    for number in 0..6 {
+        assert_eq!(fleet.quote(0, &format!("n-{number}")).await.status, 200);
+    }
+    assert!(fleet.desks[0].seen().is_empty());
+    assert_eq!(fleet.desks[1].seen().len(), 6);
+}
--- a/crates/cli/tests/processes/support/child_process.rs
+++ b/crates/cli/tests/processes/support/child_process.rs
@@ -75,6 +75,15 @@
         Self { child, first_line, log }
     }
 
+    /// Starts `program` with its output in a file, which holds its logs.
+    pub fn start_logged(program: &str, args: &[&str], variable: (&str, &str), log: PathBuf) -> Self {
+        let file = File::create(&log).expect("create a log");
+        let errors = file.try_clone().expect("share the log");
+        let mut command = Command::new(program);
+        command.args(args).env(variable.0, variable.1).stdout(file).stderr(errors);
+        Self { child: command.spawn().expect("start a process"), first_line: String::new(), log }
+    }
+
     /// Word of the first line that begins with `label`, without it.
     pub fn word(&self, label: &str) -> String {
         let words = self.first_line.split_whitespace();
--- /dev/null
+++ b/crates/cli/tests/processes/support/fleet.rs
@@ -0,0 +1,270 @@
+//! A small site on the users' platform: edges as processes, everything else as stand-ins of this process.
+
+use super::{ChildProcess, Workdir, wait_for};
+use awc::{Client, http::Method};
+use pimentoslip_standin::{FleetProvider, FleetSampler, FleetStore, SamplerShape};
+use serde_json::{Value, json};
+use std::{net::SocketAddr, time::Duration};
+
+/// Key of the organisation `rose`.
+pub const KEY: &str = "key-of-rose";
+/// Key of the organisation `tray`.
+pub const OTHER_KEY: &str = "key-of-tray";
+const HOST: &str = "desk.example";
+const TIMEOUT: Duration = Duration::from_secs(30);
+const ANSWER_BYTES_MAX: usize = 16 << 20;
+
+/// An answer; status 0 if none came whole.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: String,
+}
+
+impl Reply {
+    /// The parsed body.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|error| panic!("{error} in {self:?}"))
+    }
+
+    /// Value of a header, empty when it is missing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.iter().find(|(key, _)| key == name).map_or("", |(_, value)| value)
+    }
+}
+
+/// One edge daemon.
+pub struct Edge {
+    /// Its process.
+    pub process: ChildProcess,
+    /// Name of its VM.
+    pub vm: String,
+    front: SocketAddr,
+    ready: SocketAddr,
+    settings: String,
+}
+
+/// The site.
+pub struct Fleet {
+    /// Store.
+    pub store: FleetStore,
+    /// Interface for usage reports.
+    pub provider: FleetProvider,
+    /// Plain upstreams of `desk`.
+    pub desks: Vec<FleetSampler>,
+    /// Model engines of `engine`.
+    pub engines: Vec<FleetSampler>,
+    /// Edges.
+    pub edges: Vec<Edge>,
+    workdir: Workdir,
+}
+
+/// An address that nobody listens at right now.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+impl Fleet {
+    /// Starts the site with `edges` edges, whose store is the site's.
+    pub async fn start(edges: usize) -> Self {
+        let mut fleet = Self::without_edges();
+        fleet.configure(2, &[("rose", KEY), ("tray", OTHER_KEY)]);
+        for _ in 0..edges {
+            let store = fleet.store.address;
+            fleet.add_edge(store);
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Everything but edges and a configuration.
+    pub fn without_edges() -> Self {
+        let store = FleetStore::start().expect("a store");
+        let provider = FleetProvider::start().expect("an interface for usage reports");
+        let shape = |id: &str, service: &str, models: &[&str], event_ms| SamplerShape {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            failure_domain: "north".to_owned(),
+            slots: 8,
+            models: models.iter().map(ToString::to_string).collect(),
+            event_ms,
+        };
+        let start = |shape| FleetSampler::start(shape, &store).expect("an upstream");
+        let desks = ["desk-1", "desk-2"].map(|id| start(shape(id, "desk", &[], 5)));
+        let engines = ["engine-1", "engine-2"].map(|id| start(shape(id, "engine", &["verse"], 10)));
+        Self {
+            desks: desks.into(),
+            engines: engines.into(),
+            store,
+            provider,
+            edges: Vec::new(),
+            workdir: Workdir::new(),
+        }
+    }
+
+    /// Writes a configuration.
+    pub fn configure(&self, version: u64, keys: &[(&str, &str)]) {
+        let tenants: Vec<Value> =
+            keys.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "priority": 1 })).collect();
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": HOST, "pathPrefix": prefix, "type": kind, "timeoutMs": 1_500, "targetLatencyMs": 400,
+                "priority": 1, "service": service, "maxAttempts": 2, "public": name == "score",
+                "runTargetMs": 7_500, "retentionS": 60,
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("quote", "/quote/", "safe", "desk"), route("score", "/score/", "safe", "desk"),
+                route("once", "/once/", "unsafe", "desk"), route("cards", "/cards/", "rollout", "engine"),
+            ],
+            "services": [
+                { "name": "desk", "healthPath": "/health", "maxConnections": 100 },
+                { "name": "engine", "healthPath": "/health", "maxConnections": 100, "engine": { "models": [{ "name": "verse" }] } },
+            ],
+            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+            "tenants": tenants,
+        });
+        self.store.put("op/config", &config);
+    }
+
+    /// Starts one more edge, whose store is at `store`.
+    pub fn add_edge(&mut self, store: SocketAddr) {
+        let vm = format!("edge-{}", self.edges.len());
+        let (front, ready, control) = (free_address(), free_address(), free_address());
+        let settings = json!({
+            "nodeName": vm, "ip": "127.0.0.1", "zone": "north", "zones": { "north": "land" },
+            "listenAddrs": { "frontend": front, "ready": ready, "control": control },
+            "platform": { "address": store, "valueBytes": 1_048_576, "minTtlMs": 1000 },
+            "cloudApi": { "address": self.provider.address },
+            "bounds": { "leaseMs": 1000, "graceS": 8, "reportWindowS": 1, "statusS": 120 },
+        });
+        let settings = self.workdir.write(&format!("{vm}.json"), &settings.to_string());
+        let process = self.spawn(&vm, &settings);
+        self.edges.push(Edge { process, vm, front, ready, settings });
+    }
+
+    fn spawn(&self, vm: &str, settings: &str) -> ChildProcess {
+        let program = env!("CARGO_BIN_EXE_pimentoslipd");
+        let log = self.workdir.path(&format!("{vm}.log"));
+        ChildProcess::start_logged(program, &["edge"], ("PIMENTOSLIP_BOOT", settings), log)
+    }
+
+    /// Starts the process of an edge again.
+    pub fn restart(&mut self, edge: usize) {
+        let (vm, settings) = (self.edges[edge].vm.clone(), self.edges[edge].settings.clone());
+        self.edges[edge].process = self.spawn(&vm, &settings);
+    }
+
+    /// Status of an edge's readiness.
+    pub async fn readiness(&self, edge: usize) -> u16 {
+        let url = format!("http://{}/pimentoslip/ready", self.edges[edge].ready);
+        Client::default().get(url).send().await.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Waits until every edge is ready and has heard of all others.
+    pub async fn wait_ready(&self) {
+        for edge in 0..self.edges.len() {
+            wait_for("an edge is ready", || async { (self.readiness(edge).await == 200).then_some(()) }).await;
+        }
+        let all = self.edges.len();
+        wait_for("all edges are present", || async {
+            (self.store.memory().range("p/w/vm/", "").len() == all).then_some(())
+        })
+        .await;
+        // Each edge hears of the others with its next watch.
+        actix_rt::time::sleep(Duration::from_millis(700)).await;
+    }
+
+    /// Sends a request to an edge.
+    pub async fn call(&self, edge: usize, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Reply {
+        let method = Method::from_bytes(method.as_bytes()).expect("a method");
+        let client = Client::builder().disable_timeout().finish();
+        let mut request = client
+            .request(method, format!("http://{}{path}", self.edges[edge].front))
+            .timeout(TIMEOUT)
+            .force_close()
+            .insert_header(("host", HOST));
+        for (name, value) in headers {
+            request = request.insert_header((*name, *value));
+        }
+        let Ok(mut answer) = request.send_body(body.to_owned()).await else {
+            return Reply { status: 0, headers: Vec::new(), body: String::new() };
+        };
+        let headers = answer.headers().iter();
+        let headers = headers.map(|(name, value)| (name.to_string(), value.to_str().unwrap_or_default().to_owned()));
+        let (status, headers) = (answer.status().as_u16(), headers.collect());
+        match answer.body().limit(ANSWER_BYTES_MAX).await {
+            Ok(body) => Reply { status, headers, body: String::from_utf8_lossy(&body).into_owned() },
+            Err(_) => Reply { status: 0, headers, body: String::new() },
+        }
+    }
+
+    /// Asks for a quote.
+    pub async fn quote(&self, edge: usize, id: &str) -> Reply {
+        let key = format!("Bearer {KEY}");
+        let headers = [("request-id", id), ("deadline-ms", "2000"), ("authorization", key.as_str())];
+        self.call(edge, "POST", "/quote/roses", &headers, "how much").await
+    }
+
+    /// Submits a batch job.
+    pub async fn submit(&self, edge: usize, job: &str, body: &Value) -> Reply {
+        let key = format!("Bearer {KEY}");
+        let headers = [("request-id", job), ("authorization", key.as_str()), ("deadline-ms", "5000")];
+        self.call(edge, "POST", &format!("/cards/{job}"), &headers, &body.to_string()).await
+    }
+
+    /// Calls about a batch job.
+    pub async fn about(&self, edge: usize, method: &str, path: &str) -> Reply {
+        let key = format!("Bearer {KEY}");
+        let headers = [("request-id", "about"), ("authorization", key.as_str()), ("wait-ms", "500")];
+        self.call(edge, method, path, &headers, "").await
+    }
+
+    /// All results of a job, once there are as many as items, read at `edge` in pieces.
+    pub async fn results(&self, edge: usize, job: &str) -> Vec<Value> {
+        let mut results: Vec<Value> = Vec::new();
+        loop {
+            let path = format!("/pimentoslip/lots/{job}?after={}", results.len());
+            let reply = self.about(edge, "GET", &path).await;
+            if reply.status != 200 {
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+            let page = reply.json();
+            results.extend(page["results"].as_array().cloned().unwrap_or_default());
+            assert_eq!(page["next"].as_u64(), Some(results.len() as u64), "{page}");
+            if page["total"].as_u64() == Some(results.len() as u64) {
+                return results;
+            }
+        }
+    }
+
+    /// Requests that upstreams of `engine` ran, with this id.
+    pub fn runs(&self, id: &str) -> Vec<pimentoslip_standin::SeenCall> {
+        self.engines.iter().flat_map(FleetSampler::seen).filter(|call| call.id == id).collect()
+    }
+}
+
+/// An item whose text has `events` events.
+pub fn item(id: &str, events: u64, scored: bool) -> Value {
+    let mut item = json!({
+        "id": id, "path": format!("/cards/x/{id}"), "body": "q83v", "tokens": 100, "group": "g",
+        "headers": { "Model": "verse", "Length-Hint": events.to_string(), "Token-Count": "10,90" },
+    });
+    if scored {
+        item["scorer"] = json!({ "id": format!("score-{id}"), "host": HOST, "path": "/score/it", "body": "3q2+" });
+    }
+    item
+}
+
+/// A submission of `items`.
+pub fn submission(oldest_version: u64, items: &[Value]) -> Value {
+    json!({ "step": 0, "model": "verse", "minVersion": oldest_version, "desired": 1, "items": items })
+}
--- a/crates/cli/tests/processes/support/mod.rs
+++ b/crates/cli/tests/processes/support/mod.rs
@@ -1,10 +1,12 @@
 //! Runs the real binaries as separate processes.
 
 mod child_process;
+mod fleet;
 mod http_client;
 mod site;
 
 pub use child_process::{ChildProcess, Workdir, cli};
+pub use fleet::{Fleet, KEY, OTHER_KEY, item, submission};
 pub use http_client::{Answer, HttpClient};
 pub use site::{OPERATOR_KEY, Site, SiteShape};
 
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -28,8 +28,6 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle connections are kept longer than clients keep them.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
-/// Port for metrics beside the address for operators.
-const METRICS_PORT: u16 = 9_464;
 /// After SIGTERM connections are taken for this long, until the balancer has noticed.
 const LEAVE_MS: u64 = 3_200;
 /// Requests are waited for until this long before the process would be killed.
@@ -42,15 +40,15 @@
 const HAND_OVER_MS: u64 = 700;
 const POLL: Duration = Duration::from_millis(50);
 
-/// Serves until SIGTERM.
-pub async fn run_edge(settings: ProcessSettings) -> Result<()> {
+/// Serves until SIGTERM. Metrics are served at the address for operators, and at `metrics_port` if there is one.
+pub async fn run_edge(settings: ProcessSettings, metrics_port: Option<u16>) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let state = EdgeState::new(settings);
     let front = serve_front(&state)?;
     serve_small(&state, state.settings.ready, configure_ready)?;
     serve_small(&state, state.settings.control, configure_control)?;
-    let metrics = format!("{}:{METRICS_PORT}", state.settings.ip).parse().ok();
+    let metrics = metrics_port.and_then(|port| Some(SocketAddr::new(state.settings.ip.parse().ok()?, port)));
     if let Err(error) = serve_small(&state, metrics, configure_control) {
         LogLine::new("metrics_not_served").field("reason", format!("{error:#}")).warn();
     }
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -89,7 +89,8 @@
 }
 
 fn specs() -> Vec<ItemSpec> {
-    let spec = |index: usize| ItemSpec { group: "g".into(), expected_tokens: length(index), scored: index % 2 == 0 };
+    let spec =
+        |index: usize| ItemSpec { group: "g".into(), expected_tokens: length(index), scored: index.is_multiple_of(2) };
     (0..ITEMS).map(spec).collect()
 }
 
@@ -183,7 +184,7 @@
         let index = self.runs[at].work.index;
         let whole = self.runs[at].next > length(index);
         let end = match how % 12 {
-            _ if whole && how % 8 != 0 => RunEnd::Whole,
+            _ if whole && !how.is_multiple_of(8) => RunEnd::Whole,
             0..=5 => RunEnd::Broken,
             6..=7 => RunEnd::NotRun,
             8..=10 => RunEnd::Failed,
--- a/crates/standin/src/fleet/fleet_sampler.rs
+++ b/crates/standin/src/fleet/fleet_sampler.rs
@@ -17,6 +17,9 @@
 /// Number of a text's first event.
 const FIRST_EVENT: u64 = 1;
 
+/// Time between two bytes of an answer that never ends.
+const HANG_PERIOD: Duration = Duration::from_millis(20);
+
 /// What an upstream does wrong with one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SamplerFault {
@@ -34,7 +37,7 @@
     WrongId,
     /// Promises more bytes than it sends.
     Truncate,
-    /// Never answers.
+    /// Never ends its answer, which it goes on sending.
     Hang,
 }
 
@@ -212,9 +215,12 @@
     let id = if fault == Some(SamplerFault::WrongId) { "another".to_owned() } else { id };
     match fault {
         Some(SamplerFault::Hang) => {
-            let _working = working;
-            std::future::pending::<()>().await;
-            HttpResponse::Ok().finish()
+            // A closed connection shows when something is written to it.
+            let drops = stream::unfold(working, |working| async move {
+                actix_rt::time::sleep(HANG_PERIOD).await;
+                Some((Ok::<_, io::Error>(Bytes::from_static(b".")), working))
+            });
+            answer(StatusCode::OK, &id).streaming(drops.boxed_local())
         }
         Some(SamplerFault::LoseAnswer) => cut(stream::empty().boxed_local()),
         Some(SamplerFault::Status(status)) => {
