--- a/crates/cli/tests/processes/support/fleet.rs
+++ b/crates/cli/tests/processes/support/fleet.rs
@@ -140,7 +140,7 @@
         let (front, ready, control) = (free_address(), free_address(), free_address());
         let settings = json!({
             "nodeName": vm, "ip": "127.0.0.1", "zone": "north", "zones": { "north": "land" },
-            "listenAddrs": { "frontend": front, "ready": ready, "control": control },
+            "listenAddrs": { "frontend": front, "ready": ready }, "internalPorts": [control.port(), control.port()],
             "platform": { "address": store, "valueBytes": 1_048_576, "minTtlMs": 1000 },
             "cloudApi": { "address": self.provider.address },
             "bounds": { "leaseMs": 1000, "graceS": 8, "reportWindowS": 1, "statusS": 120 },
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -69,8 +69,11 @@
             Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => error,
             _ => return self.choice.borrow_mut().worked(path),
         };
-        LogLine::new("store_path_failed").field("path", format!("{path:?}")).field("reason", error).warn();
         self.choice.borrow_mut().failed(path, self.state.now());
+        let (next, _) = self.path();
+        if next != *path {
+            LogLine::new("store_path_changed").field("from", path).field("to", next).field("reason", error).warn();
+        }
     }
 
     /// Makes a call. One that was not done, or that may be repeated, is made again where another way is open.
--- a/crates/kernel/src/path_choice.rs
+++ b/crates/kernel/src/path_choice.rs
@@ -18,6 +18,15 @@
     Relay(SharedName),
 }
 
+impl std::fmt::Display for ServicePath {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Direct => formatter.write_str("direct"),
+            Self::Relay(peer) => write!(formatter, "through:{peer}"),
+        }
+    }
+}
+
 /// Remembers which ways failed.
 #[derive(Debug, Default)]
 pub struct PathChoice {
