--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -38,6 +38,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Runs of items, by end.
     pub runs: Family<ReasonLabel, Counter>,
+    /// Calls of scorers, by end.
+    pub scores: Family<ReasonLabel, Counter>,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
     /// Time to the answer of a request.
@@ -74,6 +76,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             runs: Family::default(),
+            scores: Family::default(),
             store_calls: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_time: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -86,6 +89,7 @@
         registry.register("refusals", "Refused requests by reason", set.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", set.retries.clone());
         registry.register("item_runs", "Runs of batch items by end", set.runs.clone());
+        registry.register("item_scores", "Calls of scorers by end", set.scores.clone());
         registry.register("store_calls", "Calls to the store by purpose", set.store_calls.clone());
         registry.register("latency_seconds", "Time to the answer of a request", set.latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", set.batch_time.clone());
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -57,7 +57,7 @@
         .field("job", &job.id)
         .field("item", &job.submission.items[work.index].id)
         .field("upstream", &guard.record.id)
-        .field("versions", format!("{:?}", guard.record.versions.values().collect::<Vec<_>>()))
+        .field("listed_version", listed_version(&job, work.index, &guard))
         .field("resumed_after", work.resume_after.map_or_else(|| "none".to_owned(), |last| last.to_string()))
         .field("events", fresh)
         .field("took_ms", took_ms)
@@ -73,6 +73,12 @@
     job.changed.notify_one();
 }
 
+/// Version of the item's model at the upstream, as the list says.
+fn listed_version(job: &OwnedJob, index: usize, guard: &SamplerGuard) -> u64 {
+    let version = model(job, index).and_then(|model| guard.record.versions.get(&model).copied());
+    version.unwrap_or(0)
+}
+
 fn item_call(job: &OwnedJob, work: ItemWork, priority: u32, deadline: TimePoint) -> UpstreamCall {
     let item = &job.submission.items[work.index];
     let mut headers = HeaderMap::new();
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -1,7 +1,10 @@
 //! Scores the text of an item.
 
 use super::owned_job::OwnedJob;
-use crate::relay::{AttemptFailure, SamplerGuard, UpstreamCall, begin, read_whole};
+use crate::{
+    edge_metrics::EdgeMetrics,
+    relay::{AttemptFailure, SamplerGuard, UpstreamCall, begin, read_whole},
+};
 use actix_web::http::{Method, StatusCode, header::HeaderMap};
 use pimentoslip_kernel::{SamplerOutcome, SamplerQuery, ScoreEnd, fingerprint};
 use pimentoslip_platform::header;
@@ -13,14 +16,20 @@
 /// Longest wait for a score, where the route names none shorter.
 const SCORE_MS_MAX: u64 = 5_000;
 
+const SIGNED: &str = "signed";
+
 /// Scores an item and enters the score into the job's ledger.
 pub async fn score_item(job: OwnedJob, index: usize) {
     let (end, reason) = score(&job, index).await;
-    LogLine::new("item_scored")
-        .field("job", &job.id)
-        .field("item", &job.submission.items[index].id)
-        .field("result", reason)
-        .info();
+    EdgeMetrics::count(&EdgeMetrics::global().scores, reason);
+    // A signed score shows in the item's result.
+    if reason != SIGNED {
+        LogLine::new("item_not_scored")
+            .field("job", &job.id)
+            .field("item", &job.submission.items[index].id)
+            .field("result", reason)
+            .warn();
+    }
     let now = job.state.now();
     job.ledger.borrow_mut().score_ended(index, end, failures_max(&job, index), now);
     job.changed.notify_one();
@@ -83,7 +92,7 @@
     guard.end(SamplerOutcome::Answered(Some(state.now().since_ms(now))));
     let signature = answer.headers.get(header::SIGNATURE).and_then(|value| value.to_str().ok());
     match (answer.status, signature) {
-        (status, Some(signature)) if status.is_success() => (ScoreEnd::Signed(signature.to_owned()), "signed"),
+        (status, Some(signature)) if status.is_success() => (ScoreEnd::Signed(signature.to_owned()), SIGNED),
         (StatusCode::INTERNAL_SERVER_ERROR, _) => (ScoreEnd::Failed, "scorer_failed"),
         _ => (ScoreEnd::Broken, "scorer_refused"),
     }
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -33,10 +33,10 @@
         Self { state, direct, relays: Rc::default(), choice: Rc::default() }
     }
 
-    /// The same access, whose calls serve `purpose`. Each purpose finds its own way.
+    /// The same access, whose calls serve `purpose`.
     #[must_use]
     pub fn purposed(&self, purpose: &'static str) -> Self {
-        Self::new(self.state.clone(), self.direct.purposed(purpose))
+        Self { direct: self.direct.purposed(purpose), relays: Rc::default(), ..self.clone() }
     }
 
     fn path(&self) -> (ServicePath, StoreClient) {
@@ -52,7 +52,7 @@
         };
         let names: Vec<SharedName> = peers.iter().map(|(daemon, _)| daemon.clone()).collect();
         let ranked: Vec<SharedName> = rank(&self.state.settings.vm, &names).into_iter().cloned().collect();
-        let path = self.choice.borrow().next(&ranked, self.state.now());
+        let path = self.choice.borrow_mut().next(&ranked, self.state.now());
         if let ServicePath::Relay(peer) = &path
             && let Some((_, control)) = peers.iter().find(|(daemon, _)| daemon == peer)
             && let Ok(address) = control.parse::<SocketAddr>()
@@ -65,14 +65,18 @@
     }
 
     fn note<T>(&self, path: &ServicePath, result: &Result<T>) {
-        let error = match result {
-            Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => error,
-            _ => return self.choice.borrow_mut().worked(path),
-        };
-        self.choice.borrow_mut().failed(path, self.state.now());
-        let (next, _) = self.path();
-        if next != *path {
-            LogLine::new("store_path_changed").field("from", path).field("to", next).field("reason", error).warn();
+        let mut choice = self.choice.borrow_mut();
+        match result {
+            Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
+                if choice.failed(path, self.state.now()) {
+                    LogLine::new("store_path_lost").field("path", path).field("reason", error).warn();
+                }
+            }
+            _ => {
+                if choice.worked(path) {
+                    LogLine::new("store_path_regained").field("path", path).info();
+                }
+            }
         }
     }
 
--- a/crates/kernel/tests/machines/fleet_laws.rs
+++ b/crates/kernel/tests/machines/fleet_laws.rs
@@ -134,20 +134,36 @@
 #[test]
 fn calls_take_the_straight_way_again_and_leave_a_dead_service_alone() {
     let peers: Vec<SharedName> = vec!["a".into(), "b".into(), "c".into()];
+    let through = |peer: &str| ServicePath::Relay(peer.into());
     let mut choice = PathChoice::default();
-    let next = |choice: &PathChoice, ms| choice.next(&peers, TimePoint(ms));
-    assert_eq!(next(&choice, 0), ServicePath::Direct);
-    choice.failed(&ServicePath::Direct, TimePoint(0));
-    assert_eq!(next(&choice, 1), ServicePath::Relay("a".into()));
-    choice.failed(&ServicePath::Relay("a".into()), TimePoint(1));
-    assert_eq!(next(&choice, 2), ServicePath::Relay("b".into()));
-    choice.failed(&ServicePath::Relay("b".into()), TimePoint(2));
-    assert_eq!(next(&choice, 3), ServicePath::Direct, "two peers do not reach it either");
-    assert_eq!(next(&choice, 1_400), ServicePath::Relay("a".into()));
-    assert_eq!(next(&choice, 1_500), ServicePath::Direct, "the straight way is tried again");
-    choice.worked(&ServicePath::Direct);
-    assert_eq!(next(&choice, 1_501), ServicePath::Direct);
-    assert_eq!(choice.next(&[], TimePoint(0)), ServicePath::Direct);
+    assert_eq!(choice.next(&peers, TimePoint(0)), ServicePath::Direct);
+    assert!(choice.failed(&ServicePath::Direct, TimePoint(0)), "the straight way is lost");
+    assert!(!choice.failed(&ServicePath::Direct, TimePoint(0)), "a call that was on its way with it says nothing new");
+    assert_eq!(choice.next(&peers, TimePoint(1)), through("a"));
+    assert!(!choice.failed(&through("a"), TimePoint(1)));
+    assert_eq!(choice.next(&peers, TimePoint(2)), through("b"));
+    choice.failed(&through("b"), TimePoint(2));
+    assert_eq!(choice.next(&peers, TimePoint(3)), ServicePath::Direct, "two peers do not reach it either");
+    assert_eq!(choice.next(&peers, TimePoint(1_100)), through("a"));
+    assert_eq!(choice.next(&peers, TimePoint(8_000)), ServicePath::Direct, "one call tries the straight way");
+    assert_eq!(choice.next(&peers, TimePoint(8_001)), through("a"), "the others wait for its outcome");
+    assert!(choice.worked(&ServicePath::Direct), "the straight way works again");
+    assert_eq!(choice.next(&peers, TimePoint(8_002)), ServicePath::Direct);
+    assert!(!choice.worked(&ServicePath::Direct));
+    assert_eq!(choice.next(&[], TimePoint(8_003)), ServicePath::Direct);
+}
+
+#[test]
+fn the_straight_way_rests_longer_each_time_it_fails() {
+    let peers: Vec<SharedName> = vec!["a".into()];
+    let mut choice = PathChoice::default();
+    let mut now = TimePoint(0);
+    for pause_ms in [1_500, 3_000, 6_000, 6_000] {
+        choice.failed(&ServicePath::Direct, now);
+        assert_eq!(choice.next(&peers, now.plus_ms(pause_ms - 1)), ServicePath::Relay("a".into()), "{pause_ms}");
+        now = now.plus_ms(pause_ms);
+        assert_eq!(choice.next(&peers, now), ServicePath::Direct, "{pause_ms}");
+    }
 }
 
 #[test]
