Let one daemon of a failure domain watch the store for all of it

Ruled out: one call for each daemon with a longer wait, since a silent connection must be noticed within two seconds.

--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -163,3 +163,29 @@
     assert!(fleet.desks[0].seen().is_empty());
     assert_eq!(fleet.desks[1].seen().len(), 6);
 }
+
+#[actix_rt::test]
+async fn news_reaches_every_edge_also_when_the_one_that_watches_for_all_is_killed_or_frozen() {
+    let mut fleet = Fleet::start(4).await;
+    // Two edges are lost, one after the other; whichever watches, the others must hear of the next change.
+    for (number, lost) in [0, 1].into_iter().enumerate() {
+        if number == 0 {
+            fleet.edges[lost].process.freeze();
+        } else {
+            fleet.edges[lost].process.kill();
+        }
+        let (version, key) = (10 + number as u64, format!("key-{number}"));
+        fleet.configure(version, &[("rose", &key)]);
+        let bearer = format!("Bearer {key}");
+        for edge in lost + 1..4 {
+            let headers = [("request-id", "news"), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
+            wait_for("the new key holds", || async {
+                (fleet.call(edge, "POST", "/quote/x", &headers, "").await.status == 200).then_some(())
+            })
+            .await;
+        }
+    }
+    fleet.edges[0].process.thaw();
+    wait_for("the frozen edge hears of it too", || async { (fleet.quote(0, "old").await.status == 401).then_some(()) })
+        .await;
+}
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod proxy;
 mod ready_app;
 mod request_context;
+mod shared_watches;
 mod worker_parts;
 
 pub use front_app::configure_front;
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -23,7 +23,12 @@
     let Some(name) = path.strip_prefix(RELAY_PATH) else { return HttpResponse::NotFound().finish() };
     let waits = form_urlencoded::parse(request.query_string().as_bytes()).find(|(key, _)| key == WAIT_PARAMETER);
     let wait_ms = waits.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
-    match parts.relay.pass_on(request.method().clone(), name, wait_ms, body).await {
+    let passed = if wait_ms > 0 {
+        parts.watches.pass_on(&parts.relay, name, wait_ms).await
+    } else {
+        parts.relay.pass_on(request.method().clone(), name, wait_ms, body).await
+    };
+    match passed {
         Ok((status, body)) => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
             HttpResponse::build(status).content_type("application/json").body(body)
--- a/crates/edge/src/http/worker_parts.rs
+++ b/crates/edge/src/http/worker_parts.rs
@@ -1,5 +1,6 @@
 //! What the handlers of one worker thread share.
 
+use super::shared_watches::SharedWatches;
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use pimentoslip_client::client_with_user_timeout;
@@ -20,6 +21,8 @@
     pub store: StoreAccess,
     /// Client for the store that passes peers' calls on.
     pub relay: StoreClient,
+    /// Watches that are passed on.
+    pub watches: SharedWatches,
 }
 
 impl std::fmt::Debug for WorkerParts {
@@ -37,6 +40,7 @@
             upstreams: client_with_user_timeout(UPSTREAM_USER_TIMEOUT),
             store: StoreAccess::new(state.clone(), direct.purposed("serve_batches")),
             relay: direct.purposed("relay"),
+            watches: SharedWatches::default(),
             state,
         }
     }
--- a/crates/edge/src/store/follower.rs
+++ b/crates/edge/src/store/follower.rs
@@ -52,7 +52,7 @@
             }
         };
         loop {
-            match store.watch(F::PREFIX, revision, WATCH_WAIT_MS).await {
+            match store.follow(F::PREFIX, revision, WATCH_WAIT_MS).await {
                 Ok(batch) => {
                     regain(&state, &mut lost, &mut prefix);
                     revision = batch.revision;
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -1,16 +1,28 @@
 //! Calls to the store, through a peer where this VM does not reach it.
 
 use crate::edge_state::EdgeState;
-use pimentoslip_kernel::{PathChoice, ServicePath, SharedName, rank};
+use pimentoslip_kernel::{PathChoice, ServicePath, SharedName, TimePoint, rank};
 use pimentoslip_platform::{
     CommitOutcome, RangePage, Result, StoreClient, StoreCommit, StoreError, StoreItem, WatchBatch,
 };
 use pimentoslip_telemetry::LogLine;
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
 
 /// Path at which daemons pass calls on to the store.
 pub const RELAY_PATH: &str = "/peer/store/";
 
+/// Longest wait of a watch through the failure domain's watcher, in milliseconds. A watcher that is frozen is noticed
+/// after it and half a second, which leaves time to put a change in force.
+const SHARED_WAIT_MS: u64 = 1_000;
+/// After the watcher failed a daemon watches by itself for this long, in milliseconds.
+const ALONE_MS: u64 = 3_000;
+
 /// The store for one thread.
 #[derive(Clone)]
 pub struct StoreAccess {
@@ -18,6 +30,8 @@
     direct: StoreClient,
     relays: Rc<RefCell<HashMap<SharedName, StoreClient>>>,
     choice: Rc<RefCell<PathChoice>>,
+    /// Until then the daemon watches by itself.
+    alone_until: Rc<Cell<TimePoint>>,
 }
 
 impl std::fmt::Debug for StoreAccess {
@@ -30,7 +44,7 @@
     /// Uses `direct` as long as it works.
     #[must_use]
     pub fn new(state: Arc<EdgeState>, direct: StoreClient) -> Self {
-        Self { state, direct, relays: Rc::default(), choice: Rc::default() }
+        Self { state, direct, relays: Rc::default(), choice: Rc::default(), alone_until: Rc::default() }
     }
 
     /// The same access, whose calls serve `purpose`.
@@ -57,9 +71,7 @@
             && let Some((_, control)) = peers.iter().find(|(daemon, _)| daemon == peer)
             && let Ok(address) = control.parse::<SocketAddr>()
         {
-            let mut relays = self.relays.borrow_mut();
-            let client = relays.entry(control.clone()).or_insert_with(|| self.direct.through(address, RELAY_PATH));
-            return (path, client.clone());
+            return (path, self.through(control, address));
         }
         (ServicePath::Direct, self.direct.clone())
     }
@@ -122,6 +134,33 @@
         self.call(true, async |client| client.watch(prefix, revision, wait_ms).await).await
     }
 
+    /// As [`Self::watch`], through the daemon that watches the store for the whole failure domain.
+    pub async fn follow(&self, prefix: &str, revision: u64, wait_ms: u64) -> Result<WatchBatch> {
+        let Some(watcher) = self.watcher() else { return self.watch(prefix, revision, wait_ms).await };
+        let result = watcher.watch(prefix, revision, SHARED_WAIT_MS.min(wait_ms)).await;
+        if let Err(StoreError::NotDone { .. } | StoreError::Unknown { .. }) = &result {
+            self.alone_until.set(self.state.now().plus_ms(ALONE_MS));
+            return self.watch(prefix, revision, wait_ms).await;
+        }
+        result
+    }
+
+    /// The failure domain's watcher, unless it failed a moment ago.
+    fn watcher(&self) -> Option<StoreClient> {
+        if self.state.now() < self.alone_until.get() {
+            return None;
+        }
+        let control = self.state.ownership().watcher(&self.state.settings.failure_domain)?.control.clone();
+        let address = control.parse::<SocketAddr>().ok()?;
+        Some(self.through(&control, address))
+    }
+
+    /// A client whose calls go through the daemon at `address`.
+    fn through(&self, control: &SharedName, address: SocketAddr) -> StoreClient {
+        let mut relays = self.relays.borrow_mut();
+        relays.entry(control.clone()).or_insert_with(|| self.direct.through(address, RELAY_PATH)).clone()
+    }
+
     /// As [`StoreClient::commit`].
     pub async fn commit(&self, commit: &StoreCommit) -> Result<CommitOutcome> {
         self.call(false, async |client| client.commit(commit).await).await
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -8,6 +8,9 @@
 /// The former owner's chance to claim again after its lease lapsed with the store.
 const REJOIN_MS: u64 = 300;
 
+/// What a daemon watches the store for, as a key of rendezvous.
+const WATCH_KIND: &str = "watch";
+
 /// An ownership record as read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnerRecord {
@@ -28,6 +31,8 @@
     pub lease: u64,
     /// Address for other daemons.
     pub control: SharedName,
+    /// Failure domain of its VM.
+    pub failure_domain: SharedName,
 }
 
 /// A claim to be made.
@@ -135,6 +140,14 @@
         self.daemons.get_key_value(*rendezvous::owner(kind, &daemons)?)
     }
 
+    /// The daemon that watches the store for all of `failure_domain`.
+    #[must_use]
+    pub fn watcher(&self, failure_domain: &str) -> Option<&DaemonPresence> {
+        let near = self.daemons.iter().filter(|(_, presence)| *presence.failure_domain == *failure_domain);
+        let names: Vec<&SharedName> = near.map(|(daemon, _)| daemon).collect();
+        self.daemons.get(*rendezvous::owner(WATCH_KIND, &names)?)
+    }
+
     /// Whether another process is known to own `job`.
     #[must_use]
     pub fn is_taken(&self, job: &str) -> bool {
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -84,7 +84,7 @@
 }
 
 fn presence(incarnation: u64) -> DaemonPresence {
-    DaemonPresence { incarnation, lease: incarnation, control: "".into() }
+    DaemonPresence { incarnation, lease: incarnation, control: "".into(), failure_domain: "north".into() }
 }
 
 impl Daemon {
@@ -256,3 +256,21 @@
     table.job_accepted("j".into(), TimePoint(1));
     assert!(table.claims(TimePoint(9_000), |_| true).is_empty());
 }
+
+#[test]
+fn the_daemons_of_a_failure_domain_agree_on_their_watcher() {
+    let mut tables: Vec<OwnershipTable> = (0..DAEMONS).map(|daemon| OwnershipTable::new(name(daemon), 1)).collect();
+    for table in &mut tables {
+        for daemon in 0..DAEMONS {
+            let domain = if daemon == 0 { "south" } else { "north" };
+            let control = name(daemon);
+            table.daemon_joined(name(daemon), DaemonPresence { control, failure_domain: domain.into(), ..presence(1) });
+        }
+    }
+    let watcher = tables[0].watcher("north").map(|presence| presence.control.clone()).unwrap();
+    assert!(tables.iter().all(|table| table.watcher("north").is_some_and(|presence| presence.control == watcher)));
+    assert_eq!(tables[1].watcher("south").map(|presence| &*presence.control), Some("d0"));
+    assert_eq!(tables[1].watcher("east"), None);
+    tables[1].daemon_left(&watcher);
+    assert!(tables[1].watcher("north").is_some_and(|presence| presence.control != watcher));
+}
--- a/crates/wire/src/stored/daemon_entry.rs
+++ b/crates/wire/src/stored/daemon_entry.rs
@@ -29,4 +29,6 @@
     pub lease: u64,
     /// Address for other daemons, `ip:port`.
     pub control: SharedName,
+    /// Failure domain of its VM.
+    pub failure_domain: SharedName,
 }
