--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -42,6 +42,12 @@
         let method = if path.starts_with("/pimentoslip") { "GET" } else { "POST" };
         assert_eq!(fleet.call(0, method, path, &headers, "").await.status, status, "{path} with {key:?}");
     }
+    let long = "x".repeat(17_000);
+    let large =
+        [("request-id", "large"), ("deadline-ms", "1000"), ("authorization", bearer.as_str()), ("x-long", &long)];
+    assert_eq!(fleet.call(0, "POST", "/quote/x", &large, "").await.status, 431);
+    let large = [("request-id", "large"), ("deadline-ms", "1000"), ("authorization", bearer.as_str())];
+    assert_eq!(fleet.call(0, "POST", "/quote/x", &large, &"x".repeat(1_000_001)).await.status, 413);
     let open = [("request-id", "open"), ("deadline-ms", "1000")];
     assert_eq!(fleet.call(0, "POST", "/score/x", &open, "").await.status, 200, "an open route needs no key");
     let seen: Vec<_> = fleet.desks.iter().flat_map(|desk| desk.seen()).map(|call| call.id).collect();
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -15,6 +15,8 @@
     KeyUnknown,
     /// The request or its body is malformed.
     Malformed,
+    /// The header is too large.
+    HeaderTooLarge,
     /// The body is too large.
     BodyTooLarge,
     /// The body did not arrive in time.
@@ -44,6 +46,7 @@
             Self::RouteUnknown => "route_unknown",
             Self::KeyUnknown => "key_unknown",
             Self::Malformed => "malformed",
+            Self::HeaderTooLarge => "header_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyLate => "body_late",
             Self::NoUpstream => "no_upstream",
@@ -63,6 +66,7 @@
             Self::RouteUnknown | Self::JobUnknown => StatusCode::NOT_FOUND,
             Self::KeyUnknown => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::ConfigUnknown | Self::NoUpstream | Self::DeadlinePassed | Self::StoreAway => {
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -1,12 +1,12 @@
 //! Batch jobs: submissions, reads and ends.
 
 use super::{
-    WorkerParts,
     api_refusal::ApiRefusal,
     proxy::read_body,
     request_context::{RequestContext, text},
 };
 use crate::job::{self, JobView, NewJob, SubmitOutcome};
+use crate::worker_parts::WorkerParts;
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
 use form_urlencoded::parse;
 use pimentoslip_kernel::RouteRule;
--- a/crates/edge/src/http/front_app.rs
+++ b/crates/edge/src/http/front_app.rs
@@ -1,7 +1,7 @@
 //! The address for callers.
 
-use super::{WorkerParts, api_refusal::ApiRefusal, batch_api, proxy, request_context::RequestContext};
-use crate::edge_metrics::EdgeMetrics;
+use super::{api_refusal::ApiRefusal, batch_api, proxy, request_context::RequestContext};
+use crate::{edge_metrics::EdgeMetrics, worker_parts::WorkerParts};
 use actix_web::{
     HttpRequest, HttpResponse,
     http::{Method, header},
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -7,9 +7,6 @@
 mod proxy;
 mod ready_app;
 mod request_context;
-mod shared_watches;
-mod worker_parts;
 
 pub use front_app::configure_front;
 pub use ready_app::{configure_control, configure_ready};
-pub use worker_parts::WorkerParts;
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -1,9 +1,9 @@
 //! What daemons send each other.
 
-use super::WorkerParts;
 use crate::{
     job::{NewJob, receive},
     store::RELAY_PATH,
+    worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
 use pimentoslip_kernel::OwnerRecord;
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -1,7 +1,6 @@
 //! Requests that are answered by one upstream.
 
 use super::{
-    WorkerParts,
     api_refusal::ApiRefusal,
     request_context::{RequestContext, text},
 };
@@ -9,9 +8,9 @@
     client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     relay::{
-        AttemptFailure, SamplerGuard, UpstreamCall, WholeAnswer, begin, forwarded_request_headers,
-        forwarded_response_headers, read_whole,
+        SamplerGuard, UpstreamCall, WholeAnswer, attempt_whole, forwarded_request_headers, forwarded_response_headers,
     },
+    worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
@@ -128,7 +127,7 @@
             continue;
         };
         let sent = state.now();
-        let end = attempt(parts, call, &guard, sent).await;
+        let end = attempt_whole(&parts.upstreams, call, &guard, sent, ANSWER_BYTES_MAX).await;
         let took_ms = state.now().since_ms(sent);
         let upstream = guard.record.id.clone();
         log.tried.push(upstream.clone());
@@ -204,24 +203,6 @@
     SamplerGuard::pick(&parts.state, &query)
 }
 
-async fn attempt(
-    parts: &WorkerParts,
-    call: &UpstreamCall,
-    guard: &SamplerGuard,
-    now: TimePoint,
-) -> Result<WholeAnswer, AttemptFailure> {
-    let left = Duration::from_millis(call.deadline.since_ms(now));
-    let whole = async {
-        let answer = begin(&parts.upstreams, call, guard, now).await?;
-        read_whole(answer, ANSWER_BYTES_MAX).await
-    };
-    match actix_rt::time::timeout(left, whole).await {
-        Ok(Ok(answer)) => Ok(answer),
-        Ok(Err(error)) => Err(error.failure),
-        Err(_) => Err(AttemptFailure::TimedOut),
-    }
-}
-
 /// Counts a request that an upstream began to run.
 fn count_usage(parts: &WorkerParts, call: &UpstreamCall, sent: TimePoint) {
     let Some(organisation) = &call.organisation else { return };
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -1,7 +1,7 @@
 //! The balancer's probe, and metrics.
 
-use super::{WorkerParts, peer_api};
-use crate::{edge_metrics::EdgeMetrics, job::JOB_PUSH_PATH, store::RELAY_PATH};
+use super::peer_api;
+use crate::{edge_metrics::EdgeMetrics, job::JOB_PUSH_PATH, store::RELAY_PATH, worker_parts::WorkerParts};
 use actix_web::{HttpResponse, web};
 use pimentoslip_platform::READY_PATH;
 
--- a/crates/edge/src/http/request_context.rs
+++ b/crates/edge/src/http/request_context.rs
@@ -1,6 +1,7 @@
 //! What the daemon knows of a request before it decides anything.
 
-use super::{WorkerParts, api_refusal::ApiRefusal};
+use super::api_refusal::ApiRefusal;
+use crate::worker_parts::WorkerParts;
 use actix_web::{HttpRequest, http::header::HeaderMap};
 use pimentoslip_kernel::{KeyGrant, SharedName, TimePoint, TrafficConfig};
 use pimentoslip_platform::header;
@@ -36,6 +37,10 @@
     pub fn read(parts: &WorkerParts, request: &HttpRequest) -> Result<Self, ApiRefusal> {
         let config = parts.state.config().ok_or(ApiRefusal::ConfigUnknown)?;
         let headers = request.headers();
+        let header_bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        if header_bytes > config.limits.header_bytes_max {
+            return Err(ApiRefusal::HeaderTooLarge);
+        }
         let arrived = parts.state.now();
         let wait_ms = text(headers, header::DEADLINE_MS).and_then(|text| text.trim().parse::<f64>().ok());
         let wait_ms = wait_ms.map_or(DEADLINE_DEFAULT_MS, |ms| ms.max(0.0) as u64);
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -9,7 +9,8 @@
     score_run::score_item,
 };
 use crate::{
-    edge_metrics::EdgeMetrics, edge_state::EdgeState, http::WorkerParts, relay::SamplerGuard, store::StoreAccess,
+    edge_metrics::EdgeMetrics, edge_state::EdgeState, relay::SamplerGuard, store::StoreAccess,
+    worker_parts::WorkerParts,
 };
 use awc::Client;
 use pimentoslip_kernel::{BatchLedger, BatchTerms, ItemSpec, ItemWork, RouteRule, SamplerQuery, SharedName, TimePoint};
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -1,7 +1,7 @@
 //! Puts batch jobs and their ends on record.
 
 use super::KeptJob;
-use crate::{edge_state::EdgeState, http::WorkerParts, store::StoreAccess};
+use crate::{edge_state::EdgeState, store::StoreAccess, worker_parts::WorkerParts};
 use awc::Client;
 use bytes::Bytes;
 use pimentoslip_kernel::{DaemonPresence, LedgerState, OwnerRecord, SharedName, TimePoint};
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -3,13 +3,12 @@
 use super::owned_job::OwnedJob;
 use crate::{
     edge_metrics::EdgeMetrics,
-    relay::{AttemptFailure, SamplerGuard, UpstreamCall, begin, read_whole},
+    relay::{SamplerGuard, UpstreamCall, attempt_whole},
 };
 use actix_web::http::{Method, StatusCode, header::HeaderMap};
 use pimentoslip_kernel::{SamplerOutcome, SamplerQuery, ScoreEnd, fingerprint};
 use pimentoslip_platform::header;
 use pimentoslip_telemetry::LogLine;
-use std::time::Duration;
 
 /// Largest answer of a scorer that is read.
 const ANSWER_BYTES_MAX: usize = 4 << 20;
@@ -74,19 +73,11 @@
         deadline: now.plus_ms(wait_ms),
         last_event: None,
     };
-    let whole = async {
-        let answer = begin(&job.upstreams, &call, &guard, now).await?;
-        read_whole(answer, ANSWER_BYTES_MAX).await
-    };
-    let answer = match actix_rt::time::timeout(Duration::from_millis(wait_ms), whole).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => {
-            guard.end(error.failure.outcome());
-            return (ScoreEnd::Broken, error.failure.as_str());
-        }
-        Err(_) => {
-            guard.end(AttemptFailure::TimedOut.outcome());
-            return (ScoreEnd::Broken, AttemptFailure::TimedOut.as_str());
+    let answer = match attempt_whole(&job.upstreams, &call, &guard, now, ANSWER_BYTES_MAX).await {
+        Ok(answer) => answer,
+        Err(failure) => {
+            guard.end(failure.outcome());
+            return (ScoreEnd::Broken, failure.as_str());
         }
     };
     guard.end(SamplerOutcome::Answered(Some(state.now().since_ms(now))));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod run_storage;
 mod steady_time;
 mod store;
+mod worker_parts;
 
 pub use run_edge::{Result, run_edge};
 pub use run_storage::run_storage;
--- a/crates/edge/src/relay/whole_answer.rs
+++ b/crates/edge/src/relay/whole_answer.rs
@@ -1,14 +1,15 @@
 //! An upstream's answer once it is whole.
 
-use super::{AttemptFailure, Result};
+use super::{AttemptFailure, Result, SamplerGuard, UpstreamCall, begin};
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
 };
-use awc::{ClientResponse, error::PayloadError};
+use awc::{Client, ClientResponse, error::PayloadError};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
-use std::io::ErrorKind;
+use pimentoslip_kernel::TimePoint;
+use std::{io::ErrorKind, time::Duration};
 
 /// Status, headers and the whole body.
 #[derive(Clone, Debug)]
@@ -23,7 +24,7 @@
 
 /// Reads the rest of an answer. Only what the message itself ends counts as whole, or the orderly end of
 /// the connection where the message names no length.
-pub async fn read_whole<S>(mut answer: ClientResponse<S>, bytes_max: usize) -> Result<WholeAnswer>
+async fn read_whole<S>(mut answer: ClientResponse<S>, bytes_max: usize) -> Result<WholeAnswer>
 where
     S: Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin,
 {
@@ -53,3 +54,23 @@
         _ => false,
     }
 }
+
+/// Sends `call` to the guard's upstream and reads its whole answer before the call's deadline.
+pub async fn attempt_whole(
+    client: &Client,
+    call: &UpstreamCall,
+    guard: &SamplerGuard,
+    now: TimePoint,
+    bytes_max: usize,
+) -> std::result::Result<WholeAnswer, AttemptFailure> {
+    let left = Duration::from_millis(call.deadline.since_ms(now));
+    let whole = async {
+        let answer = begin(client, call, guard, now).await?;
+        read_whole(answer, bytes_max).await
+    };
+    match actix_rt::time::timeout(left, whole).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(error)) => Err(error.failure),
+        Err(_) => Err(AttemptFailure::TimedOut),
+    }
+}
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -5,10 +5,11 @@
     duty::{hold_duty, record_usage},
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
-    http::{WorkerParts, configure_control, configure_front, configure_ready},
+    http::{configure_control, configure_front, configure_ready},
     job::claim_jobs,
     lease_task::{end_lease, keep_lease},
     store::{FollowedKeys, ListedUpstreams, OperatorKeys, follow},
+    worker_parts::WorkerParts,
 };
 use actix_rt::signal::unix::{SignalKind, signal};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
--- a/crates/edge/src/http/worker_parts.rs
+++ b/crates/edge/src/worker_parts.rs
@@ -1,14 +1,17 @@
-//! What the handlers of one worker thread share.
+//! State and clients of one thread.
 
-use super::shared_watches::SharedWatches;
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
+use crate::{
+    edge_metrics::EdgeMetrics,
+    edge_state::EdgeState,
+    store::{SharedWatches, StoreAccess},
+};
 use awc::Client;
 use pimentoslip_client::client_with_user_timeout;
 use pimentoslip_platform::StoreClient;
 use std::{sync::Arc, time::Duration};
 
 /// Unacknowledged bytes towards an upstream are given up after this; round trips take milliseconds.
-pub const UPSTREAM_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+const UPSTREAM_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// State and clients of a worker.
 #[derive(Clone)]
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -1,116 +1,15 @@
 //! A batch job at its owner: which items run next, what their runs brought, what may be listed.
 
-use super::{FIRST_EVENT, ItemResult, ItemState, SampleText};
-use crate::{SharedName, TimePoint};
-use serde::{Deserialize, Serialize};
+use super::{
+    BatchTerms, EventVerdict, FIRST_EVENT, ItemResult, ItemSpec, ItemState, ItemWork, LedgerState, PartialItem,
+    ResultChunk, RunEnd, SampleText, ScoreEnd,
+};
+use crate::TimePoint;
 use std::collections::BTreeSet;
 
 /// Pause before an item is tried again after a failed run.
 const RETRY_PAUSE_MS: u64 = 50;
 
-/// What the ledger needs to know of an item.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ItemSpec {
-    /// Items of one group share their prompt.
-    pub group: SharedName,
-    /// Expected length, in tokens; longer items run first.
-    pub expected_tokens: u64,
-    /// Whether a score is wanted.
-    pub scored: bool,
-}
-
-/// Terms of a batch job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BatchTerms {
-    /// Failed runs after which an item is given up.
-    pub attempts_max: u32,
-    /// Oldest version whose events count.
-    pub oldest_version: u64,
-    /// Whether a text must come from one version.
-    pub single_version: bool,
-    /// When items may be given up.
-    pub give_up_at: TimePoint,
-}
-
-/// An item to be run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ItemWork {
-    /// Index of the item.
-    pub index: usize,
-    /// Number of the last event that is already known.
-    pub resume_after: Option<u64>,
-}
-
-/// Whether a run may go on after an event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EventVerdict {
-    /// It was taken in.
-    Taken,
-    /// The text is void and starts anew; the run must end.
-    Restart,
-    /// The run doesn't continue the text; the run must end.
-    Mismatch,
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunEnd {
-    /// With the last event.
-    Whole,
-    /// In the middle, or without an answer.
-    Broken,
-    /// The upstream refused to run it.
-    NotRun,
-    /// The upstream ran it and failed.
-    Failed,
-    /// The item can never be run.
-    Impossible,
-}
-
-/// How a scoring ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ScoreEnd {
-    /// With the scorer's signature.
-    Signed(String),
-    /// The scorer failed.
-    Failed,
-    /// Without an answer, or refused.
-    Broken,
-}
-
-/// Results that take positions together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ResultChunk {
-    /// Position of the first result.
-    pub first: usize,
-    /// Results in order.
-    pub results: Vec<ItemResult>,
-}
-
-/// What an owner knows beyond the record, for the next owner.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LedgerState {
-    /// Finished items that may not be listed yet, in order.
-    pub unlisted: Vec<ItemResult>,
-    /// Texts of unfinished items.
-    pub items: Vec<PartialItem>,
-}
-
-/// An unfinished item.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartialItem {
-    /// Index of the item.
-    pub index: usize,
-    /// Events so far.
-    pub text: SampleText,
-    /// Whether the text is whole and only the score is missing.
-    pub whole: bool,
-    /// Failed runs.
-    pub run_failures: u32,
-    /// Failures of the scorer.
-    pub score_failures: u32,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ItemPhase {
     Waiting { until: TimePoint },
--- a/crates/kernel/src/batch/mod.rs
+++ b/crates/kernel/src/batch/mod.rs
@@ -1,13 +1,15 @@
 //! Batch jobs: which items run, which are finished, which are listed.
 
 mod batch_ledger;
+mod batch_terms;
 mod item_result;
+mod ledger_state;
 mod run_pace;
 mod sample_text;
 
-pub use batch_ledger::{
-    BatchLedger, BatchTerms, EventVerdict, ItemSpec, ItemWork, LedgerState, PartialItem, ResultChunk, RunEnd, ScoreEnd,
-};
+pub use batch_ledger::BatchLedger;
+pub use batch_terms::{BatchTerms, EventVerdict, ItemSpec, ItemWork, RunEnd, ScoreEnd};
 pub use item_result::{ItemResult, ItemState};
+pub use ledger_state::{LedgerState, PartialItem, ResultChunk};
 pub use run_pace::RunPace;
 pub use sample_text::{FIRST_EVENT, SampleText};
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -143,18 +143,6 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// This daemon's requests on `id`.
-    #[must_use]
-    pub fn inflight(&self, id: &str) -> u64 {
-        self.entries.get(id).map_or(0, |entry| entry.inflight)
-    }
-
-    /// Whether any upstream would serve the query if it had room.
-    #[must_use]
-    pub fn any(&self, query: &SamplerQuery<'_>) -> bool {
-        self.entries.values().any(|entry| entry.serves(query))
-    }
-
     /// Chooses the upstream with the shortest expected wait and counts the request on it.
     pub fn pick(&mut self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SamplerRecord> {
         let id = self.choose(query, now)?;
@@ -224,13 +212,4 @@
         entry.others = requests.saturating_sub(entry.inflight);
         entry.others_until = now.plus_ms(LOAD_REPORT_LIFE_MS);
     }
-
-    /// Slots of ready upstreams that serve `query`, and how many of them are taken.
-    #[must_use]
-    pub fn occupancy(&self, query: &SamplerQuery<'_>, now: TimePoint) -> (u64, u64) {
-        let serving = self.entries.values().filter(|entry| entry.serves(query));
-        serving.fold((0, 0), |(slots, taken), entry| {
-            (slots + entry.record.slots, taken + entry.load(now).min(entry.record.slots))
-        })
-    }
 }
--- a/crates/kernel/src/traffic/traffic_config.rs
+++ b/crates/kernel/src/traffic/traffic_config.rs
@@ -61,12 +61,6 @@
         self.routes.get(host)?.iter().find(|rule| path.starts_with(&*rule.path_prefix))
     }
 
-    /// Whether any route has this host.
-    #[must_use]
-    pub fn knows_host(&self, host: &str) -> bool {
-        self.routes.contains_key(host)
-    }
-
     /// What `key` grants, if it is valid.
     #[must_use]
     pub fn grant(&self, key: &str) -> Option<&KeyGrant> {
