Let a holder whose renewal came late go on

The term was dropped, but the record still hung on the living lease, so that nobody took the duty for 34 s: no versions were loaded, no usage reported. The test fails without the mend: the term was over at its own end.

--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -61,7 +61,7 @@
     };
     let mut term = term.borrow_mut();
     let Some(current) = term.as_mut() else { return false };
-    if current.refresh(standing, state.now()) {
+    if current.refresh(standing) {
         return true;
     }
     LogLine::new("duty_lost").field("fencing_token", current.fencing_token).warn();
--- a/crates/kernel/src/duty/duty_term.rs
+++ b/crates/kernel/src/duty/duty_term.rs
@@ -40,10 +40,11 @@
         Self { fencing_token, lease, acts_from: granted.plus_ms(handover_ms.unwrap_or(0)), ends_at }
     }
 
-    /// Brings the term up to date. False if it is over for good.
-    pub fn refresh(&mut self, standing: LeaseStanding, now: TimePoint) -> bool {
+    /// Brings the term up to date. False if it is over for good. A lease that could not be renewed in time is no
+    /// end: if a later renewal succeeds, the lease and the record on it never ended.
+    pub fn refresh(&mut self, standing: LeaseStanding) -> bool {
         let replaced = standing.recorded.is_some_and(|revision| revision != self.fencing_token);
-        if standing.lease != Some(self.lease) || replaced || now >= self.ends_at.max(standing.ends_at) {
+        if standing.lease != Some(self.lease) || replaced {
             return false;
         }
         self.ends_at = self.ends_at.max(standing.ends_at);
--- a/crates/kernel/tests/machines/terms.rs
+++ b/crates/kernel/tests/machines/terms.rs
@@ -89,7 +89,7 @@
         let now = self.now;
         let daemon = &mut self.daemons[at];
         let standing = LeaseStanding { lease: daemon.lease, ends_at: daemon.ends_at, recorded: daemon.recorded };
-        if fresh && daemon.term.as_mut().is_some_and(|term| !term.refresh(standing, now)) {
+        if fresh && daemon.term.as_mut().is_some_and(|term| !term.refresh(standing)) {
             daemon.term = None;
         }
         let Some(term) = daemon.term.filter(|term| term.may_act(now, CALL_MS)) else { return Ok(()) };
@@ -176,7 +176,19 @@
 fn a_new_lease_of_the_same_process_is_no_part_of_the_term() {
     let mut term = DutyTerm::begin(5, 1, TimePoint(0), TimePoint(3_000), None);
     let renewed = LeaseStanding { lease: Some(1), ends_at: TimePoint(4_000), recorded: Some(5) };
-    assert!(term.refresh(renewed, TimePoint(1_000)));
+    assert!(term.refresh(renewed));
     let replaced = LeaseStanding { lease: Some(2), ends_at: TimePoint(9_000), recorded: Some(5) };
-    assert!(!term.refresh(replaced, TimePoint(3_500)));
+    assert!(!term.refresh(replaced));
+}
+
+#[test]
+fn a_holder_whose_renewal_came_late_goes_on_and_no_other_takes_turns_with_it() {
+    let mut term = DutyTerm::begin(5, 1, TimePoint(0), TimePoint(3_000), None);
+    let unrenewed = LeaseStanding { lease: Some(1), ends_at: TimePoint(3_000), recorded: Some(5) };
+    assert!(term.refresh(unrenewed), "the record still hangs on a lease that may live");
+    assert!(!term.may_act(TimePoint(2_500), CALL_MS));
+    assert!(!term.may_act(TimePoint(9_000), CALL_MS));
+    let renewed = LeaseStanding { lease: Some(1), ends_at: TimePoint(12_000), recorded: Some(5) };
+    assert!(term.refresh(renewed));
+    assert!(term.may_act(TimePoint(9_500), CALL_MS));
 }
