--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -5,8 +5,10 @@
     proxy::read_body,
     request_context::{RequestContext, text},
 };
-use crate::job::{self, JobView, NewJob, SubmitOutcome};
-use crate::worker_parts::WorkerParts;
+use crate::{
+    job::{self, JobView, NewJob, SubmitOutcome},
+    worker_parts::WorkerParts,
+};
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
 use form_urlencoded::parse;
 use pimentoslip_kernel::RouteRule;
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -203,7 +203,7 @@
     RunReport { end: RunEnd::Whole, reason: "whole", outcome: SamplerOutcome::Answered(None) }
 }
 
-/// Model and oldest version that an item asks for.
+/// Model that an item asks for: its own header's, or its batch job's.
 pub fn model(job: &OwnedJob, index: usize) -> Option<SharedName> {
     let item = &job.submission.items[index];
     let named = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(header::MODEL));
