Put texts in the middle on record, so that the next owner goes on

Ruled out: slow return of the owner (claimed 0.6 s after the kill), loads (done before). Now the owner's writes of results carry the events of unfinished texts that are not on record yet; without results they are written each 0.8 s. The group that a trainer waits for is listed at once.

--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -130,6 +130,30 @@
     }
 }
 
+#[actix_rt::test]
+async fn texts_in_the_middle_outlive_every_process() {
+    let mut fleet = Fleet::start(2).await;
+    let items: Vec<Value> = (0..4).map(|n| item(&format!("i{n}"), 300, true)).collect();
+    assert_eq!(fleet.submit(0, "job", &submission(1, &items)).await.status, 202);
+    wait_for("texts are on record", || async {
+        (!fleet.store.memory().range("p/d/job/text/", "").is_empty()).then_some(())
+    })
+    .await;
+    fleet.edges.iter_mut().for_each(|edge| edge.process.kill());
+    for edge in 0..2 {
+        fleet.restart(edge);
+    }
+    fleet.wait_ready().await;
+    let results = fleet.results(1, "job").await;
+    for n in 0..4 {
+        let id = format!("i{n}");
+        assert_eq!(by_id(&results, &id)["text"], text(&id, 300));
+        assert_eq!(by_id(&results, &id)["score"], format!("signed score-{id}"));
+        let runs = fleet.runs(&id);
+        assert!(runs[1..].iter().all(|run| run.last_event.is_some()), "{id} began anew: {runs:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_planned_stop_hands_jobs_over_in_the_middle_of_their_texts() {
     let fleet = Fleet::start(3).await;
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -32,9 +32,11 @@
 impl RunReport {
     fn of(failure: AttemptFailure) -> Self {
         let end = if failure.may_have_run() { RunEnd::Broken } else { RunEnd::NotRun };
-        // A refusal concerns the item's model only.
-        let outcome = if end == RunEnd::NotRun { SamplerOutcome::Answered(None) } else { failure.outcome() };
-        let outcome = if failure == AttemptFailure::Unreachable { failure.outcome() } else { outcome };
+        let outcome = match failure {
+            // These concern the item's model only.
+            AttemptFailure::Refused | AttemptFailure::Misdirected => SamplerOutcome::Answered(None),
+            other => other.outcome(),
+        };
         Self { end, reason: failure.as_str(), outcome }
     }
 }
@@ -93,7 +95,7 @@
         id: item.id.clone(),
         method: Method::POST,
         path: item.path.to_string(),
-        host: job.host.clone(),
+        host: job.entry.host.clone(),
         headers,
         organisation: job.organisation.clone(),
         body: item.body.clone(),
@@ -206,6 +208,5 @@
 /// Model that an item asks for: its own header's, or its batch job's.
 pub fn model(job: &OwnedJob, index: usize) -> Option<SharedName> {
     let item = &job.submission.items[index];
-    let named = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(header::MODEL));
-    named.map(|(_, value)| value.as_str().into()).or_else(|| job.submission.model.clone())
+    item.header(header::MODEL).map(Into::into).or_else(|| job.submission.model.clone())
 }
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -3,12 +3,12 @@
 use super::JobView;
 use crate::{edge_state::EdgeState, store::StoreAccess};
 use bytes::{Bytes, BytesMut};
-use pimentoslip_kernel::TimePoint;
+use pimentoslip_kernel::{TextCheckpoint, TimePoint};
 use pimentoslip_platform::{BatchSubmission, RangePage, StoreChange, StoreError, StoreItem, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    stored::{JobEntry, KeyLayout, ResultEntry, ResultsEntry},
+    stored::{JobEntry, KeyLayout, ResultEntry, ResultsEntry, TextsEntry},
 };
 use std::collections::BTreeMap;
 
@@ -170,3 +170,16 @@
     take_results(state, job, page.items.into_iter(), 0, usize::MAX, &mut results)?;
     Ok(results.into_iter().map(|result| result.index).collect())
 }
+
+/// Texts in the middle, as former owners put them on record. An unreadable entry is passed over: its texts begin anew.
+pub async fn read_texts(store: &StoreAccess, job: &str) -> Result<Vec<TextCheckpoint>> {
+    let page = store.range(&KeyLayout::texts(job)).await?;
+    let decoded = page.items.iter().map(|item| match decode::<TextsEntry>(&item.value) {
+        Ok(entry) => TextCheckpoint::from(entry),
+        Err(error) => {
+            LogLine::new("entry_unreadable").field("key", &item.key).field("reason", error).warn();
+            TextCheckpoint::default()
+        }
+    });
+    Ok(decoded.collect())
+}
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -3,8 +3,9 @@
 use super::{
     KeptJob,
     item_run::{model, run_item},
-    job_reader::{read_listed, read_submission},
+    job_reader::{read_listed, read_submission, read_texts},
     job_writer::{NewJob, hand_over},
+    ledger_writer::{LedgerWriter, WriteOutcome},
     owned_job::OwnedJob,
     score_run::score_item,
 };
@@ -13,13 +14,11 @@
     worker_parts::WorkerParts,
 };
 use awc::Client;
-use pimentoslip_kernel::{BatchLedger, BatchTerms, ItemSpec, ItemWork, RouteRule, SamplerQuery, SharedName, TimePoint};
-use pimentoslip_platform::{BatchItem, BatchSubmission, CommitOutcome, StoreCommit, StoreError, header};
-use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::{
-    encode,
-    stored::{KeyLayout, ResultsEntry},
+use pimentoslip_kernel::{
+    BatchLedger, BatchTerms, ItemSpec, ItemWork, RouteRule, SamplerQuery, SharedName, TextCheckpoint, TimePoint,
 };
+use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError, header};
+use pimentoslip_telemetry::LogLine;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -30,10 +29,6 @@
 
 /// Longest time between two looks at a job.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
-/// Time between two writes of results, in which further ones gather, in milliseconds.
-const LIST_PERIOD_MS: u64 = 400;
-/// Largest write of results in bytes, below the platform's limit on values.
-const CHUNK_BYTES_MAX: usize = 600_000;
 /// Pause before a job's record is read again.
 const READ_PAUSE: Duration = Duration::from_millis(200);
 /// Scores asked for at a time for one job.
@@ -67,29 +62,25 @@
     state.ownership().is_taken(job) || state.jobs().is_ended(job) || state.is_draining()
 }
 
+/// What a new owner begins with.
+struct JobRecord {
+    kept: KeptJob,
+    /// Indexes of the listed items, in order.
+    listed: Vec<usize>,
+    /// Texts in the middle.
+    texts: Vec<TextCheckpoint>,
+}
+
 /// Reads what the job needs, as often as it takes.
 async fn open_job(state: &Arc<EdgeState>, upstreams: Client, store: StoreAccess, id: &SharedName) -> Option<OwnedJob> {
     let kept = state.jobs().take_submission(id);
-    // A job that has not run before has nothing listed.
-    let fresh = kept.as_ref().is_some_and(|kept| kept.ledger.is_none());
     loop {
         if is_over(state, id) {
             return None;
         }
-        let submission = match &kept {
-            Some(kept) => Ok(kept.clone()),
-            None => read_submission(&store, id).await.map(|(submission, body)| KeptJob {
-                submission: Arc::new(submission),
-                body,
-                ledger: None,
-            }),
-        };
-        let listed = if fresh { Ok(Vec::new()) } else { read_listed(state, &store, id).await };
-        match (submission, listed) {
-            (Ok(kept), Ok(listed)) => {
-                return build_job(state, upstreams, store, id, kept, &listed);
-            }
-            (Err(error), _) | (_, Err(error)) => {
+        match read_record(state, &store, id, kept.clone()).await {
+            Ok(record) => return build_job(state, upstreams, store, id, record),
+            Err(error) => {
                 LogLine::new("job_unread").field("job", id).field("reason", error).warn();
                 actix_rt::time::sleep(READ_PAUSE).await;
             }
@@ -97,15 +88,33 @@
     }
 }
 
+async fn read_record(
+    state: &EdgeState,
+    store: &StoreAccess,
+    id: &SharedName,
+    kept: Option<KeptJob>,
+) -> Result<JobRecord, StoreError> {
+    match kept {
+        // A job that has not run before has nothing on record.
+        Some(kept) if kept.ledger.is_none() => Ok(JobRecord { kept, listed: Vec::new(), texts: Vec::new() }),
+        Some(kept) => Ok(JobRecord { kept, listed: read_listed(state, store, id).await?, texts: Vec::new() }),
+        None => {
+            let (submission, body) = read_submission(store, id).await?;
+            let kept = KeptJob { submission: Arc::new(submission), body, ledger: None };
+            let listed = read_listed(state, store, id).await?;
+            Ok(JobRecord { kept, listed, texts: read_texts(store, id).await? })
+        }
+    }
+}
+
 fn build_job(
     state: &Arc<EdgeState>,
     upstreams: Client,
     store: StoreAccess,
     id: &SharedName,
-    kept: KeptJob,
-    listed: &[usize],
+    record: JobRecord,
 ) -> Option<OwnedJob> {
-    let KeptJob { submission, body, ledger: former } = kept;
+    let JobRecord { kept: KeptJob { submission, body, ledger: former }, listed, texts } = record;
     let entry = state.jobs().get(id)?.entry.clone();
     let revision = state.ownership().owner(id)?.revision;
     let age_ms = state.unix_ms().saturating_sub(entry.submitted_unix_ms);
@@ -113,17 +122,19 @@
     let rule = state.config().and_then(|config| config.route(&entry.host, &entry.path).cloned());
     let terms = terms(rule.as_deref(), &submission, submitted);
     let specs = submission.items.iter().map(item_spec).collect();
-    let mut ledger = BatchLedger::new(terms, specs, listed);
+    let mut ledger = BatchLedger::new(terms, specs, &listed);
     let handed = former.as_ref().map_or(0, |former| former.items.len() + former.unlisted.len());
     if let Some(former) = former {
         ledger.restore(former);
     }
+    ledger.replay(&texts);
     LogLine::new("job_begun")
         .field("job", id)
         .field("step", submission.step)
         .field("items", submission.items.len())
         .field("listed", listed.len())
         .field("handed_over", handed)
+        .field("checkpoints", texts.len())
         .field("oldest_version", submission.oldest_version)
         .field("age_ms", age_ms)
         .field("revision", revision)
@@ -134,8 +145,6 @@
         store,
         id: id.clone(),
         organisation: Some(entry.organisation.clone()).filter(|organisation| !organisation.is_empty()),
-        host: entry.host.clone(),
-        path: entry.path.clone(),
         entry,
         body,
         submission,
@@ -153,18 +162,19 @@
         oldest_version: submission.oldest_version,
         single_version: batch.is_some_and(|batch| batch.single_version),
         give_up_at: submitted.plus_ms(batch.map_or(u64::MAX, |batch| batch.retention_ms)),
+        groups_awaited: submission.groups_awaited,
     }
 }
 
 fn item_spec(item: &BatchItem) -> ItemSpec {
-    let hint = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(header::LENGTH_HINT));
-    let hint = hint.and_then(|(_, value)| value.trim().parse::<f64>().ok()).map(|tokens| tokens.max(0.0) as u64);
+    let hint = item.header(header::LENGTH_HINT).and_then(|value| value.trim().parse::<f64>().ok());
+    let hint = hint.map(|tokens| tokens.max(0.0) as u64);
     ItemSpec { group: item.group.clone(), expected_tokens: hint.unwrap_or(item.tokens), scored: item.scorer.is_some() }
 }
 
 /// Hands an unfinished job to another daemon.
 async fn part(job: &OwnedJob) {
-    let kind = job.route().map_or_else(|| job.path.clone(), |rule| rule.name.clone());
+    let kind = job.route().map_or_else(|| job.entry.path.clone(), |rule| rule.name.clone());
     let new = NewJob { id: job.id.clone(), entry: job.entry.clone(), kind, body: job.body.clone() };
     let ledger = job.ledger.borrow().state();
     let parts = WorkerParts::new(job.state.clone());
@@ -175,7 +185,7 @@
     let state = &job.state;
     // Dropping the set ends all runs and closes their connections.
     let mut runs = JoinSet::new();
-    let mut list_at = state.now();
+    let mut writer = LedgerWriter::new(state.now());
     loop {
         while runs.try_join_next().is_some() {}
         if is_over(state, &job.id) {
@@ -189,13 +199,8 @@
         }
         let now = state.now();
         deal(job, &mut runs, now);
-        if now >= list_at || job.ledger.borrow().is_finished() {
-            match list(job).await {
-                Listing::Nothing => {}
-                Listing::Done => list_at = state.now().plus_ms(LIST_PERIOD_MS),
-                Listing::Again => list_at = state.now().plus_ms(LIST_PERIOD_MS),
-                Listing::Lost => return,
-            }
+        if writer.round(job, now).await == WriteOutcome::Superseded {
+            return;
         }
         if job.ledger.borrow().is_settled() {
             state.ownership().job_closed(&job.id);
@@ -258,61 +263,3 @@
     };
     SamplerGuard::pick(&job.state, &query)
 }
-
-enum Listing {
-    Nothing,
-    Done,
-    Again,
-    Lost,
-}
-
-/// Writes the next results under the ownership record's revision.
-async fn list(job: &OwnedJob) -> Listing {
-    let chunk = job.ledger.borrow_mut().chunk(CHUNK_BYTES_MAX).cloned();
-    let Some(chunk) = chunk else { return Listing::Nothing };
-    let entry = ResultsEntry::of(&chunk, |index| job.submission.items[index].id.clone());
-    let Ok(value) = encode(&entry) else { return Listing::Lost };
-    let key = KeyLayout::chunk(&job.id, chunk.first);
-    let commit = StoreCommit::default()
-        .expect(KeyLayout::owner(&job.id), job.revision.get())
-        .expect(key.clone(), 0)
-        .put(key.clone(), value.clone(), 0);
-    match job.store.commit(&commit).await {
-        Ok(CommitOutcome::Done(revision)) => {
-            listed(job, &entry, revision);
-            Listing::Done
-        }
-        Ok(CommitOutcome::Conflict(items)) => {
-            // The write before this one may have been done without an answer.
-            if items.iter().any(|item| item.key == key && item.value == value) {
-                listed(job, &entry, 0);
-                return Listing::Done;
-            }
-            if items.iter().any(|item| item.key == key) {
-                LogLine::new("results_conflict").field("job", &job.id).field("first", chunk.first).warn();
-                return Listing::Lost;
-            }
-            // The ownership record has changed; the next look shows whether it is still this daemon's.
-            Listing::Again
-        }
-        Err(error) => {
-            LogLine::new("results_not_listed")
-                .field("job", &job.id)
-                .field("first", chunk.first)
-                .field("reason", &error)
-                .warn();
-            if error == StoreError::HistoryGone { Listing::Lost } else { Listing::Again }
-        }
-    }
-}
-
-fn listed(job: &OwnedJob, entry: &ResultsEntry, revision: u64) {
-    LogLine::new("results_listed")
-        .field("job", &job.id)
-        .field("first", entry.first)
-        .field("next", entry.next())
-        .field("revision", revision)
-        .info();
-    job.ledger.borrow_mut().chunk_listed(entry.first);
-    job.state.jobs().chunk_known(&job.id, entry.first, entry.next());
-}
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -6,6 +6,7 @@
 mod job_reader;
 mod job_runner;
 mod job_writer;
+mod ledger_writer;
 mod owned_job;
 mod score_run;
 
--- a/crates/edge/src/job/owned_job.rs
+++ b/crates/edge/src/job/owned_job.rs
@@ -26,10 +26,6 @@
     pub id: SharedName,
     /// Organisation; none where the operators use no organisations.
     pub organisation: Option<SharedName>,
-    /// Host of the submission.
-    pub host: SharedName,
-    /// Path of the submission.
-    pub path: SharedName,
     /// Its record.
     pub entry: JobEntry,
     /// The submission's body, for the next owner.
@@ -56,6 +52,6 @@
     /// The job's route in the configuration in force.
     #[must_use]
     pub fn route(&self) -> Option<Arc<RouteRule>> {
-        self.state.config()?.route(&self.host, &self.path).cloned()
+        self.state.config()?.route(&self.entry.host, &self.entry.path).cloned()
     }
 }
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -1,14 +1,17 @@
 //! A batch job at its owner: which items run next, what their runs brought, what may be listed.
 
 use super::{
-    BatchTerms, EventVerdict, FIRST_EVENT, ItemResult, ItemSpec, ItemState, ItemWork, LedgerState, PartialItem,
-    ResultChunk, RunEnd, SampleText, ScoreEnd,
+    BatchTerms, EventVerdict, ItemResult, ItemSpec, ItemState, ItemWork, LedgerState, PartialItem, ResultChunk, RunEnd,
+    SampleText, ScoreEnd, TextCheckpoint,
 };
-use crate::TimePoint;
-use std::collections::BTreeSet;
+use crate::{SharedName, TimePoint};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Pause before an item is tried again after a failed run.
 const RETRY_PAUSE_MS: u64 = 50;
+/// Events of a text that are worth a place in a checkpoint: fewer are generated anew in less than the time that a
+/// takeover takes.
+const CHECKPOINT_EVENTS_MIN: u64 = 8;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ItemPhase {
@@ -40,6 +43,12 @@
     unlisted: Vec<ItemResult>,
     chunk: Option<ResultChunk>,
     listed: usize,
+    checkpoint: Option<TextCheckpoint>,
+    checkpoints: usize,
+    /// Unfinished items of each group.
+    open_items: BTreeMap<SharedName, usize>,
+    /// Whether the submitter waits for a result that is not listed yet.
+    urgent: bool,
     ended: bool,
 }
 
@@ -62,6 +71,11 @@
                 item.phase = ItemPhase::Finished;
             }
         }
+        let mut open_items: BTreeMap<SharedName, usize> = BTreeMap::new();
+        for item in &items {
+            let open = open_items.entry(item.spec.group.clone()).or_default();
+            *open += usize::from(item.phase != ItemPhase::Finished);
+        }
         let waiting = items.iter().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
         let queue = waiting.map(|(index, item)| (std::cmp::Reverse(item.spec.expected_tokens), index)).collect();
         Self {
@@ -72,6 +86,10 @@
             unlisted: Vec::new(),
             chunk: None,
             listed: listed.len(),
+            checkpoint: None,
+            checkpoints: 0,
+            open_items,
+            urgent: false,
             ended: false,
         }
     }
@@ -88,11 +106,16 @@
             run_failures: item.run_failures,
             score_failures: item.score_failures,
         });
-        LedgerState { unlisted: pending.chain(&self.unlisted).cloned().collect(), items: partial.collect() }
+        LedgerState {
+            unlisted: pending.chain(&self.unlisted).cloned().collect(),
+            items: partial.collect(),
+            checkpoints: self.checkpoints + usize::from(self.checkpoint.is_some()),
+        }
     }
 
     /// Takes over what a former owner knew. Items that are finished here stay as they are.
     pub fn restore(&mut self, state: LedgerState) {
+        self.checkpoints = self.checkpoints.max(state.checkpoints);
         for part in state.items {
             let Some(item) = self.items.get_mut(part.index) else { continue };
             let untouched = matches!(item.phase, ItemPhase::Waiting { .. }) && item.text.last().is_none();
@@ -115,6 +138,66 @@
         }
     }
 
+    /// Takes over the texts on record, in the order of their checkpoints.
+    pub fn replay(&mut self, checkpoints: &[TextCheckpoint]) {
+        self.checkpoints = self.checkpoints.max(checkpoints.len());
+        for part in checkpoints.iter().flat_map(|checkpoint| &checkpoint.parts) {
+            if let Some(item) = self.items.get_mut(part.index)
+                && matches!(item.phase, ItemPhase::Waiting { .. })
+            {
+                item.text.replay(part);
+            }
+        }
+    }
+
+    /// Texts to be put on record next, with the number of their checkpoint. The same ones are returned until they are
+    /// on record.
+    pub fn checkpoint(&mut self, bytes_max: usize) -> Option<(usize, &TextCheckpoint)> {
+        if self.ended {
+            return None;
+        }
+        if self.checkpoint.is_none() {
+            let mut bytes = 0;
+            let mut parts = Vec::new();
+            let unfinished = self.items.iter_mut().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
+            for (index, item) in unfinished {
+                if bytes < bytes_max && item.text.unsaved() >= CHECKPOINT_EVENTS_MIN {
+                    let part = item.text.take_unsaved(index);
+                    bytes += part.as_ref().map_or(0, |part| part.text.len());
+                    parts.extend(part);
+                }
+            }
+            self.checkpoint = (!parts.is_empty()).then_some(TextCheckpoint { parts });
+        }
+        Some((self.checkpoints, self.checkpoint.as_ref()?))
+    }
+
+    /// The checkpoint `number` is on record.
+    pub fn checkpoint_saved(&mut self, number: usize) {
+        if self.checkpoint.is_some() && self.checkpoints == number {
+            self.checkpoint = None;
+            self.checkpoints += 1;
+        }
+    }
+
+    /// Something else stands under `number`: what is on record is not known, and every text is put on record anew.
+    pub fn checkpoint_taken(&mut self, number: usize) {
+        if self.checkpoints != number {
+            return;
+        }
+        self.checkpoint = None;
+        self.checkpoints += 1;
+        for item in &mut self.items {
+            item.text.forget_saved();
+        }
+    }
+
+    /// Whether the submitter waits for a result that is not listed yet, so that listing should not wait for more.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// Items that wait to be run.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -264,6 +347,7 @@
             });
             let count = fits.count().max(1);
             let results = self.unlisted.drain(..count).collect();
+            self.urgent &= !self.unlisted.is_empty();
             self.chunk = Some(ResultChunk { first: self.listed, results });
         }
         self.chunk.as_ref()
@@ -294,7 +378,7 @@
     /// Events of the item's text so far.
     #[must_use]
     pub fn events(&self, index: usize) -> u64 {
-        self.items.get(index).and_then(|item| item.text.last()).map_or(0, |last| last + 1 - FIRST_EVENT)
+        self.items.get(index).map_or(0, |item| item.text.events())
     }
 
     /// No upstream has room for an item that [`Self::next_run`] returned.
@@ -335,6 +419,19 @@
         item.text = SampleText::default();
         self.queue.remove(&(std::cmp::Reverse(item.spec.expected_tokens), index));
         self.score_due.remove(&index);
+        let group = item.spec.group.clone();
         self.unlisted.push(result);
+        self.group_finished(&group);
+    }
+
+    /// An item of `group` is finished. The submitter goes on once it has read enough whole groups.
+    fn group_finished(&mut self, group: &str) {
+        let Some(open) = self.open_items.get_mut(group) else { return };
+        *open = open.saturating_sub(1);
+        if *open > 0 {
+            return;
+        }
+        let whole = self.open_items.values().filter(|open| **open == 0).count() as u64;
+        self.urgent |= whole >= self.terms.groups_awaited;
     }
 }
--- a/crates/kernel/src/batch/batch_terms.rs
+++ b/crates/kernel/src/batch/batch_terms.rs
@@ -24,6 +24,8 @@
     pub single_version: bool,
     /// When items may be given up.
     pub give_up_at: TimePoint,
+    /// Whole groups that the submitter waits for.
+    pub groups_awaited: u64,
 }
 
 /// An item to be run.
--- a/crates/kernel/src/batch/ledger_state.rs
+++ b/crates/kernel/src/batch/ledger_state.rs
@@ -19,6 +19,9 @@
     pub unlisted: Vec<ItemResult>,
     /// Texts of unfinished items.
     pub items: Vec<PartialItem>,
+    /// Checkpoints that are on record or may be.
+    #[serde(default)]
+    pub checkpoints: usize,
 }
 
 /// An unfinished item.
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -1,5 +1,6 @@
 //! A text while its events arrive.
 
+use super::TextPart;
 use serde::{Deserialize, Serialize};
 
 /// Number of a text's first event.
@@ -11,6 +12,16 @@
     text: String,
     last: Option<u64>,
     versions: Vec<u64>,
+    /// How much of it is on record, or on its way there.
+    #[serde(skip)]
+    saved: SavedMark,
+}
+
+/// The part of a text that is on record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct SavedMark {
+    events: u64,
+    bytes: usize,
 }
 
 impl SampleText {
@@ -20,6 +31,18 @@
         self.last
     }
 
+    /// Number of events.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.last.map_or(0, |last| last + 1 - FIRST_EVENT)
+    }
+
+    /// Events that no checkpoint holds.
+    #[must_use]
+    pub fn unsaved(&self) -> u64 {
+        self.events() - self.saved.events
+    }
+
     /// Versions that generated the text, ascending.
     #[must_use]
     pub fn versions(&self) -> &[u64] {
@@ -31,15 +54,37 @@
         if number != self.last.map_or(FIRST_EVENT, |last| last + 1) {
             return false;
         }
-        if self.last.is_some() {
-            self.text.push('\n');
+        self.append(number, data, &[version]);
+        true
+    }
+
+    /// The events that no checkpoint holds, which count as saved from now on.
+    pub fn take_unsaved(&mut self, index: usize) -> Option<TextPart> {
+        let last = self.last?;
+        if self.unsaved() == 0 {
+            return None;
         }
-        self.text.push_str(data);
-        self.last = Some(number);
-        if let Err(at) = self.versions.binary_search(&version) {
-            self.versions.insert(at, version);
+        let first = FIRST_EVENT + self.saved.events;
+        let separator = usize::from(self.saved.events > 0);
+        let text = self.text[self.saved.bytes + separator..].to_owned();
+        self.saved = SavedMark { events: self.events(), bytes: self.text.len() };
+        Some(TextPart { index, first, last, text, versions: self.versions.clone() })
+    }
+
+    /// Forgets that anything is on record.
+    pub fn forget_saved(&mut self) {
+        self.saved = SavedMark::default();
+    }
+
+    /// Takes over a part from the record. A part that leaves a gap is passed over.
+    pub fn replay(&mut self, part: &TextPart) {
+        if part.first == FIRST_EVENT {
+            *self = Self::default();
+        } else if self.last.is_none_or(|last| part.first != last + 1) {
+            return;
         }
-        true
+        self.append(part.last, &part.text, &part.versions);
+        self.saved = SavedMark { events: self.events(), bytes: self.text.len() };
     }
 
     /// The text and its versions.
@@ -47,4 +92,17 @@
     pub fn into_parts(self) -> (String, Vec<u64>) {
         (self.text, self.versions)
     }
+
+    fn append(&mut self, last: u64, text: &str, versions: &[u64]) {
+        if self.last.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(text);
+        self.last = Some(last);
+        for version in versions {
+            if let Err(at) = self.versions.binary_search(version) {
+                self.versions.insert(at, *version);
+            }
+        }
+    }
 }
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -3,16 +3,17 @@
 use crate::sequence;
 use pimentoslip_kernel::{
     BatchLedger, BatchTerms, EventVerdict, FIRST_EVENT, ItemResult, ItemSpec, ItemState, ItemWork, RunEnd, ScoreEnd,
-    TimePoint,
+    TextCheckpoint, TimePoint,
 };
 use quickcheck::{Arbitrary, Gen};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 const ITEMS: usize = 4;
 const ATTEMPTS_MAX: u32 = 2;
 const SCORER_FAILURES_MAX: u32 = 3;
 const GIVE_UP_MS: u64 = 20_000;
 const CHUNK_BYTES: usize = 450;
+const CHECKPOINT_BYTES: usize = 40;
 
 #[derive(Clone, Debug)]
 enum Command {
@@ -26,6 +27,8 @@
     Score { how: u8 },
     /// The owner writes results; the answer may be lost.
     List { lost: bool },
+    /// The owner puts texts on record; the write or its answer may be lost.
+    Save { written: bool, answered: bool },
     /// The weights change.
     Swap,
     /// The owner dies, or hands its state over; another one goes on.
@@ -42,7 +45,8 @@
             4..=9 => Self::Event { run: a, skip: b % 16 == 0 },
             10..=13 => Self::EndRun { run: a, how: b },
             14..=15 => Self::Score { how: a },
-            16 => Self::List { lost: a % 3 == 0 },
+            16 if a % 2 == 0 => Self::List { lost: a % 3 == 0 },
+            16 => Self::Save { written: b % 4 > 0, answered: b % 3 > 0 },
             17 if a % 2 == 0 => Self::Swap,
             18 if a % 3 == 0 => Self::Change { handed: b % 2 == 0 },
             _ => Self::Wait { ms: u16::arbitrary(rng) % 600 },
@@ -50,9 +54,9 @@
     }
 }
 
-/// Length of an item's text in events.
+/// Length of an item's text in events; the longest are worth a checkpoint.
 fn length(index: usize) -> u64 {
-    index as u64 * 2 + 1
+    index as u64 * 6 + 1
 }
 
 fn data(index: usize, number: u64) -> String {
@@ -77,6 +81,16 @@
     scorer_failures: Vec<u32>,
     impossible: BTreeSet<usize>,
     listed: Vec<ItemResult>,
+    /// Checkpoints on record, each with the versions of all events of its texts up to there.
+    record: BTreeMap<usize, SavedTexts>,
+    /// The checkpoint that the owner wrote last, as it was when it was made.
+    written: Option<(usize, SavedTexts)>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct SavedTexts {
+    checkpoint: TextCheckpoint,
+    versions: BTreeMap<usize, Vec<u64>>,
 }
 
 struct World {
@@ -97,7 +111,8 @@
 impl World {
     fn new(single_version: bool) -> Self {
         let give_up_at = TimePoint(GIVE_UP_MS);
-        let terms = BatchTerms { attempts_max: ATTEMPTS_MAX, oldest_version: 2, single_version, give_up_at };
+        let terms =
+            BatchTerms { attempts_max: ATTEMPTS_MAX, oldest_version: 2, single_version, give_up_at, groups_awaited: 1 };
         let truth = Truth {
             kept: vec![Vec::new(); ITEMS],
             failures: vec![0; ITEMS],
@@ -128,6 +143,7 @@
             Command::EndRun { run, how } => self.end_run(run, how),
             Command::Score { how } => self.score(how),
             Command::List { lost } => self.list(lost)?,
+            Command::Save { written, answered } => self.save(written, answered)?,
             Command::Swap => self.version += 1,
             Command::Change { handed } => self.change(handed),
             Command::Wait { ms } => {
@@ -230,6 +246,38 @@
         self.check()
     }
 
+    /// The store takes a checkpoint under its number once.
+    fn save(&mut self, written: bool, answered: bool) -> Result<(), String> {
+        let Some((number, checkpoint)) = self.ledger.checkpoint(CHECKPOINT_BYTES) else { return Ok(()) };
+        let checkpoint = checkpoint.clone();
+        let versions = |part: &pimentoslip_kernel::TextPart| {
+            let length = usize::try_from(part.last + 1 - FIRST_EVENT).unwrap_or(usize::MAX);
+            (part.index, self.truth.kept[part.index].iter().copied().take(length).collect())
+        };
+        let made = match &self.truth.written {
+            // The same texts again; the items may have gone on or begun anew since.
+            Some((known, texts)) if *known == number && texts.checkpoint == checkpoint => texts.clone(),
+            _ => SavedTexts { versions: checkpoint.parts.iter().map(versions).collect(), checkpoint },
+        };
+        for part in &made.checkpoint.parts {
+            let data: Vec<String> = (part.first..=part.last).map(|number| data(part.index, number)).collect();
+            if part.text != data.join("\n") {
+                return Err(format!("the part of item {} from event {} is {:?}", part.index, part.first, part.text));
+            }
+        }
+        self.truth.written = Some((number, made.clone()));
+        if !written {
+            return Ok(());
+        }
+        let stored = self.truth.record.entry(number).or_insert_with(|| made.clone()).clone();
+        match (answered, stored == made) {
+            (false, _) => {}
+            (true, true) => self.ledger.checkpoint_saved(number),
+            (true, false) => self.ledger.checkpoint_taken(number),
+        }
+        Ok(())
+    }
+
     /// Another owner reads the record, and gets the former one's state if that could hand it over.
     fn change(&mut self, handed: bool) {
         let state = self.ledger.state();
@@ -240,8 +288,11 @@
             self.ledger.restore(state);
             return;
         }
+        let record: Vec<TextCheckpoint> = self.truth.record.values().map(|texts| texts.checkpoint.clone()).collect();
+        self.ledger.replay(&record);
         for index in (0..ITEMS).filter(|index| !listed.contains(index)) {
-            self.truth.kept[index].clear();
+            let saved = self.truth.record.values().rev().find_map(|texts| texts.versions.get(&index));
+            self.truth.kept[index] = saved.cloned().unwrap_or_default();
             self.truth.failures[index] = 0;
             self.truth.scorer_failures[index] = 0;
         }
@@ -353,3 +404,58 @@
     world.ledger.put_back(first.index);
     assert_eq!(world.ledger.next_run(TimePoint(0)).unwrap().index, ITEMS - 1);
 }
+
+/// Plays the loss of an owner in the middle of a text of `events` events, of which a checkpoint was written after
+/// `saved`; returns the event after which the next owner goes on.
+fn resumed_after(saved: u64, events: u64) -> Option<u64> {
+    let spec = ItemSpec { group: "g".into(), expected_tokens: 1, scored: false };
+    let terms = BatchTerms {
+        attempts_max: 1,
+        oldest_version: 1,
+        single_version: false,
+        give_up_at: TimePoint(GIVE_UP_MS),
+        groups_awaited: 1,
+    };
+    let mut first = BatchLedger::new(terms, vec![spec.clone()], &[]);
+    first.next_run(TimePoint(0)).unwrap();
+    let mut record = Vec::new();
+    for number in FIRST_EVENT..FIRST_EVENT + events {
+        first.event(0, number, 1, &data(0, number));
+        if number == saved {
+            record.extend(first.checkpoint(1 << 20).map(|(_, checkpoint)| checkpoint.clone()));
+        }
+    }
+    let mut second = BatchLedger::new(terms, vec![spec], &[]);
+    second.replay(&record);
+    second.next_run(TimePoint(0)).unwrap().resume_after
+}
+
+#[test]
+fn the_next_owner_goes_on_from_the_last_checkpoint() {
+    for (saved, events, resumed) in [(40, 60, Some(40)), (8, 9, Some(8)), (7, 60, None), (100, 60, None)] {
+        assert_eq!(resumed_after(saved, events), resumed, "saved after {saved} of {events}");
+    }
+}
+
+#[test]
+fn the_group_that_a_submitter_waits_for_is_listed_without_delay() {
+    let groups = ["a", "a", "b", "b", "c"];
+    let specs = groups.map(|group| ItemSpec { group: group.into(), expected_tokens: 1, scored: false });
+    let terms = BatchTerms {
+        attempts_max: 1,
+        oldest_version: 1,
+        single_version: false,
+        give_up_at: TimePoint(GIVE_UP_MS),
+        groups_awaited: 2,
+    };
+    let mut ledger = BatchLedger::new(terms, specs.into(), &[]);
+    while ledger.next_run(TimePoint(0)).is_some() {}
+    for (index, urgent) in [(0, false), (2, false), (1, false), (3, true)] {
+        ledger.event(index, FIRST_EVENT, 1, "x");
+        ledger.run_ended(index, RunEnd::Whole, TimePoint(0));
+        assert_eq!(ledger.is_urgent(), urgent, "after item {index}");
+    }
+    let first = ledger.chunk(1 << 20).unwrap().first;
+    ledger.chunk_listed(first);
+    assert!(!ledger.is_urgent());
+}
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -79,6 +79,18 @@
         Some(format!("p/d/{job}/chunk/{:08}~", first.checked_sub(1)?))
     }
 
+    /// A batch job's texts in the middle.
+    #[must_use]
+    pub fn texts(job: &str) -> String {
+        format!("p/d/{job}/text/")
+    }
+
+    /// The checkpoint `number` of a batch job's texts.
+    #[must_use]
+    pub fn text(job: &str, number: usize) -> String {
+        format!("p/d/{job}/text/{number:06}")
+    }
+
     /// The counts of all daemons in a usage window.
     #[must_use]
     pub fn counts(window: u64) -> String {
--- a/crates/wire/src/stored/mod.rs
+++ b/crates/wire/src/stored/mod.rs
@@ -4,10 +4,12 @@
 mod job_entry;
 mod key_layout;
 mod result_entry;
+mod texts_entry;
 mod usage_entry;
 
 pub use daemon_entry::{DaemonEntry, PresenceEntry};
 pub use job_entry::JobEntry;
 pub use key_layout::KeyLayout;
 pub use result_entry::{ResultEntry, ResultsEntry};
+pub use texts_entry::TextsEntry;
 pub use usage_entry::UsageEntry;
