--- a/crates/edge/src/duty/mod.rs
+++ b/crates/edge/src/duty/mod.rs
@@ -3,8 +3,10 @@
 mod duty_task;
 mod load_duty;
 mod retire_duty;
+mod usage_collector;
 mod usage_count_task;
 mod usage_duty;
 
 pub use duty_task::hold_duty;
+pub use usage_collector::{USAGE_PATH, UsageCollector};
 pub use usage_count_task::{record_usage, record_usage_now};
--- a/crates/edge/src/duty/usage_count_task.rs
+++ b/crates/edge/src/duty/usage_count_task.rs
@@ -1,48 +1,61 @@
-//! Puts this daemon's counts of each usage window on record.
+//! Puts this daemon's counts of each usage window on record, through the region's collector.
 
-use crate::{edge_state::EdgeState, store::StoreAccess};
-use bytes::Bytes;
-use pimentoslip_platform::StoreCommit;
+use super::usage_collector::{USAGE_PATH, write_parts};
+use crate::{edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
+use pimentoslip_kernel::UsageBatch;
 use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::{
-    encode,
-    stored::{KeyLayout, UsageEntry},
-};
+use pimentoslip_wire::{peer::UsagePush, stored::UsagePart};
 use std::{sync::Arc, time::Duration};
 
 /// Time between two looks at the counts.
 const LOOK_PERIOD: Duration = Duration::from_millis(400);
 /// Requests that began before a window's end may be counted this much later, in milliseconds.
 const LATE_MS: u64 = 2_200;
+/// Longest wait for the collector, which gathers for some hundred milliseconds and writes once, in milliseconds.
+const COLLECT_MS: u64 = 1_000;
 
 /// Runs as long as the process.
-pub async fn record_usage(state: Arc<EdgeState>, store: StoreAccess) {
+pub async fn record_usage(state: Arc<EdgeState>, store: StoreAccess, peers: PeerClient) {
     loop {
         actix_rt::time::sleep(LOOK_PERIOD).await;
         let before = state.unix_ms().saturating_sub(LATE_MS);
-        record_ended(&state, &store, before).await;
+        let batches = state.usage().close_ended(before);
+        for batch in batches {
+            record(&state, &store, &peers, batch).await;
+        }
     }
 }
 
-/// Records the windows that ended before `unix_ms`.
-pub async fn record_ended(state: &EdgeState, store: &StoreAccess, unix_ms: u64) {
-    let ended = state.usage().ended(unix_ms);
-    for (window, counts) in ended {
-        let total: u64 = counts.values().sum();
-        let Ok(value) = encode(&UsageEntry { counts }) else { continue };
-        let key = KeyLayout::count(window, &state.settings.vm, state.incarnation);
-        let commit = StoreCommit::default().put(key, Bytes::from(value), 0);
-        match store.commit(&commit).await {
-            Ok(_) => {
-                LogLine::new("usage_recorded").field("window", window).field("requests", total).info();
-                state.usage().recorded(window);
-            }
-            Err(error) => LogLine::new("usage_not_recorded").field("window", window).field("reason", error).warn(),
-        }
+/// Records what was counted so far, before the process ends.
+pub async fn record_usage_now(state: &EdgeState, store: &StoreAccess, peers: &PeerClient) {
+    let batches = state.usage().close_ended(u64::MAX);
+    for batch in batches {
+        record(state, store, peers, batch).await;
     }
 }
 
-/// Records what was counted so far, before the process ends.
-pub async fn record_usage_now(state: &EdgeState, store: &StoreAccess) {
-    record_ended(state, store, u64::MAX).await;
+async fn record(state: &EdgeState, store: &StoreAccess, peers: &PeerClient, batch: UsageBatch) {
+    let UsageBatch { number, window, counts } = batch;
+    let part = UsagePart { daemon: state.settings.vm.clone(), incarnation: state.incarnation, number, counts };
+    let push = UsagePush { window, part };
+    if collect(state, peers, &push).await || write_parts(state, store, &[(window, vec![push.part])]).await {
+        state.usage().recorded(number);
+    }
+}
+
+/// Hands counts to the region's collector. False if it is not certain that they are on record.
+async fn collect(state: &EdgeState, peers: &PeerClient, push: &UsagePush) -> bool {
+    let collector = {
+        let ownership = state.ownership();
+        ownership.region_watcher(&state.settings.region).map(|(_, presence)| presence.control.clone())
+    };
+    let own = || state.settings.control.map(|address| address.to_string().into());
+    let Some(control) = collector.or_else(own) else { return false };
+    match peers.call::<bool>(&control, USAGE_PATH, push, COLLECT_MS).await {
+        Ok(recorded) => recorded,
+        Err(error) => {
+            LogLine::new("usage_not_collected").field("collector", control).field("reason", error).warn();
+            false
+        }
+    }
 }
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -10,7 +10,8 @@
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 /// Purposes of calls to the store.
-const STORE_PURPOSES: [&str; 9] = [
+const STORE_PURPOSES: [&str; 10] = [
+    "news",
     "follow_operator",
     "follow_upstreams",
     "follow_daemons",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -2,17 +2,22 @@
 
 use crate::{edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime};
 use pimentoslip_client::OwnerClock;
-use pimentoslip_kernel::{OwnershipTable, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally};
+use pimentoslip_kernel::{
+    OwnershipTable, PathChoice, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally, fingerprint,
+};
 use pimentoslip_platform::ProcessSettings;
 use std::{
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 use tokio::sync::Notify;
 
+/// One part in this many of the process's memory may hold results that others read.
+const RESULTS_MEMORY_DIVISOR: usize = 8;
+
 /// State shared between listeners and tasks. Locks are held for a decision, never across a wait.
 #[derive(Debug)]
 pub struct EdgeState {
@@ -28,6 +33,8 @@
     pub job_changed: Notify,
     /// Wakes the duty's holder.
     pub upstreams_changed: Notify,
+    /// Wakes those who wait for results of owned jobs.
+    pub results_listed: Notify,
     time: SteadyTime,
     requests: AtomicUsize,
     config: RwLock<Option<Arc<TrafficConfig>>>,
@@ -38,6 +45,9 @@
     jobs: Mutex<JobIndex>,
     usage: Mutex<UsageTally>,
     lease: Mutex<LeaseView>,
+    store_path: Mutex<PathChoice>,
+    store_regained_at: Mutex<Option<TimePoint>>,
+    usage_writes: AtomicU64,
 }
 
 /// What is known of the daemon's lease and of the duty that hangs on somebody's lease.
@@ -76,6 +86,7 @@
             draining: AtomicBool::new(false),
             job_changed: Notify::new(),
             upstreams_changed: Notify::new(),
+            results_listed: Notify::new(),
             time: SteadyTime::new(&clock),
             requests: AtomicUsize::new(0),
             config: RwLock::new(None),
@@ -83,9 +94,12 @@
             named_versions: Mutex::default(),
             retired_vms: Mutex::default(),
             ownership: Mutex::new(OwnershipTable::new(settings.vm.clone(), incarnation)),
-            jobs: Mutex::default(),
+            jobs: Mutex::new(JobIndex::new(settings.memory_bytes / RESULTS_MEMORY_DIVISOR)),
             usage: Mutex::new(UsageTally::new(settings.usage_window_ms)),
             lease: Mutex::default(),
+            store_path: Mutex::new(PathChoice::new(fingerprint(&[settings.vm.as_bytes()]))),
+            store_regained_at: Mutex::default(),
+            usage_writes: AtomicU64::new(0),
             settings,
             clock,
         })
@@ -155,6 +169,34 @@
         lock(&self.lease)
     }
 
+    /// Which way calls to the store take.
+    pub fn store_path(&self) -> MutexGuard<'_, PathChoice> {
+        lock(&self.store_path)
+    }
+
+    /// The store was found back at `at`.
+    pub fn store_regained(&self, at: TimePoint) {
+        *lock(&self.store_regained_at) = Some(at);
+    }
+
+    /// When the store was found back after its last outage.
+    #[must_use]
+    pub fn store_regained_at(&self) -> Option<TimePoint> {
+        *lock(&self.store_regained_at)
+    }
+
+    /// Number of this process's next write of usage counts.
+    #[must_use]
+    pub fn next_usage_write(&self) -> u64 {
+        self.usage_writes.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether this daemon's lease holds for certain, so that nobody else owns what hangs on it.
+    #[must_use]
+    pub fn is_lease_sure(&self) -> bool {
+        !self.is_draining() && self.lease().ends_at > self.now()
+    }
+
     /// Whether this daemon leaves.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -6,7 +6,7 @@
     request_context::{RequestContext, text},
 };
 use crate::{
-    job::{self, JobView, NewJob, SubmitOutcome},
+    job::{self, BoundedRead, JobView, NewJob, SubmitOutcome},
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
@@ -17,6 +17,7 @@
 };
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
+use std::sync::Arc;
 
 /// Largest page of results, in bytes of text; the interface allows 1 MB of results.
 const PAGE_BYTES_MAX: usize = 900_000;
@@ -52,8 +53,8 @@
     };
     let (step, items) = (submission.step, submission.items.len());
     let deadline = context.deadline.min(parts.state.now().plus_ms(WRITE_MS_MAX));
-    let new = NewJob { id: context.id.clone(), entry, kind: rule.name.clone(), body };
-    drop(submission);
+    let submission = Arc::new(submission);
+    let new = NewJob { id: context.id.clone(), entry, kind: rule.name.clone(), body, submission };
     let outcome = job::submit(parts, &new, deadline).await;
     LogLine::new("job_submitted")
         .field("job", &context.id)
@@ -107,12 +108,13 @@
     let wait_ms = text(request.headers(), header::WAIT_MS).and_then(|text| text.trim().parse().ok()).unwrap_or(0);
     let wait_ms = if position >= view.entry.items { 0 } else { READ_WAIT_MS_MAX.min(wait_ms) };
     let until = context.arrived.plus_ms(wait_ms).min(context.deadline);
-    let read = job::read_page(&parts.state, &parts.store, id, position, PAGE_BYTES_MAX, until).await;
-    let read = read.map_err(|error| {
+    let read = BoundedRead { position, bytes_max: PAGE_BYTES_MAX, until };
+    let results = job::read_page(&parts.state, &parts.store, &parts.peers, &id.into(), &read).await;
+    let results = results.map_err(|error| {
         LogLine::new("results_unread").field("job", id).field("position", position).field("reason", error).warn();
         ApiRefusal::StoreAway
     })?;
-    let results: Vec<ListedResult<'_>> = read.results.iter().map(listed).collect();
+    let results: Vec<ListedResult<'_>> = results.iter().map(|result| listed(result)).collect();
     let page = ResultPage { total: view.entry.items, next: position + results.len(), results };
     let body = encode_page(&page).map_err(|_| ApiRefusal::StoreAway)?;
     Ok(HttpResponse::Ok().content_type("application/json").body(body))
@@ -137,7 +139,7 @@
 ) -> Result<HttpResponse, ApiRefusal> {
     find(parts, context, request, id).await?;
     let item = parameter(request, ITEM_PARAMETER).ok_or(ApiRefusal::Malformed)?;
-    let body = job::read_body(&parts.store, id, &item).await.map_err(|error| {
+    let body = job::read_body(&parts.state, &parts.store, &parts.peers, &id.into(), &item).await.map_err(|error| {
         LogLine::new("item_unread").field("job", id).field("item", &item).field("reason", error).warn();
         ApiRefusal::StoreAway
     })?;
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -1,34 +1,32 @@
 //! What daemons send each other.
 
 use crate::{
-    job::{NewJob, receive},
+    job::{BoundedRead, NewJob, owned_item, owned_results, receive},
     store::RELAY_PATH,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
 use pimentoslip_kernel::OwnerRecord;
-use pimentoslip_platform::StoreError;
+use pimentoslip_platform::{StoreError, decode_submission};
 use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::{decode, peer::JobPush};
+use pimentoslip_wire::{
+    CodecError, decode, encode,
+    peer::{ItemRequest, JobPush, NewsRequest, ResultsRequest, UsagePush},
+};
+use serde::Serialize;
+use std::sync::Arc;
 
 /// Largest push: submissions are bounded by the operators' limit on bodies, 32 MB by default.
 pub const PUSH_BYTES_MAX: usize = 33 << 20;
 
-/// Query parameter with the time for which a call may be kept waiting, in milliseconds.
-const WAIT_PARAMETER: &str = "waitMs";
-
 /// Passes a peer's call on to the store. A failure before anything was sent is told from one of unknown outcome.
 pub async fn relay(parts: web::Data<WorkerParts>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
     let path = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
     let Some(name) = path.strip_prefix(RELAY_PATH) else { return HttpResponse::NotFound().finish() };
-    let waits = form_urlencoded::parse(request.query_string().as_bytes()).find(|(key, _)| key == WAIT_PARAMETER);
-    let wait_ms = waits.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
-    let passed = if wait_ms > 0 {
-        parts.watches.pass_on(&parts.relay, name, wait_ms).await
-    } else {
-        parts.relay.pass_on(request.method().clone(), name, wait_ms, body).await
-    };
-    match passed {
+    if !parts.state.store_path().is_direct_open() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match parts.relay.pass_on(request.method().clone(), name, body).await {
         Ok((status, body)) => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
             HttpResponse::build(status).content_type("application/json").body(body)
@@ -38,22 +36,76 @@
     }
 }
 
+/// Tells another daemon of changes in the store.
+pub async fn news(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<NewsRequest>(&body) {
+        Ok(request) => answer(&parts.news.answer(request).await),
+        Err(error) => malformed(&error),
+    }
+}
+
+/// Reads results for another daemon.
+pub async fn results(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    let request: ResultsRequest = match decode(&body) {
+        Ok(request) => request,
+        Err(error) => return malformed(&error),
+    };
+    let until = parts.state.now().plus_ms(request.wait_ms);
+    let read = BoundedRead { position: request.position, bytes_max: request.bytes_max, until };
+    answer(&owned_results(&parts.state, &request.job, &read).await)
+}
+
+/// Reads the body of an item for another daemon.
+pub async fn item(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<ItemRequest>(&body) {
+        Ok(request) => answer(&owned_item(&parts.state, &request.job, &request.item)),
+        Err(error) => malformed(&error),
+    }
+}
+
+/// Takes usage counts in, and answers once it is known whether they are on record.
+pub async fn usage(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<UsagePush>(&body) {
+        Ok(push) => answer(&parts.collector.take(push).await),
+        Err(error) => malformed(&error),
+    }
+}
+
+fn answer(message: &impl Serialize) -> HttpResponse {
+    match encode(message) {
+        Ok(body) => HttpResponse::Ok().body(body),
+        Err(error) => {
+            LogLine::new("peer_answer_not_encoded").field("reason", error).warn();
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
+
+fn malformed(error: &CodecError) -> HttpResponse {
+    LogLine::new("peer_call_malformed").field("reason", error).warn();
+    HttpResponse::BadRequest().finish()
+}
+
 /// Takes in a job that this process owns.
 pub async fn take_job(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     let state = &parts.state;
     let push: JobPush = match decode(&body) {
         Ok(push) => push,
-        Err(error) => {
-            LogLine::new("push_malformed").field("reason", error).warn();
-            return HttpResponse::BadRequest().finish();
-        }
+        Err(error) => return malformed(&error),
     };
     if push.incarnation != state.incarnation || state.is_draining() {
         return HttpResponse::Conflict().finish();
     }
     let owner =
         OwnerRecord { daemon: state.settings.vm.clone(), incarnation: push.incarnation, revision: push.revision };
-    let job = NewJob { id: push.job, entry: push.entry, kind: "".into(), body: push.body.into() };
+    let submission = match decode_submission(&push.body) {
+        Ok(submission) => Arc::new(submission),
+        Err(error) => {
+            LogLine::new("submission_malformed").field("job", &push.job).field("reason", error).warn();
+            return HttpResponse::BadRequest().finish();
+        }
+    };
+    let job = NewJob { id: push.job, entry: push.entry, kind: "".into(), body: push.body.into(), submission };
     receive(state, &job, Some(owner), push.state);
     HttpResponse::Ok().finish()
 }
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -1,7 +1,13 @@
 //! The balancer's probe, and metrics.
 
 use super::peer_api;
-use crate::{edge_metrics::EdgeMetrics, job::JOB_PUSH_PATH, store::RELAY_PATH, worker_parts::WorkerParts};
+use crate::{
+    duty::USAGE_PATH,
+    edge_metrics::EdgeMetrics,
+    job::{ITEM_BODY_PATH, JOB_PUSH_PATH, RESULTS_PATH},
+    store::{NEWS_PATH, RELAY_PATH},
+    worker_parts::WorkerParts,
+};
 use actix_web::{HttpResponse, web};
 use pimentoslip_platform::READY_PATH;
 
@@ -28,6 +34,10 @@
 pub fn configure_control(app: &mut web::ServiceConfig) {
     app.app_data(web::PayloadConfig::new(peer_api::PUSH_BYTES_MAX))
         .route(JOB_PUSH_PATH, web::post().to(peer_api::take_job))
+        .route(NEWS_PATH, web::post().to(peer_api::news))
+        .route(RESULTS_PATH, web::post().to(peer_api::results))
+        .route(USAGE_PATH, web::post().to(peer_api::usage))
+        .route(ITEM_BODY_PATH, web::post().to(peer_api::item))
         .route(&format!("{RELAY_PATH}{{call:.*}}"), web::to(peer_api::relay))
         .route("/metrics", web::get().to(metrics));
 }
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -1,9 +1,10 @@
 //! Batch jobs that the daemon knows of.
 
+use super::listed_cache::ListedCache;
 use bytes::Bytes;
 use pimentoslip_kernel::{LedgerState, SharedName, TimePoint};
 use pimentoslip_platform::BatchSubmission;
-use pimentoslip_wire::stored::JobEntry;
+use pimentoslip_wire::stored::{JobEntry, ResultEntry};
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
@@ -36,20 +37,35 @@
 }
 
 /// Batch jobs by id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct JobIndex {
     jobs: HashMap<SharedName, JobView>,
     /// Ended jobs, also those whose record has not been seen yet.
     ended: HashSet<SharedName>,
     /// Submissions accepted here that are not being run yet.
     submissions: HashMap<SharedName, KeptJob>,
-    /// Jobs whose state is in this process.
-    held: HashSet<SharedName>,
+    /// Jobs whose state is in this process, with what was submitted once that is known.
+    held: HashMap<SharedName, Option<Arc<BatchSubmission>>>,
+    /// Results that can be read without the store.
+    listed: ListedCache,
     /// Jobs with waiting items, by route: when they were submitted.
     waiting: BTreeMap<(SharedName, SharedName), TimePoint>,
 }
 
 impl JobIndex {
+    /// Creates an index that keeps up to `results_bytes_max` of results in memory.
+    #[must_use]
+    pub fn new(results_bytes_max: usize) -> Self {
+        Self {
+            jobs: HashMap::new(),
+            ended: HashSet::new(),
+            submissions: HashMap::new(),
+            held: HashMap::new(),
+            listed: ListedCache::new(results_bytes_max),
+            waiting: BTreeMap::new(),
+        }
+    }
+
     /// A job is on record.
     pub fn accepted(&mut self, job: SharedName, entry: JobEntry) {
         let ended = self.ended.contains(&job);
@@ -83,6 +99,7 @@
         self.jobs.remove(job);
         self.ended.remove(job);
         self.submissions.remove(job);
+        self.listed.forget(job);
     }
 
     /// The job `job`.
@@ -130,7 +147,34 @@
 
     /// Marks `job` as run by this process.
     pub fn hold(&mut self, job: SharedName) -> bool {
-        self.held.insert(job)
+        if self.held.contains_key(&job) {
+            return false;
+        }
+        self.held.insert(job, None);
+        true
+    }
+
+    /// A held job begins: what was submitted, and its results on record.
+    pub fn begin(&mut self, job: &SharedName, submission: Arc<BatchSubmission>, results: Vec<ResultEntry>) {
+        self.held.insert(job.clone(), Some(submission));
+        self.listed.begin(job.clone(), results);
+    }
+
+    /// Results of a held job are on record from `first` on.
+    pub fn append_listed(&mut self, job: &str, first: usize, results: &[ResultEntry]) {
+        self.listed.append(job, first, results);
+    }
+
+    /// Listed results of `job` from `position` on, as far as they are in memory. None if the job's are not.
+    #[must_use]
+    pub fn listed(&self, job: &str, position: usize, bytes_max: usize) -> Option<Vec<Arc<ResultEntry>>> {
+        self.listed.read(job, position, bytes_max)
+    }
+
+    /// What was submitted as `job`, if this process runs it.
+    #[must_use]
+    pub fn submission(&self, job: &str) -> Option<Arc<BatchSubmission>> {
+        self.held.get(job).cloned().flatten()
     }
 
     /// `job` is no longer run by this process.
@@ -164,6 +208,6 @@
     /// Whether this process has the state of `job`.
     #[must_use]
     pub fn is_held(&self, job: &str) -> bool {
-        self.held.contains(job) || self.submissions.contains_key(job)
+        self.held.contains_key(job) || self.submissions.contains_key(job)
     }
 }
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -1,25 +1,38 @@
 //! Reads batch jobs from the store.
 
-use super::JobView;
-use crate::{edge_state::EdgeState, store::StoreAccess};
+use super::{
+    JobView,
+    owner_read::{owner_item, owner_results},
+};
+use crate::{edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
 use bytes::{Bytes, BytesMut};
-use pimentoslip_kernel::{TextCheckpoint, TimePoint};
+use pimentoslip_kernel::{SharedName, TextCheckpoint, TimePoint};
 use pimentoslip_platform::{BatchSubmission, RangePage, StoreChange, StoreError, StoreItem, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
     stored::{JobEntry, KeyLayout, ResultEntry, ResultsEntry, TextsEntry},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 /// Result of a read.
 pub type Result<T> = std::result::Result<T, StoreError>;
 
+/// What is read of a job's results.
+#[derive(Clone, Copy, Debug)]
+pub struct BoundedRead {
+    /// Position of the first result asked for.
+    pub position: usize,
+    /// Largest texts together, in bytes, unless the first alone is larger.
+    pub bytes_max: usize,
+    /// Until when the first result is waited for.
+    pub until: TimePoint,
+}
+
 /// Results from a position on.
 #[derive(Clone, Debug)]
-pub struct PageRead {
-    /// Results from the position asked for.
-    pub results: Vec<ResultEntry>,
+struct PageRead {
+    results: Vec<Arc<ResultEntry>>,
     /// Revision of the read, from which a watch may go on.
     revision: u64,
 }
@@ -36,27 +49,34 @@
     Ok(Some(JobView { entry, ended, settled: false, chunks: BTreeMap::new(), tail: None }))
 }
 
-/// Results from `position` on, at most about `bytes_max` of text. Waits until `until` for the first one.
+/// Results as asked for: from the job's owner, or else from the store. Waits for the first one.
 pub async fn read_page(
     state: &EdgeState,
     store: &StoreAccess,
-    job: &str,
-    position: usize,
-    bytes_max: usize,
-    until: TimePoint,
-) -> Result<PageRead> {
+    peers: &PeerClient,
+    job: &SharedName,
+    read: &BoundedRead,
+) -> Result<Vec<Arc<ResultEntry>>> {
+    match owner_results(state, peers, job, read).await {
+        Some(results) => Ok(results),
+        None => Ok(read_stored(state, store, job, read).await?.results),
+    }
+}
+
+async fn read_stored(state: &EdgeState, store: &StoreAccess, job: &str, read: &BoundedRead) -> Result<PageRead> {
+    let BoundedRead { position, bytes_max, until } = *read;
     let tail = state.jobs().get(job).and_then(|view| view.tail).filter(|(listed, _)| *listed == position);
-    let mut read = match tail {
+    let mut page = match tail {
         // Nothing was listed there at that revision, so the watch tells everything.
         Some((_, revision)) if until > state.now() => PageRead { results: Vec::new(), revision },
         _ => read_from(state, store, job, position, bytes_max).await?,
     };
-    while read.results.is_empty() {
+    while page.results.is_empty() {
         let left_ms = until.since_ms(state.now());
         if left_ms == 0 || state.jobs().is_ended(job) {
             break;
         }
-        let batch = match store.watch(&KeyLayout::chunks(job), read.revision, left_ms).await {
+        let batch = match store.watch(&KeyLayout::chunks(job), page.revision, left_ms).await {
             Ok(batch) => batch,
             Err(StoreError::HistoryGone) => return read_from(state, store, job, position, bytes_max).await,
             // What was read before still holds.
@@ -65,17 +85,17 @@
                 break;
             }
         };
-        read.revision = batch.revision;
+        page.revision = batch.revision;
         let written = batch.changes.into_iter().filter_map(|change| match change {
             StoreChange::Written(item) => Some(item),
             StoreChange::Removed { .. } => None,
         });
-        take_results(state, job, written, position, bytes_max, &mut read.results)?;
-        if text_bytes(&read.results) < bytes_max {
-            state.jobs().tail_known(job, position + read.results.len(), read.revision);
+        take_results(state, job, written, position, bytes_max, &mut page.results)?;
+        if text_bytes(&page.results) < bytes_max {
+            state.jobs().tail_known(job, position + page.results.len(), page.revision);
         }
     }
-    Ok(read)
+    Ok(page)
 }
 
 async fn read_from(
@@ -108,7 +128,7 @@
     }
 }
 
-fn text_bytes(results: &[ResultEntry]) -> usize {
+fn text_bytes(results: &[Arc<ResultEntry>]) -> usize {
     results.iter().map(|result| result.text.len()).sum()
 }
 
@@ -119,7 +139,7 @@
     items: impl Iterator<Item = StoreItem>,
     position: usize,
     bytes_max: usize,
-    results: &mut Vec<ResultEntry>,
+    results: &mut Vec<Arc<ResultEntry>>,
 ) -> Result<()> {
     let mut bytes = text_bytes(results);
     for item in items {
@@ -134,7 +154,7 @@
             if bytes > bytes_max && !results.is_empty() {
                 return Ok(());
             }
-            results.push(result);
+            results.push(Arc::new(result));
         }
     }
     Ok(())
@@ -158,17 +178,26 @@
 }
 
 /// The body of an item, if the job has it.
-pub async fn read_body(store: &StoreAccess, job: &str, id: &str) -> Result<Option<Bytes>> {
+pub async fn read_body(
+    state: &EdgeState,
+    store: &StoreAccess,
+    peers: &PeerClient,
+    job: &SharedName,
+    id: &str,
+) -> Result<Option<Bytes>> {
+    if let Some(body) = owner_item(state, peers, job, id).await {
+        return Ok(body);
+    }
     let (submission, _) = read_submission(store, job).await?;
     Ok(submission.items.into_iter().find(|item| *item.id == *id).map(|item| item.body))
 }
 
-/// Indexes of all listed items, in order.
-pub async fn read_listed(state: &EdgeState, store: &StoreAccess, job: &str) -> Result<Vec<usize>> {
+/// All listed results, in order.
+pub async fn read_listed(state: &EdgeState, store: &StoreAccess, job: &str) -> Result<Vec<ResultEntry>> {
     let page = store.range(&KeyLayout::chunks(job)).await?;
     let mut results = Vec::new();
     take_results(state, job, page.items.into_iter(), 0, usize::MAX, &mut results)?;
-    Ok(results.into_iter().map(|result| result.index).collect())
+    Ok(results.into_iter().map(Arc::unwrap_or_clone).collect())
 }
 
 /// Texts in the middle, as former owners put them on record. An unreadable entry is passed over: its texts begin anew.
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -19,6 +19,7 @@
 };
 use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError, header};
 use pimentoslip_telemetry::LogLine;
+use pimentoslip_wire::stored::ResultEntry;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -65,8 +66,8 @@
 /// What a new owner begins with.
 struct JobRecord {
     kept: KeptJob,
-    /// Indexes of the listed items, in order.
-    listed: Vec<usize>,
+    /// Listed results, in order.
+    listed: Vec<ResultEntry>,
     /// Texts in the middle.
     texts: Vec<TextCheckpoint>,
 }
@@ -122,7 +123,8 @@
     let rule = state.config().and_then(|config| config.route(&entry.host, &entry.path).cloned());
     let terms = terms(rule.as_deref(), &submission, submitted);
     let specs = submission.items.iter().map(item_spec).collect();
-    let mut ledger = BatchLedger::new(terms, specs, &listed);
+    let indexes: Vec<usize> = listed.iter().map(|result| result.index).collect();
+    let mut ledger = BatchLedger::new(terms, specs, &indexes);
     let handed = former.as_ref().map_or(0, |former| former.items.len() + former.unlisted.len());
     if let Some(former) = former {
         ledger.restore(former);
@@ -132,13 +134,14 @@
         .field("job", id)
         .field("step", submission.step)
         .field("items", submission.items.len())
-        .field("listed", listed.len())
+        .field("listed", indexes.len())
         .field("handed_over", handed)
         .field("checkpoints", texts.len())
         .field("oldest_version", submission.oldest_version)
         .field("age_ms", age_ms)
         .field("revision", revision)
         .info();
+    state.jobs().begin(id, submission.clone(), listed);
     Some(OwnedJob {
         state: state.clone(),
         upstreams,
@@ -175,7 +178,13 @@
 /// Hands an unfinished job to another daemon.
 async fn part(job: &OwnedJob) {
     let kind = job.route().map_or_else(|| job.entry.path.clone(), |rule| rule.name.clone());
-    let new = NewJob { id: job.id.clone(), entry: job.entry.clone(), kind, body: job.body.clone() };
+    let new = NewJob {
+        id: job.id.clone(),
+        entry: job.entry.clone(),
+        kind,
+        body: job.body.clone(),
+        submission: job.submission.clone(),
+    };
     let ledger = job.ledger.borrow().state();
     let parts = WorkerParts::new(job.state.clone());
     hand_over(&parts, &new, job.revision.get(), ledger).await;
@@ -205,6 +214,7 @@
         if job.ledger.borrow().is_settled() {
             state.ownership().job_closed(&job.id);
             state.jobs().settled(&job.id);
+            state.results_listed.notify_waiters();
             return;
         }
         let _ = actix_rt::time::timeout(LOOK_PERIOD, job.changed.notified()).await;
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -5,7 +5,7 @@
 use awc::Client;
 use bytes::Bytes;
 use pimentoslip_kernel::{DaemonPresence, LedgerState, OwnerRecord, SharedName, TimePoint};
-use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreError, decode_submission};
+use pimentoslip_platform::{BatchSubmission, CommitOutcome, StoreCommit, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -48,6 +48,22 @@
     pub kind: SharedName,
     /// The submission's body.
     pub body: Bytes,
+    /// What the body says.
+    pub submission: Arc<BatchSubmission>,
+}
+
+impl NewJob {
+    /// The message for the owner, whose record stands at `revision`.
+    fn push(&self, owner: &ChosenOwner, revision: u64, state: Option<LedgerState>) -> JobPush {
+        JobPush {
+            job: self.id.clone(),
+            entry: self.entry.clone(),
+            incarnation: owner.signature.incarnation,
+            revision,
+            state,
+            body: self.body.to_vec(),
+        }
+    }
 }
 
 /// The daemon that will own a job.
@@ -60,6 +76,10 @@
 /// Puts a job on record with an owner, and hands it to the owner.
 pub async fn submit(parts: &WorkerParts, job: &NewJob, deadline: TimePoint) -> SubmitOutcome {
     let state = &parts.state;
+    if let Some(known) = state.jobs().get(&job.id) {
+        let is_own = known.entry.organisation == job.entry.organisation;
+        return if is_own { SubmitOutcome::Accepted } else { SubmitOutcome::Foreign };
+    }
     let mut owner = choose_owner(state, &job.kind, None);
     let mut unknown = false;
     loop {
@@ -124,14 +144,7 @@
         ownership.job_accepted(job.id.clone(), now);
         ownership.owner_known(job.id.clone(), record, now);
     }
-    let push = JobPush {
-        job: job.id.clone(),
-        entry: job.entry.clone(),
-        incarnation: owner.signature.incarnation,
-        revision,
-        state: None,
-        body: job.body.to_vec(),
-    };
+    let push = job.push(&owner, revision, None);
     actix_rt::spawn(push_job(parts.upstreams.clone(), owner.presence.control, push));
 }
 
@@ -158,14 +171,7 @@
     let commit = StoreCommit::default().expect(key.clone(), revision).put(key, signature, owner.presence.lease);
     match parts.store.commit(&commit).await {
         Ok(CommitOutcome::Done(revision)) => {
-            let push = JobPush {
-                job: job.id.clone(),
-                entry: job.entry.clone(),
-                incarnation: owner.signature.incarnation,
-                revision,
-                state: Some(ledger),
-                body: job.body.to_vec(),
-            };
+            let push = job.push(&owner, revision, Some(ledger));
             push_job(parts.upstreams.clone(), owner.presence.control, push).await;
         }
         Ok(CommitOutcome::Conflict(_)) => {
@@ -177,10 +183,6 @@
 
 /// Takes a job in that is on record.
 pub fn receive(state: &EdgeState, job: &NewJob, owner: Option<OwnerRecord>, ledger: Option<LedgerState>) {
-    let submission = match decode_submission(&job.body) {
-        Ok(submission) => submission,
-        Err(error) => return LogLine::new("submission_malformed").field("job", &job.id).field("reason", error).warn(),
-    };
     let now = state.now();
     {
         let mut jobs = state.jobs();
@@ -188,7 +190,7 @@
         if !jobs.is_held(&job.id) {
             jobs.keep_submission(
                 job.id.clone(),
-                KeptJob { submission: Arc::new(submission), body: job.body.clone(), ledger },
+                KeptJob { submission: job.submission.clone(), body: job.body.clone(), ledger },
             );
         }
     }
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -165,7 +165,12 @@
         .field("revision", revision)
         .info();
     job.ledger.borrow_mut().chunk_listed(entry.first);
-    job.state.jobs().chunk_known(&job.id, entry.first, entry.next());
+    {
+        let mut jobs = job.state.jobs();
+        jobs.chunk_known(&job.id, entry.first, entry.next());
+        jobs.append_listed(&job.id, entry.first, &entry.results);
+    }
+    job.state.results_listed.notify_waiters();
 }
 
 fn saved(job: &OwnedJob, texts: &TextsWrite, revision: u64) {
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -68,8 +68,13 @@
         }
     };
     let control = state.settings.control.map(|address| address.to_string()).unwrap_or_default();
-    let failure_domain = state.settings.failure_domain.clone();
-    let presence = PresenceEntry { incarnation: state.incarnation, lease, control: control.into(), failure_domain };
+    let presence = PresenceEntry {
+        incarnation: state.incarnation,
+        lease,
+        control: control.into(),
+        failure_domain: state.settings.failure_domain.clone(),
+        region: state.settings.region.clone(),
+    };
     let entry = match encode(&presence) {
         Ok(entry) => entry,
         Err(error) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod http;
 mod job;
 mod lease_task;
+mod peer_client;
 mod relay;
 mod run_edge;
 mod run_storage;
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -88,15 +88,15 @@
 
 fn spawn_tasks(state: &Arc<EdgeState>) {
     let parts = WorkerParts::new(state.clone());
-    let (store, upstreams) = (parts.store, parts.upstreams);
-    actix_rt::spawn(follow(state.clone(), store.purposed("follow_operator"), OperatorKeys::new(state.clone())));
-    actix_rt::spawn(follow(state.clone(), store.purposed("follow_upstreams"), ListedUpstreams::new(state.clone())));
-    actix_rt::spawn(follow(state.clone(), store.purposed("follow_daemons"), FollowedKeys::new(state.clone())));
+    let WorkerParts { store, upstreams, feed, peers, .. } = parts;
+    actix_rt::spawn(follow(state.clone(), feed.purposed("follow_operator"), OperatorKeys::new(state.clone())));
+    actix_rt::spawn(follow(state.clone(), feed.purposed("follow_upstreams"), ListedUpstreams::new(state.clone())));
+    actix_rt::spawn(follow(state.clone(), feed.purposed("follow_daemons"), FollowedKeys::new(state.clone())));
     actix_rt::spawn(keep_lease(state.clone(), store.purposed("lease")));
     actix_rt::spawn(claim_jobs(state.clone(), upstreams.clone(), store.purposed("own_jobs")));
     actix_rt::spawn(hold_duty(state.clone(), upstreams, store.purposed("duty")));
     actix_rt::spawn(report_calls());
-    actix_rt::spawn(record_usage(state.clone(), store.purposed("usage")));
+    actix_rt::spawn(record_usage(state.clone(), store.purposed("usage"), peers));
 }
 
 /// Writes how often the store was called, which its operators charge for.
@@ -133,9 +133,9 @@
     configure: fn(&mut web::ServiceConfig),
 ) -> Result<()> {
     let Some(address) = address else { return Ok(()) };
-    let parts = web::Data::new(SmallParts(state.clone()));
+    let shared = state.clone();
     let server = HttpServer::new(move || {
-        let parts = WorkerParts::new(parts.0.clone());
+        let parts = WorkerParts::new(shared.clone());
         App::new().app_data(web::Data::new(parts)).configure(configure)
     })
     .workers(1)
@@ -146,8 +146,6 @@
     Ok(())
 }
 
-struct SmallParts(Arc<EdgeState>);
-
 fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).with_context(|| format!("cannot listen on {address}; check the settings file"))
 }
@@ -158,7 +156,7 @@
     LogLine::new("draining").field("requests", state.requests()).info();
     state.draining.store(true, Ordering::SeqCst);
     state.job_changed.notify_waiters();
-    let store = WorkerParts::new(state.clone()).store;
+    let WorkerParts { store, peers, .. } = WorkerParts::new(state.clone());
     // Owned jobs are handed over before the lease ends, on which their records hang.
     let handed_by = began.plus_ms(HAND_OVER_MS);
     while state.jobs().held() > 0 && state.now() < handed_by {
@@ -170,5 +168,5 @@
     while state.now() < leave_at || (state.requests() > 0 && state.now() < last) {
         actix_rt::time::sleep(POLL).await;
     }
-    crate::duty::record_usage_now(state, &store).await;
+    crate::duty::record_usage_now(state, &store, &peers).await;
 }
--- a/crates/edge/src/store/followed_keys.rs
+++ b/crates/edge/src/store/followed_keys.rs
@@ -46,8 +46,8 @@
         } else if let Some(daemon) = KeyLayout::parse_daemon(&item.key) {
             match decode::<PresenceEntry>(&item.value) {
                 Ok(entry) => {
-                    let PresenceEntry { incarnation, lease, control, failure_domain } = entry;
-                    let presence = DaemonPresence { incarnation, lease, control, failure_domain };
+                    let PresenceEntry { incarnation, lease, control, failure_domain, region } = entry;
+                    let presence = DaemonPresence { incarnation, lease, control, failure_domain, region };
                     self.state.ownership().daemon_joined(daemon.into(), presence);
                 }
                 Err(error) => unreadable(item, &error),
--- a/crates/edge/src/store/follower.rs
+++ b/crates/edge/src/store/follower.rs
@@ -1,17 +1,14 @@
 //! Keeps a prefix of the store in view.
 
-use super::StoreAccess;
+use super::NewsFeed;
 use crate::edge_state::EdgeState;
 use pimentoslip_kernel::TimePoint;
 use pimentoslip_platform::{RangePage, StoreChange, StoreError};
 use pimentoslip_telemetry::LogLine;
 use std::{sync::Arc, time::Duration};
 
-/// Longest wait of one watch. A watch on a silent connection is given up after it; a VM whose connections were cut
-/// counts as disturbed for three seconds, in which a change need not be in force.
-const WATCH_WAIT_MS: u64 = 2_300;
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after a failed call. The store is asked less often than this while it is away.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// What is done with the entries of a prefix.
 pub trait FollowedPrefix: 'static {
@@ -26,21 +23,18 @@
     /// One change.
     fn change(&mut self, change: StoreChange, now: TimePoint);
 
-    /// The store answers again after it had not since `lost`.
-    fn regained(&mut self, _lost: TimePoint, _now: TimePoint) {}
-
     /// Called after each round.
     fn round(&mut self, _now: TimePoint) {}
 }
 
 /// Follows `prefix` for as long as the process lives.
-pub async fn follow<F: FollowedPrefix>(state: Arc<EdgeState>, store: StoreAccess, mut prefix: F) {
+pub async fn follow<F: FollowedPrefix>(state: Arc<EdgeState>, feed: NewsFeed, mut prefix: F) {
     let mut lost: Option<TimePoint> = None;
     loop {
-        let page = store.range(F::PREFIX).await;
+        let page = feed.store().range(F::PREFIX).await;
         let mut revision = match page {
             Ok(page) => {
-                regain(&state, &mut lost, &mut prefix);
+                regain::<F>(&state, &mut lost);
                 let revision = page.revision;
                 prefix.reset(page, state.now());
                 revision
@@ -52,13 +46,13 @@
             }
         };
         loop {
-            match store.follow(F::PREFIX, revision, WATCH_WAIT_MS).await {
-                Ok(batch) => {
-                    regain(&state, &mut lost, &mut prefix);
-                    revision = batch.revision;
+            match feed.next(F::PREFIX, revision).await {
+                Ok(news) => {
+                    regain::<F>(&state, &mut lost);
+                    revision = news.revision;
                     let now = state.now();
-                    let changed = !batch.changes.is_empty();
-                    for change in batch.changes {
+                    let changed = !news.changes.is_empty();
+                    for change in news.changes {
                         prefix.change(change, now);
                     }
                     prefix.round(now);
@@ -87,10 +81,9 @@
     }
 }
 
-fn regain<F: FollowedPrefix>(state: &EdgeState, lost: &mut Option<TimePoint>, prefix: &mut F) {
+fn regain<F: FollowedPrefix>(state: &EdgeState, lost: &mut Option<TimePoint>) {
     if let Some(since) = lost.take() {
-        let now = state.now();
-        LogLine::new("store_regained").field("prefix", F::PREFIX).field("away_ms", now.since_ms(since)).info();
-        prefix.regained(since, now);
+        let away_ms = state.now().since_ms(since);
+        LogLine::new("store_regained").field("prefix", F::PREFIX).field("away_ms", away_ms).info();
     }
 }
--- a/crates/edge/src/store/listed_upstreams.rs
+++ b/crates/edge/src/store/listed_upstreams.rs
@@ -15,8 +15,6 @@
 #[derive(Debug)]
 pub struct ListedUpstreams {
     state: Arc<EdgeState>,
-    /// Until then missing entries are kept.
-    lenient_until: TimePoint,
     /// Upstreams whose entries are missing since the store was away.
     missing: BTreeMap<SharedName, TimePoint>,
 }
@@ -25,7 +23,7 @@
     /// Writes what it reads into `state`.
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
-        Self { state, lenient_until: TimePoint(0), missing: BTreeMap::new() }
+        Self { state, missing: BTreeMap::new() }
     }
 
     fn written(&mut self, item: &StoreItem) {
@@ -55,8 +53,9 @@
     }
 
     fn removed(&mut self, id: &str, now: TimePoint) {
-        if now < self.lenient_until {
-            self.missing.insert(id.into(), self.lenient_until);
+        let returns_by = self.returns_by(now);
+        if now < returns_by {
+            self.missing.insert(id.into(), returns_by);
             return;
         }
         LogLine::new("upstream_delisted").field("upstream", id).info();
@@ -64,6 +63,16 @@
     }
 }
 
+impl ListedUpstreams {
+    /// Until when an entry that is missing now may come back because the store was away.
+    fn returns_by(&self, now: TimePoint) -> TimePoint {
+        if !self.state.store_path().is_direct_open() {
+            return now.plus_ms(RETURN_MS);
+        }
+        self.state.store_regained_at().map_or(TimePoint(0), |at| at.plus_ms(RETURN_MS))
+    }
+}
+
 impl FollowedPrefix for ListedUpstreams {
     const PREFIX: &'static str = UPSTREAM_PREFIX;
     const GATHER_MS: u64 = 0;
@@ -94,10 +103,6 @@
         self.state.upstreams_changed.notify_waiters();
     }
 
-    fn regained(&mut self, _lost: TimePoint, now: TimePoint) {
-        self.lenient_until = now.plus_ms(RETURN_MS);
-    }
-
     fn round(&mut self, now: TimePoint) {
         let due: Vec<SharedName> =
             self.missing.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -1,27 +1,17 @@
 //! Calls to the store, through a peer where this VM does not reach it.
 
 use crate::edge_state::EdgeState;
-use pimentoslip_kernel::{PathChoice, ServicePath, SharedName, TimePoint, rank};
+use pimentoslip_kernel::{ServicePath, SharedName, TimePoint, rank};
 use pimentoslip_platform::{
     CommitOutcome, RangePage, Result, StoreClient, StoreCommit, StoreError, StoreItem, WatchBatch,
 };
 use pimentoslip_telemetry::LogLine;
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 /// Path at which daemons pass calls on to the store.
 pub const RELAY_PATH: &str = "/peer/store/";
-
-/// Longest wait of a watch through the failure domain's watcher, in milliseconds. A watcher that is frozen is noticed
-/// after it and half a second, which leaves time to put a change in force.
-const SHARED_WAIT_MS: u64 = 1_000;
-/// After the watcher failed a daemon watches by itself for this long, in milliseconds.
-const ALONE_MS: u64 = 3_000;
+/// Longest wait of a watch through a peer in milliseconds, below the longest wait for a call that is passed on.
+const RELAYED_WAIT_MS: u64 = 300;
 
 /// The store for one thread.
 #[derive(Clone)]
@@ -29,9 +19,6 @@
     state: Arc<EdgeState>,
     direct: StoreClient,
     relays: Rc<RefCell<HashMap<SharedName, StoreClient>>>,
-    choice: Rc<RefCell<PathChoice>>,
-    /// Until then the daemon watches by itself.
-    alone_until: Rc<Cell<TimePoint>>,
 }
 
 impl std::fmt::Debug for StoreAccess {
@@ -44,7 +31,7 @@
     /// Uses `direct` as long as it works.
     #[must_use]
     pub fn new(state: Arc<EdgeState>, direct: StoreClient) -> Self {
-        Self { state, direct, relays: Rc::default(), choice: Rc::default(), alone_until: Rc::default() }
+        Self { state, direct, relays: Rc::default() }
     }
 
     /// The same access, whose calls serve `purpose`.
@@ -53,39 +40,48 @@
         Self { direct: self.direct.purposed(purpose), relays: Rc::default(), ..self.clone() }
     }
 
-    fn path(&self) -> (ServicePath, StoreClient) {
-        let peers = {
-            let ownership = self.state.ownership();
-            let own = self.state.settings.vm.clone();
-            let peers: Vec<(SharedName, SharedName)> = ownership
-                .daemons()
-                .filter(|(daemon, _)| **daemon != own)
-                .map(|(daemon, presence)| (daemon.clone(), presence.control.clone()))
-                .collect();
-            peers
-        };
-        let names: Vec<SharedName> = peers.iter().map(|(daemon, _)| daemon.clone()).collect();
-        let ranked: Vec<SharedName> = rank(&self.state.settings.vm, &names).into_iter().cloned().collect();
-        let path = self.choice.borrow_mut().next(&ranked, self.state.now());
-        if let ServicePath::Relay(peer) = &path
-            && let Some((_, control)) = peers.iter().find(|(daemon, _)| daemon == peer)
-            && let Ok(address) = control.parse::<SocketAddr>()
-        {
-            return (path, self.through(control, address));
+    /// The way of the next call; none while the store is away and not to be asked yet.
+    fn path(&self) -> Option<(ServicePath, StoreClient)> {
+        let path = self.state.store_path().next(self.state.now(), || self.ranked_peers())?;
+        match &path {
+            ServicePath::Direct => Some((path, self.direct.clone())),
+            ServicePath::Relay(peer) => {
+                let client = self.through(peer)?;
+                Some((path, client))
+            }
         }
-        (ServicePath::Direct, self.direct.clone())
     }
 
-    fn note<T>(&self, path: &ServicePath, result: &Result<T>) {
-        let mut choice = self.choice.borrow_mut();
+    fn ranked_peers(&self) -> Vec<SharedName> {
+        let own = &self.state.settings.vm;
+        let ownership = self.state.ownership();
+        let names: Vec<SharedName> =
+            ownership.daemons().map(|(daemon, _)| daemon).filter(|daemon| *daemon != own).cloned().collect();
+        rank(own, &names).into_iter().cloned().collect()
+    }
+
+    /// A client whose calls go through the daemon `peer`.
+    fn through(&self, peer: &SharedName) -> Option<StoreClient> {
+        let control = self.state.ownership().daemon(peer)?.control.clone();
+        let address = control.parse::<SocketAddr>().ok()?;
+        let mut relays = self.relays.borrow_mut();
+        let client = relays.entry(control).or_insert_with(|| self.direct.through(address, RELAY_PATH));
+        Some(client.clone())
+    }
+
+    fn note<T>(&self, path: &ServicePath, began: TimePoint, result: &Result<T>) {
+        let now = self.state.now();
+        let mut choice = self.state.store_path();
         match result {
             Err(error @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
-                if choice.failed(path, self.state.now()) {
+                if choice.failed(path, began, now) {
                     LogLine::new("store_path_lost").field("path", path).field("reason", error).warn();
                 }
             }
             _ => {
-                if choice.worked(path) {
+                if choice.worked(path, now) {
+                    drop(choice);
+                    self.state.store_regained(now);
                     LogLine::new("store_path_regained").field("path", path).info();
                 }
             }
@@ -93,10 +89,15 @@
     }
 
     /// Makes a call. One that was not done, or that may be repeated, is made again where another way is open.
-    async fn call<T>(&self, repeatable: bool, call: impl AsyncFn(&StoreClient) -> Result<T>) -> Result<T> {
-        let (path, client) = self.path();
-        let result = call(&client).await;
-        self.note(&path, &result);
+    async fn call<T>(
+        &self,
+        repeatable: bool,
+        call: impl AsyncFn(&StoreClient, &ServicePath) -> Result<T>,
+    ) -> Result<T> {
+        let Some((path, client)) = self.path() else { return Err(resting()) };
+        let began = self.state.now();
+        let result = call(&client, &path).await;
+        self.note(&path, began, &result);
         let again = match &result {
             Err(StoreError::NotDone { .. }) => true,
             Err(StoreError::Unknown { .. }) => repeatable,
@@ -105,79 +106,59 @@
         if !again {
             return result;
         }
-        let (other, client) = self.path();
-        if other == path {
-            return result;
-        }
-        let result = call(&client).await;
-        self.note(&other, &result);
+        let Some((other, client)) = self.path().filter(|(other, _)| *other != path) else { return result };
+        let began = self.state.now();
+        let result = call(&client, &other).await;
+        self.note(&other, began, &result);
         result
     }
 
     /// As [`StoreClient::get`].
     pub async fn get(&self, key: &str) -> Result<Option<StoreItem>> {
-        self.call(true, async |client| client.get(key).await).await
+        self.call(true, async |client, _| client.get(key).await).await
     }
 
     /// As [`StoreClient::page`].
     pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<RangePage> {
-        self.call(true, async |client| client.page(prefix, after).await).await
+        self.call(true, async |client, _| client.page(prefix, after).await).await
     }
 
     /// As [`StoreClient::range`].
     pub async fn range(&self, prefix: &str) -> Result<RangePage> {
-        self.call(true, async |client| client.range(prefix).await).await
+        self.call(true, async |client, _| client.range(prefix).await).await
     }
 
-    /// As [`StoreClient::watch`].
+    /// As [`StoreClient::watch`], with a shorter wait through a peer.
     pub async fn watch(&self, prefix: &str, revision: u64, wait_ms: u64) -> Result<WatchBatch> {
-        self.call(true, async |client| client.watch(prefix, revision, wait_ms).await).await
-    }
-
-    /// As [`Self::watch`], through the daemon that watches the store for the whole failure domain.
-    pub async fn follow(&self, prefix: &str, revision: u64, wait_ms: u64) -> Result<WatchBatch> {
-        let Some(watcher) = self.watcher() else { return self.watch(prefix, revision, wait_ms).await };
-        let result = watcher.watch(prefix, revision, SHARED_WAIT_MS.min(wait_ms)).await;
-        if let Err(StoreError::NotDone { .. } | StoreError::Unknown { .. }) = &result {
-            self.alone_until.set(self.state.now().plus_ms(ALONE_MS));
-            return self.watch(prefix, revision, wait_ms).await;
-        }
-        result
-    }
-
-    /// The failure domain's watcher, unless it failed a moment ago.
-    fn watcher(&self) -> Option<StoreClient> {
-        if self.state.now() < self.alone_until.get() {
-            return None;
-        }
-        let control = self.state.ownership().watcher(&self.state.settings.failure_domain)?.control.clone();
-        let address = control.parse::<SocketAddr>().ok()?;
-        Some(self.through(&control, address))
-    }
-
-    /// A client whose calls go through the daemon at `address`.
-    fn through(&self, control: &SharedName, address: SocketAddr) -> StoreClient {
-        let mut relays = self.relays.borrow_mut();
-        relays.entry(control.clone()).or_insert_with(|| self.direct.through(address, RELAY_PATH)).clone()
+        let watch = async |client: &StoreClient, path: &ServicePath| {
+            let wait_ms = if *path == ServicePath::Direct { wait_ms } else { RELAYED_WAIT_MS.min(wait_ms) };
+            client.watch(prefix, revision, wait_ms).await
+        };
+        self.call(true, watch).await
     }
 
     /// As [`StoreClient::commit`].
     pub async fn commit(&self, commit: &StoreCommit) -> Result<CommitOutcome> {
-        self.call(false, async |client| client.commit(commit).await).await
+        self.call(false, async |client, _| client.commit(commit).await).await
     }
 
     /// As [`StoreClient::grant`].
     pub async fn grant(&self, ttl_ms: u64) -> Result<u64> {
-        self.call(false, async |client| client.grant(ttl_ms).await).await
+        self.call(false, async |client, _| client.grant(ttl_ms).await).await
     }
 
     /// As [`StoreClient::keep`].
     pub async fn keep(&self, lease: u64) -> Result<()> {
-        self.call(true, async |client| client.keep(lease).await).await
+        self.call(true, async |client, _| client.keep(lease).await).await
     }
 
     /// As [`StoreClient::end`].
     pub async fn end(&self, lease: u64) -> Result<()> {
-        self.call(true, async |client| client.end(lease).await).await
+        self.call(true, async |client, _| client.end(lease).await).await
     }
 }
+
+/// The store was away a moment ago, and no call was made.
+fn resting() -> StoreError {
+    StoreError::NotDone { problem: "it was away a moment ago".to_owned() }
+}
--- a/crates/edge/src/worker_parts.rs
+++ b/crates/edge/src/worker_parts.rs
@@ -1,9 +1,11 @@
 //! State and clients of one thread.
 
 use crate::{
+    duty::UsageCollector,
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
-    store::{SharedWatches, StoreAccess},
+    peer_client::PeerClient,
+    store::{NewsFeed, NewsHub, StoreAccess},
 };
 use awc::Client;
 use pimentoslip_client::client_with_user_timeout;
@@ -20,12 +22,18 @@
     pub state: Arc<EdgeState>,
     /// Client for upstreams.
     pub upstreams: Client,
+    /// Client for other daemons.
+    pub peers: PeerClient,
     /// Client for the store.
     pub store: StoreAccess,
     /// Client for the store that passes peers' calls on.
     pub relay: StoreClient,
-    /// Watches that are passed on.
-    pub watches: SharedWatches,
+    /// Changes in the store, for this daemon.
+    pub feed: NewsFeed,
+    /// Changes in the store, for other daemons.
+    pub news: NewsHub,
+    /// Usage counts of other daemons.
+    pub collector: UsageCollector,
 }
 
 impl std::fmt::Debug for WorkerParts {
@@ -39,11 +47,17 @@
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
         let direct = StoreClient::new(state.settings.store, EdgeMetrics::store_called);
+        let store = StoreAccess::new(state.clone(), direct.purposed("serve_batches"));
+        let peers = PeerClient::default();
+        let feed = NewsFeed::new(state.clone(), store.clone(), peers.clone());
         Self {
             upstreams: client_with_user_timeout(UPSTREAM_USER_TIMEOUT),
-            store: StoreAccess::new(state.clone(), direct.purposed("serve_batches")),
+            news: NewsHub::new(feed.purposed("news")),
+            collector: UsageCollector::new(state.clone(), store.purposed("usage")),
             relay: direct.purposed("relay"),
-            watches: SharedWatches::default(),
+            peers,
+            store,
+            feed,
             state,
         }
     }
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -5,5 +5,5 @@
 mod version_planner;
 
 pub use duty_term::{DutyTerm, LeaseStanding};
-pub use usage_tally::UsageTally;
+pub use usage_tally::{UsageBatch, UsageTally};
 pub use version_planner::{LoadOrder, OrderOutcome, VersionPlanner};
--- a/crates/kernel/src/duty/usage_tally.rs
+++ b/crates/kernel/src/duty/usage_tally.rs
@@ -6,18 +6,32 @@
 /// Windows kept for a store that is away; older ones are dropped.
 const WINDOWS_MAX: usize = 64;
 
+/// Counts of one process in one window, as they go on record. What is counted later in the same window goes on record
+/// by itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageBatch {
+    /// Number of the batch in its process.
+    pub number: u64,
+    /// Window.
+    pub window: u64,
+    /// Requests begun, by organisation.
+    pub counts: BTreeMap<SharedName, u64>,
+}
+
 /// Counts of one process by window and organisation.
 #[derive(Clone, Debug)]
 pub struct UsageTally {
     window_ms: u64,
     counts: BTreeMap<u64, BTreeMap<SharedName, u64>>,
+    closed: BTreeMap<u64, UsageBatch>,
+    next_number: u64,
 }
 
 impl UsageTally {
     /// Creates a tally with windows of `window_ms`.
     #[must_use]
     pub fn new(window_ms: u64) -> Self {
-        Self { window_ms: window_ms.max(1), counts: BTreeMap::new() }
+        Self { window_ms: window_ms.max(1), counts: BTreeMap::new(), closed: BTreeMap::new(), next_number: 0 }
     }
 
     /// The window at `unix_ms`.
@@ -41,16 +55,24 @@
         }
     }
 
-    /// Windows that ended before `unix_ms`, with their counts.
-    #[must_use]
-    pub fn ended(&self, unix_ms: u64) -> Vec<(u64, BTreeMap<SharedName, u64>)> {
-        let current = self.window(unix_ms);
-        self.counts.range(..current).map(|(window, counts)| (*window, counts.clone())).collect()
+    /// Closes the windows that ended before `unix_ms`, and returns what is not on record. A batch never changes, so that
+    /// a repeated write counts it once.
+    pub fn close_ended(&mut self, unix_ms: u64) -> Vec<UsageBatch> {
+        let open = self.counts.split_off(&self.window(unix_ms));
+        for (window, counts) in std::mem::replace(&mut self.counts, open) {
+            let number = self.next_number;
+            self.next_number += 1;
+            self.closed.insert(number, UsageBatch { number, window, counts });
+        }
+        while self.closed.len() > WINDOWS_MAX {
+            self.closed.pop_first();
+        }
+        self.closed.values().cloned().collect()
     }
 
-    /// The counts of `window` are on record.
-    pub fn recorded(&mut self, window: u64) {
-        self.counts.remove(&window);
+    /// The batch `number` is on record.
+    pub fn recorded(&mut self, number: u64) {
+        self.closed.remove(&number);
     }
 
     /// Adds the counts of several daemons.
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -33,6 +33,8 @@
     pub control: SharedName,
     /// Failure domain of its VM.
     pub failure_domain: SharedName,
+    /// Region of its VM.
+    pub region: SharedName,
 }
 
 /// A claim to be made.
@@ -78,6 +80,12 @@
         self.daemons.remove(daemon);
     }
 
+    /// The daemon `daemon`, if it is present.
+    #[must_use]
+    pub fn daemon(&self, daemon: &str) -> Option<&DaemonPresence> {
+        self.daemons.get(daemon)
+    }
+
     /// Daemons that are present.
     pub fn daemons(&self) -> impl Iterator<Item = (&SharedName, &DaemonPresence)> {
         self.daemons.iter()
@@ -140,12 +148,32 @@
         self.daemons.get_key_value(*rendezvous::owner(kind, &daemons)?)
     }
 
-    /// The daemon that watches the store for all of `failure_domain`.
+    /// Daemons from which this one, in `failure_domain` of `region`, hears of changes in the store, nearest first: one
+    /// watches for each failure domain, and one of each region for those. None if this is the region's.
+    ///
+    /// Each asks only daemons that rank higher, so that no two wait for each other whatever they have heard of so far.
+    #[must_use]
+    pub fn news_sources(&self, failure_domain: &str, region: &str) -> Vec<(&SharedName, &DaemonPresence)> {
+        let domain_watcher = self.watcher(|presence| *presence.failure_domain == *failure_domain);
+        let region_watcher = self.watcher(|presence| *presence.region == *region);
+        let mut chain: Vec<(&SharedName, &DaemonPresence)> = domain_watcher.into_iter().collect();
+        chain.extend(region_watcher.filter(|(daemon, _)| chain.iter().all(|known| known.0 != *daemon)));
+        chain
+    }
+
+    /// The highest ranking one `among` the daemons, unless that is this one. This one counts also before its presence
+    /// is known here.
+    fn watcher(&self, among: impl Fn(&DaemonPresence) -> bool) -> Option<(&SharedName, &DaemonPresence)> {
+        let others = self.daemons.iter().filter(|(daemon, presence)| **daemon != self.daemon && among(presence));
+        let names: Vec<&SharedName> = others.map(|(daemon, _)| daemon).chain([&self.daemon]).collect();
+        let highest = rendezvous::owner(WATCH_KIND, &names)?;
+        self.daemons.get_key_value(*highest).filter(|(daemon, _)| **daemon != self.daemon)
+    }
+
+    /// The daemon that gathers usage counts and watches the store for all of `region`; none if this one does.
     #[must_use]
-    pub fn watcher(&self, failure_domain: &str) -> Option<&DaemonPresence> {
-        let near = self.daemons.iter().filter(|(_, presence)| *presence.failure_domain == *failure_domain);
-        let names: Vec<&SharedName> = near.map(|(daemon, _)| daemon).collect();
-        self.daemons.get(*rendezvous::owner(WATCH_KIND, &names)?)
+    pub fn region_watcher(&self, region: &str) -> Option<(&SharedName, &DaemonPresence)> {
+        self.watcher(|presence| *presence.region == *region)
     }
 
     /// Whether another process is known to own `job`.
--- /dev/null
+++ b/crates/wire/src/peer/news.rs
@@ -0,0 +1,53 @@
+//! Changes in the platform's store, passed from the daemon that watches it to those that follow.
+
+use serde::{Deserialize, Serialize};
+
+/// Asks for changes below a prefix after a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NewsRequest {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Revision up to which the asker knows everything.
+    pub revision: u64,
+    /// Time in milliseconds for which the call may be kept waiting.
+    pub wait_ms: u64,
+}
+
+/// The value of a written entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsEntry {
+    /// Value.
+    #[serde(with = "serde_bytes")]
+    pub value: Vec<u8>,
+    /// Revision of its creation.
+    pub created_revision: u64,
+    /// Lease that it hangs on; 0 for none.
+    pub lease: u64,
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsChange {
+    /// Key.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: u64,
+    /// What was written; none if the entry was removed.
+    pub written: Option<NewsEntry>,
+}
+
+/// What a watching daemon knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NewsAnswer {
+    /// Changes in order.
+    Changes {
+        /// Changes.
+        changes: Vec<NewsChange>,
+        /// Revision from which to go on.
+        revision: u64,
+    },
+    /// The store has dropped that part of its history.
+    HistoryGone,
+    /// The watching daemon does not reach the store.
+    StoreAway,
+}
--- /dev/null
+++ b/crates/wire/src/peer/usage_push.rs
@@ -0,0 +1,13 @@
+//! Usage counts on their way to the daemon that puts them on record for a region.
+
+use crate::stored::UsagePart;
+use serde::{Deserialize, Serialize};
+
+/// Answered once the counts are on record.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UsagePush {
+    /// Window.
+    pub window: u64,
+    /// Counts of the sender.
+    pub part: UsagePart,
+}
--- a/crates/wire/src/stored/daemon_entry.rs
+++ b/crates/wire/src/stored/daemon_entry.rs
@@ -31,4 +31,6 @@
     pub control: SharedName,
     /// Failure domain of its VM.
     pub failure_domain: SharedName,
+    /// Region of its VM.
+    pub region: SharedName,
 }
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -97,10 +97,10 @@
         format!("p/usage/count/{window:012}/")
     }
 
-    /// The counts of one daemon in a usage window.
+    /// Counts in a usage window, as written by one process; `number` tells its writes apart.
     #[must_use]
-    pub fn count(window: u64, daemon: &str, incarnation: u64) -> String {
-        format!("p/usage/count/{window:012}/{daemon}/{incarnation}")
+    pub fn count(window: u64, daemon: &str, incarnation: u64, number: u64) -> String {
+        format!("p/usage/count/{window:012}/{daemon}/{incarnation}/{number}")
     }
 
     /// A sealed usage window.
--- a/crates/wire/src/stored/mod.rs
+++ b/crates/wire/src/stored/mod.rs
@@ -12,4 +12,4 @@
 pub use key_layout::KeyLayout;
 pub use result_entry::{ResultEntry, ResultsEntry};
 pub use texts_entry::TextsEntry;
-pub use usage_entry::UsageEntry;
+pub use usage_entry::{UsageEntry, UsagePart, UsageParts};
