--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -121,7 +121,7 @@
             Ok(CommitOutcome::Done(_)) => counts,
             Ok(CommitOutcome::Conflict(items)) => {
                 // What is on record counts, whoever wrote it.
-                let sealed = items.first().and_then(|item| decode_logged::<UsageEntry>(item));
+                let sealed = items.first().and_then(decode_logged::<UsageEntry>);
                 let Some(sealed) = sealed else { return false };
                 sealed.counts
             }
