--- a/crates/cli/tests/processes/platform_duties.rs
+++ b/crates/cli/tests/processes/platform_duties.rs
@@ -1,6 +1,6 @@
 //! Duties on the users' platform: one holder at a time, weights loaded in order, usage reported once.
 
-use crate::support::{Fleet, wait_for};
+use crate::support::{Fleet, item, submission, wait_for};
 use std::collections::BTreeMap;
 
 #[actix_rt::test]
@@ -60,6 +60,27 @@
     assert_eq!(holders.len(), 2, "one holder a token: {holders:?}");
 }
 
+#[actix_rt::test]
+async fn engines_are_ordered_as_a_batch_job_asks() {
+    let fleet = Fleet::start(2).await;
+    assert!(fleet.provider.orders().is_empty(), "nothing is ordered without work");
+    // Two engines of 8 slots run; 30 items ask for four.
+    let items: Vec<_> = (0..30).map(|n| item(&format!("i{n}"), 200, false)).collect();
+    assert_eq!(fleet.submit(0, "job", &submission(1, &items)).await.status, 202);
+    let accepted = |fleet: &Fleet, spot: bool, desired: u64| {
+        let fits = |order: &pimentoslip_standin::ScaleOrder| {
+            order.status == 200 && order.order["spot"] == spot && order.order["desired"] == desired
+        };
+        fleet.provider.orders().iter().find(|order| fits(order)).cloned()
+    };
+    let order = wait_for("two reclaimable ones are ordered", || async { accepted(&fleet, true, 2) }).await;
+    assert_eq!(order.order, serde_json::json!({ "service": "engine", "zone": "north", "desired": 2, "spot": true }));
+    assert!(order.fencing_token > 0 && fleet.edges.iter().any(|edge| edge.vm == order.holder), "{order:?}");
+    // They never come, and there are no others: the standing kind takes their place.
+    fleet.provider.set_dry(true);
+    wait_for("standing ones are ordered", || async { accepted(&fleet, false, 4) }).await;
+}
+
 #[actix_rt::test]
 async fn a_vm_that_is_to_be_emptied_is_said_to_be_empty() {
     let fleet = Fleet::start(1).await;
--- a/crates/cli/tests/processes/support/child_process.rs
+++ b/crates/cli/tests/processes/support/child_process.rs
@@ -10,6 +10,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Output, Stdio},
     sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
 };
 
 static NEXT: AtomicU64 = AtomicU64::new(0);
@@ -100,6 +101,22 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Waits until it has started or ended; whether it ended because an address was taken.
+    pub fn could_not_listen(&mut self) -> bool {
+        const POLL: Duration = Duration::from_millis(5);
+        loop {
+            let ended = self.ended().is_some();
+            let log = self.log();
+            if log.contains("event=started") {
+                return false;
+            }
+            if ended {
+                return log.contains("cannot listen");
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.id()).expect("a process id"));
         kill(pid, signal).expect("signal the process");
--- a/crates/cli/tests/processes/support/fleet.rs
+++ b/crates/cli/tests/processes/support/fleet.rs
@@ -126,7 +126,8 @@
             ],
             "services": [
                 { "name": "desk", "healthPath": "/health", "maxConnections": 100 },
-                { "name": "engine", "healthPath": "/health", "maxConnections": 100, "engine": { "models": [{ "name": "verse" }] } },
+                { "name": "engine", "healthPath": "/health", "maxConnections": 100, "engine": { "models": [{ "name": "verse" }] },
+                  "scaling": { "min": 1, "max": 6, "startupS": 1, "spotPrice": 0.15, "zonePrices": { "north": 1.0 } } },
             ],
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
             "tenants": tenants,
@@ -136,6 +137,15 @@
 
     /// Starts one more edge, whose store is at `store`.
     pub fn add_edge(&mut self, store: SocketAddr) {
+        // Between the choice of a free port and its use another test may take it.
+        let mut edge = self.try_edge(store);
+        while edge.process.could_not_listen() {
+            edge = self.try_edge(store);
+        }
+        self.edges.push(edge);
+    }
+
+    fn try_edge(&self, store: SocketAddr) -> Edge {
         let vm = format!("edge-{}", self.edges.len());
         let (front, ready, control) = (free_address(), free_address(), free_address());
         let settings = json!({
@@ -147,7 +157,7 @@
         });
         let settings = self.workdir.write(&format!("{vm}.json"), &settings.to_string());
         let process = self.spawn(&vm, &settings);
-        self.edges.push(Edge { process, vm, front, ready, settings });
+        Edge { process, vm, front, ready, settings }
     }
 
     fn spawn(&self, vm: &str, settings: &str) -> ChildProcess {
--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -1,20 +1,23 @@
 //! Takes the duty when nobody holds it, and works while it is held.
 
-use super::{load_duty::LoadDuty, retire_duty::RetireDuty, usage_duty::UsageDuty};
+use super::{load_duty::LoadDuty, retire_duty::RetireDuty, size_duty::SizeDuty, usage_duty::UsageDuty};
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
-use pimentoslip_kernel::{DutyTerm, LeaseStanding, TimePoint, fingerprint};
+use pimentoslip_kernel::{DutyHistory, DutyTerm, LeaseStanding, TimePoint, fingerprint};
 use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreItem};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
-    stored::{DaemonEntry, KeyLayout},
+    stored::{DaemonEntry, DutyEntry, KeyLayout},
 };
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 /// Time between two rounds of a holder.
 const ROUND_PERIOD: Duration = Duration::from_millis(150);
-/// Daemons that want the duty wait for up to this long, each for its own time.
+/// The last holder may take the duty again at once; others wait this long for it, longer than a lease is renewed late
+/// after the store was away.
+const FORMER_MS: u64 = 300;
+/// Daemons that want the duty wait for up to this long beyond, each for its own time.
 const TAKE_SPREAD_MS: u64 = 600;
 
 /// The term of this process, shared with the calls that are made under it.
@@ -25,6 +28,7 @@
     let term: SharedTerm = Rc::default();
     let mut loads = LoadDuty::new(state.clone(), upstreams, term.clone());
     let mut usage = UsageDuty::new(state.clone(), store.clone(), term.clone());
+    let mut sizes = SizeDuty::new(state.clone(), store.clone(), term.clone());
     let mut retire = RetireDuty::new(state.clone(), store.clone());
     let mut vacant_since: Option<TimePoint> = None;
     while !state.is_draining() {
@@ -32,6 +36,7 @@
         let now = state.now();
         if is_held(&state, &term) {
             loads.round();
+            sizes.round().await;
             usage.round().await;
             retire.round().await;
             vacant_since = None;
@@ -42,8 +47,7 @@
             continue;
         };
         let since = *vacant_since.get_or_insert(now);
-        let own_ms = fingerprint(&[state.settings.vm.as_bytes()]) % TAKE_SPREAD_MS;
-        if replaces > 0 || now >= since.plus_ms(own_ms) {
+        if replaces > 0 || now >= since.plus_ms(patience_ms(&state)) {
             take(&state, &store, &term, replaces).await;
             vacant_since = None;
         }
@@ -52,6 +56,15 @@
     EdgeMetrics::global().duty_held.set(0);
 }
 
+/// How long this daemon leaves a vacant duty to others.
+fn patience_ms(state: &EdgeState) -> u64 {
+    match &state.lease().last_holder {
+        Some(last) if *last == state.settings.vm => 0,
+        Some(_) => FORMER_MS + fingerprint(&[state.settings.vm.as_bytes()]) % TAKE_SPREAD_MS,
+        None => fingerprint(&[state.settings.vm.as_bytes()]) % TAKE_SPREAD_MS,
+    }
+}
+
 /// Whether this process holds the duty; brings the term up to date with the lease.
 fn is_held(state: &EdgeState, term: &SharedTerm) -> bool {
     let standing = {
@@ -90,17 +103,28 @@
         (view.lease, view.ends_at)
     };
     let (Some(lease), Ok(entry)) = (lease, encode(&state.signature())) else { return };
-    let last = match store.get(KeyLayout::DUTY_LAST).await {
-        Ok(item) => item.and_then(|item| decode::<DaemonEntry>(&item.value).ok()),
+    let history = match read_history(store).await {
+        Ok(history) => history,
         Err(error) => {
             LogLine::new("duty_not_taken").field("reason", error).warn();
             return;
         }
     };
-    let commit = StoreCommit::default()
-        .expect(KeyLayout::DUTY, replaces)
-        .put(KeyLayout::DUTY, entry.clone(), lease)
-        .put(KeyLayout::DUTY_LAST, entry, 0);
+    let unix_ms = state.unix_ms();
+    let wait_ms = history.wait_ms(&state.settings.vm, unix_ms, state.settings.handover_ms);
+    let last = history.last().map_or_else(|| "nobody".into(), Clone::clone);
+    let record = match encode(&DutyEntry::from(&history.taken(state.settings.vm.clone(), unix_ms))) {
+        Ok(record) => record,
+        Err(error) => {
+            LogLine::new("duty_not_taken").field("reason", error).warn();
+            return;
+        }
+    };
+    let commit = StoreCommit::default().expect(KeyLayout::DUTY, replaces).put(KeyLayout::DUTY, entry, lease).put(
+        KeyLayout::DUTY_HISTORY,
+        record,
+        0,
+    );
     let revision = match store.commit(&commit).await {
         Ok(CommitOutcome::Done(revision)) => revision,
         Ok(CommitOutcome::Conflict(items)) => {
@@ -116,18 +140,14 @@
             return;
         }
     };
-    let handover_ms = match &last {
-        Some(last) if last.daemon != state.settings.vm => Some(state.settings.handover_ms),
-        _ => None,
-    };
     let now = state.now();
-    LogLine::new("duty_taken")
-        .field("fencing_token", revision)
-        .field("after", last.map_or_else(|| "nobody".into(), |last| last.daemon))
-        .field("waits_ms", handover_ms.unwrap_or(0))
-        .info();
+    LogLine::new("duty_taken").field("fencing_token", revision).field("after", last).field("waits_ms", wait_ms).info();
     EdgeMetrics::global().duty_held.set(1);
-    *term.borrow_mut() = Some(DutyTerm::begin(revision, lease, now, ends_at, handover_ms));
-    let mut view = state.lease();
-    view.duty = Some((revision, state.signature()));
+    *term.borrow_mut() = Some(DutyTerm::begin(revision, lease, now, ends_at, wait_ms));
+    state.lease().duty_known(revision, state.signature());
+}
+
+async fn read_history(store: &StoreAccess) -> anyhow::Result<DutyHistory> {
+    let Some(item) = store.get(KeyLayout::DUTY_HISTORY).await? else { return Ok(DutyHistory::default()) };
+    Ok(decode::<DutyEntry>(&item.value)?.into())
 }
--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -5,13 +5,22 @@
 use awc::Client;
 use bytes::Bytes;
 use pimentoslip_client::DeadlineBody;
-use pimentoslip_kernel::{LoadOrder, OrderOutcome, SamplerRecord, SharedName, VersionPlanner};
+use pimentoslip_kernel::{LoadOrder, LoadView, ModelDemand, OrderOutcome, SamplerRecord, SharedName, VersionPlanner};
 use pimentoslip_platform::{ORDER_PATH, OrderMessage, REPORT_PATH, decode_report, encode_order, header};
 use pimentoslip_telemetry::LogLine;
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+use pimentoslip_wire::stored::JobEntry;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 /// Longest wait for an order's answer, in milliseconds.
 const ORDER_MS: u64 = 800;
+/// Steps of a model whose work is averaged; a trainer's steps are alike.
+const RECENT_STEPS: usize = 4;
 /// Largest answer that is read.
 const ANSWER_BYTES_MAX: usize = 64 << 10;
 
@@ -35,11 +44,18 @@
         let now = self.state.now();
         let may_act = self.term.borrow().is_some_and(|term| term.may_act(now, ORDER_MS));
         let Some(config) = self.state.config().filter(|_| may_act) else { return };
-        let named = self.state.named_versions().clone();
+        let runs = {
+            let own = self.state.samplers().model_runs();
+            let mut board = self.state.run_board();
+            board.reported(self.state.settings.vm.clone(), own, now);
+            board.runs(now)
+        };
         for service in config.services.values().filter(|service| !service.models.is_empty()) {
-            let records: Vec<SamplerRecord> =
+            let upstreams: Vec<SamplerRecord> =
                 self.state.samplers().records().filter(|record| record.service == service.name).cloned().collect();
-            let orders = self.planner.borrow_mut().plan(&records, &service.models, &named, now);
+            let models = model_demands(&self.state, &service.models);
+            let view = LoadView { upstreams: &upstreams, models: &models, runs: &runs };
+            let orders = self.planner.borrow_mut().plan(&view, now);
             for order in orders {
                 let keep_runs = !single_version(&config, &service.name);
                 actix_rt::spawn(carry_out(
@@ -55,6 +71,25 @@
     }
 }
 
+/// What the named versions and the newest steps ask of each model.
+fn model_demands(state: &EdgeState, models: &[SharedName]) -> BTreeMap<SharedName, ModelDemand> {
+    let named = state.named_versions().clone();
+    let jobs = state.jobs();
+    let demand = |model: &SharedName| {
+        let mut steps: Vec<&JobEntry> =
+            jobs.iter().map(|(_, view)| &view.entry).filter(|entry| entry.model.as_ref() == Some(model)).collect();
+        steps.sort_by_key(|entry| std::cmp::Reverse(entry.submitted_unix_ms));
+        steps.truncate(RECENT_STEPS);
+        let tokens: u64 = steps.iter().map(|entry| entry.tokens).sum();
+        ModelDemand {
+            named: named.get(model).copied().unwrap_or(0),
+            oldest_usable: steps.first().map_or(0, |entry| entry.oldest_version),
+            work: tokens / (steps.len().max(1) as u64),
+        }
+    };
+    models.iter().map(|model| (model.clone(), demand(model))).collect()
+}
+
 /// Whether texts of `service` must come from one version, so that runs finish before a load.
 fn single_version(config: &pimentoslip_kernel::TrafficConfig, service: &str) -> bool {
     let names: BTreeSet<&SharedName> = config
@@ -102,6 +137,7 @@
     let Some(held) = term.borrow().filter(|term| term.may_act(now, ORDER_MS)) else {
         return (OrderOutcome::Conflict, "duty_lost".to_owned());
     };
+    let _counted = state.begin_duty_call();
     let message = OrderMessage {
         model: &order.model,
         version: order.version,
--- a/crates/edge/src/duty/mod.rs
+++ b/crates/edge/src/duty/mod.rs
@@ -1,12 +1,15 @@
-//! Duties of one daemon at a time: loads of weights, usage reports, emptied VMs.
+//! Duties of one daemon at a time: loads of weights, numbers of upstreams, usage reports, emptied VMs.
 
 mod duty_task;
 mod load_duty;
 mod retire_duty;
+mod run_report_task;
+mod size_duty;
 mod usage_collector;
 mod usage_count_task;
 mod usage_duty;
 
 pub use duty_task::hold_duty;
+pub use run_report_task::{RUNS_PATH, report_runs};
 pub use usage_collector::{USAGE_PATH, UsageCollector};
 pub use usage_count_task::{record_usage, record_usage_now};
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -3,9 +3,10 @@
 use crate::{edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime};
 use pimentoslip_client::OwnerClock;
 use pimentoslip_kernel::{
-    OwnershipTable, PathChoice, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally, fingerprint,
+    OwnershipTable, PathChoice, RunBoard, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::ProcessSettings;
+use pimentoslip_wire::stored::DaemonEntry;
 use std::{
     collections::BTreeMap,
     sync::{
@@ -48,6 +49,18 @@
     store_path: Mutex<PathChoice>,
     store_regained_at: Mutex<Option<TimePoint>>,
     usage_writes: AtomicU64,
+    run_board: Mutex<RunBoard>,
+    duty_calls: AtomicUsize,
+}
+
+/// Counts a call under the duty until its outcome is known.
+#[derive(Debug)]
+pub struct DutyCallGuard(Arc<EdgeState>);
+
+impl Drop for DutyCallGuard {
+    fn drop(&mut self) {
+        self.0.duty_calls.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// What is known of the daemon's lease and of the duty that hangs on somebody's lease.
@@ -58,7 +71,17 @@
     /// The end of the lease unless it is renewed.
     pub ends_at: TimePoint,
     /// Revision and holder of the duty's record.
-    pub duty: Option<(u64, pimentoslip_wire::stored::DaemonEntry)>,
+    pub duty: Option<(u64, DaemonEntry)>,
+    /// Who held the duty last, as far as this process has heard.
+    pub last_holder: Option<SharedName>,
+}
+
+impl LeaseView {
+    /// The duty's record was written at `revision`.
+    pub fn duty_known(&mut self, revision: u64, holder: DaemonEntry) {
+        self.last_holder = Some(holder.daemon.clone());
+        self.duty = Some((revision, holder));
+    }
 }
 
 /// Counts a request until it is answered.
@@ -100,6 +123,8 @@
             store_path: Mutex::new(PathChoice::new(fingerprint(&[settings.vm.as_bytes()]))),
             store_regained_at: Mutex::default(),
             usage_writes: AtomicU64::new(0),
+            run_board: Mutex::default(),
+            duty_calls: AtomicUsize::new(0),
             settings,
             clock,
         })
@@ -185,6 +210,24 @@
         *lock(&self.store_regained_at)
     }
 
+    /// What other daemons run.
+    pub fn run_board(&self) -> MutexGuard<'_, RunBoard> {
+        lock(&self.run_board)
+    }
+
+    /// Counts a call under the duty until the guard is dropped.
+    #[must_use]
+    pub fn begin_duty_call(self: &Arc<Self>) -> DutyCallGuard {
+        self.duty_calls.fetch_add(1, Ordering::SeqCst);
+        DutyCallGuard(self.clone())
+    }
+
+    /// Calls under the duty whose outcome is not known yet.
+    #[must_use]
+    pub fn duty_calls(&self) -> usize {
+        self.duty_calls.load(Ordering::SeqCst)
+    }
+
     /// Number of this process's next write of usage counts.
     #[must_use]
     pub fn next_usage_write(&self) -> u64 {
@@ -218,7 +261,7 @@
 
     /// How this daemon signs what it owns.
     #[must_use]
-    pub fn signature(&self) -> pimentoslip_wire::stored::DaemonEntry {
-        pimentoslip_wire::stored::DaemonEntry { daemon: self.settings.vm.clone(), incarnation: self.incarnation }
+    pub fn signature(&self) -> DaemonEntry {
+        DaemonEntry { daemon: self.settings.vm.clone(), incarnation: self.incarnation }
     }
 }
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -13,7 +13,7 @@
 use form_urlencoded::parse;
 use pimentoslip_kernel::RouteRule;
 use pimentoslip_platform::{
-    ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission, encode_page, header,
+    BatchItem, ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission, encode_page, header,
 };
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
@@ -49,6 +49,9 @@
         host: context.host.clone(),
         path: context.path.as_str().into(),
         items: submission.items.len(),
+        model: submission.model.clone(),
+        oldest_version: submission.oldest_version,
+        tokens: submission.items.iter().map(BatchItem::expected_tokens).sum(),
         submitted_unix_ms: parts.state.unix_ms(),
     };
     let (step, items) = (submission.step, submission.items.len());
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -11,7 +11,7 @@
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     CodecError, decode, encode,
-    peer::{ItemRequest, JobPush, NewsRequest, ResultsRequest, UsagePush},
+    peer::{ItemRequest, JobPush, NewsRequest, ResultsRequest, RunReport, UsagePush},
 };
 use serde::Serialize;
 use std::sync::Arc;
@@ -63,6 +63,18 @@
     }
 }
 
+/// Takes in what another daemon runs.
+pub async fn runs(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<RunReport>(&body) {
+        Ok(report) => {
+            let now = parts.state.now();
+            parts.state.run_board().reported(report.daemon, report.runs, now);
+            answer(&true)
+        }
+        Err(error) => malformed(&error),
+    }
+}
+
 /// Takes usage counts in, and answers once it is known whether they are on record.
 pub async fn usage(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     match decode::<UsagePush>(&body) {
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -14,7 +14,9 @@
 };
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
-use pimentoslip_kernel::{RouteKind, RouteRule, SamplerOutcome, SamplerQuery, SharedName, TimePoint, fingerprint};
+use pimentoslip_kernel::{
+    RoomNeed, RouteKind, RouteRule, SamplerOutcome, SamplerQuery, SharedName, TimePoint, fingerprint,
+};
 use pimentoslip_platform::header;
 use pimentoslip_telemetry::LogLine;
 use std::time::Duration;
@@ -197,7 +199,7 @@
         model: None,
         failure_domain: &parts.state.settings.failure_domain,
         excluded: tried,
-        may_queue: true,
+        room: RoomNeed::Queue,
         affinity: id,
     };
     SamplerGuard::pick(&parts.state, &query)
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -2,7 +2,7 @@
 
 use super::peer_api;
 use crate::{
-    duty::USAGE_PATH,
+    duty::{RUNS_PATH, USAGE_PATH},
     edge_metrics::EdgeMetrics,
     job::{ITEM_BODY_PATH, JOB_PUSH_PATH, RESULTS_PATH},
     store::{NEWS_PATH, RELAY_PATH},
@@ -36,6 +36,7 @@
         .route(JOB_PUSH_PATH, web::post().to(peer_api::take_job))
         .route(NEWS_PATH, web::post().to(peer_api::news))
         .route(RESULTS_PATH, web::post().to(peer_api::results))
+        .route(RUNS_PATH, web::post().to(peer_api::runs))
         .route(USAGE_PATH, web::post().to(peer_api::usage))
         .route(ITEM_BODY_PATH, web::post().to(peer_api::item))
         .route(&format!("{RELAY_PATH}{{call:.*}}"), web::to(peer_api::relay))
--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -18,8 +18,9 @@
         let _ = actix_rt::time::timeout(LOOK_PERIOD, state.job_changed.notified()).await;
         let now = state.now();
         let claims = {
+            let regained_at = state.store_regained_at();
             let jobs = state.jobs();
-            state.ownership().claims(now, |job| jobs.is_held(job))
+            state.ownership().claims(now, regained_at, |job| jobs.is_held(job))
         };
         let lease = state.lease().lease;
         if let Some(lease) = lease {
@@ -32,7 +33,10 @@
 }
 
 async fn claim_job(state: &EdgeState, store: &StoreAccess, claim: &ClaimOrder, lease: u64) {
-    let Ok(entry) = encode(&state.signature()) else { return };
+    let entry = match encode(&state.signature()) {
+        Ok(entry) => entry,
+        Err(error) => return LogLine::new("job_claim_failed").field("job", &claim.job).field("reason", error).warn(),
+    };
     let key = KeyLayout::owner(&claim.job);
     let commit = StoreCommit::default().expect(key.clone(), claim.replaces).put(key, entry, lease);
     match store.commit(&commit).await {
@@ -45,7 +49,7 @@
             let daemon = state.settings.vm.clone();
             let owner = OwnerRecord { daemon, incarnation: state.incarnation, revision };
             let now = state.now();
-            state.ownership().owner_known(claim.job.clone(), owner, now);
+            state.ownership().claimed(claim.job.clone(), owner, now);
         }
         Ok(CommitOutcome::Conflict(_)) => {
             LogLine::new("job_claim_lost").field("job", &claim.job).field("replaces", claim.replaces).info();
@@ -55,10 +59,11 @@
 }
 
 fn start_owned(state: &Arc<EdgeState>, upstreams: &Client, store: &StoreAccess) {
+    let now = state.now();
     let owned: Vec<SharedName> = {
         let (jobs, ownership) = (state.jobs(), state.ownership());
         let open = jobs.iter().filter(|(_, view)| !view.ended && !view.settled);
-        open.map(|(job, _)| job.clone()).filter(|job| ownership.is_mine(job)).collect()
+        open.map(|(job, _)| job.clone()).filter(|job| ownership.may_begin(job, jobs.has_submission(job), now)).collect()
     };
     for job in owned {
         if state.jobs().hold(job.clone()) {
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -11,7 +11,7 @@
 };
 use futures_util::StreamExt;
 use pimentoslip_kernel::{
-    EventVerdict, FIRST_EVENT, ItemWork, RunEnd, RunPace, SamplerOutcome, SamplerQuery, SharedName, TimePoint,
+    EventVerdict, FIRST_EVENT, ItemWork, RoomNeed, RunEnd, RunPace, SamplerOutcome, SamplerQuery, SharedName, TimePoint,
 };
 use pimentoslip_platform::{EventReader, header};
 use pimentoslip_telemetry::LogLine;
@@ -192,7 +192,7 @@
         model: model.as_deref().map(|model| (model, job.submission.oldest_version)),
         failure_domain: &job.state.settings.failure_domain,
         excluded: &[],
-        may_queue: false,
+        room: RoomNeed::FreeSlot,
         affinity: "",
     };
     job.state.samplers().pace_elsewhere(&query, &guard.record.id, job.state.now())
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -140,6 +140,12 @@
         self.submissions.insert(job, kept);
     }
 
+    /// Whether a submission of `job` is kept.
+    #[must_use]
+    pub fn has_submission(&self, job: &str) -> bool {
+        self.submissions.contains_key(job)
+    }
+
     /// The kept submission of `job`, if there is one.
     pub fn take_submission(&mut self, job: &str) -> Option<KeptJob> {
         self.submissions.remove(job)
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -7,7 +7,7 @@
     job_writer::{NewJob, hand_over},
     ledger_writer::{LedgerWriter, WriteOutcome},
     owned_job::OwnedJob,
-    score_run::score_item,
+    score_run::{ScoreHindrance, place_score, score_item},
 };
 use crate::{
     edge_metrics::EdgeMetrics, edge_state::EdgeState, relay::SamplerGuard, store::StoreAccess,
@@ -15,9 +15,10 @@
 };
 use awc::Client;
 use pimentoslip_kernel::{
-    BatchLedger, BatchTerms, ItemSpec, ItemWork, RouteRule, SamplerQuery, SharedName, TextCheckpoint, TimePoint,
+    BatchLedger, BatchTerms, ItemSpec, ItemWork, RoomNeed, RouteRule, SamplerQuery, SharedName, TextCheckpoint,
+    TimePoint,
 };
-use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError, header};
+use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::stored::ResultEntry;
 use std::{
@@ -32,8 +33,6 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Pause before a job's record is read again.
 const READ_PAUSE: Duration = Duration::from_millis(200);
-/// Scores asked for at a time for one job.
-const SCORES_MAX: usize = 32;
 
 /// Owns `job` until it is settled or another daemon owns it.
 pub async fn run_job(state: Arc<EdgeState>, upstreams: Client, store: StoreAccess, id: SharedName) {
@@ -170,9 +169,7 @@
 }
 
 fn item_spec(item: &BatchItem) -> ItemSpec {
-    let hint = item.header(header::LENGTH_HINT).and_then(|value| value.trim().parse::<f64>().ok());
-    let hint = hint.map(|tokens| tokens.max(0.0) as u64);
-    ItemSpec { group: item.group.clone(), expected_tokens: hint.unwrap_or(item.tokens), scored: item.scorer.is_some() }
+    ItemSpec { group: item.group.clone(), expected_tokens: item.expected_tokens(), scored: item.scorer.is_some() }
 }
 
 /// Hands an unfinished job to another daemon.
@@ -246,10 +243,24 @@
     }
     let waits = job.ledger.borrow().waiting() > 0;
     state_waiting(job, &rule, waits);
-    while job.ledger.borrow().scoring() < SCORES_MAX {
+    deal_scores(job, runs, now);
+}
+
+/// Starts as many scorers' calls as there is room for.
+fn deal_scores(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) {
+    loop {
         let next = job.ledger.borrow_mut().next_score(now);
-        let Some(index) = next else { break };
-        runs.spawn_local(score_item(job.clone(), index));
+        let Some(index) = next else { return };
+        match place_score(job, index) {
+            Ok(placed) => runs.spawn_local(score_item(job.clone(), index, placed)),
+            Err(hindrance) => {
+                job.ledger.borrow_mut().put_back_score(index);
+                if hindrance == ScoreHindrance::NoRoute {
+                    LogLine::new("scorer_unroutable").field("job", &job.id).field("index", index).warn();
+                }
+                return;
+            }
+        };
     }
 }
 
@@ -268,7 +279,7 @@
         model: model.as_deref().map(|model| (model, job.submission.oldest_version)),
         failure_domain: &job.state.settings.failure_domain,
         excluded: &[],
-        may_queue: false,
+        room: RoomNeed::FreeSlot,
         affinity: &item.group,
     };
     SamplerGuard::pick(&job.state, &query)
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     client_watch::ClientWatch,
-    duty::{hold_duty, record_usage},
+    duty::{hold_duty, record_usage, report_runs},
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
     http::{configure_control, configure_front, configure_ready},
@@ -96,6 +96,7 @@
     actix_rt::spawn(claim_jobs(state.clone(), upstreams.clone(), store.purposed("own_jobs")));
     actix_rt::spawn(hold_duty(state.clone(), upstreams, store.purposed("duty")));
     actix_rt::spawn(report_calls());
+    actix_rt::spawn(report_runs(state.clone(), peers.clone()));
     actix_rt::spawn(record_usage(state.clone(), store.purposed("usage"), peers));
 }
 
@@ -159,7 +160,7 @@
     let WorkerParts { store, peers, .. } = WorkerParts::new(state.clone());
     // Owned jobs are handed over before the lease ends, on which their records hang.
     let handed_by = began.plus_ms(HAND_OVER_MS);
-    while state.jobs().held() > 0 && state.now() < handed_by {
+    while (state.jobs().held() > 0 && state.now() < handed_by) || state.duty_calls() > 0 {
         actix_rt::time::sleep(POLL).await;
     }
     end_lease(state, &store).await;
--- a/crates/edge/src/store/followed_keys.rs
+++ b/crates/edge/src/store/followed_keys.rs
@@ -66,7 +66,7 @@
             self.state.ownership().owner_known(job.into(), entry.into_owner(item.revision), now);
         } else if item.key == KeyLayout::DUTY {
             LogLine::new("duty_holder").field("holder", &entry.daemon).field("fencing_token", item.revision).info();
-            self.state.lease().duty = Some((item.revision, entry));
+            self.state.lease().duty_known(item.revision, entry);
         }
     }
 
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -363,12 +363,6 @@
         }
     }
 
-    /// Items that are being scored.
-    #[must_use]
-    pub fn scoring(&self) -> usize {
-        self.items.iter().filter(|item| item.phase == ItemPhase::Scoring).count()
-    }
-
     /// Whether every item is finished, so that no further result will join those that wait to be listed.
     #[must_use]
     pub fn is_finished(&self) -> bool {
@@ -390,6 +384,15 @@
         }
     }
 
+    /// No upstream has room to score the item that [`Self::next_score`] returned.
+    pub fn put_back_score(&mut self, index: usize) {
+        let Some(item) = self.items.get_mut(index) else { return };
+        if item.phase == ItemPhase::Scoring {
+            item.phase = ItemPhase::ScoreDue { until: TimePoint(0) };
+            self.score_due.insert(index);
+        }
+    }
+
     /// Whether the item still runs.
     #[must_use]
     pub fn is_running(&self, index: usize) -> bool {
--- a/crates/kernel/src/duty/duty_term.rs
+++ b/crates/kernel/src/duty/duty_term.rs
@@ -20,24 +20,17 @@
     pub fencing_token: u64,
     /// The lease on which the duty's record hangs. A later lease of the same process is no part of the term.
     lease: u64,
-    /// Before this the former holder's calls may still arrive.
+    /// Before this the holder would act in turn with the one before.
     acts_from: TimePoint,
     /// From here on another may hold the duty.
     ends_at: TimePoint,
 }
 
 impl DutyTerm {
-    /// Begins a term under `lease`, which ends at `ends_at`. `handover_ms` is the time for which calls of a former
-    /// holder that is another daemon may still arrive; none if there was none.
+    /// Begins a term under `lease`, which ends at `ends_at`. The holder waits for `wait_ms` before it acts.
     #[must_use]
-    pub fn begin(
-        fencing_token: u64,
-        lease: u64,
-        granted: TimePoint,
-        ends_at: TimePoint,
-        handover_ms: Option<u64>,
-    ) -> Self {
-        Self { fencing_token, lease, acts_from: granted.plus_ms(handover_ms.unwrap_or(0)), ends_at }
+    pub fn begin(fencing_token: u64, lease: u64, granted: TimePoint, ends_at: TimePoint, wait_ms: u64) -> Self {
+        Self { fencing_token, lease, acts_from: granted.plus_ms(wait_ms), ends_at }
     }
 
     /// Brings the term up to date. False if it is over for good. A lease that could not be renewed in time is no
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -5,8 +5,14 @@
 
 /// The preferred daemon claims at once; the others wait this long, longer than a claim takes.
 const CLAIM_DELAY_MS: u64 = 1_000;
-/// The former owner's chance to claim again after its lease lapsed with the store.
+/// The former owner's chance to claim again after its lease lapsed.
 const REJOIN_MS: u64 = 300;
+/// The same where all leases lapsed because the store was away: daemons find it back one after the other.
+const OUTAGE_REJOIN_MS: u64 = 1_300;
+
+/// A job that another daemon gave to this one comes with all that is known of it; only after this it is read from the
+/// record, in milliseconds.
+const PUSH_WAIT_MS: u64 = 500;
 
 /// What a daemon watches the store for, as a key of rendezvous.
 const WATCH_KIND: &str = "watch";
@@ -51,6 +57,8 @@
     accepted: bool,
     closed: bool,
     owner: Option<OwnerRecord>,
+    /// When this process heard that another daemon gave it the job.
+    given_at: Option<TimePoint>,
     vacant_since: TimePoint,
 }
 
@@ -93,9 +101,7 @@
 
     /// A job is on record.
     pub fn job_accepted(&mut self, job: SharedName, now: TimePoint) {
-        let entry =
-            self.entries.entry(job).or_insert_with(|| OwnershipEntry { vacant_since: now, ..Default::default() });
-        entry.accepted = true;
+        self.entry(job, now).accepted = true;
     }
 
     /// A job needs no owner any more.
@@ -112,13 +118,26 @@
 
     /// A job's owner is on record. Older records than the known one are ignored.
     pub fn owner_known(&mut self, job: SharedName, owner: OwnerRecord, now: TimePoint) {
-        let entry =
-            self.entries.entry(job).or_insert_with(|| OwnershipEntry { vacant_since: now, ..Default::default() });
-        if entry.owner.as_ref().is_none_or(|known| known.revision <= owner.revision) {
+        let is_own = owner.daemon == self.daemon && owner.incarnation == self.incarnation;
+        let entry = self.entry(job, now);
+        let known = entry.owner.as_ref().map(|known| known.revision);
+        if known.is_none_or(|known| known < owner.revision) {
             entry.owner = Some(owner);
+            entry.given_at = is_own.then_some(now);
         }
     }
 
+    /// This process has claimed a job.
+    pub fn claimed(&mut self, job: SharedName, owner: OwnerRecord, now: TimePoint) {
+        let entry = self.entry(job, now);
+        entry.owner = Some(owner);
+        entry.given_at = None;
+    }
+
+    fn entry(&mut self, job: SharedName, now: TimePoint) -> &mut OwnershipEntry {
+        self.entries.entry(job).or_insert_with(|| OwnershipEntry { vacant_since: now, ..Default::default() })
+    }
+
     /// A job's ownership record was removed at `revision`.
     pub fn owner_gone(&mut self, job: &str, revision: u64, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(job) else { return };
@@ -140,6 +159,13 @@
         self.owner(job).is_some_and(|owner| owner.daemon == self.daemon && owner.incarnation == self.incarnation)
     }
 
+    /// Whether this process should begin with `job`, which it owns: `has_state` tells whether it has what was submitted.
+    #[must_use]
+    pub fn may_begin(&self, job: &str, has_state: bool, now: TimePoint) -> bool {
+        let given_at = self.entries.get(job).and_then(|entry| entry.given_at);
+        self.is_mine(job) && (has_state || given_at.is_none_or(|at| now >= at.plus_ms(PUSH_WAIT_MS)))
+    }
+
     /// The daemon that should own the jobs of `kind`. Jobs of one kind stay together, because their owner knows best
     /// what it runs where, and keeps connections to those upstreams.
     #[must_use]
@@ -182,9 +208,16 @@
         self.owner(job).is_some() && !self.is_mine(job)
     }
 
-    /// Jobs that this process should claim now. `held` tells whether it has a job's state in memory.
+    /// Jobs that this process should claim now. `regained_at` is when the store was found back after an outage, if
+    /// there was one; `held` tells whether this process has a job's state in memory.
     #[must_use]
-    pub fn claims(&self, now: TimePoint, held: impl Fn(&str) -> bool) -> Vec<ClaimOrder> {
+    pub fn claims(
+        &self,
+        now: TimePoint,
+        regained_at: Option<TimePoint>,
+        held: impl Fn(&str) -> bool,
+    ) -> Vec<ClaimOrder> {
+        let after_outage = |since: TimePoint| regained_at.is_some_and(|at| since.since_ms(at) < OUTAGE_REJOIN_MS);
         let daemons: Vec<&SharedName> = self.daemons.keys().collect();
         let open = self.entries.iter().filter(|(_, entry)| entry.accepted && !entry.closed);
         let due = open.filter_map(|(job, entry)| {
@@ -195,10 +228,11 @@
                 return if former { claim(owner.revision) } else { None };
             }
             let preferred = rendezvous::owner(job, &daemons).is_some_and(|daemon| **daemon == self.daemon);
+            let rejoin_ms = if after_outage(entry.vacant_since) { OUTAGE_REJOIN_MS } else { REJOIN_MS };
             let delay_ms = match (held(job), preferred) {
                 (true, _) => 0,
-                (false, true) => REJOIN_MS,
-                (false, false) => CLAIM_DELAY_MS,
+                (false, true) => rejoin_ms,
+                (false, false) => rejoin_ms + CLAIM_DELAY_MS,
             };
             if now >= entry.vacant_since.plus_ms(delay_ms) { claim(0) } else { None }
         });
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -16,6 +16,8 @@
 const LOAD_REPORT_LIFE_MS: u64 = 1_000;
 /// A request's share in the moving average of the pace is one in this many.
 const PACE_WEIGHT: u64 = 8;
+/// One slot in this many is left to requests with a caller who waits.
+const SPARED_SLOTS_DIVISOR: u64 = 3;
 /// Cost of another failure domain, in thousandths of a slot.
 const AWAY_COST: u64 = 150;
 /// Scale of costs.
@@ -34,6 +36,28 @@
     Abandoned,
 }
 
+/// How much room a request needs at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomNeed {
+    /// None: it may wait there.
+    Queue,
+    /// A free slot.
+    FreeSlot,
+    /// A free slot beyond those that are left to requests with a caller who waits. Answers the load of scorers, which
+    /// come by the hundred as a step ends, at upstreams that quote prices too.
+    SpareSlot,
+}
+
+impl RoomNeed {
+    fn is_met(self, load: u64, slots: u64) -> bool {
+        match self {
+            Self::Queue => true,
+            Self::FreeSlot => load < slots,
+            Self::SpareSlot => load < slots - slots / SPARED_SLOTS_DIVISOR,
+        }
+    }
+}
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct SamplerQuery<'a> {
@@ -45,8 +69,8 @@
     pub failure_domain: &'a str,
     /// Ids of upstreams already tried.
     pub excluded: &'a [SharedName],
-    /// Whether an upstream without a free slot will do.
-    pub may_queue: bool,
+    /// How much room an upstream must have.
+    pub room: RoomNeed,
     /// Spreads equal choices; requests with one key prefer one upstream.
     pub affinity: &'a str,
 }
@@ -143,6 +167,13 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
+    /// Requests of this daemon at each upstream that serves models; idle ones are left out.
+    #[must_use]
+    pub fn model_runs(&self) -> BTreeMap<SharedName, u64> {
+        let running = self.entries.values().filter(|entry| entry.inflight > 0 && !entry.record.versions.is_empty());
+        running.map(|entry| (entry.record.id.clone(), entry.inflight)).collect()
+    }
+
     /// Chooses the upstream with the shortest expected wait and counts the request on it.
     pub fn pick(&mut self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SamplerRecord> {
         let id = self.choose(query, now)?;
@@ -157,7 +188,7 @@
         let candidates = serving()
             .filter(|entry| !query.excluded.contains(&entry.record.id))
             .filter(|entry| entry.is_open(query, now))
-            .filter(|entry| query.may_queue || entry.load(now) < entry.record.slots);
+            .filter(|entry| query.room.is_met(entry.load(now), entry.record.slots));
         candidates
             .min_by_key(|entry| {
                 let away = *entry.record.failure_domain != *query.failure_domain;
--- a/crates/kernel/src/traffic/mod.rs
+++ b/crates/kernel/src/traffic/mod.rs
@@ -7,5 +7,5 @@
 
 pub use client_limits::ClientLimits;
 pub use route_rule::{BatchRule, RouteKind, RouteRule, RouteTarget};
-pub use service_rule::ServiceRule;
+pub use service_rule::{ScalingRule, ServiceRule};
 pub use traffic_config::{KeyGrant, TrafficConfig};
--- a/crates/kernel/tests/machines/fleet_laws.rs
+++ b/crates/kernel/tests/machines/fleet_laws.rs
@@ -1,8 +1,8 @@
 //! Small laws of placing, pacing, ways to the store, usage windows and clocks, in tables.
 
 use pimentoslip_kernel::{
-    PathChoice, RunPace, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerState, SamplerTable, ServicePath,
-    SharedName, TimePoint, UsageTally, WallOffset,
+    PathChoice, RoomNeed, RunPace, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerState, SamplerTable,
+    ServicePath, SharedName, TimePoint, UsageTally, WallOffset,
 };
 use std::collections::BTreeMap;
 
@@ -21,7 +21,14 @@
 }
 
 fn query<'a>(excluded: &'a [SharedName]) -> SamplerQuery<'a> {
-    SamplerQuery { service: "s", model: Some(("m", 2)), failure_domain: "a", excluded, may_queue: false, affinity: "" }
+    SamplerQuery {
+        service: "s",
+        model: Some(("m", 2)),
+        failure_domain: "a",
+        excluded,
+        room: RoomNeed::FreeSlot,
+        affinity: "",
+    }
 }
 
 fn table(records: &[SamplerRecord]) -> SamplerTable {
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -1,6 +1,7 @@
 //! Stateful fuzzing of the kernel's state machines against simple oracles, with fixed seeds.
 
 mod sequence;
+mod sizes;
 
 mod batches;
 mod claims;
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -142,7 +142,7 @@
 
     fn look(&mut self, daemon: usize, lost: bool) -> Result<(), String> {
         let held: Vec<SharedName> = self.daemons[daemon].held.iter().map(|at| job(*at)).collect();
-        let claims = self.daemons[daemon].table.claims(self.now, |job| held.iter().any(|held| **held == *job));
+        let claims = self.daemons[daemon].table.claims(self.now, None, |job| held.iter().any(|held| **held == *job));
         for claim in claims {
             let at = (0..JOBS).find(|at| job(*at) == claim.job).ok_or("an unknown job is claimed")?;
             let stands = self.store.owners[at].as_ref();
@@ -249,9 +249,9 @@
     table.daemon_joined("a".into(), presence(1));
     table.daemon_joined("b".into(), presence(1));
     table.job_accepted("j".into(), TimePoint(0));
-    assert_eq!(table.claims(TimePoint(0), |_| true).len(), 1);
-    assert!(table.claims(TimePoint(0), |_| false).is_empty());
-    assert_eq!(table.claims(TimePoint(5_000), |_| false).len(), 1);
+    assert_eq!(table.claims(TimePoint(0), None, |_| true).len(), 1);
+    assert!(table.claims(TimePoint(0), None, |_| false).is_empty());
+    assert_eq!(table.claims(TimePoint(5_000), None, |_| false).len(), 1);
 }
 
 #[test]
@@ -260,7 +260,7 @@
     table.job_accepted("j".into(), TimePoint(0));
     table.job_closed("j");
     table.job_accepted("j".into(), TimePoint(1));
-    assert!(table.claims(TimePoint(9_000), |_| true).is_empty());
+    assert!(table.claims(TimePoint(9_000), None, |_| true).is_empty());
 }
 
 /// Daemons of two failure domains of one region, and of another region: name, failure domain, region.
@@ -349,3 +349,19 @@
         check_news_sources(&news_sources(top));
     }
 }
+
+#[test]
+fn a_given_job_waits_for_what_its_giver_knows_and_a_claimed_one_does_not() {
+    let owner = |daemon: &str, revision| OwnerRecord { daemon: daemon.into(), incarnation: 1, revision };
+    let mut table = OwnershipTable::new("a".into(), 1);
+    table.owner_known("j".into(), owner("b", 1), TimePoint(0));
+    assert!(!table.may_begin("j", true, TimePoint(0)), "it is another's");
+    table.owner_known("j".into(), owner("a", 2), TimePoint(100));
+    table.owner_known("j".into(), owner("a", 2), TimePoint(300));
+    assert!(table.may_begin("j", true, TimePoint(100)));
+    assert!(!table.may_begin("j", false, TimePoint(599)));
+    assert!(table.may_begin("j", false, TimePoint(600)), "the giver may have died");
+    table.claimed("j".into(), owner("a", 3), TimePoint(700));
+    table.owner_known("j".into(), owner("a", 3), TimePoint(710));
+    assert!(table.may_begin("j", false, TimePoint(710)));
+}
--- a/crates/kernel/tests/machines/terms.rs
+++ b/crates/kernel/tests/machines/terms.rs
@@ -1,12 +1,14 @@
 //! The duty's term: no two holders act in turn within the handover time, and tokens never fall.
 
 use crate::sequence;
-use pimentoslip_kernel::{DutyTerm, LeaseStanding, TimePoint};
+use pimentoslip_kernel::{DutyHistory, DutyTerm, LeaseStanding, SharedName, TimePoint};
 use quickcheck::{Arbitrary, Gen};
 
 const DAEMONS: usize = 3;
 const LEASE_MS: u64 = 3_000;
 const HANDOVER_MS: u64 = 3_000;
+/// True time at the start.
+const UNIX_MS: u64 = 1_700_000_000_000;
 /// Longest life of a call.
 const CALL_MS: u64 = 800;
 
@@ -69,11 +71,17 @@
     leases: Vec<(u64, TimePoint)>,
     /// Token and lease of the duty's record.
     duty: Option<(u64, u64)>,
-    last: Option<usize>,
+    history: DutyHistory,
+    /// How far the clock of each VM is ahead of true time.
+    clocks_ahead_ms: [u64; DAEMONS],
     daemons: Vec<Daemon>,
     acts: Vec<(TimePoint, usize, u64)>,
 }
 
+fn name(daemon: usize) -> SharedName {
+    format!("d{daemon}").into()
+}
+
 impl World {
     fn lease_ends(&self, lease: u64) -> Option<TimePoint> {
         self.leases.iter().find(|(known, ends)| *known == lease && *ends > self.now).map(|(_, ends)| *ends)
@@ -149,11 +157,12 @@
                 if self.duty.is_none() {
                     self.revision += 1;
                     self.duty = Some((self.revision, lease));
-                    let handover = self.last.filter(|last| *last != at).map(|_| HANDOVER_MS);
-                    self.last = Some(at);
+                    let unix_ms = UNIX_MS + self.now.0 + self.clocks_ahead_ms[at];
+                    let wait_ms = self.history.wait_ms(&name(at), unix_ms, HANDOVER_MS);
+                    self.history = std::mem::take(&mut self.history).taken(name(at), unix_ms);
                     let daemon = &mut self.daemons[at];
                     daemon.recorded = Some(self.revision);
-                    daemon.term = Some(DutyTerm::begin(self.revision, lease, self.now, daemon.ends_at, handover));
+                    daemon.term = Some(DutyTerm::begin(self.revision, lease, self.now, daemon.ends_at, wait_ms));
                 }
             }
             Command::Act { daemon, fresh } => self.act(usize::from(daemon) % DAEMONS, fresh)?,
@@ -167,14 +176,15 @@
 fn holders_never_act_in_turn_and_tokens_never_fall() {
     sequence::check(0x7e31, 80, |commands: Vec<Command>| {
         let daemons = (0..DAEMONS).map(|_| Daemon::default()).collect();
-        let mut world = World { now: TimePoint(10_000), daemons, ..World::default() };
+        let clocks_ahead_ms = [0, 4_000, 9_000];
+        let mut world = World { now: TimePoint(10_000), daemons, clocks_ahead_ms, ..World::default() };
         commands.iter().try_for_each(|command| world.step(command))
     });
 }
 
 #[test]
 fn a_new_lease_of_the_same_process_is_no_part_of_the_term() {
-    let mut term = DutyTerm::begin(5, 1, TimePoint(0), TimePoint(3_000), None);
+    let mut term = DutyTerm::begin(5, 1, TimePoint(0), TimePoint(3_000), 0);
     let renewed = LeaseStanding { lease: Some(1), ends_at: TimePoint(4_000), recorded: Some(5) };
     assert!(term.refresh(renewed));
     let replaced = LeaseStanding { lease: Some(2), ends_at: TimePoint(9_000), recorded: Some(5) };
@@ -183,7 +193,7 @@
 
 #[test]
 fn a_holder_whose_renewal_came_late_goes_on_and_no_other_takes_turns_with_it() {
-    let mut term = DutyTerm::begin(5, 1, TimePoint(0), TimePoint(3_000), None);
+    let mut term = DutyTerm::begin(5, 1, TimePoint(0), TimePoint(3_000), 0);
     let unrenewed = LeaseStanding { lease: Some(1), ends_at: TimePoint(3_000), recorded: Some(5) };
     assert!(term.refresh(unrenewed), "the record still hangs on a lease that may live");
     assert!(!term.may_act(TimePoint(2_500), CALL_MS));
@@ -192,3 +202,25 @@
     assert!(term.refresh(renewed));
     assert!(term.may_act(TimePoint(9_500), CALL_MS));
 }
+
+#[test]
+fn a_successor_waits_only_where_it_would_take_turns() {
+    // holders with the seconds at which they took the duty, who takes it at second 100, the wait in milliseconds
+    type Holders = &'static [(&'static str, u64)];
+    let cases: [(Holders, &str, u64); 7] = [
+        (&[], "a", 0),
+        (&[("b", 99)], "a", 0),
+        (&[("a", 99)], "a", 0),
+        (&[("a", 90), ("b", 99)], "a", HANDOVER_MS),
+        (&[("a", 10), ("b", 50)], "a", 0),
+        (&[("a", 10), ("b", 50), ("a", 60), ("c", 95)], "a", HANDOVER_MS),
+        (&[("a", 10), ("b", 104)], "a", HANDOVER_MS),
+    ];
+    for (holders, taker, wait_ms) in cases {
+        let seconds = |second: u64| UNIX_MS + second * 1_000;
+        let history = holders.iter().fold(DutyHistory::default(), |history, (daemon, second)| {
+            history.taken((*daemon).into(), seconds(*second))
+        });
+        assert_eq!(history.wait_ms(taker, seconds(100), HANDOVER_MS), wait_ms, "{holders:?}");
+    }
+}
--- a/crates/kernel/tests/machines/versions.rs
+++ b/crates/kernel/tests/machines/versions.rs
@@ -1,7 +1,9 @@
 //! Loads of weights: newest versions reach every upstream, a few at a time, each for one model.
 
 use crate::sequence;
-use pimentoslip_kernel::{LoadOrder, OrderOutcome, SamplerRecord, SamplerState, SharedName, TimePoint, VersionPlanner};
+use pimentoslip_kernel::{
+    LoadOrder, LoadView, ModelDemand, OrderOutcome, SamplerRecord, SamplerState, SharedName, TimePoint, VersionPlanner,
+};
 use quickcheck::{Arbitrary, Gen};
 use std::collections::BTreeMap;
 
@@ -30,6 +32,11 @@
         upstream: u8,
     },
     Join,
+    /// An upstream runs items, or none.
+    Run {
+        upstream: u8,
+        runs: u8,
+    },
     /// The duty changes hands.
     Change,
     Wait {
@@ -48,6 +55,7 @@
             11 if b % 3 == 0 => Self::Leave { upstream: a },
             12 if b % 3 == 0 => Self::Join,
             13 if b % 4 == 0 => Self::Change,
+            13 => Self::Run { upstream: a, runs: b % 4 },
             _ => Self::Wait { ms: u16::arbitrary(rng) % 1_000 },
         }
     }
@@ -57,6 +65,7 @@
     record: SamplerRecord,
     accepted: u64,
     loading: Option<LoadOrder>,
+    runs: u64,
 }
 
 struct World {
@@ -99,7 +108,7 @@
             started_unix_ms: self.joined,
             reclaimable: false,
         };
-        self.upstreams.push(Upstream { record, accepted: 0, loading: None });
+        self.upstreams.push(Upstream { record, accepted: 0, loading: None, runs: 0 });
     }
 
     /// What the upstream does with an order, whenever it arrives.
@@ -120,7 +129,16 @@
 
     fn round(&mut self, lost: bool, late: bool) -> Result<(), String> {
         let records: Vec<SamplerRecord> = self.upstreams.iter().map(|upstream| upstream.record.clone()).collect();
-        let orders = self.planner.plan(&records, &self.models, &self.named, self.now);
+        let demand = |model: &SharedName| {
+            let named = self.named[model];
+            ModelDemand { named, oldest_usable: named - 1, work: 0 }
+        };
+        let models: BTreeMap<SharedName, ModelDemand> =
+            self.models.iter().map(|model| (model.clone(), demand(model))).collect();
+        let runs: BTreeMap<SharedName, u64> =
+            self.upstreams.iter().map(|upstream| (upstream.record.id.clone(), upstream.runs)).collect();
+        let view = LoadView { upstreams: &records, models: &models, runs: &runs };
+        let orders = self.planner.plan(&view, self.now);
         if orders.len() > records.len().div_ceil(5).max(1) {
             return Err(format!("{} of {} upstreams load at once", orders.len(), records.len()));
         }
@@ -195,6 +213,10 @@
                 }
             }
             Command::Join => self.join(),
+            Command::Run { upstream, runs } => {
+                let at = usize::from(upstream) % self.upstreams.len();
+                self.upstreams[at].runs = u64::from(runs);
+            }
             Command::Change => self.planner = VersionPlanner::default(),
             Command::Wait { ms } => self.now = self.now.plus_ms(u64::from(ms)),
         }
@@ -207,7 +229,8 @@
     sequence::check(0x4e25, 50, |commands: Vec<Command>| {
         let mut world = World::new();
         commands.iter().try_for_each(|command| world.step(command))?;
-        // Left alone, every upstream comes to the newest version of its model.
+        world.upstreams.iter_mut().for_each(|upstream| upstream.runs = 0);
+        // Left alone and idle, every upstream comes to the newest version of its model.
         for _ in 0..ROUNDS_MAX {
             world.now = world.now.plus_ms(ROUND_MS);
             world.round(false, false)?;
@@ -234,3 +257,92 @@
     world.load().unwrap();
     assert_eq!(world.arrive(&order(2, Some(0))), OrderOutcome::Conflict);
 }
+
+/// Upstreams of one model at the given versions, each with its number of runs.
+fn view_of(held: &[(u64, u64)]) -> (Vec<SamplerRecord>, BTreeMap<SharedName, u64>) {
+    let record = |(at, (version, _)): (usize, &(u64, u64))| {
+        let id: SharedName = format!("u{at}").into();
+        SamplerRecord {
+            address: id.clone(),
+            id,
+            service: "s".into(),
+            failure_domain: "a".into(),
+            slots: 4,
+            state: SamplerState::Ready,
+            versions: BTreeMap::from([("m".into(), *version)]),
+            started_unix_ms: 1,
+            reclaimable: false,
+        }
+    };
+    let runs = held.iter().enumerate().map(|(at, (_, runs))| (format!("u{at}").into(), *runs)).collect();
+    (held.iter().enumerate().map(record).collect(), runs)
+}
+
+/// Upstreams that load, in order, when version 5 was named `age_ms` ago and steps need 4 or newer.
+fn loading(held: &[(u64, u64)], age_ms: u64) -> Vec<String> {
+    let (mut upstreams, runs) = view_of(held);
+    let models = BTreeMap::from([("m".into(), ModelDemand { named: 5, oldest_usable: 4, work: 1 })]);
+    let mut planner = VersionPlanner::default();
+    let mut loading = Vec::new();
+    planner.plan(&LoadView { upstreams: &[], models: &models, runs: &runs }, TimePoint(0));
+    // Each load ends before the next round.
+    for _ in 0..held.len() {
+        let view = LoadView { upstreams: &upstreams, models: &models, runs: &runs };
+        for order in planner.plan(&view, TimePoint(age_ms)) {
+            planner.ordered(&order, OrderOutcome::Accepted, TimePoint(age_ms));
+            loading.push(order.upstream.to_string());
+            let loaded = upstreams.iter_mut().find(|record| record.id == order.upstream);
+            loaded.unwrap().versions.insert("m".into(), 5);
+        }
+    }
+    loading
+}
+
+#[test]
+fn those_that_cannot_serve_load_first_and_half_of_those_that_do_stay() {
+    // version and runs of each upstream, milliseconds since the version was named, who loads
+    type Engines = &'static [(u64, u64)];
+    let cases: [(Engines, u64, &[&str]); 6] = [
+        (&[(4, 3), (4, 1), (4, 2), (4, 4)], 0, &[]),
+        (&[(4, 3), (4, 1), (4, 2), (4, 4)], 700, &["u1", "u2"]),
+        (&[(4, 3), (3, 2), (3, 0), (4, 4)], 0, &["u2", "u1"]),
+        (&[(4, 3), (3, 2), (3, 0), (4, 4)], 700, &["u2", "u1"]),
+        (&[(4, 3), (4, 0), (4, 0), (4, 4)], 700, &["u1", "u2"]),
+        (&[(4, 0), (4, 0), (4, 0), (4, 4)], 700, &["u0", "u1", "u2"]),
+    ];
+    for (held, age_ms, expected) in cases {
+        assert_eq!(loading(held, age_ms), expected, "{held:?} after {age_ms} ms");
+    }
+}
+
+/// How many of `upstreams` each model gets whose recent steps were this much work.
+fn dealt(upstreams: usize, work: &[u64]) -> Vec<usize> {
+    let names: Vec<SharedName> = (0..work.len()).map(|at| format!("m{at}").into()).collect();
+    let (mut records, runs) = view_of(&vec![(1, 0); upstreams]);
+    records.iter_mut().for_each(|record| record.versions = names.iter().map(|name| (name.clone(), 1)).collect());
+    let demand = |work: &u64| ModelDemand { named: 2, oldest_usable: 1, work: *work };
+    let models = names.iter().cloned().zip(work.iter().map(demand)).collect();
+    let mut planner = VersionPlanner::default();
+    planner.plan(&LoadView { upstreams: &records, models: &models, runs: &runs }, TimePoint(0));
+    let count = |name| records.iter().filter(|record| planner.model(&record.id) == Some(name)).count();
+    names.iter().map(count).collect()
+}
+
+#[test]
+fn models_get_upstreams_by_the_work_of_their_steps() {
+    let cases: [(usize, &[u64], &[usize]); 6] = [
+        (9, &[1, 1], &[5, 4]),
+        (8, &[1_496, 1_584, 672], &[3, 3, 2]),
+        (12, &[1_496, 1_584, 672], &[4, 5, 3]),
+        (45, &[100, 100, 10], &[21, 21, 3]),
+        (5, &[7, 0, 7], &[2, 2, 1]),
+        (2, &[1, 1, 1], &[1, 1, 0]),
+    ];
+    for (upstreams, work, expected) in cases {
+        let mut counts = dealt(upstreams, work);
+        if work.iter().all(|own| *own == work[0]) || work.contains(&0) {
+            counts.sort_by(|a, b| b.cmp(a));
+        }
+        assert_eq!(counts, expected, "{upstreams} by {work:?}");
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,7 +23,8 @@
 pub use engine_model::{EngineModel, EngineShape};
 pub use engine_service::engine;
 pub use fleet::{
-    FleetProvider, FleetSampler, FleetStore, SamplerFault, SamplerShape, SeenCall, StoreFault, StoreMemory, UsageReport,
+    FleetProvider, FleetSampler, FleetStore, SamplerFault, SamplerShape, ScaleOrder, SeenCall, StoreFault, StoreMemory,
+    UsageReport,
 };
 pub use kv_fault::KvFault;
 pub use kv_service::kv;
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -6,6 +6,7 @@
 mod job_push;
 mod job_read;
 mod news;
+mod run_report;
 mod usage_push;
 mod usage_totals;
 
@@ -15,5 +16,6 @@
 pub use job_push::JobPush;
 pub use job_read::{ItemAnswer, ItemRequest, ResultsAnswer, ResultsRequest};
 pub use news::{NewsAnswer, NewsChange, NewsEntry, NewsRequest};
+pub use run_report::RunReport;
 pub use usage_push::UsagePush;
 pub use usage_totals::{TotalsAnswer, TotalsLine};
--- a/crates/wire/src/stored/job_entry.rs
+++ b/crates/wire/src/stored/job_entry.rs
@@ -14,6 +14,15 @@
     pub path: SharedName,
     /// Number of items.
     pub items: usize,
+    /// Model that it is for, if it names one.
+    #[serde(default)]
+    pub model: Option<SharedName>,
+    /// Oldest version of the model that may generate its texts.
+    #[serde(default)]
+    pub oldest_version: u64,
+    /// Tokens that its texts are expected to have together.
+    #[serde(default)]
+    pub tokens: u64,
     /// First submission in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
 }
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -10,8 +10,10 @@
     pub const FOLLOWED: &'static str = "p/w/";
     /// The duty's holder.
     pub const DUTY: &'static str = "p/w/duty";
-    /// The duty's last holder; outlives its lease.
-    pub const DUTY_LAST: &'static str = "p/duty-last";
+    /// Who held the duty; outlives their leases.
+    pub const DUTY_HISTORY: &'static str = "p/duty-history";
+    /// Standing upstreams that ran at first, by service and failure domain.
+    pub const FLOOR: &'static str = "p/floor/";
     /// Sealed usage windows.
     pub const SEALED: &'static str = "p/usage/sealed/";
     const JOB: &'static str = "p/w/job/";
@@ -43,6 +45,12 @@
         format!("{}{daemon}", Self::DAEMON)
     }
 
+    /// Standing upstreams of `service` that ran at first.
+    #[must_use]
+    pub fn floor(service: &str) -> String {
+        format!("{}{service}", Self::FLOOR)
+    }
+
     /// All bulk data of a batch job.
     #[must_use]
     pub fn bulk(job: &str) -> String {
--- a/crates/wire/src/stored/mod.rs
+++ b/crates/wire/src/stored/mod.rs
@@ -1,6 +1,8 @@
 //! What the service keeps in the platform's store.
 
 mod daemon_entry;
+mod duty_entry;
+mod floor_entry;
 mod job_entry;
 mod key_layout;
 mod result_entry;
@@ -8,6 +10,8 @@
 mod usage_entry;
 
 pub use daemon_entry::{DaemonEntry, PresenceEntry};
+pub use duty_entry::DutyEntry;
+pub use floor_entry::FloorEntry;
 pub use job_entry::JobEntry;
 pub use key_layout::KeyLayout;
 pub use result_entry::{ResultEntry, ResultsEntry};
