Bound the delay of changes by the age of knowledge; serve peers from one log

Cause: a follower took its watcher's empty answer as current, however long ago the watcher had heard from the store, and a watch on a lost path waited out its own timeout (2.3 s and more against a bound of 2 s). A watcher also made two watches a prefix: one for itself, one for its followers (purpose 'news').

Change: WatchTiming derives all waits from the platform's bound for the prefix (configApplyMs, drainMs); WatchSelector tracks as of when knowledge is complete, leaves an outdated or silent source, and asks the store itself before the bound is reached. Answers of peers say as of when they are complete. ChangeLog keeps recent changes of a prefix once a daemon, and serves followers from it; ChangeHub and its second watch are gone. A lost path ends the watches on it.

Ruled out: a refusal of requests while knowledge is old (failClosed is false); more store watchers (each change of the list costs a call a watcher).

Shown: kernel test of 390 daemons in 22 failure domains with frozen, killed, slow and cut-off watchers. With the age check disabled it fails (133 to 368 daemons late at 2,000 ms), with it all know the change in the bound; at most two calls a second a daemon even if every watcher is lost.

--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -2,7 +2,7 @@
 //! and API keys that grant access to their own organisation only.
 
 use crate::support::{EdgeSite, ROSE_KEY, TRAY_KEY, wait_for};
-use pimentoslip_standin::UpstreamFault;
+use pimentoslip_standin::{RelayRule, TcpRelay, UpstreamFault};
 use std::time::Duration;
 
 #[actix_rt::test]
@@ -189,22 +189,33 @@
 }
 
 /// One edge watches the store on behalf of all. Guards against edges that keep an outdated configuration when that edge
-/// is lost. The test does not determine which edge watches; it freezes one edge and kills another.
+/// is lost, or no longer receives anything from the store. Edges are lost in the order in which they become the watcher.
 #[actix_rt::test]
-async fn changes_reach_the_remaining_edges_after_one_is_frozen_and_one_is_killed() {
-    let mut site = EdgeSite::start(4).await;
-    // After each loss, all edges that remain must receive the next change, whether or not the lost edge watched the
-    // store.
-    for (number, lost) in [0, 1].into_iter().enumerate() {
-        if number == 0 {
-            site.edges[lost].process.freeze();
-        } else {
-            site.edges[lost].process.kill();
+async fn changes_reach_the_remaining_edges_after_each_watcher_is_lost() {
+    let mut site = EdgeSite::without_edges();
+    site.write_config(2, &[("rose", crate::support::ROSE_KEY)]);
+    let mut relays = Vec::new();
+    for _ in 0..4 {
+        let relay = TcpRelay::start(site.store.address).await.expect("start a relay");
+        site.start_edge(relay.address);
+        relays.push(relay);
+    }
+    site.wait_ready().await;
+    let names: Vec<String> = site.edges.iter().map(|edge| edge.vm.clone()).collect();
+    let watchers: Vec<usize> = pimentoslip_kernel::rank("watch", &names)
+        .into_iter()
+        .filter_map(|watcher| names.iter().position(|name| name == watcher))
+        .collect();
+    for (number, lost) in watchers.iter().copied().take(3).enumerate() {
+        match number {
+            0 => site.edges[lost].process.freeze(),
+            1 => relays[lost].set_rule(RelayRule::Stall),
+            _ => site.edges[lost].process.kill(),
         }
         let (version, key) = (10 + number as u64, format!("key-{number}"));
         site.write_config(version, &[("rose", &key)]);
         let bearer = format!("Bearer {key}");
-        for edge in lost + 1..4 {
+        for edge in watchers[number + 1..].iter().copied() {
             let headers = [("request-id", "news"), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
             wait_for("the new key is accepted", || async {
                 (site.send(edge, "POST", "/quote/x", &headers, "").await.status == 200).then_some(())
@@ -212,9 +223,9 @@
             .await;
         }
     }
-    site.edges[0].process.resume();
+    site.edges[watchers[0]].process.resume();
     wait_for("the resumed edge refuses the previous key", || async {
-        (site.send_quote(0, "old").await.status == 401).then_some(())
+        (site.send_quote(watchers[0], "old").await.status == 401).then_some(())
     })
     .await;
 }
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,13 +1,13 @@
 //! State shared by all listeners and tasks of a daemon.
 
-use crate::{edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime};
+use crate::{edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime, store::PrefixLog};
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
     OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally,
     fingerprint,
 };
-use pimentoslip_platform::ProcessSettings;
-use pimentoslip_wire::stored::DaemonEntry;
+use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
+use pimentoslip_wire::stored::{DaemonEntry, KeyLayout};
 use std::{
     collections::BTreeMap,
     sync::{
@@ -20,6 +20,9 @@
 /// Cached batch results may use up to the process's memory limit divided by this.
 const RESULTS_MEMORY_DIVISOR: usize = 8;
 
+/// Key prefixes that every daemon follows.
+const FOLLOWED_PREFIXES: [&str; 3] = [OPERATOR_PREFIX, UPSTREAM_PREFIX, KeyLayout::WATCHED_PREFIX];
+
 /// State shared between the HTTP listeners and the background tasks. Each lock is held only while a decision is made,
 /// never across an `await`.
 #[derive(Debug)]
@@ -38,6 +41,9 @@
     pub upstreams_changed: Notify,
     /// Wakes readers that wait for results of batch jobs owned by this daemon.
     pub results_listed: Notify,
+    /// Ends the watches that wait on the direct path to the store, after a call on that path has failed.
+    pub store_path_lost: Notify,
+    change_logs: BTreeMap<&'static str, PrefixLog>,
     steady_time: SteadyTime,
     active_requests: AtomicUsize,
     config: RwLock<Option<Arc<TrafficConfig>>>,
@@ -113,6 +119,8 @@
             job_changed: Notify::new(),
             upstreams_changed: Notify::new(),
             results_listed: Notify::new(),
+            store_path_lost: Notify::new(),
+            change_logs: FOLLOWED_PREFIXES.into_iter().map(|prefix| (prefix, PrefixLog::default())).collect(),
             steady_time: SteadyTime::new(&clock),
             active_requests: AtomicUsize::new(0),
             config: RwLock::new(None),
@@ -162,6 +170,12 @@
         true
     }
 
+    /// The recent changes below `prefix`; `None` if it is not followed.
+    #[must_use]
+    pub fn change_log(&self, prefix: &str) -> Option<&PrefixLog> {
+        self.change_logs.get(prefix)
+    }
+
     /// Locks the table of listed upstreams and their load.
     pub fn upstreams(&self) -> MutexGuard<'_, SamplerTable> {
         lock(&self.upstreams)
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -11,7 +11,7 @@
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     CodecError, decode, encode,
-    peer::{ChangesRequest, ItemRequest, JobPush, ResultsRequest, RunReport, UsagePush},
+    peer::{ChangesRequest, ChangesResponse, ItemRequest, JobPush, ResultsRequest, RunReport, UsagePush},
 };
 use serde::Serialize;
 use std::sync::Arc;
@@ -40,7 +40,13 @@
 /// Responds to a peer with changes of the store.
 pub async fn read_changes(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     match decode::<ChangesRequest>(&body) {
-        Ok(request) => message_response(&parts.change_hub.changes_response(request).await),
+        Ok(request) => {
+            let response = match parts.state.change_log(&request.prefix) {
+                Some(log) => log.response(&request, || parts.state.now()).await,
+                None => ChangesResponse::Incomplete,
+            };
+            message_response(&response)
+        }
         Err(error) => malformed_response(&error),
     }
 }
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -84,7 +84,7 @@
         if left_ms == 0 || state.jobs().is_ended(job) {
             break;
         }
-        let batch = match store.watch(&KeyLayout::results_prefix(job), stored.revision, left_ms).await {
+        let (batch, _) = match store.watch(&KeyLayout::results_prefix(job), stored.revision, left_ms).await {
             Ok(batch) => batch,
             Err(StoreError::HistoryCompacted) => return read_chunks(state, store, job, position, bytes_max).await,
             // The results read before the watch are still valid.
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -8,12 +8,13 @@
     http::{configure_control, configure_front, configure_ready},
     job::claim_jobs,
     lease_task::{maintain_lease, revoke_lease},
-    store::{CoordinationKeys, OperatorKeys, UpstreamKeys, follow_prefix},
+    store::{ChangeFeed, CoordinationKeys, OperatorKeys, PrefixHandler, UpstreamKeys, follow_prefix},
     worker_parts::WorkerParts,
 };
 use actix_rt::signal::unix::{SignalKind, signal};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use anyhow::Context;
+use pimentoslip_kernel::WatchTiming;
 use pimentoslip_platform::ProcessSettings;
 use pimentoslip_telemetry::LogLine;
 use std::{
@@ -39,6 +40,9 @@
 const CALL_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time for the handover of all owned jobs; each takes two calls.
 const JOB_HANDOVER_MS: u64 = 700;
+/// Time within which changes of jobs, owners and daemons should reach every daemon. No promise depends on it: their
+/// writes are conditional.
+const COORDINATION_APPLY_MS: u64 = 4_000;
 /// Interval at which the conditions for the next step of a shutdown are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -90,22 +94,17 @@
 /// Starts the background tasks of the daemon.
 fn spawn_tasks(state: &Arc<EdgeState>) {
     let parts = WorkerParts::new(state.clone());
-    let WorkerParts { store, upstream_client, change_feed, peer_client, .. } = parts;
-    actix_rt::spawn(follow_prefix(
-        state.clone(),
-        change_feed.with_purpose("follow_operator"),
-        OperatorKeys::new(state.clone()),
-    ));
-    actix_rt::spawn(follow_prefix(
-        state.clone(),
-        change_feed.with_purpose("follow_upstreams"),
-        UpstreamKeys::new(state.clone()),
-    ));
-    actix_rt::spawn(follow_prefix(
-        state.clone(),
-        change_feed.with_purpose("follow_daemons"),
-        CoordinationKeys::new(state.clone()),
-    ));
+    let WorkerParts { store, upstream_client, peer_client, .. } = parts;
+    let feed = |prefix, purpose, bound_ms| {
+        let store = store.with_purpose(purpose);
+        ChangeFeed::new(state.clone(), store, peer_client.clone(), prefix, WatchTiming::new(bound_ms))
+    };
+    let operator_feed = feed(OperatorKeys::PREFIX, "follow_operator", state.settings.config_apply_ms);
+    actix_rt::spawn(follow_prefix(state.clone(), operator_feed, OperatorKeys::new(state.clone())));
+    let upstream_feed = feed(UpstreamKeys::PREFIX, "follow_upstreams", state.settings.upstream_drain_ms);
+    actix_rt::spawn(follow_prefix(state.clone(), upstream_feed, UpstreamKeys::new(state.clone())));
+    let coordination_feed = feed(CoordinationKeys::PREFIX, "follow_daemons", COORDINATION_APPLY_MS);
+    actix_rt::spawn(follow_prefix(state.clone(), coordination_feed, CoordinationKeys::new(state.clone())));
     actix_rt::spawn(maintain_lease(state.clone(), store.with_purpose("lease")));
     actix_rt::spawn(claim_jobs(state.clone(), upstream_client.clone(), store.with_purpose("own_jobs")));
     actix_rt::spawn(hold_duty(state.clone(), upstream_client, store.with_purpose("duty")));
--- a/crates/edge/src/store/change_feed.rs
+++ b/crates/edge/src/store/change_feed.rs
@@ -1,4 +1,4 @@
-//! Receives store changes from the daemon that watches the store for this one, or else from the store itself.
+//! Receives the changes of one prefix from the daemon that watches the store for this one, or else from the store itself.
 
 use super::StoreAccess;
 use crate::{
@@ -6,127 +6,149 @@
     peer_client::{PeerClient, PeerError},
 };
 use bytes::Bytes;
-use pimentoslip_kernel::{SharedName, TimePoint};
-use pimentoslip_platform::{Result, StoreChange, StoreEntry, StoreError, WatchBatch};
+use pimentoslip_kernel::{TimePoint, WatchCall, WatchSelector, WatchSource, WatchTarget, WatchTiming};
+use pimentoslip_platform::{RangePage, Result, StoreChange, StoreEntry, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody};
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
+use std::sync::Arc;
 
 /// Path of the control listener at which peers request store changes.
 pub const CHANGES_PATH: &str = "/peer/news";
 
-/// Longest wait of a watch at the store. A watch on an unresponsive connection is abandoned after it. A VM whose
-/// connections were cut counts as disturbed for three seconds, within which a change need not take effect.
-const STORE_WAIT_MS: u64 = 2_300;
-/// Longest wait of a request for changes at a peer. A peer whose process is frozen is detected after this time plus the
-/// slack, which leaves time to apply a change within two seconds.
-const PEER_WAIT_MS: u64 = 1_000;
-/// Longest wait of a request from the watcher of a failure domain to the watcher of its region. It is shorter than
-/// `PEER_WAIT_MS`, for which other daemons wait for the response of the failure domain's watcher.
-const REGION_WAIT_MS: u64 = 700;
-/// Time allowed for a response beyond the wait that was requested from the peer.
-const RESPONSE_SLACK_MS: u64 = 400;
-/// Wait at the next source after one was unresponsive: only changes that it has already received are returned.
-const RETRY_WAIT_MS: u64 = 0;
-/// Back-off after a peer was unresponsive; no changes are requested from it meanwhile.
-const SOURCE_BACKOFF_MS: u64 = 3_000;
-
-/// Source of store changes for one thread.
-#[derive(Clone, Debug)]
+/// Source of the changes of one prefix. What it receives is also kept in the prefix's log, from which this daemon serves
+/// others.
+#[derive(Debug)]
 pub struct ChangeFeed {
     state: Arc<EdgeState>,
     store: StoreAccess,
     peer_client: PeerClient,
-    /// Unresponsive peers, and until when no changes are requested from them.
-    backoff_until: Rc<RefCell<HashMap<SharedName, TimePoint>>>,
+    prefix: &'static str,
+    timing: WatchTiming,
+    selector: WatchSelector,
+    /// Revision up to which all changes have been received.
+    revision: u64,
 }
 
-/// A peer that watches the store and from which changes are requested.
-struct WatchSource {
-    /// Name of the peer.
-    daemon: SharedName,
-    /// Address of the peer's control listener.
-    control_address: SharedName,
-    /// Whether the peer watches for its region, not only for its failure domain.
-    watches_region: bool,
+/// Changes received from a peer or from the store.
+struct ReceivedBatch {
+    changes: Vec<Arc<ChangeBody>>,
+    /// Revision up to which all changes have been received.
+    revision: u64,
+    /// All changes written before this time have been received.
+    current_as_of: TimePoint,
 }
 
 impl ChangeFeed {
-    /// Creates a feed that watches `store` directly where no peer watches it for this daemon.
+    /// Creates a feed of the changes below `prefix`, which must reach this daemon within the bound of `timing`.
     #[must_use]
-    pub fn new(state: Arc<EdgeState>, store: StoreAccess, peer_client: PeerClient) -> Self {
-        Self { state, store, peer_client, backoff_until: Rc::default() }
+    pub fn new(
+        state: Arc<EdgeState>,
+        store: StoreAccess,
+        peer_client: PeerClient,
+        prefix: &'static str,
+        timing: WatchTiming,
+    ) -> Self {
+        let selector = WatchSelector::new(timing, TimePoint(0));
+        Self { state, store, peer_client, prefix, timing, selector, revision: 0 }
     }
 
-    /// The same feed, whose calls to the store are counted under `purpose`.
-    #[must_use]
-    pub fn with_purpose(&self, purpose: &'static str) -> Self {
-        Self { store: self.store.with_purpose(purpose), ..self.clone() }
-    }
-
-    /// Access to the store for calls other than watches.
-    #[must_use]
-    pub fn store(&self) -> &StoreAccess {
-        &self.store
+    /// Reads all entries from the store. The next changes are those after this snapshot.
+    pub async fn read_snapshot(&mut self) -> Result<RangePage> {
+        let sent_at = self.state.now();
+        let page = self.store.range(self.prefix).await?;
+        self.revision = page.revision;
+        self.selector = WatchSelector::new(self.timing, sent_at);
+        if let Some(log) = self.state.change_log(self.prefix) {
+            log.restart(page.revision, sent_at);
+        }
+        Ok(page)
     }
 
-    /// Changes of keys with `prefix` after `revision`. Waits a limited time for the first one, so the batch may be
-    /// empty. Fails with `HistoryCompacted` if the store no longer has the changes since `revision`.
-    pub async fn next_changes(&self, prefix: &str, revision: u64) -> Result<WatchBatch> {
-        let mut is_retry = false;
-        for source in self.watch_sources() {
-            let wait_ms = match (is_retry, source.watches_region) {
-                (true, _) => RETRY_WAIT_MS,
-                (false, true) => REGION_WAIT_MS,
-                (false, false) => PEER_WAIT_MS,
+    /// The changes after those that were returned before. Waits a limited time for the first one, so there may be none.
+    /// Fails with `HistoryCompacted` if the store no longer has these changes.
+    pub async fn next_changes(&mut self) -> Result<Vec<StoreChange>> {
+        loop {
+            let sources = {
+                let settings = &self.state.settings;
+                self.state.ownership().watch_sources(&settings.failure_domain, &settings.region)
+            };
+            let call = self.selector.next_call(&sources, self.state.now()).ok_or_else(unreachable_error)?;
+            let received = match &call.target {
+                WatchTarget::Peer(source) => self.request_from_peer(source, &call).await,
+                WatchTarget::Store => Some(self.watch_store(&call).await?),
             };
-            let request = ChangesRequest { prefix: prefix.to_owned(), revision, wait_ms };
-            match self
-                .peer_client
-                .call(&source.control_address, CHANGES_PATH, &request, wait_ms + RESPONSE_SLACK_MS)
-                .await
-            {
-                Ok(ChangesResponse::Changes { changes, revision }) => {
-                    return Ok(WatchBatch { changes: changes.into_iter().map(store_change).collect(), revision });
-                }
-                Ok(ChangesResponse::HistoryCompacted) => return Err(StoreError::HistoryCompacted),
-                // The peer has already tried the watcher of the region. Only this VM's own path is left.
-                Ok(ChangesResponse::StoreUnreachable) => break,
-                Err(error) => self.source_unresponsive(&source.daemon, &error),
+            let Some(batch) = received else { continue };
+            self.revision = self.revision.max(batch.revision);
+            if let Some(log) = self.state.change_log(self.prefix) {
+                log.append(&batch.changes, batch.revision, batch.current_as_of);
             }
-            is_retry = true;
+            return Ok(batch.changes.iter().map(|change| store_change(change)).collect());
         }
-        self.store.watch(prefix, revision, STORE_WAIT_MS).await
     }
 
-    /// Peers from which changes are requested, nearest first, without those that are backed off.
-    fn watch_sources(&self) -> Vec<WatchSource> {
-        let settings = &self.state.settings;
-        let ownership = self.state.ownership();
-        let region_watcher = ownership.region_watcher(&settings.region).map(|(daemon, _)| daemon.clone());
-        let sources = ownership.watch_sources(&settings.failure_domain, &settings.region);
+    /// Requests changes from a peer. `None` if it does not have them; another source is selected then.
+    async fn request_from_peer(&mut self, source: &WatchSource, call: &WatchCall) -> Option<ReceivedBatch> {
+        let sent_at = self.state.now();
+        let request = ChangesRequest { prefix: self.prefix.to_owned(), revision: self.revision, wait_ms: call.wait_ms };
+        let timeout_ms = call.give_up_at.since_ms(sent_at);
+        let response = self.peer_client.call(&source.control_address, CHANGES_PATH, &request, timeout_ms).await;
         let now = self.state.now();
-        let backoff_until = self.backoff_until.borrow();
-        let available =
-            sources.into_iter().filter(|(daemon, _)| backoff_until.get(*daemon).is_none_or(|until| *until <= now));
-        let watch_source = |(daemon, presence): (&SharedName, &pimentoslip_kernel::DaemonPresence)| WatchSource {
-            daemon: daemon.clone(),
-            control_address: presence.control_address.clone(),
-            watches_region: Some(daemon) == region_watcher.as_ref(),
-        };
-        available.map(watch_source).collect()
+        match response {
+            Ok(ChangesResponse::Changes { changes, revision, current_after_ms }) => {
+                let current_as_of = TimePoint(sent_at.0.saturating_add_signed(current_after_ms)).min(now);
+                self.selector.peer_answered(&source.daemon, current_as_of, now);
+                Some(ReceivedBatch { changes, revision, current_as_of })
+            }
+            Ok(ChangesResponse::Incomplete) => {
+                LogLine::new("change_source_incomplete")
+                    .field("daemon", &source.daemon)
+                    .field("prefix", self.prefix)
+                    .field("revision", self.revision)
+                    .info();
+                self.selector.peer_outdated(&source.daemon, now);
+                None
+            }
+            Err(error) => {
+                self.log_unresponsive(source, &error);
+                self.selector.peer_unresponsive(&source.daemon, now);
+                None
+            }
+        }
     }
 
-    /// Logs the failed request and backs off from `daemon`.
-    fn source_unresponsive(&self, daemon: &SharedName, error: &PeerError) {
-        LogLine::new("change_source_unresponsive").field("daemon", daemon).field("reason", error).warn();
-        let until = self.state.now().plus_ms(SOURCE_BACKOFF_MS);
-        self.backoff_until.borrow_mut().insert(daemon.clone(), until);
+    fn log_unresponsive(&self, source: &WatchSource, error: &PeerError) {
+        let known_age_ms = self.state.now().since_ms(self.selector.current_as_of());
+        LogLine::new("change_source_unresponsive")
+            .field("daemon", &source.daemon)
+            .field("prefix", self.prefix)
+            .field("age_ms", known_age_ms)
+            .field("reason", error)
+            .warn();
     }
+
+    /// Requests changes from the store.
+    async fn watch_store(&mut self, call: &WatchCall) -> Result<ReceivedBatch> {
+        match self.store.watch(self.prefix, self.revision, call.wait_ms).await {
+            Ok((batch, current_as_of)) => {
+                self.selector.proved_current(current_as_of);
+                let changes = batch.changes.iter().map(|change| Arc::new(change_message(change))).collect();
+                Ok(ReceivedBatch { changes, revision: batch.revision, current_as_of })
+            }
+            Err(error) => {
+                self.selector.store_failed(self.state.now());
+                Err(error)
+            }
+        }
+    }
+}
+
+/// The error while the store is unreachable and no peer can be asked.
+fn unreachable_error() -> StoreError {
+    StoreError::NotApplied { problem: "the store was unreachable a moment ago, and no peer has its changes".to_owned() }
 }
 
 /// The wire message for a change of a store entry.
-pub fn change_message(change: &StoreChange) -> ChangeBody {
+fn change_message(change: &StoreChange) -> ChangeBody {
     match change {
         StoreChange::Written(store_entry) => ChangeBody {
             key: store_entry.key.clone(),
@@ -142,16 +164,16 @@
 }
 
 /// The change of a store entry that a wire message describes.
-fn store_change(change: ChangeBody) -> StoreChange {
+fn store_change(change: &ChangeBody) -> StoreChange {
     let ChangeBody { key, revision, written } = change;
     match written {
         Some(entry) => StoreChange::Written(StoreEntry {
-            key,
-            value: Bytes::from(entry.value),
-            revision,
+            key: key.clone(),
+            value: Bytes::copy_from_slice(&entry.value),
+            revision: *revision,
             created_revision: entry.created_revision,
             lease: entry.lease,
         }),
-        None => StoreChange::Removed { key, revision },
+        None => StoreChange::Removed { key: key.clone(), revision: *revision },
     }
 }
--- a/crates/edge/src/store/prefix_handler.rs
+++ b/crates/edge/src/store/prefix_handler.rs
@@ -29,31 +29,27 @@
 }
 
 /// Keeps `handler` up to date with its prefix for as long as the process runs.
-pub async fn follow_prefix<H: PrefixHandler>(state: Arc<EdgeState>, feed: ChangeFeed, mut handler: H) {
+pub async fn follow_prefix<H: PrefixHandler>(state: Arc<EdgeState>, mut feed: ChangeFeed, mut handler: H) {
     let mut lost_since: Option<TimePoint> = None;
     loop {
-        let page = feed.store().range(H::PREFIX).await;
-        let mut revision = match page {
+        match feed.read_snapshot().await {
             Ok(page) => {
                 log_store_reconnected::<H>(&state, &mut lost_since);
-                let revision = page.revision;
                 handler.apply_snapshot(page, state.now());
-                revision
             }
             Err(error) => {
                 log_store_lost::<H>(&state, &mut lost_since, &error);
                 actix_rt::time::sleep(RETRY_DELAY).await;
                 continue;
             }
-        };
+        }
         loop {
-            match feed.next_changes(H::PREFIX, revision).await {
-                Ok(batch) => {
+            match feed.next_changes().await {
+                Ok(changes) => {
                     log_store_reconnected::<H>(&state, &mut lost_since);
-                    revision = batch.revision;
                     let now = state.now();
-                    let has_changes = !batch.changes.is_empty();
-                    for change in batch.changes {
+                    let has_changes = !changes.is_empty();
+                    for change in changes {
                         handler.apply_change(change, now);
                     }
                     handler.after_poll(now);
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -81,6 +81,7 @@
         match result {
             Err(error @ (StoreError::NotApplied { .. } | StoreError::OutcomeUnknown { .. })) => {
                 if selector.call_failed(path, started_at, now) {
+                    self.state.store_path_lost.notify_waiters();
                     LogLine::new("store_path_lost").field("path", path).field("reason", error).warn();
                 }
             }
@@ -136,11 +137,22 @@
     }
 
     /// Waits for changes below `prefix` after `revision`; see [`StoreClient::watch`]. The wait is shorter if the call
-    /// is relayed through a peer.
-    pub async fn watch(&self, prefix: &str, revision: u64, wait_ms: u64) -> Result<WatchBatch> {
+    /// is relayed through a peer, and ends once another call shows that the direct path is lost. Also returns a time
+    /// before which all changes below `prefix` were written that the batch or `revision` includes.
+    pub async fn watch(&self, prefix: &str, revision: u64, wait_ms: u64) -> Result<(WatchBatch, TimePoint)> {
         let watch = async |client: &StoreClient, path: &ServicePath| {
-            let wait_ms = if *path == ServicePath::Direct { wait_ms } else { RELAYED_WAIT_MS.min(wait_ms) };
-            client.watch(prefix, revision, wait_ms).await
+            let sent_at = self.state.now();
+            let is_direct = *path == ServicePath::Direct;
+            let wait_ms = if is_direct { wait_ms } else { RELAYED_WAIT_MS.min(wait_ms) };
+            let path_lost = self.state.store_path_lost.notified();
+            let batch = tokio::select! {
+                batch = client.watch(prefix, revision, wait_ms) => batch?,
+                () = path_lost, if is_direct => return Err(path_lost_error()),
+            };
+            // The store returns an empty batch only at the end of the wait, unless it ends the watch early.
+            let is_full_wait = batch.changes.is_empty() && self.state.now().since_ms(sent_at) >= wait_ms;
+            let held_ms = if is_full_wait { wait_ms } else { 0 };
+            Ok((batch, sent_at.plus_ms(held_ms)))
         };
         self.call(true, watch).await
     }
@@ -166,6 +178,11 @@
     }
 }
 
+/// The error of a watch that ended because another call on the same path failed.
+fn path_lost_error() -> StoreError {
+    StoreError::NotApplied { problem: "another call showed that the direct path to the store is lost".to_owned() }
+}
+
 /// The error of a call that was not made because the store was unreachable a moment ago.
 fn backoff_error() -> StoreError {
     StoreError::NotApplied { problem: "backing off, as the store was unreachable a moment ago".to_owned() }
--- a/crates/edge/src/worker_parts.rs
+++ b/crates/edge/src/worker_parts.rs
@@ -1,11 +1,7 @@
 //! The shared state and the clients that one thread uses.
 
 use crate::{
-    duty::UsageCollector,
-    edge_metrics::EdgeMetrics,
-    edge_state::EdgeState,
-    peer_client::PeerClient,
-    store::{ChangeFeed, ChangeHub, StoreAccess},
+    duty::UsageCollector, edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess,
 };
 use awc::Client;
 use pimentoslip_client::client_with_tcp_user_timeout;
@@ -29,10 +25,6 @@
     pub store: StoreAccess,
     /// Direct client for the store, used to relay calls of peers that cannot reach it.
     pub relay_client: StoreClient,
-    /// Source of store changes for this daemon.
-    pub change_feed: ChangeFeed,
-    /// Shared store watches that serve changes to other daemons.
-    pub change_hub: ChangeHub,
     /// Collects usage counts of other daemons and stores them together.
     pub usage_collector: UsageCollector,
 }
@@ -50,15 +42,12 @@
         let direct_client = StoreClient::new(state.settings.store_address, EdgeMetrics::count_store_call);
         let store = StoreAccess::new(state.clone(), direct_client.with_purpose("serve_batches"));
         let peer_client = PeerClient::default();
-        let change_feed = ChangeFeed::new(state.clone(), store.clone(), peer_client.clone());
         Self {
             upstream_client: client_with_tcp_user_timeout(UPSTREAM_USER_TIMEOUT),
-            change_hub: ChangeHub::new(change_feed.with_purpose("news")),
             usage_collector: UsageCollector::new(state.clone(), store.with_purpose("usage")),
             relay_client: direct_client.with_purpose("relay"),
             peer_client,
             store,
-            change_feed,
             state,
         }
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -35,6 +35,7 @@
 mod usage_meter;
 mod usage_window;
 mod wall_clock_offset;
+mod watch;
 
 pub use admission_policy::{AdmissionPlugin, AdmissionPolicy};
 pub use batch::*;
@@ -68,6 +69,7 @@
 pub use usage_meter::{UsageCount, UsageKey, UsageMeter};
 pub use usage_window::{UsageLine, UsageWindow};
 pub use wall_clock_offset::WallClockOffset;
+pub use watch::*;
 
 /// A shared, immutable name that is cheap to clone.
 pub type SharedName = std::sync::Arc<str>;
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -1,6 +1,6 @@
 //! Tracks which daemon owns which batch job, and decides when a job without an owner is claimed.
 
-use crate::{SharedName, TimePoint, rendezvous};
+use crate::{SharedName, TimePoint, WatchSource, rendezvous};
 use std::collections::BTreeMap;
 
 /// Additional delay before daemons other than the preferred one claim a job. It exceeds the duration of a claim, so
@@ -202,12 +202,18 @@
     /// Each daemon uses only sources that rank higher than itself, so that daemons never wait for each other in a
     /// circle, even if their views of the running daemons differ.
     #[must_use]
-    pub fn watch_sources(&self, failure_domain: &str, region: &str) -> Vec<(&SharedName, &DaemonPresence)> {
+    pub fn watch_sources(&self, failure_domain: &str, region: &str) -> Vec<WatchSource> {
         let domain_watcher = self.watcher(|presence| *presence.failure_domain == *failure_domain);
         let region_watcher = self.watcher(|presence| *presence.region == *region);
-        let mut sources: Vec<(&SharedName, &DaemonPresence)> = domain_watcher.into_iter().collect();
-        sources.extend(region_watcher.filter(|(daemon, _)| sources.iter().all(|source| source.0 != *daemon)));
-        sources
+        let region_name = region_watcher.map(|(daemon, _)| daemon);
+        let mut daemons: Vec<(&SharedName, &DaemonPresence)> = domain_watcher.into_iter().collect();
+        daemons.extend(region_watcher.filter(|(daemon, _)| daemons.iter().all(|source| source.0 != *daemon)));
+        let source = |(daemon, presence): (&SharedName, &DaemonPresence)| WatchSource {
+            daemon: daemon.clone(),
+            control_address: presence.control_address.clone(),
+            watches_region: Some(daemon) == region_name,
+        };
+        daemons.into_iter().map(source).collect()
     }
 
     /// The highest ranked of the daemons that match `is_candidate`, or `None` if it is this one. This daemon is always
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -17,3 +17,4 @@
 mod terms;
 mod usage;
 mod versions;
+mod watching;
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -286,7 +286,7 @@
                 DaemonPresence { failure_domain, region: (*region).into(), ..presence(1) },
             );
         }
-        table.watch_sources(domain, region).into_iter().map(|(daemon, _)| daemon.to_string()).collect()
+        table.watch_sources(domain, region).into_iter().map(|source| source.daemon.to_string()).collect()
     };
     present.iter().map(|(daemon, domain, region)| (*daemon, sources(daemon, domain, region))).collect()
 }
@@ -337,7 +337,7 @@
                 let mut table = OwnershipTable::new(daemon_name(daemon), 1);
                 let seen_daemons = (0..3).filter(|other| seen >> (daemon * 3 + other) & 1 == 1);
                 seen_daemons.for_each(|other| table.daemon_joined(daemon_name(other), presence(1)));
-                let first = table.watch_sources("north", "land").first().map(|(daemon, _)| (*daemon).clone())?;
+                let first = table.watch_sources("north", "land").first().map(|source| source.daemon.clone())?;
                 (0..3).find(|other| daemon_name(*other) == first)
             })
             .collect();
--- a/crates/kernel/tests/machines/sequence.rs
+++ b/crates/kernel/tests/machines/sequence.rs
@@ -8,8 +8,18 @@
 /// Checks `property` on sequences of up to `length` commands. The environment variable `PIMENTOSLIP_SEQUENCES`
 /// overrides their number. Panics with a shrunk sequence if the property fails.
 pub fn check<C: Arbitrary + std::fmt::Debug>(seed: u64, length: usize, property: fn(Vec<C>) -> Result<(), String>) {
+    check_count(seed, length, SEQUENCES_DEFAULT, property);
+}
+
+/// Like [`check`], for a property that is slow to check: `sequences_default` is the number of sequences.
+pub fn check_count<C: Arbitrary + std::fmt::Debug>(
+    seed: u64,
+    length: usize,
+    sequences_default: u64,
+    property: fn(Vec<C>) -> Result<(), String>,
+) {
     let requested = std::env::var("PIMENTOSLIP_SEQUENCES").ok().and_then(|text| text.parse().ok());
-    let sequences = requested.unwrap_or(SEQUENCES_DEFAULT);
+    let sequences = requested.unwrap_or(sequences_default);
     fn test<C: Arbitrary + std::fmt::Debug>(property: fn(Vec<C>) -> Result<(), String>) -> Property<C> {
         Property(property)
     }
--- a/crates/wire/src/peer/changes.rs
+++ b/crates/wire/src/peer/changes.rs
@@ -1,6 +1,7 @@
 //! Changes of entries in the platform's store, which a daemon that watches the store sends to daemons that do not.
 
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// Request for the changes below a prefix after a revision.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,20 +37,19 @@
     pub written: Option<EntryBody>,
 }
 
-/// Changes that the watching daemon has received from the store.
+/// Changes that the watching daemon has received.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ChangesResponse {
     /// The changes after the requested revision; empty if there was none in time.
     Changes {
         /// Changes in the order of their revisions.
-        changes: Vec<ChangeBody>,
+        changes: Vec<Arc<ChangeBody>>,
         /// Revision from which the next request continues.
         revision: u64,
+        /// The response contains all changes that were written up to this many milliseconds after the request arrived;
+        /// negative if the daemon knows only those of an earlier time.
+        current_after_ms: i64,
     },
-    /// The store has compacted its history beyond the requested revision.
-    #[serde(rename = "HistoryGone")]
-    HistoryCompacted,
-    /// The watching daemon cannot reach the store.
-    #[serde(rename = "StoreAway")]
-    StoreUnreachable,
+    /// The watching daemon does not know all changes since the requested revision.
+    Incomplete,
 }
