--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -10,6 +10,7 @@
 mod hostile;
 mod leaving;
 mod path;
+mod platform_bytes;
 mod platform_duties;
 mod platform_jobs;
 mod platform_path;
--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -1,7 +1,7 @@
 //! Tests of requests on the users' platform: complete answers, refusals that state truthfully whether the request ran,
 //! and API keys that grant access to their own organisation only.
 
-use crate::support::{EdgeSite, ROSE_KEY, TRAY_KEY, wait_for};
+use crate::support::{EdgeSite, HOST, HttpClient, ROSE_KEY, TRAY_KEY, wait_for};
 use pimentoslip_standin::{RelayRule, TcpRelay, UpstreamFault};
 use std::time::Duration;
 
@@ -229,3 +229,60 @@
     })
     .await;
 }
+
+/// Guards against requests that are cut off by a planned stop after they were passed on to an upstream. Callers keep
+/// sending on their open connections until the edge has exited.
+#[actix_rt::test]
+async fn a_planned_stop_under_load_answers_every_request_that_an_upstream_ran() {
+    let mut site = EdgeSite::start(1).await;
+    let callers: Vec<_> = (0..24).map(|caller| send_until_refused(&site, caller)).collect();
+    let stop = async {
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        site.edges[0].process.terminate();
+    };
+    let (unanswered, ()) = futures_util::future::join(futures_util::future::join_all(callers), stop).await;
+    let unanswered = unanswered.concat();
+    wait_for("the edge has exited", || {
+        let has_exited = site.edges[0].process.exit_status().is_some();
+        async move { has_exited.then_some(()) }
+    })
+    .await;
+    let runs: Vec<String> = site.desks.iter().flat_map(|desk| desk.recorded_calls()).map(|call| call.id).collect();
+    assert!(runs.len() > 500, "{} requests ran", runs.len());
+    let cut: Vec<&String> = unanswered.iter().filter(|id| runs.contains(id)).collect();
+    assert!(cut.is_empty(), "requests ran at an upstream and got no answer: {cut:?}");
+}
+
+/// Sends quotes, one after the other on a kept connection, until the edge accepts no connection any more. Returns the ids of those that got
+/// no complete answer. A refusal says that the request did not run.
+async fn send_until_refused(site: &EdgeSite, caller: usize) -> Vec<String> {
+    /// Failures in a row after which the edge has stopped.
+    const FAILURES_MAX: usize = 40;
+    let http = HttpClient::new();
+    let bearer = format!("Bearer {ROSE_KEY}");
+    let mut unanswered = Vec::new();
+    let mut failures = 0;
+    for number in 0.. {
+        let id = format!("load-{caller}-{number}");
+        let headers =
+            [("host", HOST), ("request-id", id.as_str()), ("deadline-ms", "2000"), ("authorization", &bearer)];
+        let reply = http.send("POST", &site.url(0, "/quote/roses"), &headers, &"how much").await;
+        match reply.status {
+            0 => {
+                failures += 1;
+                unanswered.push(id);
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+            status => {
+                failures = 0;
+                assert!(matches!(status, 200 | 502..=504), "{id}: {status}");
+                // Callers are not in step with each other.
+                actix_rt::time::sleep(Duration::from_millis(caller as u64 % 7)).await;
+            }
+        }
+        if failures > FAILURES_MAX {
+            break;
+        }
+    }
+    unanswered
+}
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -12,7 +12,7 @@
 /// API key of the organisation `tray`.
 pub const TRAY_KEY: &str = "key-of-tray";
 /// Host name that the routes of the configuration match.
-const HOST: &str = "desk.example";
+pub const HOST: &str = "desk.example";
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 const ANSWER_BODY_MAX_BYTES: usize = 16 << 20;
 
@@ -206,12 +206,17 @@
         actix_rt::time::sleep(Duration::from_millis(700)).await;
     }
 
+    /// URL of `path` at an edge.
+    pub fn url(&self, edge: usize, path: &str) -> String {
+        format!("http://{}{path}", self.edges[edge].frontend_address)
+    }
+
     /// Sends a caller's request to an edge and reads the complete answer.
     pub async fn send(&self, edge: usize, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> EdgeReply {
         let method = Method::from_bytes(method.as_bytes()).expect("a valid HTTP method");
         let client = Client::builder().disable_timeout().finish();
         let mut request = client
-            .request(method, format!("http://{}{path}", self.edges[edge].frontend_address))
+            .request(method, self.url(edge, path))
             .timeout(REQUEST_TIMEOUT)
             .force_close()
             .insert_header(("host", HOST));
--- /dev/null
+++ b/crates/cli/tests/processes/support/raw_server.rs
@@ -0,0 +1,142 @@
+//! Server that answers requests with given bytes, whether or not they are an answer.
+
+use actix_rt::net::{TcpListener, TcpStream};
+use socket2::SockRef;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Largest block that is sent at once of bytes that are repeated without end.
+const BLOCK_BYTES: usize = 16 << 10;
+
+/// End of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawEnding {
+    /// The connection is closed after all bytes were sent.
+    Closed,
+    /// The connection is reset.
+    Reset,
+}
+
+/// Bytes sent after each request. `{id}` stands for the id of the request.
+#[derive(Clone, Debug, Default)]
+pub struct RawAnswer {
+    /// Sent once.
+    pub first: String,
+    /// Sent again and again until the connection is closed; nothing if empty.
+    pub repeated: String,
+    /// Pause before each repetition; without a pause, repetitions are sent as fast as possible.
+    pub pause: Duration,
+    /// Whether `repeated` is sent once only.
+    pub is_finite: bool,
+    /// How the connection ends after the bytes were sent once; it stays open for `None`.
+    pub ending: Option<RawEnding>,
+}
+
+/// What a server has observed.
+#[derive(Debug, Default)]
+struct Observed {
+    requests: Vec<String>,
+    open_connections: usize,
+}
+
+/// A running server.
+pub struct RawServer {
+    /// Address that the server listens on.
+    pub address: SocketAddr,
+    observed: Arc<Mutex<Observed>>,
+}
+
+fn lock(observed: &Mutex<Observed>) -> MutexGuard<'_, Observed> {
+    observed.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl RawServer {
+    /// Starts a server on the current runtime, at a free loopback port.
+    pub async fn start(answer: RawAnswer) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a free port");
+        let address = listener.local_addr().expect("the address of the listener");
+        let observed = Arc::new(Mutex::new(Observed::default()));
+        let state = observed.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (answer, state) = (answer.clone(), state.clone());
+                actix_rt::spawn(async move {
+                    lock(&state).open_connections += 1;
+                    serve(stream, &answer, &state).await;
+                    lock(&state).open_connections -= 1;
+                });
+            }
+        });
+        Self { address, observed }
+    }
+
+    /// Ids of the requests received so far.
+    pub fn requests(&self) -> Vec<String> {
+        lock(&self.observed).requests.clone()
+    }
+
+    /// Number of connections on which an answer is being sent or a request is awaited.
+    pub fn open_connections(&self) -> usize {
+        lock(&self.observed).open_connections
+    }
+}
+
+/// Serves one connection until either side closes it.
+async fn serve(mut stream: TcpStream, answer: &RawAnswer, observed: &Mutex<Observed>) {
+    let mut received = Vec::new();
+    while let Some(id) = read_request(&mut stream, &mut received).await {
+        lock(observed).requests.push(id.clone());
+        if stream.write_all(answer.first.replace("{id}", &id).as_bytes()).await.is_err() {
+            return;
+        }
+        let unit = answer.repeated.replace("{id}", &id);
+        let copies =
+            if answer.is_finite || !answer.pause.is_zero() { 1 } else { BLOCK_BYTES.div_ceil(unit.len().max(1)) };
+        let block = unit.repeat(copies);
+        while !unit.is_empty() {
+            actix_rt::time::sleep(answer.pause).await;
+            if stream.write_all(block.as_bytes()).await.is_err() {
+                return;
+            }
+            if answer.is_finite {
+                break;
+            }
+        }
+        match answer.ending {
+            None => {}
+            Some(RawEnding::Closed) => return,
+            Some(RawEnding::Reset) => {
+                // The bytes before the reset are received as well.
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+        }
+    }
+}
+
+/// Reads the next request with its body, and returns its id; `None` once the connection is closed.
+async fn read_request(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = received.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
+            let field = |name: &str| {
+                head.lines()
+                    .find_map(|line| line.strip_prefix(name))
+                    .map_or(String::new(), |value| value.trim().to_owned())
+            };
+            let request_bytes = end + 4 + field("content-length:").parse::<usize>().unwrap_or(0);
+            if received.len() >= request_bytes {
+                received.drain(..request_bytes);
+                return Some(field("request-id:"));
+            }
+        }
+        if stream.read_buf(received).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
--- a/crates/client/src/http_client.rs
+++ b/crates/client/src/http_client.rs
@@ -1,13 +1,13 @@
 //! Configuration of the HTTP clients.
 
-use crate::strict_stream::StrictStream;
+use crate::{connection_reaper::ConnectionReaper, strict_stream::StrictStream};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, fn_service};
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector as TcpConnector};
 use actix_web::http::Uri;
 use awc::{Client, Connector};
 use socket2::SockRef;
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum number of open connections of a client.
@@ -15,28 +15,38 @@
 /// Time after which an idle connection is closed.
 const IDLE_CONNECTION_TTL: Duration = Duration::from_secs(15);
 
+/// Time after which an unused connection with unread bytes is closed, by clients that read every response at once.
+const UNREAD_TTL: Duration = Duration::from_secs(4);
+
 /// A client that reuses connections and reports a truncated response as an error.
 #[must_use]
 pub fn plain_client() -> Client {
-    build_client(None)
+    build_client(None, ConnectionReaper::new(Duration::MAX))
 }
 
 /// A client like [`plain_client`] whose connections are dropped when sent bytes stay unacknowledged for `timeout`.
-/// Otherwise the operating system could deliver them much later, even while the process is frozen.
+/// Otherwise the operating system could deliver them much later, even while the process is frozen. Responses must be read
+/// without pauses, as a connection whose received bytes are not read for long is closed.
 #[must_use]
 pub fn client_with_tcp_user_timeout(timeout: Duration) -> Client {
-    build_client(Some(timeout))
+    build_client(Some(timeout), ConnectionReaper::new(UNREAD_TTL))
 }
 
-fn build_client(tcp_user_timeout: Option<Duration>) -> Client {
-    let connect = fn_service(move |info: ConnectInfo<Uri>| async move {
-        let connection: Connection<Uri, TcpStream> = TcpConnector::default().service().call(info).await?;
-        let (stream, connection) = connection.replace_io(());
-        stream.set_nodelay(true).map_err(ConnectError::Io)?;
-        if let Some(timeout) = tcp_user_timeout {
-            SockRef::from(&stream).set_tcp_user_timeout(Some(timeout)).map_err(ConnectError::Io)?;
+fn build_client(tcp_user_timeout: Option<Duration>, reaper: ConnectionReaper) -> Client {
+    let reaper = Rc::new(reaper);
+    let connect = fn_service(move |info: ConnectInfo<Uri>| {
+        let reaper = reaper.clone();
+        async move {
+            let connection: Connection<Uri, TcpStream> = TcpConnector::default().service().call(info).await?;
+            let (stream, connection) = connection.replace_io(());
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            if let Some(timeout) = tcp_user_timeout {
+                SockRef::from(&stream).set_tcp_user_timeout(Some(timeout)).map_err(ConnectError::Io)?;
+            }
+            let stream = StrictStream::new(stream);
+            reaper.add(stream.socket());
+            Ok::<_, ConnectError>(connection.replace_io(stream).1)
         }
-        Ok::<_, ConnectError>(connection.replace_io(StrictStream::new(stream)).1)
     });
     let connector = Connector::new()
         .connector(connect)
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,6 +1,7 @@
 //! Clients of the platform's interfaces, and the clock for leases and deadlines.
 
 mod call_timeout;
+mod connection_reaper;
 mod deadline_body;
 mod etcd_client;
 mod http_client;
@@ -8,6 +9,7 @@
 mod lease_clock;
 mod platform_error;
 mod provider_client;
+mod response_head;
 mod strict_stream;
 
 pub use call_timeout::CallTimeout;
@@ -18,3 +20,4 @@
 pub use lease_clock::LeaseClock;
 pub use platform_error::{PlatformError, Result};
 pub use provider_client::ProviderClient;
+pub use response_head::ResponseHead;
--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -2,7 +2,7 @@
 
 use super::duty_task::SharedTerm;
 use crate::edge_state::EdgeState;
-use awc::Client;
+use awc::{Client, http::header::HeaderMap};
 use bytes::Bytes;
 use pimentoslip_client::DeadlineBody;
 use pimentoslip_kernel::{
@@ -33,15 +33,15 @@
     state: Arc<EdgeState>,
     upstream_client: Client,
     term: SharedTerm,
-    /// Computes the due orders; shared with the tasks that send them.
-    planner: Rc<RefCell<VersionPlanner>>,
+    /// Computes the due orders of each service; shared with the tasks that send them.
+    planners: BTreeMap<SharedName, Rc<RefCell<VersionPlanner>>>,
 }
 
 impl LoadDuty {
     /// Creates the load duty, which sends orders while `term` allows it.
     #[must_use]
     pub fn new(state: Arc<EdgeState>, upstream_client: Client, term: SharedTerm) -> Self {
-        Self { state, upstream_client, term, planner: Rc::default() }
+        Self { state, upstream_client, term, planners: BTreeMap::new() }
     }
 
     /// Plans the loads of all services with models, and sends the due orders in the background.
@@ -55,19 +55,21 @@
             reports.runs_reported(self.state.settings.vm.clone(), own_runs, now);
             reports.runs_by_upstream(now)
         };
+        self.planners.retain(|name, _| config.services.contains_key(name));
         for service in config.services.values().filter(|service| !service.models.is_empty()) {
             let upstreams: Vec<SamplerRecord> =
                 self.state.upstreams().records().filter(|record| record.service == service.name).cloned().collect();
             let models = model_demands(&self.state, &service.models);
             let snapshot = ServiceSnapshot { upstreams: &upstreams, models: &models, runs: &runs };
-            let orders = self.planner.borrow_mut().plan(&snapshot, now);
+            let planner = self.planners.entry(service.name.clone()).or_default().clone();
+            let orders = planner.borrow_mut().plan(&snapshot, now);
             for order in orders {
                 let keep_runs = !requires_single_version(&config, &service.name);
                 actix_rt::spawn(execute_order(
                     self.state.clone(),
                     self.upstream_client.clone(),
                     self.term.clone(),
-                    self.planner.clone(),
+                    planner.clone(),
                     order,
                     keep_runs,
                 ));
@@ -159,12 +161,17 @@
     // A process that is suspended here must not send the order after it resumes, so the body fails at this time.
     let send_deadline = state.clock.now().plus_ms(ORDER_TIMEOUT_MS);
     let body = DeadlineBody::new(state.clock.clone(), send_deadline, Bytes::from(body));
+    let id = call_id(order, active_term.fencing_token);
     let request = upstream_client
         .post(format!("http://{}{ORDER_PATH}", order.address))
         .timeout(Duration::from_millis(ORDER_TIMEOUT_MS))
+        .insert_header((header::REQUEST_ID, id.as_str()))
         .insert_header((header::EXPECTED_UPSTREAM, &*order.upstream))
         .insert_header(("content-type", "application/json"));
     match request.send_body(body).await {
+        Ok(response) if is_response_to_other(response.headers(), &id) => {
+            (LoadOutcome::Unanswered, "response_to_another_call".to_owned())
+        }
         Ok(response) => {
             let status = response.status().as_u16();
             let outcome = match status {
@@ -179,13 +186,28 @@
     }
 }
 
+/// Id of a call about `order`, by which the response to an earlier call on the same connection is recognised.
+fn call_id(order: &LoadOrder, fencing_token: u64) -> String {
+    format!("{}-{}-{fencing_token}", order.model, order.version)
+}
+
+/// Whether a response names the id of another call. Upstreams need not repeat the id in responses to orders.
+fn is_response_to_other(headers: &HeaderMap, id: &str) -> bool {
+    headers.get(header::REQUEST_ID).is_some_and(|echoed_id| echoed_id.as_bytes() != id.as_bytes())
+}
+
 /// Number of orders that the upstream has accepted since its start, from its report. Fails with the reason for the log.
 async fn orders_accepted(upstream_client: &Client, order: &LoadOrder) -> Result<u64, String> {
+    let id = format!("report-{}-{}", order.model, order.version);
     let request = upstream_client
         .get(format!("http://{}{REPORT_PATH}", order.address))
         .timeout(Duration::from_millis(ORDER_TIMEOUT_MS))
+        .insert_header((header::REQUEST_ID, id.as_str()))
         .insert_header((header::EXPECTED_UPSTREAM, &*order.upstream));
     let mut response = request.send().await.map_err(|error| error.to_string())?;
+    if is_response_to_other(response.headers(), &id) {
+        return Err("response_to_another_call".to_owned());
+    }
     if !response.status().is_success() {
         return Err(format!("report_{}", response.status().as_u16()));
     }
--- a/crates/edge/src/duty/scaling_duty.rs
+++ b/crates/edge/src/duty/scaling_duty.rs
@@ -39,7 +39,7 @@
     /// Creates the scaling duty, which sends orders while `term` allows it.
     #[must_use]
     pub fn new(state: Arc<EdgeState>, store: StoreAccess, term: SharedTerm) -> Self {
-        let provider = state.settings.provider_address.map(DutyClient::new);
+        let provider = state.settings.provider_address.map(|address| DutyClient::new(address, state.clock.clone()));
         Self { state, provider, term, store, services: BTreeMap::new() }
     }
 
@@ -125,7 +125,8 @@
     let active_term = term.borrow().filter(|term| term.may_act(now, DutyClient::CALL_TIMEOUT_MS));
     let Some(term) = active_term else { return ScalingOutcome::Failed };
     let _call_guard = state.track_duty_call();
-    let authority = DutyAuthority { holder: &state.settings.vm, fencing_token: term.fencing_token };
+    let send_before = state.clock.now().plus_ms(DutyClient::CALL_TIMEOUT_MS);
+    let authority = DutyAuthority { holder: &state.settings.vm, fencing_token: term.fencing_token, send_before };
     let message = ScaleRequest {
         service: service.clone(),
         failure_domain: order.failure_domain.clone(),
--- a/crates/edge/src/duty/usage_count_task.rs
+++ b/crates/edge/src/duty/usage_count_task.rs
@@ -23,6 +23,10 @@
         for batch in batches {
             store_batch(&state, &store, &peer_client, batch).await;
         }
+        let dropped_requests = state.usage().take_dropped();
+        if dropped_requests > 0 {
+            LogLine::new("usage_dropped").field("requests", dropped_requests).warn();
+        }
     }
 }
 
--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -44,7 +44,7 @@
     /// Creates the usage duty, which reports while `term` allows it.
     #[must_use]
     pub fn new(state: Arc<EdgeState>, store: StoreAccess, term: SharedTerm) -> Self {
-        let provider = state.settings.provider_address.map(DutyClient::new);
+        let provider = state.settings.provider_address.map(|address| DutyClient::new(address, state.clock.clone()));
         Self { state, store, provider, term, fencing_token: 0, next_window: None, unreported: BTreeMap::new() }
     }
 
@@ -118,7 +118,9 @@
         };
         let key = KeyLayout::sealed_usage_key(window);
         let mut commit = StoreCommit::default().expect(key.clone(), 0).put(key, value, 0);
-        for store_entry in page.entries.iter().take(REMOVALS_PER_COMMIT_MAX) {
+        let (removed_entries, remaining_entries) =
+            page.entries.split_at(page.entries.len().min(REMOVALS_PER_COMMIT_MAX));
+        for store_entry in removed_entries {
             commit = commit.remove(store_entry.key.clone());
         }
         if let Some(expired_window) = window.checked_sub(SEALED_WINDOWS_KEPT) {
@@ -128,8 +130,9 @@
             Ok(CommitOutcome::Committed(_)) => counts,
             Ok(CommitOutcome::Conflict(store_entries)) => {
                 // The window is sealed already, by this or another daemon; the stored sums are reported.
-                let sealed = store_entries.first().and_then(decode_logged::<SealedUsageEntry>);
-                let Some(sealed) = sealed else { return false };
+                let Some(store_entry) = store_entries.first() else { return false };
+                // An unreadable entry is not reported, but must not stop the following windows.
+                let Some(sealed) = decode_logged::<SealedUsageEntry>(store_entry) else { return true };
                 sealed.counts
             }
             Err(error) => {
@@ -139,13 +142,25 @@
         };
         LogLine::new("usage_sealed")
             .field("window", window)
-            .field("daemons", batch_count)
+            .field("batches", batch_count)
             .field("requests", counts.values().sum::<u64>())
             .info();
         self.unreported.insert(window, counts);
+        self.remove_counts(window, remaining_entries).await;
         true
     }
 
+    /// Removes the counts of a sealed window that were not removed when it was sealed.
+    async fn remove_counts(&self, window: u64, entries: &[StoreEntry]) {
+        for group in entries.chunks(REMOVALS_PER_COMMIT_MAX) {
+            let commit = group.iter().fold(StoreCommit::default(), |commit, entry| commit.remove(entry.key.clone()));
+            if let Err(error) = self.store.commit(&commit).await {
+                LogLine::new("usage_counts_not_removed").field("window", window).field("reason", error).warn();
+                return;
+            }
+        }
+    }
+
     /// Reports sealed windows, oldest first, until a call fails.
     async fn report(&mut self) {
         let Some(provider) = self.provider.clone() else { return };
@@ -154,7 +169,9 @@
             let Some(term) = self.term.borrow().filter(|term| term.may_act(now, DutyClient::CALL_TIMEOUT_MS)) else {
                 return;
             };
-            let authority = DutyAuthority { holder: &self.state.settings.vm, fencing_token: term.fencing_token };
+            let send_before = self.state.clock.now().plus_ms(DutyClient::CALL_TIMEOUT_MS);
+            let authority =
+                DutyAuthority { holder: &self.state.settings.vm, fencing_token: term.fencing_token, send_before };
             let call_guard = self.state.track_duty_call();
             let outcome = provider.report_usage(authority, *window, counts).await;
             drop(call_guard);
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -35,6 +35,8 @@
     pub incarnation: u64,
     /// Whether this daemon is draining before it stops.
     pub draining: AtomicBool,
+    /// Whether the process exits shortly, so that no further request may start.
+    pub stopping: AtomicBool,
     /// Wakes the task that claims and starts batch jobs, after a change of jobs, upstreams or configuration.
     pub job_changed: Notify,
     /// Wakes the duty task after a change of the listed upstreams.
@@ -116,6 +118,7 @@
         Arc::new(Self {
             incarnation,
             draining: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             job_changed: Notify::new(),
             upstreams_changed: Notify::new(),
             results_listed: Notify::new(),
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -29,6 +29,8 @@
     ResponseTimeout,
     /// An upstream failed without a complete response; the request may have run.
     UpstreamLost,
+    /// This process is about to exit; the request did not run.
+    Stopping,
     /// The store is unreachable; nothing was done.
     StoreUnreachable,
     /// The store did not confirm whether a batch job was stored.
@@ -53,6 +55,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::ResponseTimeout => "answer_late",
             Self::UpstreamLost => "upstream_lost",
+            Self::Stopping => "stopping",
             Self::StoreUnreachable => "store_away",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::JobNotFound => "job_unknown",
@@ -69,9 +72,11 @@
             Self::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::ConfigNotLoaded | Self::NoUpstream | Self::DeadlinePassed | Self::StoreUnreachable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::ConfigNotLoaded
+            | Self::NoUpstream
+            | Self::DeadlinePassed
+            | Self::Stopping
+            | Self::StoreUnreachable => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseTimeout | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
             Self::UpstreamLost => StatusCode::BAD_GATEWAY,
         }
@@ -83,6 +88,8 @@
         match self {
             Self::ConfigNotLoaded | Self::StoreUnreachable => Some("0.5"),
             Self::NoUpstream | Self::DeadlinePassed => Some("0.1"),
+            // Another daemon serves the request at once.
+            Self::Stopping => Some("0"),
             _ => None,
         }
     }
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -6,7 +6,7 @@
     request_context::{RequestContext, header_text},
 };
 use crate::{
-    job::{self, JobView, ResultsQuery, SubmitOutcome, SubmittedJob},
+    job::{self, EndOutcome, JobView, ResultsQuery, SubmitOutcome, SubmittedJob},
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
@@ -164,7 +164,15 @@
 ) -> Result<HttpResponse, ApiRefusal> {
     find_job(parts, context, request, id).await?;
     let deadline = context.deadline.min(parts.state.now().plus_ms(WRITE_TIMEOUT_MS));
-    let ended = job::end_job(&parts.state, &parts.store, id, deadline).await;
-    LogLine::new("job_end").field("job", id).field("request_id", &context.id).field("done", ended).info();
-    if ended { Ok(HttpResponse::Ok().finish()) } else { Err(ApiRefusal::StoreUnreachable) }
+    let outcome = job::end_job(&parts.state, &parts.store, id, deadline).await;
+    LogLine::new("job_end")
+        .field("job", id)
+        .field("request_id", &context.id)
+        .field("result", format!("{outcome:?}").to_lowercase())
+        .info();
+    match outcome {
+        EndOutcome::Ended => Ok(HttpResponse::Ok().finish()),
+        EndOutcome::NotDone => Err(ApiRefusal::StoreUnreachable),
+        EndOutcome::Unknown => Err(ApiRefusal::OutcomeUnknown),
+    }
 }
--- a/crates/edge/src/http/front_app.rs
+++ b/crates/edge/src/http/front_app.rs
@@ -9,6 +9,7 @@
 };
 use pimentoslip_platform::{BATCH_PATH_PREFIX, ITEM_PATH_PREFIX};
 use pimentoslip_telemetry::LogLine;
+use std::sync::atomic::Ordering;
 
 const MS_PER_SECOND: f64 = 1_000.0;
 
@@ -22,6 +23,8 @@
     let _request_guard = parts.state.track_request();
     let started_at = parts.state.now();
     let outcome = match RequestContext::from_request(&parts, &request) {
+        // A request on a connection that is still open would be cut off when the process exits.
+        Ok(_) if parts.state.stopping.load(Ordering::SeqCst) => Err(ApiRefusal::Stopping),
         Ok(context) => dispatch(&parts, &context, &request, payload).await,
         Err(refusal) => Err(refusal),
     };
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -173,7 +173,11 @@
                 upstream_outcome: SamplerOutcome::Answered(None),
             };
         }
+        // Bytes that complete no event are no progress, however fast they arrive.
         let event_timeout = Duration::from_millis(monitor.unresponsive_at(other_interval_ms).since_ms(state.now()));
+        if event_timeout.is_zero() {
+            return FinishedRun::from_failure(AttemptFailure::TimedOut);
+        }
         let chunk = match actix_rt::time::timeout(event_timeout, response.next()).await {
             Ok(Some(Ok(chunk))) => chunk,
             Ok(None) => return classify_stream_end(&reader),
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -31,6 +31,9 @@
 
 /// Longest time between two passes over a job; the end of a run or a scoring triggers one at once.
 const PASS_PERIOD: Duration = Duration::from_millis(100);
+/// Runs and scorings that one pass starts at most, each by a comparison of all upstreams. Other tasks of the thread run
+/// in between.
+const STARTS_MAX: usize = 32;
 /// Delay before a failed read of a job is repeated.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -221,7 +224,7 @@
             job.owner_revision.set(owner.revision);
         }
         let now = state.now();
-        dispatch_items(job, &mut runs, now);
+        let has_more = dispatch_items(job, &mut runs, now);
         if writer.write_due(job, now).await == WriteOutcome::Superseded {
             return;
         }
@@ -231,26 +234,34 @@
             state.results_listed.notify_waiters();
             return;
         }
-        let _ = actix_rt::time::timeout(PASS_PERIOD, job.ledger_changed.notified()).await;
+        if has_more {
+            tokio::task::yield_now().await;
+        } else {
+            let _ = actix_rt::time::timeout(PASS_PERIOD, job.ledger_changed.notified()).await;
+        }
     }
 }
 
-/// Starts runs and scorings until no upstream has a free slot. Terminates all unfinished items if the route is no
-/// longer configured.
-fn dispatch_items(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) {
+/// Starts runs and scorings until no upstream has a free slot, but no more than [`STARTS_MAX`] of each. Returns whether
+/// more can be started. Terminates all unfinished items if the route is no longer configured.
+fn dispatch_items(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) -> bool {
     let Some(rule) = job.route() else {
         if job.state.config().is_some() {
             LogLine::new("job_route_gone").field("job", &job.id).warn();
             job.ledger.borrow_mut().terminate_unfinished();
         }
-        return;
+        return false;
     };
-    let Some(batch_rule) = rule.batch_rule() else { return };
+    let Some(batch_rule) = rule.batch_rule() else { return false };
     job.ledger.borrow_mut().expire_items(now);
     let retention_ends_at = job.submitted_at.plus_ms(batch_rule.retention_ms);
     let has_waiting = job.ledger.borrow().waiting_count() > 0;
     update_waiting(job, &rule, has_waiting);
-    while has_waiting && job.state.jobs().is_oldest_waiting(&rule.name, &job.id, job.submitted_at) {
+    let mut start_count = 0;
+    while start_count < STARTS_MAX
+        && has_waiting
+        && job.state.jobs().is_oldest_waiting(&rule.name, &job.id, job.submitted_at)
+    {
         let next_run = job.ledger.borrow_mut().start_next_run(now);
         let Some(assignment) = next_run else { break };
         let Some(guard) = select_upstream(job, &rule, assignment) else {
@@ -258,17 +269,20 @@
             break;
         };
         runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
+        start_count += 1;
     }
     let has_waiting = job.ledger.borrow().waiting_count() > 0;
     update_waiting(job, &rule, has_waiting);
-    dispatch_scores(job, runs, now);
+    let scores_more = dispatch_scores(job, runs, now);
+    start_count == STARTS_MAX || scores_more
 }
 
-/// Starts scorer calls until no upstream has a spare slot.
-fn dispatch_scores(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) {
-    loop {
+/// Starts scorer calls until no upstream has a spare slot, but no more than [`STARTS_MAX`]. Returns whether more can be
+/// started.
+fn dispatch_scores(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) -> bool {
+    for _ in 0..STARTS_MAX {
         let next_index = job.ledger.borrow_mut().start_next_scoring(now);
-        let Some(item_index) = next_index else { return };
+        let Some(item_index) = next_index else { return false };
         match prepare_score_call(job, item_index) {
             Ok(call) => runs.spawn_local(score_item(job.clone(), item_index, call)),
             Err(error) => {
@@ -276,10 +290,11 @@
                 if error == PlacementError::NoRoute {
                     LogLine::new("scorer_unroutable").field("job", &job.id).field("index", item_index).warn();
                 }
-                return;
+                return false;
             }
         };
     }
+    true
 }
 
 /// Records in the index whether the job has waiting items, which defers newer jobs of its route.
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -5,7 +5,7 @@
 use awc::Client;
 use bytes::Bytes;
 use pimentoslip_kernel::{DaemonPresence, LedgerState, OwnerRecord, SharedName, TimePoint};
-use pimentoslip_platform::{BatchSubmission, CommitOutcome, StoreCommit, StoreError};
+use pimentoslip_platform::{BatchSubmission, CommitOutcome, StoreCommit, StoreEntry, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -37,6 +37,17 @@
     Unknown,
 }
 
+/// Outcome of a request to end a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndOutcome {
+    /// The end is stored.
+    Ended,
+    /// The end is not stored, and no write is in progress that could still store it.
+    NotDone,
+    /// The end may be stored, or may still become stored: the outcome of a write is unknown.
+    Unknown,
+}
+
 /// A batch job with its submission, to be stored in the store or transferred to another daemon.
 #[derive(Clone, Debug)]
 pub struct SubmittedJob {
@@ -94,12 +105,7 @@
                 assign_stored_job(parts, job, owner, revision);
                 return SubmitOutcome::Accepted;
             }
-            Ok(CommitOutcome::Conflict(store_entries)) => {
-                let existing =
-                    store_entries.first().and_then(|store_entry| decode::<JobEntry>(&store_entry.value).ok());
-                let is_foreign = existing.is_some_and(|existing| existing.organisation != job.entry.organisation);
-                return if is_foreign { SubmitOutcome::Foreign } else { SubmitOutcome::Accepted };
-            }
+            Ok(CommitOutcome::Conflict(store_entries)) => return existing_outcome(job, &store_entries),
             Err(error) => {
                 LogLine::new("submit_retry").field("job", &job.id).field("reason", &error).warn();
                 match error {
@@ -117,6 +123,21 @@
     }
 }
 
+/// Outcome of a submission whose job is stored already, as `store_entries`.
+fn existing_outcome(job: &SubmittedJob, store_entries: &[StoreEntry]) -> SubmitOutcome {
+    let existing = store_entries.first().map(|store_entry| decode::<JobEntry>(&store_entry.value));
+    match existing {
+        Some(Ok(existing)) if existing.organisation == job.entry.organisation => SubmitOutcome::Accepted,
+        Some(Ok(_)) => SubmitOutcome::Foreign,
+        Some(Err(error)) => {
+            LogLine::new("entry_unreadable").field("key", KeyLayout::job_key(&job.id)).field("reason", error).warn();
+            SubmitOutcome::Unknown
+        }
+        // The store names the job as existing, but its entry could not be read.
+        None => SubmitOutcome::Unknown,
+    }
+}
+
 /// The present daemon that jobs with `placement_key` are assigned to, other than `excluded`.
 fn choose_owner(state: &EdgeState, placement_key: &str, excluded: Option<&str>) -> Option<ChosenOwner> {
     let ownership = state.ownership();
@@ -222,12 +243,12 @@
     state.job_changed.notify_waiters();
 }
 
-/// Stores the end of a job and deletes its ownership entry. Returns false if the store has not confirmed that by
-/// `deadline`.
-pub async fn end_job(state: &EdgeState, store: &StoreAccess, job: &str, deadline: TimePoint) -> bool {
+/// Stores the end of a job and deletes its ownership entry. A failed commit is repeated until `deadline`.
+pub async fn end_job(state: &EdgeState, store: &StoreAccess, job: &str, deadline: TimePoint) -> EndOutcome {
     if state.jobs().is_ended(job) {
-        return true;
+        return EndOutcome::Ended;
     }
+    let mut outcome_unknown = false;
     let commit = StoreCommit::default().put(KeyLayout::end_key(job), Bytes::new(), 0).remove(KeyLayout::owner_key(job));
     loop {
         match store.commit(&commit).await {
@@ -235,12 +256,15 @@
                 state.jobs().job_ended(job);
                 state.ownership().job_closed(job);
                 state.job_changed.notify_waiters();
-                return true;
+                return EndOutcome::Ended;
+            }
+            Err(error) => {
+                LogLine::new("job_end_retried").field("job", job).field("reason", &error).warn();
+                outcome_unknown |= !matches!(error, StoreError::NotApplied { .. });
             }
-            Err(error) => LogLine::new("job_end_retried").field("job", job).field("reason", &error).warn(),
         }
         if state.now() >= deadline {
-            return false;
+            return if outcome_unknown { EndOutcome::Unknown } else { EndOutcome::NotDone };
         }
         actix_rt::time::sleep(RETRY_DELAY).await;
     }
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -13,8 +13,8 @@
 /// Time to live of the lease, unless the settings require a longer one; other daemons take over a dead daemon's jobs
 /// after it.
 pub const LEASE_TTL_MS: u64 = 3_000;
-/// Interval between renewals; the lease survives two lost ones.
-const RENEW_INTERVAL: Duration = Duration::from_millis(900);
+/// Interval between renewals. One that fails is repeated within the lease, by its timeout and [`RETRY_DELAY`].
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Delay before a failed grant or renewal is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -18,6 +18,8 @@
 /// Reason why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
+    /// The deadline had passed, so nothing was sent.
+    NotSent,
     /// No connection could be opened.
     Unreachable,
     /// The upstream refused to run the request.
@@ -39,6 +41,7 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::NotSent => "not_sent",
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
@@ -52,13 +55,14 @@
     /// Whether the upstream may have run the request.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Refused | Self::Misdirected)
+        !matches!(self, Self::NotSent | Self::Unreachable | Self::Refused | Self::Misdirected)
     }
 
     /// Outcome that is recorded for the upstream, on which its availability is based.
     #[must_use]
     pub fn upstream_outcome(self) -> SamplerOutcome {
         match self {
+            Self::NotSent => SamplerOutcome::Abandoned,
             Self::Refused => SamplerOutcome::Refused,
             Self::Unreachable | Self::Misdirected | Self::Lost | Self::TimedOut => SamplerOutcome::Failed,
             Self::Mismatch | Self::Malformed => SamplerOutcome::Answered(None),
@@ -80,7 +84,7 @@
 }
 
 /// Sends `call` to the guard's upstream and waits until the deadline for the header of the response; the body is not
-/// read. If the deadline has passed already, nothing is sent and the result is `Unreachable`.
+/// read. If the deadline has passed already, nothing is sent and the result is `NotSent`.
 pub async fn start_attempt(
     client: &Client,
     call: &UpstreamCall,
@@ -89,7 +93,7 @@
 ) -> Result<ClientResponse<impl Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin + use<>>> {
     let left_ms = call.deadline.since_ms(now);
     if left_ms == 0 {
-        return Err(AttemptFailure::Unreachable.into());
+        return Err(AttemptFailure::NotSent.into());
     }
     let url = format!("http://{}{}", guard.record.address, call.path);
     let mut request = client
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -36,6 +36,6 @@
 impl Drop for UpstreamGuard {
     fn drop(&mut self) {
         let now = self.state.now();
-        self.state.upstreams().request_ended(&self.record.id, self.outcome, now);
+        self.state.upstreams().request_ended(&self.record, self.outcome, now);
     }
 }
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -11,7 +11,10 @@
     store::{ChangeFeed, CoordinationKeys, OperatorKeys, PrefixHandler, UpstreamKeys, follow_prefix},
     worker_parts::WorkerParts,
 };
-use actix_rt::signal::unix::{SignalKind, signal};
+use actix_rt::{
+    Arbiter,
+    signal::unix::{SignalKind, signal},
+};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use anyhow::Context;
 use pimentoslip_kernel::WatchTiming;
@@ -72,6 +75,7 @@
         }
     }
     drain(&state).await;
+    state.stopping.store(true, Ordering::SeqCst);
     // Closes idle connections and lets the remaining requests finish.
     public_server.stop(true).await;
     LogLine::new("stopped").field("requests", state.active_requests()).info();
@@ -106,7 +110,12 @@
     let coordination_feed = feed(CoordinationKeys::PREFIX, "follow_daemons", COORDINATION_APPLY_MS);
     actix_rt::spawn(follow_prefix(state.clone(), coordination_feed, CoordinationKeys::new(state.clone())));
     actix_rt::spawn(maintain_lease(state.clone(), store.with_purpose("lease")));
-    actix_rt::spawn(claim_jobs(state.clone(), upstream_client.clone(), store.with_purpose("own_jobs")));
+    // Jobs have a thread of their own, so that a large one delays neither the lease nor the changes of the store.
+    let job_state = state.clone();
+    Arbiter::new().spawn_fn(move || {
+        let WorkerParts { state, store, upstream_client, .. } = WorkerParts::new(job_state);
+        actix_rt::spawn(claim_jobs(state, upstream_client, store.with_purpose("own_jobs")));
+    });
     actix_rt::spawn(hold_duty(state.clone(), upstream_client, store.with_purpose("duty")));
     actix_rt::spawn(log_store_calls());
     actix_rt::spawn(report_runs(state.clone(), peer_client.clone()));
--- a/crates/edge/src/store/operator_keys.rs
+++ b/crates/edge/src/store/operator_keys.rs
@@ -32,7 +32,10 @@
             self.version_written(store_entry);
         } else if let Some(vm) = retired_vm(&store_entry.key) {
             LogLine::new("vm_retired").field("vm", vm).field("revision", store_entry.revision).info();
-            self.state.retired_vms().push(vm.into());
+            let mut retired_vms = self.state.retired_vms();
+            if retired_vms.iter().all(|retired| **retired != *vm) {
+                retired_vms.push(vm.into());
+            }
         }
     }
 
@@ -76,6 +79,8 @@
     const BATCH_DELAY_MS: u64 = 0;
 
     fn apply_snapshot(&mut self, page: RangePage, _now: TimePoint) {
+        // The snapshot names all VMs that are to be retired.
+        self.state.retired_vms().clear();
         for store_entry in &page.entries {
             self.entry_written(store_entry);
         }
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -79,7 +79,7 @@
 
 impl PrefixHandler for UpstreamKeys {
     const PREFIX: &'static str = UPSTREAM_PREFIX;
-    const BATCH_DELAY_MS: u64 = 0;
+    const BATCH_DELAY_MS: u64 = 100;
 
     fn apply_snapshot(&mut self, page: RangePage, now: TimePoint) {
         for store_entry in &page.entries {
@@ -92,6 +92,7 @@
             self.entry_removed(&id, now);
         }
         self.state.job_changed.notify_waiters();
+        self.state.upstreams_changed.notify_waiters();
     }
 
     fn apply_change(&mut self, change: StoreChange, now: TimePoint) {
--- a/crates/kernel/src/batch/run_monitor.rs
+++ b/crates/kernel/src/batch/run_monitor.rs
@@ -23,15 +23,15 @@
     last_event_at: TimePoint,
     /// Number of events received.
     event_count: u64,
-    /// Moving average of the interval between two events.
-    interval_us: u64,
+    /// Moving average of the interval between two events; `None` before the second arrival.
+    interval_us: Option<u64>,
 }
 
 impl RunMonitor {
     /// Creates the monitor of a run whose request is sent at `now`.
     #[must_use]
     pub fn new(now: TimePoint) -> Self {
-        Self { last_event_at: now, event_count: 0, interval_us: 0 }
+        Self { last_event_at: now, event_count: 0, interval_us: None }
     }
 
     /// Handles the arrival of `count` events at once.
@@ -40,12 +40,13 @@
             return;
         }
         let interval_us = now.since_ms(self.last_event_at) * 1_000 / count;
-        // The first interval is ignored, since it includes the processing of the prompt.
-        self.interval_us = match self.event_count {
-            0 => 0,
-            1 => interval_us,
-            _ => (self.interval_us * (AVERAGE_DIVISOR - 1) + interval_us) / AVERAGE_DIVISOR,
-        };
+        // The first arrival is not measured, since its interval includes the processing of the prompt.
+        if self.event_count > 0 {
+            self.interval_us = Some(match self.interval_us {
+                None => interval_us,
+                Some(average_us) => (average_us * (AVERAGE_DIVISOR - 1) + interval_us) / AVERAGE_DIVISOR,
+            });
+        }
         self.last_event_at = now;
         self.event_count += count;
     }
@@ -54,7 +55,7 @@
     /// received.
     #[must_use]
     pub fn event_interval_ms(&self) -> Option<u64> {
-        (self.event_count >= EVENTS_MIN).then_some(self.interval_us / 1_000)
+        self.interval_us.filter(|_| self.event_count >= EVENTS_MIN).map(|interval_us| interval_us / 1_000)
     }
 
     /// Whether the run is so slow that it should be moved to an upstream with an event interval of `other_interval_ms`.
--- a/crates/kernel/src/duty/usage_tally.rs
+++ b/crates/kernel/src/duty/usage_tally.rs
@@ -3,8 +3,9 @@
 use crate::SharedName;
 use std::collections::BTreeMap;
 
-/// Number of windows and of batches that are kept while the store is unreachable; older ones are dropped.
-const WINDOWS_MAX: usize = 64;
+/// Number of windows and of batches that are kept while the store is unreachable: an hour of windows of five seconds.
+/// Older ones are dropped.
+const WINDOWS_MAX: usize = 720;
 
 /// Counts of one process in one window, as they are stored. A batch doesn't change once it is created: requests that
 /// are counted later for the same window form another batch.
@@ -29,13 +30,21 @@
     unstored: BTreeMap<u64, UsageBatch>,
     /// Sequence number of the next batch.
     next_number: u64,
+    /// Requests whose counts were dropped since [`UsageTally::take_dropped`] was called last.
+    dropped_requests: u64,
 }
 
 impl UsageTally {
     /// Creates an empty tally with windows of `window_ms` milliseconds.
     #[must_use]
     pub fn new(window_ms: u64) -> Self {
-        Self { window_ms: window_ms.max(1), counts: BTreeMap::new(), unstored: BTreeMap::new(), next_number: 0 }
+        Self {
+            window_ms: window_ms.max(1),
+            counts: BTreeMap::new(),
+            unstored: BTreeMap::new(),
+            next_number: 0,
+            dropped_requests: 0,
+        }
     }
 
     /// Number of the window that contains `unix_ms`, in milliseconds since the Unix epoch.
@@ -55,7 +64,8 @@
         let window = self.window_at(unix_ms);
         *self.counts.entry(window).or_default().entry(organisation.clone()).or_default() += 1;
         while self.counts.len() > WINDOWS_MAX {
-            self.counts.pop_first();
+            let Some((_, counts)) = self.counts.pop_first() else { break };
+            self.dropped_requests += counts.values().sum::<u64>();
         }
     }
 
@@ -69,11 +79,17 @@
             self.unstored.insert(number, UsageBatch { number, window, counts });
         }
         while self.unstored.len() > WINDOWS_MAX {
-            self.unstored.pop_first();
+            let Some((_, batch)) = self.unstored.pop_first() else { break };
+            self.dropped_requests += batch.counts.values().sum::<u64>();
         }
         self.unstored.values().cloned().collect()
     }
 
+    /// Number of requests whose counts were dropped since the last call, because they could not be stored for too long.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped_requests)
+    }
+
     /// Handles the confirmation that the batch `number` is stored.
     pub fn batch_stored(&mut self, number: u64) {
         self.unstored.remove(&number);
--- a/crates/kernel/src/sampler/sampler_record.rs
+++ b/crates/kernel/src/sampler/sampler_record.rs
@@ -35,3 +35,11 @@
     /// Whether the platform may stop the upstream at any time to reclaim its machine.
     pub reclaimable: bool,
 }
+
+impl SamplerRecord {
+    /// Whether `other` describes the same process of the upstream.
+    #[must_use]
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.id == other.id && self.address == other.address && self.started_unix_ms == other.started_unix_ms
+    }
+}
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -20,6 +20,8 @@
 const RESERVED_SLOTS_DIVISOR: u64 = 3;
 /// Cost added for an upstream in another failure domain, in units of 1/[`COST_SCALE`].
 const OTHER_DOMAIN_COST: u64 = 150;
+/// Time for which the fastest upstreams are kept: a few events of a stream.
+const FASTEST_TTL_MS: u64 = 50;
 /// Fixed-point scale of costs: this value is the cost of an upstream whose slots would all be in use.
 const COST_SCALE: u64 = 1_000;
 
@@ -134,10 +136,30 @@
     }
 }
 
+/// The two fastest upstreams for one type of query. Of every upstream, one of them is another one.
+#[derive(Clone, Debug)]
+struct FastestEntry {
+    service: SharedName,
+    model: Option<(SharedName, u64)>,
+    /// When the upstreams are compared again.
+    valid_until: TimePoint,
+    /// Latencies and ids, the lowest latency first.
+    fastest: Vec<(u64, SharedName)>,
+}
+
+impl FastestEntry {
+    fn is_for(&self, query: &SamplerQuery<'_>) -> bool {
+        let model = self.model.as_ref().map(|(model, oldest)| (&**model, *oldest));
+        *self.service == *query.service && model == query.model
+    }
+}
+
 /// Listed upstreams of all services, by id.
 #[derive(Debug, Default)]
 pub struct SamplerTable {
     entries: BTreeMap<SharedName, SamplerEntry>,
+    /// The fastest upstreams by query, so that not every event of every run compares all upstreams.
+    fastest: Vec<FastestEntry>,
 }
 
 impl SamplerTable {
@@ -145,11 +167,7 @@
     /// another address.
     pub fn upsert(&mut self, record: SamplerRecord) {
         match self.entries.get_mut(&record.id) {
-            Some(entry)
-                if entry.record.address == record.address && entry.record.started_unix_ms == record.started_unix_ms =>
-            {
-                entry.record = record;
-            }
+            Some(entry) if entry.record.is_same_process(&record) => entry.record = record,
             _ => {
                 self.entries.insert(record.id.clone(), SamplerEntry::new(record));
             }
@@ -199,39 +217,74 @@
 
     /// Id of the upstream with the shortest expected wait; `None` if no upstream meets the query.
     fn select(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SharedName> {
-        let serving = || self.entries.values().filter(|entry| entry.serves(query));
-        let fastest_ms = serving().filter_map(|entry| entry.latency_ms).min().unwrap_or(1).max(1);
-        let candidates = serving()
-            .filter(|entry| !query.excluded.contains(&entry.record.id))
-            .filter(|entry| entry.is_available(query, now))
-            .filter(|entry| query.capacity.is_met(entry.load(now), entry.record.slots));
-        candidates
-            .min_by_key(|entry| {
-                let is_other_domain = *entry.record.failure_domain != *query.failure_domain;
-                let slots = entry.record.slots.max(1);
-                let wait =
-                    (entry.load(now) + 1) * COST_SCALE / slots + if is_other_domain { OTHER_DOMAIN_COST } else { 0 };
-                let latency_ms = entry.latency_ms.unwrap_or(fastest_ms);
-                (
-                    wait * latency_ms / fastest_ms,
-                    std::cmp::Reverse(rendezvous::weight(query.affinity, &entry.record.id)),
-                )
-            })
-            .map(|entry| entry.record.id.clone())
+        let mut fastest_ms = u64::MAX;
+        let mut candidates: Vec<&SamplerEntry> = Vec::new();
+        for entry in self.entries.values().filter(|entry| entry.serves(query)) {
+            fastest_ms = fastest_ms.min(entry.latency_ms.unwrap_or(u64::MAX));
+            let is_candidate = entry.is_available(query, now)
+                && query.capacity.is_met(entry.load(now), entry.record.slots)
+                && !query.excluded.contains(&entry.record.id);
+            if is_candidate {
+                candidates.push(entry);
+            }
+        }
+        let fastest_ms = if fastest_ms == u64::MAX { 1 } else { fastest_ms.max(1) };
+        let cost = |entry: &SamplerEntry| {
+            let is_other_domain = *entry.record.failure_domain != *query.failure_domain;
+            let slots = entry.record.slots.max(1);
+            let wait = (entry.load(now) + 1) * COST_SCALE / slots + if is_other_domain { OTHER_DOMAIN_COST } else { 0 };
+            wait * entry.latency_ms.unwrap_or(fastest_ms) / fastest_ms
+        };
+        let lowest_cost = candidates.iter().map(|entry| cost(entry)).min()?;
+        let cheapest: Vec<&SharedName> =
+            candidates.iter().filter(|entry| cost(entry) == lowest_cost).map(|entry| &entry.record.id).collect();
+        match cheapest[..] {
+            [only] => Some(only.clone()),
+            _ => rendezvous::highest_ranked(query.affinity, &cheapest).map(|id| (*id).clone()),
+        }
     }
 
     /// Latency in milliseconds per unit of work of the fastest upstream other than `id` that has a free slot for the
     /// query. `None` if there is no such upstream or its latency is unknown.
-    #[must_use]
-    pub fn fastest_other_latency_ms(&self, query: &SamplerQuery<'_>, id: &str, now: TimePoint) -> Option<u64> {
-        let others = self.entries.values().filter(|entry| entry.serves(query) && *entry.record.id != *id);
-        let free = others.filter(|entry| entry.is_available(query, now) && entry.load(now) < entry.record.slots);
-        free.filter_map(|entry| entry.latency_ms).min()
+    ///
+    /// The upstreams are compared at most once per [`FASTEST_TTL_MS`].
+    pub fn fastest_other_latency_ms(&mut self, query: &SamplerQuery<'_>, id: &str, now: TimePoint) -> Option<u64> {
+        self.fastest.retain(|entry| now < entry.valid_until);
+        if !self.fastest.iter().any(|entry| entry.is_for(query)) {
+            let entry = self.compare_latencies(query, now);
+            self.fastest.push(entry);
+        }
+        let fastest = &self.fastest.iter().find(|entry| entry.is_for(query))?.fastest;
+        fastest.iter().find(|(_, fastest_id)| **fastest_id != *id).map(|(latency_ms, _)| *latency_ms)
     }
 
-    /// Handles the end of a request at the upstream `id`.
-    pub fn request_ended(&mut self, id: &str, outcome: SamplerOutcome, now: TimePoint) {
-        let Some(entry) = self.entries.get_mut(id) else { return };
+    /// The two fastest upstreams that have a free slot for the query.
+    fn compare_latencies(&self, query: &SamplerQuery<'_>, now: TimePoint) -> FastestEntry {
+        let free = self.entries.values().filter(|entry| {
+            entry.serves(query) && entry.is_available(query, now) && entry.load(now) < entry.record.slots
+        });
+        let mut fastest: Vec<(u64, SharedName)> = Vec::new();
+        for entry in free {
+            let Some(latency_ms) = entry.latency_ms else { continue };
+            if fastest.len() < 2 || fastest.last().is_some_and(|(slowest_ms, _)| latency_ms < *slowest_ms) {
+                fastest.truncate(1);
+                let index = usize::from(fastest.first().is_some_and(|(first_ms, _)| *first_ms <= latency_ms));
+                fastest.insert(index, (latency_ms, entry.record.id.clone()));
+            }
+        }
+        FastestEntry {
+            service: query.service.into(),
+            model: query.model.map(|(model, oldest)| (model.into(), oldest)),
+            valid_until: now.plus_ms(FASTEST_TTL_MS),
+            fastest,
+        }
+    }
+
+    /// Handles the end of a request at the upstream that `picked` describes. Ignored if another process serves under its
+    /// id meanwhile.
+    pub fn request_ended(&mut self, picked: &SamplerRecord, outcome: SamplerOutcome, now: TimePoint) {
+        let entry = self.entries.get_mut(&picked.id).filter(|entry| entry.record.is_same_process(picked));
+        let Some(entry) = entry else { return };
         entry.inflight = entry.inflight.saturating_sub(1);
         match outcome {
             SamplerOutcome::Answered(latency_ms) => {
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -51,7 +51,7 @@
     assert_eq!(pick(&mut table, 0).as_deref(), Some("good"));
     assert_eq!(pick(&mut table, 0).as_deref(), Some("good"));
     assert_eq!(pick(&mut table, 0), None, "both slots are in use");
-    table.request_ended("good", SamplerOutcome::Answered(None), TimePoint(0));
+    table.request_ended(&record("good", "a", 2), SamplerOutcome::Answered(None), TimePoint(0));
     assert_eq!(pick(&mut table, 0).as_deref(), Some("good"));
 }
 
@@ -68,10 +68,10 @@
     for backoff_ms in [250, 500, 1_000, 2_000, 4_000, 4_000] {
         let now = backoff_end(&mut table);
         assert!(table.pick(&query(&[]), now).is_some());
-        table.request_ended("u", SamplerOutcome::Failed, now);
+        table.request_ended(&record("u", "a", 2), SamplerOutcome::Failed, now);
         assert!(table.pick(&query(&[]), now.plus_ms(backoff_ms - 1)).is_none(), "backs off for {backoff_ms} ms");
         assert!(table.pick(&query(&[]), now.plus_ms(backoff_ms)).is_some());
-        table.request_ended("u", SamplerOutcome::Abandoned, now.plus_ms(backoff_ms));
+        table.request_ended(&record("u", "a", 2), SamplerOutcome::Abandoned, now.plus_ms(backoff_ms));
     }
 }
 
@@ -81,7 +81,7 @@
     while table.pick(&query(&[]), now).is_none() {
         now = now.plus_ms(1);
     }
-    table.request_ended("u", SamplerOutcome::Abandoned, now);
+    table.request_ended(&record("u", "a", 2), SamplerOutcome::Abandoned, now);
     now
 }
 
@@ -101,7 +101,7 @@
 fn a_restarted_upstream_with_the_same_id_does_not_inherit_the_backoff() {
     let mut table = table(&[record("u", "a", 2)]);
     assert!(pick(&mut table, 0).is_some());
-    table.request_ended("u", SamplerOutcome::Failed, TimePoint(0));
+    table.request_ended(&record("u", "a", 2), SamplerOutcome::Failed, TimePoint(0));
     table.upsert(SamplerRecord { started_unix_ms: 2, ..record("u", "a", 2) });
     assert_eq!(pick(&mut table, 0).as_deref(), Some("u"));
 }
@@ -110,7 +110,7 @@
 fn a_faster_upstream_is_picked_first_while_it_has_free_slots() {
     let mut table = table(&[record("fast", "a", 2), record("slow", "a", 2)]);
     for (id, latency_ms) in [("fast", 10), ("slow", 50)] {
-        table.request_ended(id, SamplerOutcome::Answered(Some(latency_ms)), TimePoint(0));
+        table.request_ended(&record(id, "a", 2), SamplerOutcome::Answered(Some(latency_ms)), TimePoint(0));
     }
     assert_eq!(pick(&mut table, 0).as_deref(), Some("fast"));
     assert_eq!(pick(&mut table, 0).as_deref(), Some("fast"));
@@ -119,8 +119,9 @@
         None,
         "the fast upstream has no free slot"
     );
-    table.request_ended("fast", SamplerOutcome::Abandoned, TimePoint(0));
-    assert_eq!(table.fastest_other_latency_ms(&query(&[]), "slow", TimePoint(0)), Some(10));
+    table.request_ended(&record("fast", "a", 2), SamplerOutcome::Abandoned, TimePoint(0));
+    assert_eq!(table.fastest_other_latency_ms(&query(&[]), "slow", TimePoint(50)), Some(10));
+    assert_eq!(table.fastest_other_latency_ms(&query(&[]), "fast", TimePoint(50)), Some(50));
 }
 
 #[test]
@@ -276,3 +277,40 @@
     assert_eq!(offset.corrected_unix_ms(TimePoint(11_000), 1_012_400), 1_010_050);
     assert_eq!(offset.corrected_unix_ms(TimePoint(71_000), 1_072_400), 1_072_400, "the jump lasted for a minute");
 }
+
+/// Guards against a count of requests that falls below the true one, so that an upstream gets more than it has slots.
+#[test]
+fn requests_of_an_ended_process_do_not_lower_the_count_of_its_successor() {
+    let mut table = table(&[record("u", "a", 2)]);
+    let old = table.pick(&query(&[]), TimePoint(0)).expect("a free slot");
+    let new = SamplerRecord { started_unix_ms: 2, ..record("u", "a", 2) };
+    table.upsert(new.clone());
+    assert!(table.pick(&query(&[]), TimePoint(0)).is_some());
+    assert!(table.pick(&query(&[]), TimePoint(0)).is_some());
+    table.request_ended(&old, SamplerOutcome::Failed, TimePoint(0));
+    assert_eq!(pick(&mut table, 0), None, "both slots of the new process are in use");
+    table.request_ended(&new, SamplerOutcome::Answered(None), TimePoint(0));
+    assert_eq!(pick(&mut table, 0).as_deref(), Some("u"), "the failure of the old process does not count");
+}
+
+#[test]
+fn a_first_arrival_of_several_events_does_not_hide_a_slow_run() {
+    let mut monitor = RunMonitor::new(TimePoint(0));
+    monitor.events_received(5, TimePoint(400));
+    assert_eq!(monitor.event_interval_ms(), None, "the first arrival includes the processing of the prompt");
+    monitor.events_received(1, TimePoint(500));
+    assert_eq!(monitor.event_interval_ms(), Some(100));
+    assert!(monitor.is_slower_than(40));
+}
+
+#[test]
+fn counts_that_cannot_be_stored_for_an_hour_are_dropped_and_said_to_be() {
+    let mut tally = UsageTally::new(5_000);
+    let windows = 730;
+    for window in 0..windows {
+        tally.count_request(&"rose".into(), window * 5_000);
+        tally.close_ended_windows((window + 1) * 5_000);
+        assert_eq!(tally.take_dropped(), u64::from(window >= 720), "window {window}");
+    }
+    assert_eq!(tally.close_ended_windows(u64::MAX).len(), 720);
+}
