List what an outage held back at once; owners of jobs look for the store more often

After its return an owner writes the one result that it had tried before, then a chunk of 600 KB each 400 ms: 192 results need 1 s more, and another owner, backing off up to 1 s at a time, noticed the return 1.6 s late and lost its job to a claim.

Change: WriteSchedule writes again at once while results that were finished before the last write are not stored; PathSelector backs off 250 ms at most while work of the daemon waits; the three reads of a claimed job are made at the same time.

Ruled out: larger chunks (a value is limited to 1 MB).

Shown: kernel tests play the outage (all listed by the reader's next poll, one write a period otherwise) and the probes (60 in 10 s at most, found in 300 ms).

--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -17,6 +17,8 @@
     while !state.is_draining() {
         let _ = actix_rt::time::timeout(CHECK_PERIOD, state.job_changed.notified()).await;
         let now = state.now();
+        let has_running_jobs = state.jobs().running_count() > 0;
+        state.path_selector().set_urgent(has_running_jobs);
         let claims = {
             let reconnected_at = state.store_reconnected_at();
             let jobs = state.jobs();
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -114,10 +114,13 @@
             Ok(JobInputs { pending, results: read_all_results(state, store, id).await?, checkpoints: Vec::new() })
         }
         None => {
-            let (submission, body) = read_submission(store, id).await?;
+            let ((submission, body), results, checkpoints) = futures_util::try_join!(
+                read_submission(store, id),
+                read_all_results(state, store, id),
+                read_checkpoints(store, id)
+            )?;
             let pending = PendingJob { submission: Arc::new(submission), body, ledger: None };
-            let results = read_all_results(state, store, id).await?;
-            Ok(JobInputs { pending, results, checkpoints: read_checkpoints(store, id).await? })
+            Ok(JobInputs { pending, results, checkpoints })
         }
     }
 }
@@ -225,7 +228,7 @@
         }
         let now = state.now();
         let has_more = dispatch_items(job, &mut runs, now);
-        if writer.write_due(job, now).await == WriteOutcome::Superseded {
+        if writer.write_due(job).await == WriteOutcome::Superseded {
             return;
         }
         if job.ledger.borrow().is_settled() {
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -2,7 +2,7 @@
 
 use super::owned_job::OwnedJob;
 use bytes::Bytes;
-use pimentoslip_kernel::TimePoint;
+use pimentoslip_kernel::{TimePoint, WriteSchedule};
 use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreEntry};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -10,11 +10,6 @@
     stored::{KeyLayout, ResultsEntry, TextCheckpointEntry},
 };
 
-/// Shortest time between two writes, so that one write stores several results.
-const WRITE_PERIOD_MS: u64 = 400;
-/// Time after a write until a checkpoint is stored without any result; bounds the work that is lost when another daemon
-/// takes over the job.
-const CHECKPOINT_PERIOD_MS: u64 = 800;
 /// Largest total size of the results of one write; below the platform's limit on the size of a value.
 const CHUNK_BYTES_MAX: usize = 600_000;
 /// Size at which a checkpoint is closed, so that only its last text exceeds it; below the platform's limit on the size
@@ -47,39 +42,42 @@
     value: Bytes,
 }
 
-/// Schedules the writes of one job.
+/// Makes the writes of one job.
 #[derive(Debug)]
 pub struct LedgerWriter {
-    /// When results are written next.
-    results_at: TimePoint,
-    /// When a checkpoint is written next, if no results are written before.
-    checkpoint_at: TimePoint,
+    schedule: WriteSchedule,
 }
 
 impl LedgerWriter {
     /// Creates a writer that writes the first results as soon as there are any.
     #[must_use]
     pub fn new(now: TimePoint) -> Self {
-        Self { results_at: now, checkpoint_at: now.plus_ms(CHECKPOINT_PERIOD_MS) }
+        Self { schedule: WriteSchedule::new(now) }
     }
 
-    /// Writes due results and checkpoints in one commit, which fails if the ownership entry has another revision than
-    /// recorded.
-    pub async fn write_due(&mut self, job: &OwnedJob, now: TimePoint) -> WriteOutcome {
-        let results_due = {
-            let ledger = job.ledger.borrow();
-            now >= self.results_at || ledger.all_items_finished() || ledger.is_listing_urgent()
-        };
-        let results = if results_due { results_write(job) } else { None };
-        let checkpoint = if results.is_some() || now >= self.checkpoint_at { checkpoint_write(job) } else { None };
-        if results.is_none() && checkpoint.is_none() {
-            return WriteOutcome::Continue;
+    /// Writes due results and checkpoints. Each commit fails if the ownership entry has another revision than recorded.
+    pub async fn write_due(&mut self, job: &OwnedJob) -> WriteOutcome {
+        loop {
+            let now = job.state.now();
+            let results_due = {
+                let ledger = job.ledger.borrow();
+                self.schedule.are_results_due(now) || ledger.all_items_finished() || ledger.is_listing_urgent()
+            };
+            let results = if results_due { results_write(job) } else { None };
+            let checkpoint_due = results.is_some() || self.schedule.is_checkpoint_due(now);
+            let checkpoint = if checkpoint_due { checkpoint_write(job) } else { None };
+            if results.is_none() && checkpoint.is_none() {
+                return WriteOutcome::Continue;
+            }
+            let waiting_count = job.ledger.borrow().unlisted_count();
+            let outcome = commit_writes(job, results.as_ref(), checkpoint.as_ref()).await;
+            let is_stored = |write: &ResultsWrite| job.ledger.borrow().listed_count() >= write.entry.next_position();
+            let has_backlog = waiting_count > 0 && results.as_ref().is_some_and(is_stored);
+            self.schedule.written(has_backlog, job.state.now());
+            if !has_backlog {
+                return outcome;
+            }
         }
-        let outcome = commit_writes(job, results.as_ref(), checkpoint.as_ref()).await;
-        let written_at = job.state.now();
-        self.results_at = written_at.plus_ms(WRITE_PERIOD_MS);
-        self.checkpoint_at = written_at.plus_ms(CHECKPOINT_PERIOD_MS);
-        outcome
     }
 }
 
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -380,6 +380,12 @@
         self.pending_chunk.as_ref()
     }
 
+    /// Number of results that are finished but in no chunk yet.
+    #[must_use]
+    pub fn unlisted_count(&self) -> usize {
+        self.unlisted.len()
+    }
+
     /// Handles the confirmation that the chunk at `first_position` is stored, which makes its results listed.
     pub fn chunk_stored(&mut self, first_position: usize) {
         if self.pending_chunk.as_ref().is_none_or(|chunk| chunk.first_position != first_position) {
--- a/crates/kernel/src/path_selector.rs
+++ b/crates/kernel/src/path_selector.rs
@@ -12,6 +12,9 @@
 const UNREACHABLE_BACKOFF_MS: u64 = 250;
 /// Longest such backoff. It bounds how long after its return the service is found reachable again.
 const UNREACHABLE_BACKOFF_MAX_MS: u64 = 1_000;
+/// The same for a daemon with work whose results wait for the service. Few daemons have such work, so that their calls
+/// do not load a service that is about to return.
+const URGENT_BACKOFF_MAX_MS: u64 = 250;
 /// Longest time for which other calls avoid the direct path while one call probes it.
 const PROBE_MS: u64 = 1_000;
 /// Time for which a peer that failed to reach the service is not used.
@@ -45,6 +48,8 @@
 pub struct PathSelector {
     /// Number that varies the backoffs between daemons.
     seed: u64,
+    /// Whether work of this daemon waits for the service.
+    is_urgent: bool,
     /// Consecutive failures of the direct path; calls that were in flight together count as one.
     direct_failures: u32,
     /// When a call on the direct path succeeded last.
@@ -70,6 +75,11 @@
         Self { seed, ..Self::default() }
     }
 
+    /// Records whether work of this daemon waits for the service, which is then probed more often.
+    pub fn set_urgent(&mut self, is_urgent: bool) {
+        self.is_urgent = is_urgent;
+    }
+
     /// Whether no call on the direct path has failed since its last success.
     #[must_use]
     pub fn is_direct_available(&self) -> bool {
@@ -103,7 +113,7 @@
             return false;
         }
         let is_reconnected = self.direct_failures > 0;
-        *self = Self { direct_succeeded_at: Some(now), ..Self::new(self.seed) };
+        *self = Self { direct_succeeded_at: Some(now), is_urgent: self.is_urgent, ..Self::new(self.seed) };
         is_reconnected
     }
 
@@ -140,7 +150,8 @@
     }
 
     fn unreachable_backoff_ms(&self) -> u64 {
-        self.backoff_ms(UNREACHABLE_BACKOFF_MS, UNREACHABLE_BACKOFF_MAX_MS)
+        let max_ms = if self.is_urgent { URGENT_BACKOFF_MAX_MS } else { UNREACHABLE_BACKOFF_MAX_MS };
+        self.backoff_ms(UNREACHABLE_BACKOFF_MS, max_ms)
     }
 
     /// `first_ms`, doubled for each failure after the first up to `max_ms`, and shortened by the jitter of the seed.
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -2,7 +2,7 @@
 
 use pimentoslip_kernel::{
     CapacityNeed, PathSelector, RunMonitor, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerState, SamplerTable,
-    ServicePath, SharedName, TimePoint, UsageTally, WallClockOffset,
+    ServicePath, SharedName, TimePoint, UsageTally, WallClockOffset, WriteSchedule,
 };
 use std::collections::BTreeMap;
 
@@ -209,9 +209,10 @@
 
 /// Simulates an outage of `outage_ms` in which no peer reaches the service and a call is due every 20 ms. Returns the
 /// number of direct calls during the outage, and the time in ms from its end to the first successful call.
-fn simulated_outage(seed: u64, outage_ms: u64) -> (u64, u64) {
+fn simulated_outage(seed: u64, outage_ms: u64, is_urgent: bool) -> (u64, u64) {
     let peers = || vec!["a".into(), "b".into()];
     let mut selector = PathSelector::new(seed);
+    selector.set_urgent(is_urgent);
     let mut calls = 0;
     for ms in (0..).step_by(20) {
         let now = TimePoint(ms);
@@ -231,12 +232,61 @@
 #[test]
 fn an_outage_causes_few_calls_and_its_end_is_detected_within_a_second() {
     for seed in 0..100 {
-        let (calls, delay_ms) = simulated_outage(seed, 10_000);
+        let (calls, delay_ms) = simulated_outage(seed, 10_000, false);
         assert!(calls <= 20, "{calls} calls in 10 s with seed {seed}");
         assert!(delay_ms <= 1_000, "detected after {delay_ms} ms with seed {seed}");
+        let (calls, delay_ms) = simulated_outage(seed, 10_000, true);
+        assert!(calls <= 60, "{calls} urgent calls in 10 s with seed {seed}");
+        assert!(delay_ms <= 300, "detected after {delay_ms} ms with seed {seed}, with work that waits");
     }
 }
 
+/// Plays the writes of a job whose 200 results finish one every 20 ms, while the store is away from 600 to 7,500 ms. A
+/// write takes 20 ms and stores 100 results at most. Returns when each write was made, and how many results were listed
+/// by each reader's poll, one every 500 ms.
+fn simulated_listing(outage: std::ops::Range<u64>) -> (Vec<u64>, Vec<u64>) {
+    const CHUNK_RESULTS: u64 = 100;
+    const WRITE_MS: u64 = 20;
+    let mut schedule = WriteSchedule::new(TimePoint(0));
+    let (mut listed, mut chunk) = (0, 0);
+    let (mut writes, mut polls) = (Vec::new(), Vec::new());
+    let mut next_pass = 0;
+    for ms in 0..12_000 {
+        if ms % 500 == 0 {
+            polls.push(listed);
+        }
+        let finished = (ms / 20).min(200);
+        if ms < next_pass || finished == listed || !schedule.are_results_due(TimePoint(ms)) {
+            continue;
+        }
+        // A chunk is not changed until it is stored.
+        chunk = if chunk == 0 { (finished - listed).min(CHUNK_RESULTS) } else { chunk };
+        let waiting = finished - listed - chunk;
+        next_pass = ms + WRITE_MS;
+        writes.push(ms);
+        let is_stored = !outage.contains(&ms);
+        if is_stored {
+            listed += chunk;
+            chunk = 0;
+        }
+        schedule.written(is_stored && waiting > 0, TimePoint(ms + WRITE_MS));
+    }
+    (writes, polls)
+}
+
+/// Guards against results of an outage that reach their readers one write period after the other.
+#[test]
+fn results_that_wait_for_the_store_are_listed_together_after_an_outage() {
+    let (writes, polls) = simulated_listing(0..0);
+    assert!(writes.windows(2).all(|pair| pair[1] - pair[0] >= 400), "{writes:?}");
+    assert_eq!(polls[9], 200, "all results are listed shortly after the last one is finished: {polls:?}");
+    let (writes, polls) = simulated_listing(600..7_500);
+    let returned = writes.iter().position(|ms| *ms >= 7_500).expect("a write after the outage");
+    let last = writes.last().copied().unwrap_or_default();
+    assert!(last - writes[returned] <= 60, "{:?}", &writes[returned..]);
+    assert_eq!(polls[16], 200, "all results are listed by the reader's next poll: {polls:?}");
+}
+
 #[test]
 fn usage_is_counted_in_the_window_in_which_it_started() {
     let (first, second): (SharedName, SharedName) = ("a".into(), "b".into());
