--- a/crates/cli/tests/processes/platform_bytes.rs
+++ b/crates/cli/tests/processes/platform_bytes.rs
@@ -8,6 +8,10 @@
 /// Memory that an edge may use at most in these tests; its settings name no limit, so that the smallest VMs' limit of
 /// 88 MiB applies.
 const EDGE_BYTES_MAX: usize = 88 << 20;
+/// Size of a large answer.
+const LARGE_BYTES: usize = 6_000_000;
+/// Cases in which the server sends a sound answer first.
+const SOUND_CASES: [&str; 2] = ["body beyond its length", "large"];
 /// Head of a sound answer, without the end of the head.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-signature: raw\r\n";
 
@@ -55,8 +59,9 @@
     for number in 0..40 {
         let id = format!("{}-{number}", case.replace(' ', "-"));
         let reply = site.send_quote(0, &id).await;
+        let is_server_answer = reply.body == "raw" || reply.body.len() == LARGE_BYTES;
         let is_own_answer =
-            reply.body == format!("answer to {id}") || (case == "body beyond its length" && reply.body == "raw");
+            reply.body == format!("answer to {id}") || (SOUND_CASES.contains(&case) && is_server_answer);
         let is_sound = if reply.status == 200 { is_own_answer } else { matches!(reply.status, 502..=504) };
         assert!(is_sound, "{case}: {id} got {} {:?}", reply.status, reply.body.chars().take(80).collect::<String>());
         if server.requests().len() >= 2 {
@@ -79,8 +84,8 @@
         site.store.contents().remove(&format!("servers/{upstream}"));
         wait_for("the edge has closed the connection", || async { (server.open_connections() == 0).then_some(()) })
             .await;
-        let used_bytes = site.edges[0].process.memory_bytes();
-        assert!(used_bytes < EDGE_BYTES_MAX, "{case}: the edge uses {used_bytes} bytes");
+        let used_bytes = site.edges[0].process.peak_memory_bytes();
+        assert!(used_bytes < EDGE_BYTES_MAX, "{case}: the edge used {used_bytes} bytes");
     }
 }
 
@@ -188,7 +193,27 @@
         site.store.contents().remove(&format!("servers/{upstream}"));
         wait_for("the edge has closed the connections", || async { (server.open_connections() == 0).then_some(()) })
             .await;
-        let used_bytes = site.edges[0].process.memory_bytes();
-        assert!(used_bytes < EDGE_BYTES_MAX, "{case}: the edge uses {used_bytes} bytes");
+        let used_bytes = site.edges[0].process.peak_memory_bytes();
+        assert!(used_bytes < EDGE_BYTES_MAX, "{case}: the edge used {used_bytes} bytes");
     }
 }
+
+/// Guards against a process that is killed because several large bodies are in memory at the same time.
+#[actix_rt::test]
+async fn many_large_answers_at_a_time_stay_within_the_memory_of_the_vm() {
+    let site = EdgeSite::start(1).await;
+    site.desks.iter().for_each(|desk| desk.start_draining());
+    let server =
+        RawServer::start(RawAnswer { first: sound_answer(&"a".repeat(LARGE_BYTES)), ..RawAnswer::default() }).await;
+    register(&site, "large", "desk", &server);
+    send_quotes(&site, "large", &server).await;
+    let ids: Vec<String> = (0..60).map(|number| format!("large-{number}")).collect();
+    let replies = futures_util::future::join_all(ids.iter().map(|id| site.send_quote(0, id))).await;
+    for (id, reply) in ids.iter().zip(&replies) {
+        let is_whole = reply.body.len() == LARGE_BYTES || reply.body == format!("answer to {id}");
+        let is_sound = if reply.status == 200 { is_whole } else { matches!(reply.status, 502..=504) };
+        assert!(is_sound, "{id}: {} with {} bytes", reply.status, reply.body.len());
+    }
+    let used_bytes = site.edges[0].process.peak_memory_bytes();
+    assert!(used_bytes < EDGE_BYTES_MAX, "the edge used {used_bytes} bytes");
+}
--- a/crates/cli/tests/processes/support/child_process.rs
+++ b/crates/cli/tests/processes/support/child_process.rs
@@ -105,10 +105,10 @@
         self.child.id()
     }
 
-    /// Memory that the process uses now.
-    pub fn memory_bytes(&self) -> usize {
+    /// Largest memory that the process has used so far.
+    pub fn peak_memory_bytes(&self) -> usize {
         let status = fs::read_to_string(format!("/proc/{}/status", self.id())).expect("the status of the process");
-        let kib = status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok());
+        let kib = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.split_whitespace().next()?.parse().ok());
         kib.map_or(0, |kib: usize| kib << 10)
     }
 
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,6 +1,8 @@
 //! State shared by all listeners and tasks of a daemon.
 
-use crate::{edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime, store::PrefixLog};
+use crate::{
+    buffer_budget::BufferBudget, edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime, store::PrefixLog,
+};
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
     OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally,
@@ -20,6 +22,9 @@
 /// Cached batch results may use up to the process's memory limit divided by this.
 const RESULTS_MEMORY_DIVISOR: usize = 8;
 
+/// Bodies of requests and responses may use up to the process's memory limit divided by this.
+const BUFFERS_MEMORY_DIVISOR: usize = 4;
+
 /// Key prefixes that every daemon follows.
 const FOLLOWED_PREFIXES: [&str; 3] = [OPERATOR_PREFIX, UPSTREAM_PREFIX, KeyLayout::WATCHED_PREFIX];
 
@@ -45,6 +50,8 @@
     pub results_listed: Notify,
     /// Ends the watches that wait on the direct path to the store, after a call on that path has failed.
     pub store_path_lost: Notify,
+    /// Memory of the bodies of requests and responses.
+    pub buffers: Arc<BufferBudget>,
     change_logs: BTreeMap<&'static str, PrefixLog>,
     steady_time: SteadyTime,
     active_requests: AtomicUsize,
@@ -123,6 +130,7 @@
             upstreams_changed: Notify::new(),
             results_listed: Notify::new(),
             store_path_lost: Notify::new(),
+            buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
             change_logs: FOLLOWED_PREFIXES.into_iter().map(|prefix| (prefix, PrefixLog::default())).collect(),
             steady_time: SteadyTime::new(&clock),
             active_requests: AtomicUsize::new(0),
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -29,6 +29,8 @@
     ResponseTimeout,
     /// An upstream failed without a complete response; the request may have run.
     UpstreamLost,
+    /// The memory for request and response bodies is used up; the request did not run.
+    MemoryUsedUp,
     /// This process is about to exit; the request did not run.
     Stopping,
     /// The store is unreachable; nothing was done.
@@ -55,6 +57,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::ResponseTimeout => "answer_late",
             Self::UpstreamLost => "upstream_lost",
+            Self::MemoryUsedUp => "memory_used_up",
             Self::Stopping => "stopping",
             Self::StoreUnreachable => "store_away",
             Self::OutcomeUnknown => "outcome_unknown",
@@ -75,6 +78,7 @@
             Self::ConfigNotLoaded
             | Self::NoUpstream
             | Self::DeadlinePassed
+            | Self::MemoryUsedUp
             | Self::Stopping
             | Self::StoreUnreachable => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseTimeout | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
@@ -87,7 +91,7 @@
     fn retry_after(self) -> Option<&'static str> {
         match self {
             Self::ConfigNotLoaded | Self::StoreUnreachable => Some("0.5"),
-            Self::NoUpstream | Self::DeadlinePassed => Some("0.1"),
+            Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1"),
             // Another daemon serves the request at once.
             Self::Stopping => Some("0"),
             _ => None,
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -13,7 +13,8 @@
 use form_urlencoded::parse;
 use pimentoslip_kernel::RouteRule;
 use pimentoslip_platform::{
-    BatchItem, ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission, encode_page, header,
+    BatchItem, BatchSubmission, ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission,
+    encode_page, header,
 };
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
@@ -39,7 +40,7 @@
     }
     let grant = if rule.allows_anonymous { None } else { context.key_grant(request)? };
     let organisation = grant.map_or_else(|| "".into(), |grant| grant.organisation);
-    let body = read_body(parts, context, payload).await?;
+    let (body, _body_share) = read_body(parts, context, payload).await?;
     let submission = decode_submission(&body).map_err(|error| {
         LogLine::new("submission_malformed").field("job", &context.id).field("reason", error).warn();
         ApiRefusal::Malformed
@@ -51,7 +52,7 @@
         item_count: submission.items.len(),
         model: submission.model.clone(),
         oldest_version: submission.oldest_version,
-        expected_tokens: submission.items.iter().map(BatchItem::expected_tokens).sum(),
+        expected_tokens: expected_tokens(&submission),
         submitted_unix_ms: parts.state.unix_ms(),
     };
     let (step, items) = (submission.step, submission.items.len());
@@ -74,6 +75,13 @@
     }
 }
 
+/// Sum of the expected tokens of all items, limited so that sums over many jobs cannot overflow.
+fn expected_tokens(submission: &BatchSubmission) -> u64 {
+    const TOKENS_MAX: u64 = 1 << 40;
+    let tokens = submission.items.iter().map(BatchItem::expected_tokens);
+    tokens.fold(0, u64::saturating_add).min(TOKENS_MAX)
+}
+
 /// The job `id`; fails with `JobNotFound` unless the request's key belongs to the organisation that submitted the job.
 async fn find_job(
     parts: &WorkerParts,
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -5,6 +5,7 @@
     request_context::{RequestContext, header_text},
 };
 use crate::{
+    buffer_budget::BufferShare,
     client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     relay::{
@@ -14,7 +15,8 @@
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, web};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
 use pimentoslip_kernel::{
     CapacityNeed, RouteKind, RouteRule, SamplerOutcome, SamplerQuery, SharedName, TimePoint, fingerprint,
 };
@@ -33,20 +35,31 @@
 /// made. They do not count towards the attempts that the route allows.
 const REFUSALS_MAX: u32 = 4;
 
-/// Reads the request body within the configured size limit and the request's deadline.
+/// Reads the request body within the configured size limit, the request's deadline and the memory for bodies. The
+/// returned share is held as long as the body.
 pub async fn read_body(
     parts: &WorkerParts,
     context: &RequestContext,
-    payload: web::Payload,
-) -> Result<Bytes, ApiRefusal> {
+    mut payload: web::Payload,
+) -> Result<(Bytes, BufferShare), ApiRefusal> {
     let time_left = Duration::from_millis(context.deadline.since_ms(parts.state.now()));
-    let body = payload.to_bytes_limited(context.config.limits.body_bytes_max);
-    match actix_rt::time::timeout(time_left, body).await {
-        Ok(Ok(Ok(body))) => Ok(body),
-        Ok(Ok(Err(_))) => Err(ApiRefusal::Malformed),
-        Ok(Err(_)) => Err(ApiRefusal::BodyTooLarge),
-        Err(_) => Err(ApiRefusal::BodyTimeout),
-    }
+    let mut share = parts.state.buffers.share();
+    let mut body = BytesMut::new();
+    let read = async {
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| ApiRefusal::Malformed)?;
+            if body.len() + chunk.len() > context.config.limits.body_bytes_max {
+                return Err(ApiRefusal::BodyTooLarge);
+            }
+            if !share.grow(chunk.len()) {
+                return Err(ApiRefusal::MemoryUsedUp);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    actix_rt::time::timeout(time_left, read).await.map_err(|_| ApiRefusal::BodyTimeout)??;
+    Ok((body.freeze(), share))
 }
 
 /// Forwards a request to upstreams of its route's service until one returns a response.
@@ -58,7 +71,7 @@
     rule: &RouteRule,
 ) -> Result<HttpResponse, ApiRefusal> {
     let grant = if rule.allows_anonymous { None } else { context.key_grant(request)? };
-    let body = read_body(parts, context, payload).await?;
+    let (body, _body_share) = read_body(parts, context, payload).await?;
     let request_hash = fingerprint(&[context.id.as_bytes()]);
     let service = rule.service_for_draw(request_hash).ok_or(ApiRefusal::NoUpstream)?.clone();
     let path_and_query = request.uri().path_and_query().map_or_else(|| context.path.clone(), ToString::to_string);
--- a/crates/edge/src/relay/complete_response.rs
+++ b/crates/edge/src/relay/complete_response.rs
@@ -1,6 +1,7 @@
 //! Reads a complete response of an upstream into memory.
 
 use super::{AttemptFailure, Result, UpstreamCall, UpstreamGuard, start_attempt};
+use crate::buffer_budget::BufferShare;
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
@@ -9,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::TimePoint;
-use std::{io::ErrorKind, time::Duration};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 /// A response with its complete body.
 #[derive(Clone, Debug)]
@@ -20,11 +21,17 @@
     pub headers: HeaderMap,
     /// Complete response body.
     pub body: Bytes,
+    /// Memory of the body, returned to the budget with the response.
+    _share: Arc<BufferShare>,
 }
 
 /// Reads the body of a response; one larger than `bytes_max` is rejected. The body is complete when it ends according
 /// to its length or chunked encoding, or, if it has neither, when the upstream closes the connection cleanly.
-async fn read_response<S>(mut response: ClientResponse<S>, bytes_max: usize) -> Result<CompleteResponse>
+async fn read_response<S>(
+    mut response: ClientResponse<S>,
+    bytes_max: usize,
+    mut share: BufferShare,
+) -> Result<CompleteResponse>
 where
     S: Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin,
 {
@@ -32,13 +39,15 @@
     let mut body = BytesMut::new();
     while let Some(chunk) = response.next().await {
         match chunk {
-            Ok(chunk) if body.len() + chunk.len() <= bytes_max => body.extend_from_slice(&chunk),
+            Ok(chunk) if body.len() + chunk.len() <= bytes_max && share.grow(chunk.len()) => {
+                body.extend_from_slice(&chunk);
+            }
             Ok(_) => return Err(AttemptFailure::Malformed.into()),
             Err(error) if is_delimited_by_close(&headers) && is_clean_close(&error) => break,
             Err(_) => return Err(AttemptFailure::Lost.into()),
         }
     }
-    Ok(CompleteResponse { status, headers, body: body.freeze() })
+    Ok(CompleteResponse { status, headers, body: body.freeze(), _share: Arc::new(share) })
 }
 
 /// Whether the end of the body is marked only by the close of the connection.
@@ -66,7 +75,7 @@
     let time_left = Duration::from_millis(call.deadline.since_ms(now));
     let exchange = async {
         let response = start_attempt(client, call, guard, now).await?;
-        read_response(response, bytes_max).await
+        read_response(response, bytes_max, guard.buffer_share()).await
     };
     match actix_rt::time::timeout(time_left, exchange).await {
         Ok(Ok(response)) => Ok(response),
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -1,6 +1,6 @@
 //! Counts a request towards the load of its upstream while it is in flight.
 
-use crate::edge_state::EdgeState;
+use crate::{buffer_budget::BufferShare, edge_state::EdgeState};
 use pimentoslip_kernel::{SamplerOutcome, SamplerQuery, SamplerRecord};
 use std::sync::Arc;
 
@@ -27,6 +27,12 @@
         self.outcome = outcome;
     }
 
+    /// Memory for the body of the upstream's response.
+    #[must_use]
+    pub fn buffer_share(&self) -> BufferShare {
+        self.state.buffers.share()
+    }
+
     /// Records the number of requests that the upstream reported as running and queued.
     pub fn load_reported(&self, requests: u64) {
         self.state.upstreams().load_reported(&self.record.id, requests, self.state.now());
