--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -278,3 +278,24 @@
     assert_eq!(site.all_results(1, "job").await.len(), 250);
     assert_eq!(site.send_job_request(0, "GET", "/pimentoslip/items/job?id=i249").await.body, "ABC".repeat(900));
 }
+
+/// Guards against the end of a job that is said not to have happened (503) although the store has it, or may get it.
+#[actix_rt::test]
+async fn an_end_whose_outcome_is_unknown_is_not_said_to_be_not_done() {
+    let site = EdgeSite::start(1).await;
+    let items: Vec<Value> = (0..4).map(|number| job_item(&format!("i{number}"), 400, false)).collect();
+    assert_eq!(site.submit_job(0, "job", &job_submission(1, &items)).await.status, 202);
+    wait_for("every item runs", || async {
+        (0..4).all(|number| !site.engine_calls(&format!("i{number}")).is_empty()).then_some(())
+    })
+    .await;
+    site.store.set_fault(StoreFault { lose_commits: u32::MAX, ..StoreFault::default() });
+    assert_eq!(site.send_job_request(0, "DELETE", "/pimentoslip/lots/job").await.status, 504);
+    site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
+    assert_eq!(site.submit_job(0, "other", &job_submission(1, &items)).await.status, 503);
+    site.store.set_fault(StoreFault::default());
+    wait_for("the end is confirmed", || async {
+        (site.send_job_request(0, "DELETE", "/pimentoslip/lots/job").await.status == 200).then_some(())
+    })
+    .await;
+}
