Refuse to create a key id a second time

Change: an id that exists with another hash, or withdrawn, is rejected; the same request again still succeeds.

--- a/crates/cli/tests/processes/configuration.rs
+++ b/crates/cli/tests/processes/configuration.rs
@@ -1,7 +1,9 @@
 //! Tests of the configuration and the API keys under outages of the key-value store, cut connections, concurrent
 //! changes and restarts.
 
-use super::support::{DaemonSite, HttpAnswer, HttpClient, OPERATOR_KEY, SiteOptions, run_cli, wait_for};
+use super::support::{
+    DaemonSite, HttpAnswer, HttpClient, KEY_ORGANISATION, OPERATOR_KEY, SiteOptions, run_cli, wait_for,
+};
 use futures_util::{StreamExt, future::join_all};
 use pimentoslip_kernel::KeySecret;
 use pimentoslip_standin::{KvFault, RelayRule, TcpRelay};
@@ -44,6 +46,28 @@
     );
 }
 
+/// Guards against a withdrawn key that becomes valid again because its id is created a second time.
+#[actix_rt::test]
+async fn a_withdrawn_key_cannot_be_created_again() {
+    let site = DaemonSite::start(SiteOptions::default()).await;
+    let key = site.create_key(0, 1).await;
+    let other = site.create_key(0, 2).await;
+    assert_eq!(site.withdraw_key(0, &key).await.status, 200);
+    // The hash of the key itself, and that of another key.
+    for (number, hash) in [key.hash(), other.hash()].into_iter().enumerate() {
+        let request = KeyRequest {
+            change_id: format!("again-{number}").into(),
+            organisation: KEY_ORGANISATION.into(),
+            key_id: key.id.clone(),
+            key_hash: Some(hash),
+        };
+        let answer = site.admin_post(0, "keys/create", &request).await;
+        assert!((400..500).contains(&answer.status), "{answer:?}");
+    }
+    assert_eq!(send_keyed_request(&site, 0, &key).await.status, 401);
+    assert_eq!(send_keyed_request(&site, 0, &other).await.status, 200);
+}
+
 /// Guards against a stream that continues after its key was withdrawn, or that ends as if it were complete.
 #[actix_rt::test]
 async fn withdrawing_a_key_ends_its_running_streams_with_an_error() {
--- a/crates/client/src/connection_reaper.rs
+++ b/crates/client/src/connection_reaper.rs
@@ -1,4 +1,4 @@
-//! Closes connections that a client's pool has forgotten.
+//! Closes idle connections that a client's pool does not check.
 
 use crate::strict_stream::SharedSocket;
 use std::{
@@ -41,12 +41,12 @@
         loop {
             actix_rt::time::sleep(CHECK_INTERVAL).await;
             let Some(reaper) = reaper.upgrade() else { return };
-            reaper.close_forgotten();
+            reaper.close_unused();
         }
     }
 
-    /// Closes forgotten connections and drops the entries of closed ones.
-    fn close_forgotten(&self) {
+    /// Closes connections that are not used any more, and drops the entries of closed ones.
+    fn close_unused(&self) {
         self.sockets.borrow_mut().retain(|socket| {
             let Some(socket) = socket.upgrade() else { return false };
             let mut socket = socket.borrow_mut();
--- a/crates/daemon/src/http/key_api.rs
+++ b/crates/daemon/src/http/key_api.rs
@@ -29,8 +29,17 @@
         Err(error) => return error_response(&error),
     }
     change_keys(&worker, &request, |key_set| {
-        key_set.keys.insert(request.key_id.clone(), KeyEntry { hash: hash.clone(), withdrawn: false });
-        Ok(())
+        let created = KeyEntry { hash: hash.clone(), withdrawn: false };
+        match key_set.keys.get(&request.key_id) {
+            // A withdrawn key must not become valid again, nor another key replace it under its id.
+            Some(existing) if *existing != created => {
+                Err(WriteError::Rejected(format!("the key ID {} exists already; create a new key", request.key_id)))
+            }
+            _ => {
+                key_set.keys.insert(request.key_id.clone(), created);
+                Ok(())
+            }
+        }
     })
     .await
 }
