Start background tasks again after a panic; a fault soak; limits of watch times

Cause: a panic in a task (following the store, lease, duty, usage, claims) was caught by the runtime, and the daemon went on without that task for good; a panic in the run of an item left the item running for ever. A bound of a few milliseconds in the settings would have made each watch a busy loop.

Soak (tests/processes/soak.rs): three edges as processes, killed, frozen, stopped and restarted at random, connections to the store stalled and cut, the store away or losing answers, upstreams losing, cutting and crossing answers, all overlapping. Checked: each order ran once at most and 503 is true, every answer is the request's own, each item of an accepted job listed once with its text, the same at all edges. Two seeds in every run of the tests; more by PIMENTOSLIP_SOAK_SEEDS.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -17,3 +17,4 @@
 mod reclaim;
 mod requests;
 mod samples;
+mod soak;
--- /dev/null
+++ b/crates/cli/tests/processes/soak.rs
@@ -0,0 +1,222 @@
+//! Soak on the users' platform: edges as separate processes are killed, frozen, stopped and restarted, the store and the
+//! connections to it fail, upstreams misbehave, all at random and overlapping, while callers send requests and jobs. What
+//! callers and upstreams see is compared with the promises.
+//!
+//! `PIMENTOSLIP_SOAK_SEEDS=100..120` plays other seeds.
+
+use crate::support::{EdgeSite, HOST, HttpAnswer, HttpClient, ROSE_KEY, job_item, job_submission};
+use futures_util::future;
+use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault, TcpRelay, UpstreamFault};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use std::{cell::Cell, collections::BTreeMap, time::Duration};
+
+/// Seeds that every run of the tests plays.
+const SEEDS: std::ops::Range<u64> = 0..2;
+const EDGES: usize = 3;
+/// Faults of one seed.
+const FAULTS: usize = 10;
+const ITEMS: usize = 6;
+const EVENTS: u64 = 25;
+
+/// Callers of a site. They know its addresses only.
+struct Callers {
+    http: HttpClient,
+    /// Start of the URL of each edge.
+    edges: Vec<String>,
+    /// Whether the faults are over.
+    is_calm: Cell<bool>,
+}
+
+impl Callers {
+    async fn send(&self, edge: usize, method: &str, path: &str, id: &str, body: &Value) -> HttpAnswer {
+        let bearer = format!("Bearer {ROSE_KEY}");
+        let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "1500"), ("authorization", &bearer)];
+        self.http.send(method, &format!("{}{path}", self.edges[edge]), &headers, body).await
+    }
+
+    /// Sends requests until the faults are over. Returns the status that each was answered with.
+    async fn send_requests(&self, path: &str, name: &str, seed: u64) -> BTreeMap<String, u16> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut statuses = BTreeMap::new();
+        while !self.is_calm.get() {
+            let id = format!("{name}-{seed}-{}", statuses.len());
+            let answer = self.send(rng.random_range(0..EDGES), "POST", path, &id, &Value::Null).await;
+            if answer.status == 200 {
+                assert_eq!(answer.body, format!("answer to {id}"), "seed {seed}: the answer of another request");
+            }
+            assert!(matches!(answer.status, 0 | 200 | 500 | 502..=504), "seed {seed}: {id} got {answer:?}");
+            statuses.insert(id, answer.status);
+            actix_rt::time::sleep(Duration::from_millis(rng.random_range(0..30))).await;
+        }
+        statuses
+    }
+
+    /// Submits jobs one after the other until the faults are over, each until it is accepted. Returns their ids.
+    async fn submit_jobs(&self, seed: u64) -> Vec<String> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut jobs = Vec::new();
+        while !self.is_calm.get() {
+            let job = format!("job-{seed}-{}", jobs.len());
+            let items: Vec<Value> =
+                (0..ITEMS).map(|item| job_item(&format!("{job}-{item}"), EVENTS, item % 2 == 0)).collect();
+            let submission = job_submission(1, &items);
+            loop {
+                let path = format!("/cards/{job}");
+                let answer = self.send(rng.random_range(0..EDGES), "POST", &path, &job, &submission).await;
+                assert!(matches!(answer.status, 0 | 202 | 502..=504), "seed {seed}: {job} got {answer:?}");
+                if answer.status == 202 {
+                    break;
+                }
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+            }
+            jobs.push(job);
+            actix_rt::time::sleep(Duration::from_millis(rng.random_range(0..600))).await;
+        }
+        jobs
+    }
+}
+
+/// Injects faults, several of which may last at the same time, and ends all of them.
+async fn inject_faults(site: &mut EdgeSite, relays: &[TcpRelay], seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut frozen = [false; EDGES];
+    for _ in 0..FAULTS {
+        let edge = rng.random_range(0..EDGES);
+        let is_stopped = site.edges[edge].process.exit_status().is_some();
+        match rng.random_range(0..10) {
+            0 | 1 if !is_stopped => {
+                site.edges[edge].process.kill();
+                frozen[edge] = false;
+            }
+            2 if !is_stopped && !frozen[edge] => site.edges[edge].process.terminate(),
+            3 | 4 if !is_stopped => {
+                site.edges[edge].process.freeze();
+                frozen[edge] = true;
+            }
+            5 => relays[edge].set_rule(RelayRule::Stall),
+            6 => relays[edge].set_rule(RelayRule::Cut),
+            7 => site.store.set_fault(StoreFault { down: true, ..StoreFault::default() }),
+            8 => site.store.set_fault(StoreFault { lose_commits: rng.random_range(1..4), ..StoreFault::default() }),
+            _ => {
+                let faults =
+                    [UpstreamFault::LoseAnswer, UpstreamFault::Truncate, UpstreamFault::WrongId, UpstreamFault::Refuse];
+                let upstreams: Vec<&PlatformUpstream> = site.desks.iter().chain(&site.engines).collect();
+                upstreams[rng.random_range(0..upstreams.len())].set_faults(faults);
+            }
+        }
+        actix_rt::time::sleep(Duration::from_millis(rng.random_range(50..900))).await;
+        // One of the faults of before may end.
+        let edge = rng.random_range(0..EDGES);
+        if rng.random_bool(0.7) {
+            heal(site, relays, edge, &mut frozen);
+        }
+        if rng.random_bool(0.5) {
+            site.store.set_fault(StoreFault::default());
+        }
+    }
+    (0..EDGES).for_each(|edge| heal(site, relays, edge, &mut frozen));
+    site.store.set_fault(StoreFault::default());
+}
+
+/// Ends the faults of an edge.
+fn heal(site: &mut EdgeSite, relays: &[TcpRelay], edge: usize, frozen: &mut [bool; EDGES]) {
+    relays[edge].set_rule(RelayRule::Pass);
+    if std::mem::take(&mut frozen[edge]) {
+        site.edges[edge].process.resume();
+    }
+    if site.edges[edge].process.exit_status().is_some() {
+        site.restart_edge(edge);
+    }
+}
+
+/// Plays one seed and compares what callers and upstreams saw with the promises.
+async fn play(seed: u64) {
+    let mut site = EdgeSite::without_edges();
+    site.write_config(2, &[("rose", ROSE_KEY)]);
+    let mut relays = Vec::new();
+    for _ in 0..EDGES {
+        let relay = TcpRelay::start(site.store.address).await.expect("start a relay");
+        site.start_edge(relay.address);
+        relays.push(relay);
+    }
+    site.wait_ready().await;
+    let edges = (0..EDGES).map(|edge| site.url(edge, "")).collect();
+    let callers = Callers { http: HttpClient::new(), edges, is_calm: Cell::new(false) };
+    let faults = async {
+        inject_faults(&mut site, &relays, seed).await;
+        callers.is_calm.set(true);
+    };
+    let (quotes, orders, jobs, ()) = future::join4(
+        callers.send_requests("/quote/roses", "quote", seed),
+        callers.send_requests("/once/order", "order", seed),
+        callers.submit_jobs(seed),
+        faults,
+    )
+    .await;
+    // An edge that was asked to stop exits by itself, and is started again.
+    for edge in 0..EDGES {
+        while site.readiness_status(edge).await != 200 {
+            if site.edges[edge].process.exit_status().is_some() {
+                site.restart_edge(edge);
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    assert!(quotes.values().any(|status| *status == 200), "seed {seed}: no quote was answered");
+    check_orders(&site, &orders, seed);
+    for job in &jobs {
+        check_job(&site, job, seed).await;
+    }
+}
+
+/// Each order ran once at most; one that was answered ran, one that was refused did not.
+fn check_orders(site: &EdgeSite, orders: &BTreeMap<String, u16>, seed: u64) {
+    let calls: Vec<_> = site.desks.iter().flat_map(|desk| desk.recorded_calls()).collect();
+    for (id, status) in orders {
+        let runs = calls.iter().filter(|call| call.id == *id).count();
+        let is_true = match status {
+            200 | 500 => runs == 1,
+            503 => runs == 0,
+            _ => runs <= 1,
+        };
+        assert!(is_true, "seed {seed}: {id} was answered {status} and ran {runs} times");
+    }
+    assert!(calls.iter().all(|call| call.organisation == "rose" || call.id.starts_with("score-")), "seed {seed}");
+    assert!(calls.iter().all(|call| !call.has_key), "seed {seed}: a key reached an upstream");
+}
+
+/// Each item of an accepted job is listed once with its whole text, at the same position at every edge.
+async fn check_job(site: &EdgeSite, job: &str, seed: u64) {
+    let results = site.all_results(0, job).await;
+    assert_eq!(results.len(), ITEMS, "seed {seed}: {job}");
+    for edge in 1..EDGES {
+        assert_eq!(site.all_results(edge, job).await, results, "seed {seed}: {job} at edge {edge}");
+    }
+    for item in 0..ITEMS {
+        let id = format!("{job}-{item}");
+        let listed: Vec<&Value> = results.iter().filter(|result| result["id"] == id).collect();
+        assert_eq!(listed.len(), 1, "seed {seed}: {id}");
+        if listed[0]["state"] == "completed" {
+            let text: Vec<String> = (1..=EVENTS).map(|number| format!("{id}:{number}")).collect();
+            assert_eq!(listed[0]["text"], text.join("\n"), "seed {seed}: {id}");
+        }
+    }
+}
+
+/// The seeds to play: those of `PIMENTOSLIP_SOAK_SEEDS`, as `FIRST..END`, or the usual ones.
+fn seeds() -> std::ops::Range<u64> {
+    let requested = std::env::var("PIMENTOSLIP_SOAK_SEEDS").ok();
+    let range = requested.as_deref().and_then(|text| text.split_once(".."));
+    let parsed = range.and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
+    parsed.unwrap_or(SEEDS)
+}
+
+#[actix_rt::test]
+async fn promises_hold_while_processes_connections_and_the_store_fail() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        play(seed).await;
+    }
+}
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -37,9 +37,23 @@
 /// Delay before a failed read of a job is repeated.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Marks a job as running until dropped, also by a panic; the job is then started again.
+struct RunningJob {
+    state: Arc<EdgeState>,
+    id: SharedName,
+}
+
+impl Drop for RunningJob {
+    fn drop(&mut self) {
+        EdgeMetrics::global().jobs_owned.dec();
+        self.state.jobs().job_released(&self.id);
+    }
+}
+
 /// Runs the owned job `id` until it is settled or ended, another daemon owns it, or this daemon drains. In the last
 /// case an unfinished job is handed over.
 pub async fn run_job(state: Arc<EdgeState>, upstream_client: Client, store: StoreAccess, id: SharedName) {
+    let _running_job = RunningJob { state: state.clone(), id: id.clone() };
     if let Some(job) = open_job(&state, upstream_client, store, &id).await {
         drive_job(&job).await;
         if state.is_draining() && !job.ledger.borrow().is_settled() {
@@ -56,8 +70,6 @@
             .field("age_ms", age_ms)
             .info();
     }
-    EdgeMetrics::global().jobs_owned.dec();
-    state.jobs().job_released(&id);
 }
 
 /// Whether this process must stop running `job`. A missing owner is no reason to stop: the lease may have expired
@@ -216,7 +228,14 @@
     let mut runs = JoinSet::new();
     let mut writer = LedgerWriter::new(state.now());
     loop {
-        while runs.try_join_next().is_some() {}
+        while let Some(ended) = runs.try_join_next() {
+            if let Err(error) = ended {
+                // The ledger does not know that the run has ended. The job starts again from what is stored.
+                LogLine::new("item_run_failed").field("job", &job.id).field("reason", error).warn();
+                EdgeMetrics::increment(&EdgeMetrics::global().task_failures, "item_run");
+                return;
+            }
+        }
         if should_stop(state, &job.id) {
             if state.jobs().is_ended(&job.id) {
                 job.ledger.borrow_mut().end();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,7 +16,9 @@
 mod run_storage;
 mod steady_time;
 mod store;
+mod task_supervisor;
 mod worker_parts;
 
 pub use run_edge::{Result, run_edge};
 pub use run_storage::run_storage;
+pub use task_supervisor::supervise;
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -9,6 +9,7 @@
     job::claim_jobs,
     lease_task::{maintain_lease, revoke_lease},
     store::{ChangeFeed, CoordinationKeys, OperatorKeys, PrefixHandler, UpstreamKeys, follow_prefix},
+    task_supervisor::supervise,
     worker_parts::WorkerParts,
 };
 use actix_rt::{
@@ -21,6 +22,7 @@
 use pimentoslip_platform::ProcessSettings;
 use pimentoslip_telemetry::LogLine;
 use std::{
+    future::Future,
     net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -97,29 +99,47 @@
 
 /// Starts the background tasks of the daemon.
 fn spawn_tasks(state: &Arc<EdgeState>) {
-    let parts = WorkerParts::new(state.clone());
-    let WorkerParts { store, upstream_client, peer_client, .. } = parts;
-    let feed = |prefix, purpose, bound_ms| {
-        let store = store.with_purpose(purpose);
-        ChangeFeed::new(state.clone(), store, peer_client.clone(), prefix, WatchTiming::new(bound_ms))
-    };
-    let operator_feed = feed(OperatorKeys::PREFIX, "follow_operator", state.settings.config_apply_ms);
-    actix_rt::spawn(follow_prefix(state.clone(), operator_feed, OperatorKeys::new(state.clone())));
-    let upstream_feed = feed(UpstreamKeys::PREFIX, "follow_upstreams", state.settings.upstream_drain_ms);
-    actix_rt::spawn(follow_prefix(state.clone(), upstream_feed, UpstreamKeys::new(state.clone())));
-    let coordination_feed = feed(CoordinationKeys::PREFIX, "follow_daemons", COORDINATION_APPLY_MS);
-    actix_rt::spawn(follow_prefix(state.clone(), coordination_feed, CoordinationKeys::new(state.clone())));
-    actix_rt::spawn(maintain_lease(state.clone(), store.with_purpose("lease")));
+    let operator_bound_ms = state.settings.config_apply_ms;
+    spawn_follower(state, "follow_operator", operator_bound_ms, OperatorKeys::new);
+    spawn_follower(state, "follow_upstreams", state.settings.upstream_drain_ms, UpstreamKeys::new);
+    spawn_follower(state, "follow_daemons", COORDINATION_APPLY_MS, CoordinationKeys::new);
+    spawn_task(state, "lease", |parts| maintain_lease(parts.state, parts.store.with_purpose("lease")));
+    spawn_task(state, "duty", |parts| hold_duty(parts.state, parts.upstream_client, parts.store.with_purpose("duty")));
+    spawn_task(state, "report_runs", |parts| report_runs(parts.state, parts.peer_client));
+    spawn_task(state, "usage", |parts| record_usage(parts.state, parts.store.with_purpose("usage"), parts.peer_client));
+    actix_rt::spawn(log_store_calls());
     // Jobs have a thread of their own, so that a large one delays neither the lease nor the changes of the store.
     let job_state = state.clone();
     Arbiter::new().spawn_fn(move || {
-        let WorkerParts { state, store, upstream_client, .. } = WorkerParts::new(job_state);
-        actix_rt::spawn(claim_jobs(state, upstream_client, store.with_purpose("own_jobs")));
+        spawn_task(&job_state, "jobs", |parts| {
+            claim_jobs(parts.state, parts.upstream_client, parts.store.with_purpose("own_jobs"))
+        });
+    });
+}
+
+/// Starts a task on the current thread, and again after a panic. `start` is passed the clients of the thread.
+fn spawn_task<F: Future<Output = ()> + 'static>(
+    state: &Arc<EdgeState>,
+    name: &'static str,
+    start: impl Fn(WorkerParts) -> F + 'static,
+) {
+    let parts = WorkerParts::new(state.clone());
+    actix_rt::spawn(supervise(name, move || start(parts.clone())));
+}
+
+/// Starts a task that keeps a handler up to date with its key prefix. Changes must be applied within `bound_ms`.
+fn spawn_follower<H: PrefixHandler>(
+    state: &Arc<EdgeState>,
+    name: &'static str,
+    bound_ms: u64,
+    create_handler: fn(Arc<EdgeState>) -> H,
+) {
+    spawn_task(state, name, move |parts| {
+        let WorkerParts { state, store, peer_client, .. } = parts;
+        let timing = WatchTiming::new(bound_ms);
+        let feed = ChangeFeed::new(state.clone(), store.with_purpose(name), peer_client, H::PREFIX, timing);
+        follow_prefix(state.clone(), feed, create_handler(state))
     });
-    actix_rt::spawn(hold_duty(state.clone(), upstream_client, store.with_purpose("duty")));
-    actix_rt::spawn(log_store_calls());
-    actix_rt::spawn(report_runs(state.clone(), peer_client.clone()));
-    actix_rt::spawn(record_usage(state.clone(), store.with_purpose("usage"), peer_client));
 }
 
 /// Logs the number of calls to the store at a fixed interval; the store's operators charge for each call.
--- a/crates/kernel/src/watch/watch_timing.rs
+++ b/crates/kernel/src/watch/watch_timing.rs
@@ -2,6 +2,9 @@
 
 /// Longest wait of a watch at the store, as a percentage of the bound.
 const STORE_WAIT_PERCENT: u64 = 20;
+/// Range of bounds that the timing follows. A shorter bound would only multiply the calls, and with a longer one failed
+/// watchers would be noticed late.
+const BOUND_MS_RANGE: std::ops::RangeInclusive<u64> = 1_000..=10_000;
 /// Longest wait of a watch at the store by a daemon whose sources are all unavailable, as a percentage of the bound.
 /// Nobody waits for such a daemon, so that it can wait longer than a watcher and calls the store less often.
 const FALLBACK_WAIT_PERCENT: u64 = 40;
@@ -28,7 +31,7 @@
     /// Creates the timing for changes that must be in force within `bound_ms` milliseconds.
     #[must_use]
     pub fn new(bound_ms: u64) -> Self {
-        Self { bound_ms }
+        Self { bound_ms: bound_ms.clamp(*BOUND_MS_RANGE.start(), *BOUND_MS_RANGE.end()) }
     }
 
     fn percent(self, percent: u64) -> u64 {
