--- a/crates/cli/tests/processes/platform_bytes.rs
+++ b/crates/cli/tests/processes/platform_bytes.rs
@@ -15,7 +15,7 @@
 /// Head of a sound answer, without the end of the head.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-signature: raw\r\n";
 
-/// A case of the tables: what is sent first, and what is then sent again and again.
+/// An answer that sends `first` and then `repeated` without end.
 fn endless(first: impl Into<String>, repeated: &str) -> RawAnswer {
     RawAnswer { first: first.into(), repeated: repeated.to_owned(), ..RawAnswer::default() }
 }
--- a/crates/client/src/connection_reaper.rs
+++ b/crates/client/src/connection_reaper.rs
@@ -9,6 +9,9 @@
 
 /// Time between two checks of the connections.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// A connection with unread bytes, or one that its peer has closed, is closed if nothing was read or written for this
+/// long. A connection in use would have read them.
+const UNREAD_TTL: Duration = Duration::from_secs(4);
 /// A connection on which nothing was read or written for this long is closed. Longer than any response may take.
 const SILENT_TTL: Duration = Duration::from_secs(600);
 
@@ -16,16 +19,16 @@
 /// to the same address, so that connections to addresses which are not used again would stay open.
 #[derive(Debug)]
 pub struct ConnectionReaper {
-    /// When a connection with unread bytes, or one that its peer has closed, is closed after the last use.
-    unread_ttl: Duration,
+    /// Whether the client reads every response without pauses, so that unread bytes belong to no response.
+    reads_at_once: bool,
     sockets: RefCell<Vec<Weak<RefCell<SharedSocket>>>>,
 }
 
 impl ConnectionReaper {
-    /// Creates a reaper that closes connections on which nothing was read for `unread_ttl` although bytes wait there.
+    /// Creates the reaper of a client. `reads_at_once` says whether the client reads every response without pauses.
     #[must_use]
-    pub fn new(unread_ttl: Duration) -> Self {
-        Self { unread_ttl: unread_ttl.min(SILENT_TTL), sockets: RefCell::default() }
+    pub fn new(reads_at_once: bool) -> Self {
+        Self { reads_at_once, sockets: RefCell::default() }
     }
 
     /// Adds a new connection. The first one starts the checks, which end when the client is dropped.
@@ -51,7 +54,7 @@
             let Some(socket) = socket.upgrade() else { return false };
             let mut socket = socket.borrow_mut();
             let idle = socket.idle_time();
-            if idle >= SILENT_TTL || (idle >= self.unread_ttl && socket.has_unread()) {
+            if idle >= SILENT_TTL || (self.reads_at_once && idle >= UNREAD_TTL && socket.has_unread()) {
                 socket.close();
             }
             socket.is_open()
--- a/crates/client/src/http_client.rs
+++ b/crates/client/src/http_client.rs
@@ -15,13 +15,10 @@
 /// Time after which an idle connection is closed.
 const IDLE_CONNECTION_TTL: Duration = Duration::from_secs(15);
 
-/// Time after which an unused connection with unread bytes is closed, by clients that read every response at once.
-const UNREAD_TTL: Duration = Duration::from_secs(4);
-
 /// A client that reuses connections and reports a truncated response as an error.
 #[must_use]
 pub fn plain_client() -> Client {
-    build_client(None, ConnectionReaper::new(Duration::MAX))
+    build_client(None, ConnectionReaper::new(false))
 }
 
 /// A client like [`plain_client`] whose connections are dropped when sent bytes stay unacknowledged for `timeout`.
@@ -29,7 +26,7 @@
 /// without pauses, as a connection whose received bytes are not read for long is closed.
 #[must_use]
 pub fn client_with_tcp_user_timeout(timeout: Duration) -> Client {
-    build_client(Some(timeout), ConnectionReaper::new(UNREAD_TTL))
+    build_client(Some(timeout), ConnectionReaper::new(true))
 }
 
 fn build_client(tcp_user_timeout: Option<Duration>, reaper: ConnectionReaper) -> Client {
--- a/crates/edge/src/store/change_feed.rs
+++ b/crates/edge/src/store/change_feed.rs
@@ -15,7 +15,7 @@
 /// Path of the control listener at which peers request store changes.
 pub const CHANGES_PATH: &str = "/peer/news";
 
-/// Source of the changes of one prefix. What it receives is also kept in the prefix's log, from which this daemon serves
+/// Source of the changes of one prefix. Received changes are also kept in the prefix's log, from which this daemon serves
 /// others.
 #[derive(Debug)]
 pub struct ChangeFeed {
--- a/crates/edge/tests/task_supervisor.rs
+++ b/crates/edge/tests/task_supervisor.rs
@@ -3,7 +3,7 @@
 use pimentoslip_edge::supervise;
 use std::{cell::Cell, rc::Rc};
 
-/// Guards against a daemon that goes on without one of its tasks after an unexpected error.
+/// Guards against a daemon that keeps running without one of its tasks after an unexpected error.
 #[actix_rt::test]
 async fn a_task_that_panics_is_started_again_until_it_ends_by_itself() {
     let starts = Rc::new(Cell::new(0));
--- a/crates/kernel/tests/machines/watching.rs
+++ b/crates/kernel/tests/machines/watching.rs
@@ -28,7 +28,7 @@
 /// prefixes with a bound are watched, and the store of a fleet of this size serves about 2,000 reads a second.
 const CALLS_PER_DAEMON_SECOND_MAX: u64 = 2;
 
-/// What is wrong with a daemon from [`FAULTS_AT`] on.
+/// Fault of a daemon from [`FAULTS_AT`] on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
     /// The process does not run and answers nothing.
