Share one set of clients between the tasks of a thread again; compute costs once

Read over: spawn_task made clients, and so a pool of connections, for each of seven tasks of the main thread, which had shared one. SamplerTable::select computed each candidate's cost twice. CompleteResponse held its share of the memory in an Arc only for a Clone that nobody uses; a constant stood between a type and its impl.

Behaviour is otherwise as before, no test changed.

--- a/crates/client/src/strict_stream.rs
+++ b/crates/client/src/strict_stream.rs
@@ -15,6 +15,9 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Size of the blocks in which the head of a response is read.
+const HEAD_BLOCK_BYTES: usize = 4 << 10;
+
 /// Socket of a stream, which its client may also close while the connection is idle.
 #[derive(Debug)]
 pub struct SharedSocket {
@@ -75,9 +78,6 @@
     prepared: BytesMut,
 }
 
-/// Size of the blocks in which the head of a response is read.
-const HEAD_BLOCK_BYTES: usize = 4 << 10;
-
 impl StrictStream {
     /// Wraps `stream`.
     #[must_use]
--- a/crates/edge/src/relay/complete_response.rs
+++ b/crates/edge/src/relay/complete_response.rs
@@ -10,10 +10,10 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::TimePoint;
-use std::{io::ErrorKind, sync::Arc, time::Duration};
+use std::{io::ErrorKind, time::Duration};
 
 /// A response with its complete body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct CompleteResponse {
     /// HTTP status.
     pub status: StatusCode,
@@ -22,7 +22,7 @@
     /// Complete response body.
     pub body: Bytes,
     /// Memory of the body, returned to the budget with the response.
-    _share: Arc<BufferShare>,
+    _share: BufferShare,
 }
 
 /// Reads the body of a response; one larger than `bytes_max` is rejected. The body is complete when it ends according
@@ -47,7 +47,7 @@
             Err(_) => return Err(AttemptFailure::Lost.into()),
         }
     }
-    Ok(CompleteResponse { status, headers, body: body.freeze(), _share: Arc::new(share) })
+    Ok(CompleteResponse { status, headers, body: body.freeze(), _share: share })
 }
 
 /// Whether the end of the body is marked only by the close of the connection.
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -99,42 +99,44 @@
 
 /// Starts the background tasks of the daemon.
 fn spawn_tasks(state: &Arc<EdgeState>) {
-    let operator_bound_ms = state.settings.config_apply_ms;
-    spawn_follower(state, "follow_operator", operator_bound_ms, OperatorKeys::new);
-    spawn_follower(state, "follow_upstreams", state.settings.upstream_drain_ms, UpstreamKeys::new);
-    spawn_follower(state, "follow_daemons", COORDINATION_APPLY_MS, CoordinationKeys::new);
-    spawn_task(state, "lease", |parts| maintain_lease(parts.state, parts.store.with_purpose("lease")));
-    spawn_task(state, "duty", |parts| hold_duty(parts.state, parts.upstream_client, parts.store.with_purpose("duty")));
-    spawn_task(state, "report_runs", |parts| report_runs(parts.state, parts.peer_client));
-    spawn_task(state, "usage", |parts| record_usage(parts.state, parts.store.with_purpose("usage"), parts.peer_client));
+    let parts = WorkerParts::new(state.clone());
+    spawn_follower(&parts, "follow_operator", state.settings.config_apply_ms, OperatorKeys::new);
+    spawn_follower(&parts, "follow_upstreams", state.settings.upstream_drain_ms, UpstreamKeys::new);
+    spawn_follower(&parts, "follow_daemons", COORDINATION_APPLY_MS, CoordinationKeys::new);
+    spawn_task(&parts, "lease", |parts| maintain_lease(parts.state, parts.store.with_purpose("lease")));
+    spawn_task(&parts, "duty", |parts| hold_duty(parts.state, parts.upstream_client, parts.store.with_purpose("duty")));
+    spawn_task(&parts, "report_runs", |parts| report_runs(parts.state, parts.peer_client));
+    spawn_task(&parts, "usage", |parts| {
+        record_usage(parts.state, parts.store.with_purpose("usage"), parts.peer_client)
+    });
     actix_rt::spawn(log_store_calls());
     // Jobs have a thread of their own, so that a large one delays neither the lease nor the changes of the store.
     let job_state = state.clone();
     Arbiter::new().spawn_fn(move || {
-        spawn_task(&job_state, "jobs", |parts| {
+        spawn_task(&WorkerParts::new(job_state), "jobs", |parts| {
             claim_jobs(parts.state, parts.upstream_client, parts.store.with_purpose("own_jobs"))
         });
     });
 }
 
-/// Starts a task on the current thread, and again after a panic. `start` is passed the clients of the thread.
+/// Starts a task on the current thread, and again after a panic. `start` is passed the clients of the thread, `parts`.
 fn spawn_task<F: Future<Output = ()> + 'static>(
-    state: &Arc<EdgeState>,
+    parts: &WorkerParts,
     name: &'static str,
     start: impl Fn(WorkerParts) -> F + 'static,
 ) {
-    let parts = WorkerParts::new(state.clone());
+    let parts = parts.clone();
     actix_rt::spawn(supervise(name, move || start(parts.clone())));
 }
 
 /// Starts a task that keeps a handler up to date with its key prefix. Changes must be applied within `bound_ms`.
 fn spawn_follower<H: PrefixHandler>(
-    state: &Arc<EdgeState>,
+    parts: &WorkerParts,
     name: &'static str,
     bound_ms: u64,
     create_handler: fn(Arc<EdgeState>) -> H,
 ) {
-    spawn_task(state, name, move |parts| {
+    spawn_task(parts, name, move |parts| {
         let WorkerParts { state, store, peer_client, .. } = parts;
         let timing = WatchTiming::new(bound_ms);
         let feed = ChangeFeed::new(state.clone(), store.with_purpose(name), peer_client, H::PREFIX, timing);
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -235,9 +235,10 @@
             let wait = (entry.load(now) + 1) * COST_SCALE / slots + if is_other_domain { OTHER_DOMAIN_COST } else { 0 };
             wait * entry.latency_ms.unwrap_or(fastest_ms) / fastest_ms
         };
-        let lowest_cost = candidates.iter().map(|entry| cost(entry)).min()?;
+        let costs: Vec<(u64, &SharedName)> = candidates.iter().map(|entry| (cost(entry), &entry.record.id)).collect();
+        let lowest_cost = costs.iter().map(|(cost, _)| *cost).min()?;
         let cheapest: Vec<&SharedName> =
-            candidates.iter().filter(|entry| cost(entry) == lowest_cost).map(|entry| &entry.record.id).collect();
+            costs.iter().filter(|(cost, _)| *cost == lowest_cost).map(|(_, id)| *id).collect();
         match cheapest[..] {
             [only] => Some(only.clone()),
             _ => rendezvous::highest_ranked(query.affinity, &cheapest).map(|id| (*id).clone()),
