Log what identifies repeats of a request that got no response

A run without a response now logs the hash of organisation, method, host, path and body, the upstream's process and the number of requests that ran beside it; a head that cannot be read logs the library's error. No decision changes.

--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -9,7 +9,7 @@
     client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     relay::{
-        CompleteResponse, UpstreamCall, UpstreamGuard, fetch_complete, forwarded_request_headers,
+        AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard, fetch_complete, forwarded_request_headers,
         forwarded_response_headers,
     },
     worker_parts::WorkerParts,
@@ -188,6 +188,7 @@
                 guard.set_outcome(failure.upstream_outcome());
                 EdgeMetrics::increment(&EdgeMetrics::global().retries, failure.as_str());
                 if failure.may_have_run() {
+                    log_unfinished_run(call, &guard, failure);
                     count_usage(parts, call, sent_at);
                     history.runs += 1;
                     history.may_have_run = true;
@@ -203,6 +204,18 @@
     final_response(parts, call, history)
 }
 
+/// Logs an attempt that may have run and got no response, with what identifies repeats of the request at any daemon.
+fn log_unfinished_run(call: &UpstreamCall, guard: &UpstreamGuard, failure: AttemptFailure) {
+    LogLine::new("run_unfinished")
+        .field("request_id", &call.id)
+        .field("fingerprint", format!("{:016x}", call.repeat_fingerprint()))
+        .field("upstream", &guard.record.id)
+        .field("upstream_started", guard.record.started_unix_ms)
+        .field("running", guard.inflight())
+        .field("result", failure.as_str())
+        .warn();
+}
+
 /// The last upstream response, or, without one, the refusal that describes the failed attempts.
 fn final_response(
     parts: &WorkerParts,
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -10,6 +10,7 @@
 use futures_util::Stream;
 use pimentoslip_kernel::{SamplerOutcome, TimePoint};
 use pimentoslip_platform::header;
+use pimentoslip_telemetry::LogLine;
 use std::time::Duration;
 
 /// Result of an attempt.
@@ -118,7 +119,14 @@
         Err(SendRequestError::Connect(ConnectError::Disconnected)) => return Err(AttemptFailure::Lost.into()),
         Err(SendRequestError::Connect(_)) => return Err(AttemptFailure::Unreachable.into()),
         Err(SendRequestError::Timeout) => return Err(AttemptFailure::TimedOut.into()),
-        Err(SendRequestError::Response(_)) => return Err(AttemptFailure::Malformed.into()),
+        Err(SendRequestError::Response(error)) => {
+            LogLine::new("response_unreadable")
+                .field("request_id", &call.id)
+                .field("upstream", &guard.record.id)
+                .field("error", error)
+                .warn();
+            return Err(AttemptFailure::Malformed.into());
+        }
         Err(_) => return Err(AttemptFailure::Lost.into()),
     };
     if let Some(requests) = reported_load(response.headers()) {
--- a/crates/edge/src/relay/upstream_call.rs
+++ b/crates/edge/src/relay/upstream_call.rs
@@ -2,7 +2,7 @@
 
 use actix_web::http::{Method, header::HeaderMap};
 use bytes::Bytes;
-use pimentoslip_kernel::{SharedName, TimePoint};
+use pimentoslip_kernel::{SharedName, TimePoint, fingerprint};
 
 /// A request that can be sent to any upstream of its service.
 #[derive(Clone, Debug)]
@@ -27,3 +27,19 @@
     /// Number of the last received event, after which an interrupted event stream is resumed.
     pub last_event_id: Option<u64>,
 }
+
+impl UpstreamCall {
+    /// Hash of what identifies repeats of the request: organisation, method, host, path and body. Each attempt of a
+    /// caller has an id of its own.
+    #[must_use]
+    pub fn repeat_fingerprint(&self) -> u64 {
+        let organisation = self.organisation.as_deref().unwrap_or_default();
+        fingerprint(&[
+            organisation.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            self.path.as_bytes(),
+            &self.body,
+        ])
+    }
+}
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -27,6 +27,12 @@
         self.outcome = outcome;
     }
 
+    /// Number of this daemon's requests in progress at the upstream, this one included.
+    #[must_use]
+    pub fn inflight(&self) -> u64 {
+        self.state.upstreams().inflight(&self.record.id)
+    }
+
     /// Memory for the body of the upstream's response.
     #[must_use]
     pub fn buffer_share(&self) -> BufferShare {
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -198,6 +198,12 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
+    /// Number of this daemon's requests in progress at the upstream `id`; 0 if it is not listed.
+    #[must_use]
+    pub fn inflight(&self, id: &str) -> u64 {
+        self.entries.get(id).map_or(0, |entry| entry.inflight)
+    }
+
     /// Number of this daemon's requests in progress at each upstream that serves models. Upstreams without requests are
     /// omitted.
     #[must_use]
