--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod path;
 mod platform_bytes;
+mod platform_crasher;
 mod platform_duties;
 mod platform_jobs;
 mod platform_path;
--- /dev/null
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -0,0 +1,69 @@
+//! Tests of crashing upstreams on the users' platform: a request that crashes every upstream, and items that were running
+//! when their upstreams crashed.
+
+use crate::support::{EdgeSite, job_item, job_submission};
+use pimentoslip_standin::PlatformUpstream;
+use std::time::Duration;
+
+/// Upstreams that a request may crash: three until it is known, and three more before every edge knows of it.
+const CRASHES_MAX: usize = 6;
+
+/// Body of the items that `job_item` creates.
+const ITEM_BODY: &[u8] = &[0xab, 0xcd, 0xef];
+
+fn crash_count(upstreams: &[PlatformUpstream]) -> usize {
+    upstreams.iter().filter(|upstream| upstream.has_crashed()).count()
+}
+
+/// Guards against a request that crashes one upstream after the other because no edge remembers its earlier crashes.
+#[actix_rt::test]
+async fn a_request_that_crashes_upstreams_is_refused_by_every_edge_also_after_restarts() {
+    const EDGES: usize = 3;
+    let mut site = EdgeSite::start(EDGES).await;
+    for number in 3..=10 {
+        site.start_desk(&format!("desk-{number}"));
+    }
+    site.desks.iter().for_each(|desk| desk.crash_on(b"boom"));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let mut is_refused = [false; EDGES];
+    for attempt in 0.. {
+        assert!(attempt < 30, "not refused by every edge after {} crashes", crash_count(&site.desks));
+        let edge = attempt % EDGES;
+        let reply = site.send_quote_for(edge, &format!("boom-{attempt}"), "boom").await;
+        is_refused[edge] = (reply.status, reply.body.as_str()) == (503, "quarantined");
+        if is_refused == [true; EDGES] {
+            assert!(reply.header("retry-after").parse::<f64>().is_ok_and(|seconds| seconds > 0.0), "{reply:?}");
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+    }
+    let crashes = crash_count(&site.desks);
+    assert!(crashes <= CRASHES_MAX, "{crashes} upstreams crashed");
+    for edge in 0..EDGES {
+        site.edges[edge].process.kill();
+        site.restart_edge(edge);
+    }
+    site.wait_ready().await;
+    for edge in 0..EDGES {
+        let reply = site.send_quote_for(edge, &format!("again-{edge}"), "boom").await;
+        assert_eq!((reply.status, reply.body.as_str()), (503, "quarantined"), "edge {edge}");
+        assert_eq!(site.send_quote(edge, &format!("sound-{edge}")).await.status, 200, "edge {edge}");
+    }
+    assert_eq!(crash_count(&site.desks), crashes);
+}
+
+/// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
+#[actix_rt::test]
+async fn an_item_is_completed_after_the_crash_of_each_upstream_that_ran_it() {
+    let mut site = EdgeSite::start(2).await;
+    for number in 3..=6 {
+        site.start_engine(&format!("engine-{number}"));
+    }
+    let (_, crashing) = site.engines.split_last().expect("an engine");
+    crashing.iter().for_each(|engine| engine.crash_on(ITEM_BODY));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let submission = job_submission(0, &[job_item("owed", 5, false)]);
+    assert_eq!(site.submit_job(0, "job-owed", &submission).await.status, 202);
+    let results = site.all_results(1, "job-owed").await;
+    assert_eq!(results[0]["state"], "completed", "{results:?}");
+}
--- a/crates/cli/tests/processes/samples.rs
+++ b/crates/cli/tests/processes/samples.rs
@@ -251,3 +251,24 @@
     })
     .await;
 }
+
+/// Guards against a sample that is never run again because engines crashed while they ran it.
+#[actix_rt::test]
+async fn a_sample_is_completed_after_crashes_of_the_engines_that_ran_it() {
+    const FETCHES_MAX: usize = 60;
+    let site = DaemonSite::start(SiteOptions { engines: vec!["a", "b", "c", "a"], ..SiteOptions::default() }).await;
+    let key = site.create_key(0, 1).await;
+    for engine in 0..3 {
+        site.set_engine_fault(engine, EngineFault { crash_on: Some("menu 0".to_owned()), ..EngineFault::default() })
+            .await;
+    }
+    let open = OpenRequest { prompts: vec!["menu 0".into()], group_size: 1, ..open_request(1) };
+    assert_eq!(site.send(0, "POST", "/v1/steps", &key, &[], &open).await.status, 200);
+    let mut trainer = Trainer::new(1);
+    let mut fetches = 0;
+    while !trainer.fetch(&site, fetches % 3, &key, SAMPLES).await {
+        fetches += 1;
+        assert!(fetches < FETCHES_MAX, "the sample was not run again: {}", site.logs());
+    }
+    assert_eq!(trainer.samples.len(), 1);
+}
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -75,6 +75,20 @@
     listener.local_addr().expect("the address of the listener")
 }
 
+/// Starts an upstream of `service`. One of the service `engine` serves a model.
+fn start_upstream(store: &PlatformStore, id: &str, service: &str) -> PlatformUpstream {
+    let models: &[&str] = if service == "engine" { &["verse"] } else { &[] };
+    let settings = UpstreamSettings {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        failure_domain: "north".to_owned(),
+        slots: 8,
+        models: models.iter().map(ToString::to_string).collect(),
+        event_ms: if models.is_empty() { 5 } else { 10 },
+    };
+    PlatformUpstream::start(settings, store).expect("start an upstream")
+}
+
 impl EdgeSite {
     /// Starts the stand-ins, stores a configuration with two organisations, starts `edges` edges and waits until they
     /// are ready.
@@ -93,18 +107,8 @@
     pub fn without_edges() -> Self {
         let store = PlatformStore::start().expect("start the store");
         let provider = PlatformProvider::start().expect("start the cloud interface");
-        let upstream_settings = |id: &str, service: &str, models: &[&str], event_ms| UpstreamSettings {
-            id: id.to_owned(),
-            service: service.to_owned(),
-            failure_domain: "north".to_owned(),
-            slots: 8,
-            models: models.iter().map(ToString::to_string).collect(),
-            event_ms,
-        };
-        let start_upstream = |settings| PlatformUpstream::start(settings, &store).expect("start an upstream");
-        let desks = ["desk-1", "desk-2"].map(|id| start_upstream(upstream_settings(id, "desk", &[], 5)));
-        let engines =
-            ["engine-1", "engine-2"].map(|id| start_upstream(upstream_settings(id, "engine", &["verse"], 10)));
+        let desks = ["desk-1", "desk-2"].map(|id| start_upstream(&store, id, "desk"));
+        let engines = ["engine-1", "engine-2"].map(|id| start_upstream(&store, id, "engine"));
         Self {
             desks: desks.into(),
             engines: engines.into(),
@@ -115,6 +119,16 @@
         }
     }
 
+    /// Starts one more upstream of the plain service `desk`.
+    pub fn start_desk(&mut self, id: &str) {
+        self.desks.push(start_upstream(&self.store, id, "desk"));
+    }
+
+    /// Starts one more upstream of the service `engine`.
+    pub fn start_engine(&mut self, id: &str) {
+        self.engines.push(start_upstream(&self.store, id, "engine"));
+    }
+
     /// Stores a configuration with the version `version` and the organisations in `keys` (name, API key).
     pub fn write_config(&self, version: u64, keys: &[(&str, &str)]) {
         let tenants: Vec<Value> =
@@ -237,9 +251,14 @@
 
     /// Sends an idempotent request to the route `quote`, as `rose`, with `id` as its request id.
     pub async fn send_quote(&self, edge: usize, id: &str) -> EdgeReply {
+        self.send_quote_for(edge, id, "how much").await
+    }
+
+    /// Sends an idempotent request with the body `body`, like [`Self::send_quote`].
+    pub async fn send_quote_for(&self, edge: usize, id: &str, body: &str) -> EdgeReply {
         let bearer = format!("Bearer {ROSE_KEY}");
         let headers = [("request-id", id), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
-        self.send(edge, "POST", "/quote/roses", &headers, "how much").await
+        self.send(edge, "POST", "/quote/roses", &headers, body).await
     }
 
     /// Submits the batch job `job`, as `rose`.
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -2,7 +2,7 @@
 
 use super::PlatformStore;
 use crate::{Result, RunningStandin, running::start_server};
-use actix_web::{App, HttpRequest, HttpResponse, http::StatusCode, web};
+use actix_web::{App, HttpRequest, HttpResponse, dev::ServerHandle, http::StatusCode, web};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use serde_json::{Value, json};
@@ -95,6 +95,10 @@
     faults: VecDeque<UpstreamFault>,
     calls: Vec<RecordedCall>,
     running_requests: usize,
+    /// Body of the requests that crash the upstream.
+    crash_body: Option<Bytes>,
+    /// Stops the server; `None` once the upstream has crashed.
+    server: Option<ServerHandle>,
 }
 
 /// A running upstream stand-in.
@@ -119,8 +123,12 @@
                 .route("/pimentoslip/report", web::get().to(report_load))
                 .default_service(web::to(serve))
         });
-        let (address, _) = running?.spawn();
-        inner.state().address = address.to_string();
+        let (address, server) = running?.spawn();
+        {
+            let mut state = inner.state();
+            state.address = address.to_string();
+            state.server = Some(server);
+        }
         inner.register("ready");
         Ok(Self { address, inner })
     }
@@ -130,6 +138,18 @@
         self.inner.state().faults = faults.into_iter().collect();
     }
 
+    /// Makes the upstream crash when it runs a request with the body `body`: its connections are closed, its address
+    /// refuses new ones, and its entry stays in the store.
+    pub fn crash_on(&self, body: &'static [u8]) {
+        self.inner.state().crash_body = Some(Bytes::from_static(body));
+    }
+
+    /// Whether the upstream has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.inner.state().server.is_none()
+    }
+
     /// Requests run so far, in order.
     #[must_use]
     pub fn recorded_calls(&self) -> Vec<RecordedCall> {
@@ -214,10 +234,16 @@
         deadline_ms: header(&request, "deadline-ms").parse().unwrap_or(0),
         body: body.to_vec(),
     };
-    {
+    let crashed_server = {
         let mut state = upstream.state();
         state.calls.push(call);
         state.running_requests += 1;
+        if state.crash_body.as_ref() == Some(&body) { state.server.take() } else { None }
+    };
+    if let Some(server) = crashed_server {
+        // Ends this request too, with its connection.
+        actix_rt::spawn(server.stop(false));
+        std::future::pending::<()>().await;
     }
     let guard = RunningGuard(upstream.clone());
     let id = if fault == Some(UpstreamFault::WrongId) { "another".to_owned() } else { id };
