Count crashes of upstreams as a set of marks that all daemons merge

Change: a mark is one crash of one process, the marks of a request form a set, merging is a union, clearing is a mark too, and messages hold the time left. Three crashes without a completed run in between quarantine a request; one that has two runs alone. A new mark reaches the peers before the caller is answered, so that its retry finds it known; marks are else exchanged only if the digests differ, where every exchange sent all of them.

The kernel test of the old table goes: it asserted the quarantine after two crashes alone, which convicted bystanders of two crashes in a burst, and that five requests in flight raise no suspicion. The process test's limit of three crashed engines stays as it is.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod call_timeout;
 mod connection_reaper;
+mod crash_probe;
 mod deadline_body;
 mod etcd_client;
 mod http_client;
@@ -13,6 +14,7 @@
 mod strict_stream;
 
 pub use call_timeout::CallTimeout;
+pub use crash_probe::is_refusing_connections;
 pub use deadline_body::DeadlineBody;
 pub use etcd_client::EtcdClient;
 pub use http_client::{client_with_tcp_user_timeout, plain_client};
--- a/crates/daemon/src/http/admin_api.rs
+++ b/crates/daemon/src/http/admin_api.rs
@@ -4,7 +4,7 @@
 use crate::{
     config_writer::{ConfigWriter, WriteError},
     step::ListStepsMessage,
-    task::push_records,
+    task::{NewKnowledge, push_knowledge},
 };
 use actix_web::{HttpResponse, web};
 use pimentoslip_client::KeyValueClient;
@@ -52,7 +52,8 @@
 async fn push_until_confirmed(worker: &WorkerState, entries: Vec<RecordEntry>) -> (Vec<SharedName>, Vec<SharedName>) {
     let deadline = worker.shared.now().plus_ms(CONFIRM_TIMEOUT_MS);
     loop {
-        let (confirmed, unconfirmed) = push_records(&worker.shared, &worker.peer_client, entries.clone()).await;
+        let knowledge = NewKnowledge::records(entries.clone());
+        let (confirmed, unconfirmed) = push_knowledge(&worker.shared, &worker.peer_client, knowledge).await;
         if unconfirmed.is_empty() || worker.shared.now() >= deadline {
             return (confirmed, unconfirmed);
         }
--- a/crates/daemon/src/running_daemon.rs
+++ b/crates/daemon/src/running_daemon.rs
@@ -7,7 +7,9 @@
     peer_client::PeerClient,
     shared_state::SharedState,
     step::StepActor,
-    task::{DiscoveryTask, ExchangeTask, OrderTask, PeriodicActor, StopMessage, UsageTask, push_records},
+    task::{
+        DiscoveryTask, ExchangeTask, NewKnowledge, OrderTask, PeriodicActor, StopMessage, UsageTask, push_knowledge,
+    },
 };
 use actix::{Actor, Addr};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
@@ -70,7 +72,7 @@
     PeriodicActor::new(ExchangeTask::new(shared.clone(), peer_client.clone(), kv.clone())).start();
     let order_task = PeriodicActor::new(OrderTask::new(shared.clone(), kv.clone(), provider.clone())).start();
     let usage_task = PeriodicActor::new(UsageTask::new(shared.clone(), kv, peer_client.clone(), provider)).start();
-    actix_rt::spawn(push_suspects(shared.clone(), peer_client));
+    actix_rt::spawn(push_crash_marks(shared.clone(), peer_client));
 
     let state = shared.clone();
     let (public_claim_actor, public_step_actor) = (claim_actor.clone(), step_actor.clone());
@@ -120,12 +122,12 @@
     Ok(daemon)
 }
 
-/// Sends the marks of newly suspected requests to the peers at once, because a retry of the request may reach a peer
-/// next.
-async fn push_suspects(shared: Arc<SharedState>, peer_client: PeerClient) {
+/// Sends new crash marks to the peers at once, because a retry of the request may reach a peer next.
+async fn push_crash_marks(shared: Arc<SharedState>, peer_client: PeerClient) {
     loop {
-        shared.suspect_added.notified().await;
-        push_records(&shared, &peer_client, Vec::new()).await;
+        let (marks, count) = shared.crash_push.take().await;
+        push_knowledge(&shared, &peer_client, NewKnowledge::crashes(marks)).await;
+        shared.crash_push.marks_sent(count);
     }
 }
 
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     DaemonSettings, admission_controller::AdmissionController, metric_set::MetricSet, request_id::RequestId,
-    upstream::InflightTable,
+    upstream::CrashPush,
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
@@ -35,12 +35,10 @@
     pub metrics: MetricSet,
     /// Queues of requests that wait for capacity on an upstream.
     pub admission_controller: AdmissionController,
-    /// Requests in flight on upstreams.
-    pub inflight_table: InflightTable,
     /// Number of calls to the key-value service.
     pub kv_calls: Arc<AtomicU64>,
-    /// Notified when a request becomes suspected of crashing upstreams, so that its mark is sent to the peers at once.
-    pub suspect_added: tokio::sync::Notify,
+    /// New crash marks, which are sent to the peers at once.
+    pub crash_push: CrashPush,
     /// Whether this daemon is shutting down. Its readiness probe then fails, and it acquires no duties.
     pub draining: AtomicBool,
     /// Notified when an operator requests this daemon to drain.
@@ -89,9 +87,8 @@
             clock,
             metrics: MetricSet::default(),
             admission_controller: AdmissionController::default(),
-            inflight_table: InflightTable::default(),
             kv_calls: Arc::default(),
-            suspect_added: tokio::sync::Notify::new(),
+            crash_push: CrashPush::default(),
             draining: AtomicBool::new(false),
             drain_requested: tokio::sync::Notify::new(),
             refusing_requests: AtomicBool::new(false),
--- a/crates/daemon/src/task/exchange_task.rs
+++ b/crates/daemon/src/task/exchange_task.rs
@@ -1,4 +1,4 @@
-//! Exchanges heartbeats, configuration and suspect marks with peers, and reads the configuration from the platform's
+//! Exchanges heartbeats, configuration and crash marks with peers, and reads the configuration from the platform's
 //! key-value service.
 
 use super::PeriodicTask;
@@ -9,12 +9,12 @@
 };
 use futures_util::future::join_all;
 use pimentoslip_client::{EtcdClient, KeyValueClient};
-use pimentoslip_kernel::{MemberEntry, RecordEntry, RecordName, SharedName, TimePoint};
+use pimentoslip_kernel::{CrashMark, MemberEntry, RecordEntry, RecordName, SharedName, TimePoint};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
     kv::KeyValue,
-    peer::{ExchangeRequest, ExchangeResponse, MemberBody},
+    peer::{CrashMarkBody, ExchangeRequest, ExchangeResponse, MemberBody},
 };
 use std::{
     collections::BTreeMap,
@@ -112,8 +112,9 @@
 
     async fn run(&mut self) {
         let exchange_peers = self.exchange_peers();
-        let exchanges =
-            join_all(exchange_peers.iter().map(|peer| exchange(&self.shared, &self.peer_client, peer, Vec::new())));
+        let exchanges = join_all(
+            exchange_peers.iter().map(|peer| exchange(&self.shared, &self.peer_client, peer, NewKnowledge::default())),
+        );
         let config_read = async {
             if self.must_read_config() {
                 self.read_config().await;
@@ -141,31 +142,69 @@
     }
 }
 
-fn exchange_request(shared: &SharedState, records: Vec<RecordEntry>) -> ExchangeRequest {
+/// What this daemon has just learnt and its peers probably do not know.
+#[derive(Clone, Debug, Default)]
+pub struct NewKnowledge {
+    /// Configuration records.
+    pub records: Vec<RecordEntry>,
+    /// Crashes of upstreams while they ran a request.
+    pub crashes: Vec<CrashMark>,
+}
+
+impl NewKnowledge {
+    /// New configuration records.
+    #[must_use]
+    pub fn records(records: Vec<RecordEntry>) -> Self {
+        Self { records, crashes: Vec::new() }
+    }
+
+    /// Newly observed crashes.
+    #[must_use]
+    pub fn crashes(crashes: Vec<CrashMark>) -> Self {
+        Self { records: Vec::new(), crashes }
+    }
+}
+
+fn exchange_request(shared: &SharedState, knowledge: NewKnowledge) -> ExchangeRequest {
     let now = shared.now();
     ExchangeRequest {
         sender: shared.own_member(),
         complete_revision: shared.config().complete_revision(),
-        records,
-        suspects: shared.suspects().active_marks(now),
+        records: knowledge.records,
+        crashes: mark_bodies(knowledge.crashes, now),
+        crashes_digest: shared.suspects().digest(now),
         members_digest: members_digest(shared),
     }
 }
 
+fn mark_bodies(marks: Vec<CrashMark>, now: TimePoint) -> Vec<CrashMarkBody> {
+    marks.into_iter().map(|mark| CrashMarkBody::from_mark(mark, now)).collect()
+}
+
+/// Adds marks that a peer has sent.
+fn merge_marks(shared: &SharedState, bodies: Vec<CrashMarkBody>) {
+    let now = shared.now();
+    let mut suspects = shared.suspects();
+    for body in bodies {
+        suspects.merge(body.into_mark(now), now);
+    }
+}
+
 /// Digest of the members, by which peers detect that they hold the same ones.
 fn members_digest(shared: &SharedState) -> u64 {
     shared.members().digest(shared.incarnation)
 }
 
-/// Sends `records` and this daemon's state to a peer and applies its answer. Returns true if the peer answered.
-async fn exchange(
-    shared: &SharedState,
-    peer_client: &PeerClient,
-    peer: &PeerAddress,
-    records: Vec<RecordEntry>,
-) -> bool {
+/// Sends `knowledge` and this daemon's state to a peer and applies its answer. Returns true if the peer answered.
+async fn exchange(shared: &SharedState, peer_client: &PeerClient, peer: &PeerAddress, knowledge: NewKnowledge) -> bool {
     let (name, control_address) = peer;
-    let Ok(body) = encode(&exchange_request(shared, records)) else { return false };
+    let body = match encode(&exchange_request(shared, knowledge)) {
+        Ok(body) => body,
+        Err(error) => {
+            LogLine::new("peer_message_not_encoded").field("peer", name).field("error", error).warn();
+            return false;
+        }
+    };
     let request_bytes = body.len();
     let requested_at = shared.now();
     let call_result = peer_client.call_raw(control_address, EXCHANGE_PATH, body, EXCHANGE_TIMEOUT_MS).await;
@@ -203,8 +242,7 @@
         members.member_reported(&MemberEntry::from(body), now);
     }
     drop(members);
-    let mut suspects = shared.suspects();
-    response.suspects.into_iter().for_each(|mark| suspects.merge(mark));
+    merge_marks(shared, response.crashes);
 }
 
 /// Applies the exchange request of a peer and returns the answer to it.
@@ -214,12 +252,15 @@
     let name = request.sender.name.clone();
     let applied = shared.apply_records(request.records, 0);
     log_applied_records(&name, &applied);
-    {
-        let mut suspects = shared.suspects();
-        request.suspects.into_iter().for_each(|mark| suspects.merge(mark));
-    }
+    merge_marks(shared, request.crashes);
     shared.members().peer_seen(MemberEntry::from(request.sender), now);
     let members = if members_digest(shared) == request.members_digest { Vec::new() } else { member_bodies(shared) };
+    let crashes = if shared.suspects().digest(now) == request.crashes_digest {
+        Vec::new()
+    } else {
+        let marks = shared.suspects().active_marks(now);
+        mark_bodies(marks, now)
+    };
     let age_ms = shared.freshness().age_ms(now);
     let config = shared.config();
     ExchangeResponse {
@@ -227,7 +268,7 @@
         complete_revision: config.complete_revision(),
         records: config.entries_since(request.complete_revision),
         age_ms,
-        suspects: shared.suspects().active_marks(now),
+        crashes,
         members,
     }
 }
@@ -236,12 +277,12 @@
     shared.members().iter().map(MemberBody::from).collect()
 }
 
-/// Sends new records to every daemon that may be running, without waiting for the next exchange. Returns the names of
-/// the daemons that confirmed them, this one included, and of those that did not.
-pub async fn push_records(
+/// Sends `knowledge` to every daemon that may be running, without waiting for the next exchange. Returns the names of
+/// the daemons that confirmed it, this one included, and of those that did not.
+pub async fn push_knowledge(
     shared: &SharedState,
     peer_client: &PeerClient,
-    records: Vec<RecordEntry>,
+    knowledge: NewKnowledge,
 ) -> (Vec<SharedName>, Vec<SharedName>) {
     let targets: Vec<PeerAddress> = shared
         .members()
@@ -249,7 +290,7 @@
         .map(|member| (member.name.clone(), member.control_address.clone()))
         .collect();
     let exchange_results =
-        join_all(targets.iter().map(|peer| exchange(shared, peer_client, peer, records.clone()))).await;
+        join_all(targets.iter().map(|peer| exchange(shared, peer_client, peer, knowledge.clone()))).await;
     let mut confirmed = vec![shared.settings.name.clone()];
     let mut unconfirmed = Vec::new();
     for ((name, _), answered) in targets.into_iter().zip(exchange_results) {
--- a/crates/daemon/src/upstream/dispatcher.rs
+++ b/crates/daemon/src/upstream/dispatcher.rs
@@ -7,7 +7,9 @@
 };
 use awc::{Client, ClientResponse};
 use futures_util::Stream;
-use pimentoslip_kernel::{FailedAttempt, RefusalReason, RetryDecision, RetryPolicy, RouteQuery, RunState, SharedName};
+use pimentoslip_kernel::{
+    FailedAttempt, RefusalReason, RetryDecision, RetryPolicy, RouteQuery, RunState, SharedName, SuspectVerdict,
+};
 use pimentoslip_telemetry::LogLine;
 use std::{sync::Arc, time::Duration};
 
@@ -39,7 +41,7 @@
         if now >= request.deadline {
             return refuse(RefusalReason::DeadlinePassed);
         }
-        if shared.suspects().is_quarantined(request.fingerprint, now) {
+        if matches!(suspect_verdict(shared, request), SuspectVerdict::Quarantined { .. }) {
             return refuse(RefusalReason::Quarantined);
         }
         let Some(mut guard) = pick_upstream(shared, request, &tried_upstreams).await else {
@@ -64,8 +66,13 @@
     }
 }
 
+/// How the request is treated because of the crashes of upstreams that ran it.
+fn suspect_verdict(shared: &SharedState, request: &UpstreamRequest) -> SuspectVerdict {
+    shared.suspects().verdict(request.fingerprint, shared.now())
+}
+
 /// Picks an upstream, waiting for capacity until the request's deadline. Upstreams in `tried_upstreams` are picked only
-/// if no other one is available. A request that is suspected of crashing upstreams waits for an upstream on which this
+/// if no other one is available. A request that is isolated, since it may crash upstreams, waits for one on which this
 /// daemon runs no other request. Returns `None` if the service has no live upstream or the deadline has passed.
 async fn pick_upstream(
     shared: &Arc<SharedState>,
@@ -76,13 +83,13 @@
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
     loop {
         let now = shared.now();
-        let is_suspect = shared.suspects().is_suspect(request.fingerprint, now);
+        let is_isolated = suspect_verdict(shared, request) == SuspectVerdict::Isolated;
         let query = RouteQuery {
             service: &request.service,
             failure_domain: &shared.settings.failure_domain,
             prefix_hash: request.prefix_hash,
             excluded: tried_upstreams,
-            exclusive: is_suspect,
+            exclusive: is_isolated,
             inflight_max: request.inflight_max,
         };
         let picked_entry = shared.with_rng(|rng| {
@@ -91,7 +98,7 @@
             routes.pick(&query, now, rng).or_else(|| routes.pick(&without_exclusions, now, rng))
         });
         if let Some(entry) = picked_entry {
-            return Some(UpstreamGuard::new(shared.clone(), entry, request.fingerprint));
+            return Some(UpstreamGuard::new(shared.clone(), entry, request));
         }
         let has_upstream = shared.routes().capacity(&request.service, 1) > 0;
         if !has_upstream || now >= request.deadline {
--- /dev/null
+++ b/crates/kernel/src/suspect/suspect_table.rs
@@ -0,0 +1,165 @@
+//! Table of the requests that were running when upstreams crashed.
+
+use super::{CrashMark, SuspectVerdict};
+use crate::{SharedName, TimePoint, fingerprint};
+use std::collections::{BTreeMap, HashMap};
+
+/// Number of crashes after which a request is quarantined. Requests that only run beside a crashing one seldom reach it,
+/// because their marks are cleared as soon as they complete.
+const CRASHES_MAX: usize = 3;
+/// Time after which a crash no longer counts. The platform's store grants no longer leases.
+const MARK_TTL_MS: u64 = 600_000;
+/// Crashes of one upstream that are observed within this time are the same crash: no upstream restarts faster.
+const SAME_CRASH_MS: u64 = 1_000;
+/// Maximum number of requests with marks. More than an outage of a site leaves; beyond it those with the fewest crashes
+/// are dropped.
+const REQUESTS_MAX: usize = 512;
+
+/// Crashes of upstreams, by the request that they ran.
+///
+/// The marks of a request form a set that only grows until they expire, and marks of all daemons are merged in any order
+/// and any number of times. So a crash is neither lost nor counted twice when several daemons observe crashes at the
+/// same time.
+#[derive(Clone, Debug, Default)]
+pub struct SuspectTable {
+    /// Marks by the request's fingerprint and the process's name.
+    requests: HashMap<u64, BTreeMap<SharedName, CrashMark>>,
+}
+
+impl SuspectTable {
+    /// Time after which a crash no longer counts, in milliseconds.
+    pub const MARK_TTL_MS: u64 = MARK_TTL_MS;
+
+    /// Whether no request has a mark.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Records that `process` crashed while it ran a request. Returns the mark if the crash was not known.
+    pub fn process_crashed(&mut self, fingerprint: u64, process: SharedName, now: TimePoint) -> Option<CrashMark> {
+        let mark = CrashMark { fingerprint, process, is_cleared: false, expires_at: now.plus_ms(MARK_TTL_MS) };
+        self.merge(mark.clone(), now).then_some(mark)
+    }
+
+    /// Records that an upstream whose processes have no names of their own crashed while it ran a request. Returns the
+    /// mark if the crash was not known. Crashes of one upstream are numbered, so that daemons that observe the same one
+    /// create the same mark.
+    pub fn upstream_crashed(&mut self, fingerprint: u64, upstream: &str, now: TimePoint) -> Option<CrashMark> {
+        let marks = self.requests.get(&fingerprint).into_iter().flat_map(BTreeMap::values);
+        let crashes = marks.filter(|mark| mark.process.rsplit_once('#').is_some_and(|(name, _)| name == upstream));
+        let (mut count, mut latest_expiry) = (0, TimePoint(0));
+        for mark in crashes {
+            count += 1;
+            latest_expiry = latest_expiry.max(mark.expires_at);
+        }
+        if count > 0 && now.plus_ms(MARK_TTL_MS).since_ms(latest_expiry) < SAME_CRASH_MS {
+            return None;
+        }
+        self.process_crashed(fingerprint, format!("{upstream}#{}", count + 1).into(), now)
+    }
+
+    /// Adds a mark of another daemon. Returns whether it was new, or newly cleared.
+    pub fn merge(&mut self, mark: CrashMark, now: TimePoint) -> bool {
+        if mark.expires_at <= now {
+            return false;
+        }
+        if !self.requests.contains_key(&mark.fingerprint) {
+            self.make_room(now);
+        }
+        let marks = self.requests.entry(mark.fingerprint).or_default();
+        match marks.get_mut(&mark.process) {
+            Some(own) if own.is_cleared || !mark.is_cleared => false,
+            Some(own) => {
+                own.is_cleared = true;
+                true
+            }
+            None => {
+                marks.insert(mark.process.clone(), mark);
+                true
+            }
+        }
+    }
+
+    /// Clears the marks of a request that completed. Returns the cleared ones.
+    pub fn request_completed(&mut self, fingerprint: u64) -> Vec<CrashMark> {
+        let marks = self.requests.get_mut(&fingerprint).into_iter().flat_map(BTreeMap::values_mut);
+        let counted = marks.filter(|mark| !mark.is_cleared);
+        counted
+            .map(|mark| {
+                mark.is_cleared = true;
+                mark.clone()
+            })
+            .collect()
+    }
+
+    /// Removes a mark that another daemon has removed.
+    pub fn remove(&mut self, fingerprint: u64, process: &str) {
+        let Some(marks) = self.requests.get_mut(&fingerprint) else { return };
+        marks.remove(process);
+        if marks.is_empty() {
+            self.requests.remove(&fingerprint);
+        }
+    }
+
+    /// Number of crashes that count against a request.
+    #[must_use]
+    pub fn crash_count(&self, fingerprint: u64, now: TimePoint) -> usize {
+        let marks = self.requests.get(&fingerprint).into_iter().flat_map(BTreeMap::values);
+        marks.filter(|mark| mark.counts(now)).count()
+    }
+
+    /// How a request must be treated.
+    #[must_use]
+    pub fn verdict(&self, fingerprint: u64, now: TimePoint) -> SuspectVerdict {
+        let Some(marks) = self.requests.get(&fingerprint) else { return SuspectVerdict::Unsuspected };
+        let mut expiries: Vec<TimePoint> =
+            marks.values().filter(|mark| mark.counts(now)).map(|mark| mark.expires_at).collect();
+        expiries.sort_unstable();
+        match expiries.len().checked_sub(CRASHES_MAX) {
+            Some(index) => SuspectVerdict::Quarantined { until: expiries[index] },
+            None if expiries.len() + 1 == CRASHES_MAX => SuspectVerdict::Isolated,
+            None => SuspectVerdict::Unsuspected,
+        }
+    }
+
+    /// All unexpired marks, to be sent to other daemons. Removes the expired ones.
+    pub fn active_marks(&mut self, now: TimePoint) -> Vec<CrashMark> {
+        self.remove_expired(now);
+        self.requests.values().flat_map(BTreeMap::values).cloned().collect()
+    }
+
+    /// Digest of the unexpired marks; equal for daemons that know the same ones.
+    #[must_use]
+    pub fn digest(&self, now: TimePoint) -> u64 {
+        let marks = self.requests.values().flat_map(BTreeMap::values).filter(|mark| now < mark.expires_at);
+        marks.fold(0, |digest, mark| {
+            let parts = [&mark.fingerprint.to_be_bytes(), mark.process.as_bytes(), &[u8::from(mark.is_cleared)]];
+            digest ^ fingerprint(&parts)
+        })
+    }
+
+    fn remove_expired(&mut self, now: TimePoint) {
+        self.requests.retain(|_, marks| {
+            marks.retain(|_, mark| now < mark.expires_at);
+            !marks.is_empty()
+        });
+    }
+
+    /// Makes room for the marks of one more request.
+    fn make_room(&mut self, now: TimePoint) {
+        if self.requests.len() < REQUESTS_MAX {
+            return;
+        }
+        self.remove_expired(now);
+        while self.requests.len() >= REQUESTS_MAX {
+            let weight = |marks: &BTreeMap<SharedName, CrashMark>| {
+                let counted = marks.values().filter(|mark| mark.counts(now));
+                (counted.count(), marks.values().map(|mark| mark.expires_at).max())
+            };
+            let lightest = self.requests.iter().min_by_key(|(_, marks)| weight(marks)).map(|(request, _)| *request);
+            let Some(lightest) = lightest else { return };
+            self.requests.remove(&lightest);
+        }
+    }
+}
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod small_machines;
 mod steps;
+mod suspects;
 mod terms;
 mod usage;
 mod versions;
--- a/crates/kernel/tests/machines/small_machines.rs
+++ b/crates/kernel/tests/machines/small_machines.rs
@@ -3,7 +3,7 @@
 use pimentoslip_kernel::{
     FailedAttempt, FetchCursor, KeySecret, MemberEntry, MemberState, MemberTable, RefusalReason, RequestClass,
     RequestProgress, RetryBudget, RetryDecision, RetryPolicy, RunState, SpendAction, SpendInput, SpendPlanner,
-    StreamScanner, SuspectTable, TimePoint, highest_ranked, rank,
+    StreamScanner, TimePoint, highest_ranked, rank,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -83,25 +83,6 @@
     }
 }
 
-#[test]
-fn a_request_that_crashes_upstreams_is_quarantined_and_concurrent_ones_are_not() {
-    let now = TimePoint(0);
-    let mut suspects = SuspectTable::default();
-    suspects.upstream_crashed(&[1, 2, 3], now);
-    assert!(suspects.is_suspect(1, now) && !suspects.is_quarantined(1, now));
-    suspects.clear(2);
-    assert!(!suspects.is_suspect(2, now), "a suspect that completed must be cleared");
-    suspects.upstream_crashed(&[1], now);
-    suspects.upstream_crashed(&[1], now);
-    assert!(suspects.is_quarantined(1, now));
-    assert!(!suspects.is_quarantined(1, now.plus_ms(3_600_000)), "quarantine must expire");
-    suspects.upstream_crashed(&[4, 5, 6, 7, 8], now);
-    assert!(!suspects.is_suspect(4, now), "a crash with many requests in flight must not raise suspicion");
-    let mut peer = SuspectTable::default();
-    suspects.active_marks(now).into_iter().for_each(|mark| peer.merge(mark));
-    assert!(peer.is_quarantined(1, now));
-}
-
 #[test]
 fn a_stream_is_finished_only_with_its_terminal_marker() {
     let stream = b"data: {\"a\":1}\r\n\r\ndata: {\"b\":2}\n\ndata: [DONE]\n\n";
--- /dev/null
+++ b/crates/kernel/tests/machines/suspects.rs
@@ -0,0 +1,170 @@
+//! Tests of quarantine: daemons that exchange their marks agree on which requests crash upstreams.
+
+use crate::sequence;
+use pimentoslip_kernel::{CrashMark, SuspectTable, SuspectVerdict, TimePoint};
+use quickcheck::{Arbitrary, Gen};
+use std::collections::BTreeMap;
+
+const DAEMONS: usize = 3;
+const REQUESTS: u64 = 3;
+const PROCESSES: u8 = 5;
+/// Crashes at which a request must no longer run.
+const CRASHES_MAX: usize = 3;
+
+/// Input to the simulation of daemons that observe crashes.
+#[derive(Clone, Debug)]
+enum Command {
+    /// A daemon observes that a process crashed while it ran a request. Several daemons may observe the same crash.
+    Crash { daemon: usize, request: u64, process: u8 },
+    /// A request completes at a daemon.
+    Complete { daemon: usize, request: u64 },
+    /// A daemon sends all its marks to another one.
+    Send { from: usize, to: usize },
+    /// Time passes.
+    Wait { ms: u64 },
+}
+
+impl Arbitrary for Command {
+    fn arbitrary(rng: &mut Gen) -> Self {
+        let daemon = usize::arbitrary(rng) % DAEMONS;
+        let request = u64::arbitrary(rng) % REQUESTS;
+        match u8::arbitrary(rng) % 8 {
+            0..=2 => Self::Crash { daemon, request, process: u8::arbitrary(rng) % PROCESSES },
+            3 => Self::Complete { daemon, request },
+            4..=6 => Self::Send { from: daemon, to: usize::arbitrary(rng) % DAEMONS },
+            _ => Self::Wait { ms: u64::from(u16::arbitrary(rng)) * 8 },
+        }
+    }
+}
+
+/// What a daemon knows of a crash: when it is forgotten, and whether the request completed since.
+#[derive(Clone, Copy)]
+struct KnownCrash {
+    expires_at: TimePoint,
+    is_cleared: bool,
+}
+
+/// Crashes that a daemon knows, by request and process.
+type KnownCrashes = BTreeMap<(u64, u8), KnownCrash>;
+
+fn known_count(known: &KnownCrashes, request: u64, now: TimePoint) -> usize {
+    let crashes = known.iter().filter(|((of, _), crash)| *of == request && !crash.is_cleared && now < crash.expires_at);
+    crashes.count()
+}
+
+fn check_agreement(commands: Vec<Command>) -> Result<(), String> {
+    let mut now = TimePoint(0);
+    let mut tables = vec![SuspectTable::default(); DAEMONS];
+    let mut known = vec![KnownCrashes::new(); DAEMONS];
+    for (index, command) in commands.into_iter().enumerate() {
+        match command {
+            Command::Crash { daemon, request, process } => {
+                tables[daemon].process_crashed(request, format!("p{process}").into(), now);
+                let expires_at = now.plus_ms(SuspectTable::MARK_TTL_MS);
+                known[daemon].retain(|_, crash| now < crash.expires_at);
+                known[daemon].entry((request, process)).or_insert(KnownCrash { expires_at, is_cleared: false });
+            }
+            Command::Complete { daemon, request } => {
+                tables[daemon].request_completed(request);
+                let crashes = known[daemon].iter_mut().filter(|((of, _), _)| *of == request);
+                crashes.for_each(|(_, crash)| crash.is_cleared = true);
+            }
+            Command::Send { from, to } => {
+                for mark in tables[from].active_marks(now) {
+                    tables[to].merge(mark, now);
+                }
+                let sent: Vec<_> = known[from].iter().map(|(key, crash)| (*key, *crash)).collect();
+                known[to].retain(|_, crash| now < crash.expires_at);
+                for (key, crash) in sent.into_iter().filter(|(_, crash)| now < crash.expires_at) {
+                    known[to].entry(key).or_insert(crash).is_cleared |= crash.is_cleared;
+                }
+            }
+            Command::Wait { ms } => now = now.plus_ms(ms),
+        }
+        // Expired marks are forgotten, and may be recorded anew.
+        tables.iter_mut().for_each(|table| drop(table.active_marks(now)));
+        for daemon in 0..DAEMONS {
+            for request in 0..REQUESTS {
+                let expected = known_count(&known[daemon], request, now);
+                let verdict = tables[daemon].verdict(request, now);
+                let quarantined = matches!(verdict, SuspectVerdict::Quarantined { until } if now < until);
+                let isolated = verdict == SuspectVerdict::Isolated;
+                if quarantined != (expected >= CRASHES_MAX) || isolated != (expected + 1 == CRASHES_MAX) {
+                    return Err(format!("step {index}: daemon {daemon}, request {request}: {verdict:?}, {expected}"));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Guards against crashes that are lost or counted twice when several daemons observe them.
+#[test]
+fn daemons_count_each_crash_once_in_whatever_order_they_learn_of_it() {
+    sequence::check(0x5b5c, 80, check_agreement);
+}
+
+/// Guards against a mark that a peer restores after the request has completed.
+#[test]
+fn a_completed_request_is_cleared_at_every_daemon_that_learns_of_it() {
+    let now = TimePoint(0);
+    let (mut own, mut peer) = (SuspectTable::default(), SuspectTable::default());
+    for process in ["a", "b", "c"] {
+        own.process_crashed(1, process.into(), now);
+    }
+    let send = |from: &mut SuspectTable, to: &mut SuspectTable| {
+        for mark in from.active_marks(now) {
+            to.merge(mark, now);
+        }
+    };
+    send(&mut own, &mut peer);
+    assert!(matches!(peer.verdict(1, now), SuspectVerdict::Quarantined { .. }));
+    assert_eq!(own.digest(now), peer.digest(now));
+    assert_eq!(own.request_completed(1).len(), 3);
+    assert_ne!(own.digest(now), peer.digest(now));
+    send(&mut peer, &mut own);
+    assert_eq!(own.verdict(1, now), SuspectVerdict::Unsuspected);
+    send(&mut own, &mut peer);
+    assert_eq!(peer.verdict(1, now), SuspectVerdict::Unsuspected);
+}
+
+/// Guards against bystanders that are isolated or quarantined because many requests ran when an upstream crashed.
+#[test]
+fn bystanders_of_a_crash_stay_unsuspected_and_quarantine_ends() {
+    let now = TimePoint(0);
+    let mut suspects = SuspectTable::default();
+    for request in 1..=5 {
+        suspects.upstream_crashed(request, "engine", now);
+        assert_eq!(suspects.verdict(request, now), SuspectVerdict::Unsuspected);
+    }
+    let restarted_at = now.plus_ms(2_000);
+    suspects.request_completed(2);
+    for at in [restarted_at, restarted_at.plus_ms(1_500), restarted_at.plus_ms(3_000)] {
+        suspects.upstream_crashed(1, "engine", at);
+        assert!(suspects.upstream_crashed(1, "engine", at.plus_ms(5)).is_none(), "one crash, observed twice");
+    }
+    let ends_at = now.plus_ms(SuspectTable::MARK_TTL_MS);
+    assert_eq!(suspects.crash_count(1, restarted_at.plus_ms(3_000)), 4);
+    let verdict = suspects.verdict(1, restarted_at.plus_ms(3_000));
+    assert_eq!(verdict, SuspectVerdict::Quarantined { until: ends_at.plus_ms(2_000) });
+    assert_eq!(suspects.verdict(1, ends_at.plus_ms(2_000)), SuspectVerdict::Isolated);
+    assert_eq!(suspects.verdict(1, ends_at.plus_ms(3_600_000)), SuspectVerdict::Unsuspected);
+}
+
+/// Guards against marks that grow without limit in an outage, and against a quarantined request that they displace.
+#[test]
+fn marks_of_many_requests_are_limited_and_displace_no_quarantined_request() {
+    let now = TimePoint(0);
+    let mut suspects = SuspectTable::default();
+    for process in ["a", "b", "c"] {
+        suspects.process_crashed(0, process.into(), now);
+    }
+    for request in 1..10_000 {
+        suspects.merge(
+            CrashMark { fingerprint: request, process: "d".into(), is_cleared: false, expires_at: TimePoint(9) },
+            now,
+        );
+    }
+    assert!(suspects.active_marks(now).len() <= 2_000);
+    assert!(matches!(suspects.verdict(0, now), SuspectVerdict::Quarantined { .. }));
+}
--- a/crates/wire/src/peer/exchange.rs
+++ b/crates/wire/src/peer/exchange.rs
@@ -1,7 +1,8 @@
-//! Exchange between two daemons: a heartbeat that also transfers the configuration records, suspects and members that
+//! Exchange between two daemons: a heartbeat that also transfers the configuration records, crash marks and members that
 //! the other daemon lacks.
 
-use pimentoslip_kernel::{MemberEntry, MemberState, RecordEntry, SuspectMark, TimePoint};
+use super::CrashMarkBody;
+use pimentoslip_kernel::{MemberEntry, MemberState, RecordEntry, TimePoint};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -57,8 +58,13 @@
     pub complete_revision: u64,
     /// Records that the peer probably lacks.
     pub records: Vec<RecordEntry>,
-    /// Marks of requests that were in flight when an upstream crashed.
-    pub suspects: Vec<SuspectMark>,
+    /// Marks that the peer probably lacks, of requests that were in flight when an upstream crashed.
+    #[serde(default)]
+    pub crashes: Vec<CrashMarkBody>,
+    /// Digest of all such marks that the requesting daemon knows, with those in the request. The response omits marks if
+    /// the peer knows the same ones.
+    #[serde(default)]
+    pub crashes_digest: u64,
     /// Digest of the processes that the requesting daemon has seen, including itself. The response omits members if the
     /// peer has seen the same ones.
     pub members_digest: u64,
@@ -78,8 +84,9 @@
     /// Time in milliseconds since the responding daemon was last certain to have every accepted change; `None` if it
     /// never was.
     pub age_ms: Option<u64>,
-    /// Marks of requests that were in flight when an upstream crashed.
-    pub suspects: Vec<SuspectMark>,
+    /// Marks of requests that were in flight when an upstream crashed; empty if the digests are equal.
+    #[serde(default)]
+    pub crashes: Vec<CrashMarkBody>,
     /// Members that the responding daemon has seen; empty if the digests are equal.
     pub members: Vec<MemberBody>,
 }
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod claim;
+mod crash_mark;
 mod exchange;
 mod forward;
 mod job_push;
@@ -12,6 +13,7 @@
 
 pub use changes::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody};
 pub use claim::{ClaimRequest, ClaimResponse, SettleRequest, SettleState, StoredResponse};
+pub use crash_mark::CrashMarkBody;
 pub use exchange::{ExchangeRequest, ExchangeResponse, MemberBody};
 pub use forward::{ForwardRequest, ForwardResponse};
 pub use job_push::JobPush;
--- /dev/null
+++ b/crates/wire/tests/crash_marks.rs
@@ -0,0 +1,26 @@
+//! Tests of crash marks that daemons send to each other.
+
+use pimentoslip_kernel::{SuspectTable, SuspectVerdict, TimePoint};
+use pimentoslip_wire::{decode, encode, peer::CrashMarkBody};
+
+/// Guards against marks that expire at once, or hardly ever, at a daemon whose clock started earlier or later.
+#[test]
+fn marks_of_a_daemon_hold_for_the_same_time_at_daemons_that_started_earlier_or_later() {
+    // The clock of a daemon counts from the start of its process.
+    for (sender_now, receiver_now) in
+        [(5_000, 3_600_000), (3_600_000, 5_000)].map(|(a, b)| (TimePoint(a), TimePoint(b)))
+    {
+        let (mut sender, mut receiver) = (SuspectTable::default(), SuspectTable::default());
+        for process in ["a", "b", "c"] {
+            sender.process_crashed(1, process.into(), sender_now);
+        }
+        for mark in sender.active_marks(sender_now) {
+            let message = encode(&CrashMarkBody::from_mark(mark, sender_now)).expect("encode a mark");
+            let body: CrashMarkBody = decode(&message).expect("decode a mark");
+            receiver.merge(body.into_mark(receiver_now), receiver_now);
+        }
+        let until = receiver_now.plus_ms(SuspectTable::MARK_TTL_MS);
+        assert_eq!(receiver.verdict(1, receiver_now), SuspectVerdict::Quarantined { until });
+        assert_eq!(receiver.verdict(1, until), SuspectVerdict::Unsuspected);
+    }
+}
