Never quarantine a sample of a step; it is owed until it completes

Cause: samples went through the quarantine of callers' requests. All samples of a prompt share one fingerprint, so two crashed engines quarantined the whole group; the dispatcher refused each attempt, and the step's owner saw only that no engine had responded.

Ruled out for batch jobs on the platform: their items pass no quarantine, and an_item_is_completed_after_the_crash_of_each_- upstream_that_ran_it passed on the untouched code.

--- a/crates/daemon/src/http/engine_api.rs
+++ b/crates/daemon/src/http/engine_api.rs
@@ -125,6 +125,7 @@
         path: request.path().to_owned(),
         content_type: Some("application/json".to_owned()),
         accept: completion.stream.then(|| EVENT_STREAM.to_owned()),
+        is_owed: false,
         fingerprint: fingerprint(&[caller.organisation.as_bytes(), &body]),
         prefix_hash: Some(fingerprint(&[prompt_prefix])),
         body,
--- a/crates/daemon/src/http/plain_api.rs
+++ b/crates/daemon/src/http/plain_api.rs
@@ -105,6 +105,7 @@
     let class = RequestClass::classify(request.method().as_str(), service.repeatable, key.as_deref());
     Ok(UpstreamRequest {
         id: id.clone(),
+        is_owed: false,
         fingerprint: fingerprint(&[
             caller.organisation.as_bytes(),
             service_name.as_bytes(),
--- a/crates/daemon/src/step/sample_attempt.rs
+++ b/crates/daemon/src/step/sample_attempt.rs
@@ -107,6 +107,7 @@
             path: "/v1/chat/completions".to_owned(),
             content_type: Some("application/json".to_owned()),
             accept: Some("text/event-stream".to_owned()),
+            is_owed: true,
             fingerprint: fingerprint(&[self.organisation.as_bytes(), prompt.as_bytes()]),
             prefix_hash: Some(fingerprint(&[prompt_prefix])),
             body: body.into(),
--- a/crates/daemon/src/upstream/dispatcher.rs
+++ b/crates/daemon/src/upstream/dispatcher.rs
@@ -68,7 +68,8 @@
 
 /// How the request is treated because of the crashes of upstreams that ran it.
 fn suspect_verdict(shared: &SharedState, request: &UpstreamRequest) -> SuspectVerdict {
-    shared.suspects().verdict(request.fingerprint, shared.now())
+    let Some(fingerprint) = request.suspect_fingerprint() else { return SuspectVerdict::Unsuspected };
+    shared.suspects().verdict(fingerprint, shared.now())
 }
 
 /// Picks an upstream, waiting for capacity until the request's deadline. Upstreams in `tried_upstreams` are picked only
--- a/crates/daemon/src/upstream/upstream_guard.rs
+++ b/crates/daemon/src/upstream/upstream_guard.rs
@@ -12,8 +12,8 @@
     shared: Arc<SharedState>,
     /// The upstream's route table entry at the time of the pick.
     pub entry: UpstreamEntry,
-    /// Fingerprint of the request.
-    fingerprint: u64,
+    /// Fingerprint under which crashes count against the request; `None` for one that is owed.
+    suspect_fingerprint: Option<u64>,
     started_at: TimePoint,
     /// Whether the attempt counts as a failure of the upstream.
     failed: bool,
@@ -24,7 +24,7 @@
     #[must_use]
     pub fn new(shared: Arc<SharedState>, entry: UpstreamEntry, request: &UpstreamRequest) -> Self {
         let started_at = shared.now();
-        Self { shared, entry, fingerprint: request.fingerprint, started_at, failed: false }
+        Self { shared, entry, suspect_fingerprint: request.suspect_fingerprint(), started_at, failed: false }
     }
 
     /// Records that the attempt failed: the upstream refused the request, did not respond in time, or returned the
@@ -45,7 +45,7 @@
     /// caller finds it known at any daemon.
     pub async fn connection_lost(&mut self) {
         self.failed = true;
-        let mark_count = mark_if_crashed(&self.shared, &self.entry, self.fingerprint).await;
+        let mark_count = mark_if_crashed(&self.shared, &self.entry, self.suspect_fingerprint).await;
         if let Some(count) = mark_count {
             self.shared.crash_push.wait_sent(count).await;
         }
@@ -54,14 +54,16 @@
     /// Does the same as [`connection_lost`](Self::connection_lost) in a background task, for callers that cannot await.
     pub fn connection_lost_in_background(&mut self) {
         self.failed = true;
-        let (shared, entry, fingerprint) = (self.shared.clone(), self.entry.clone(), self.fingerprint);
+        let (shared, entry, fingerprint) = (self.shared.clone(), self.entry.clone(), self.suspect_fingerprint);
         actix_rt::spawn(async move { mark_if_crashed(&shared, &entry, fingerprint).await });
     }
 
     /// Records that the upstream completed the request, and clears the crashes that counted against it.
     pub fn request_completed(&self) {
-        let cleared = self.shared.suspects().request_completed(self.fingerprint);
-        self.shared.crash_push.add(cleared);
+        if let Some(fingerprint) = self.suspect_fingerprint {
+            let cleared = self.shared.suspects().request_completed(fingerprint);
+            self.shared.crash_push.add(cleared);
+        }
         let duration_ms = self.shared.now().since_ms(self.started_at);
         self.shared.routes().duration_observed(&self.entry.name, duration_ms);
     }
@@ -69,21 +71,26 @@
 
 /// Probes the upstream and, if it has crashed, counts the crash against the request with `fingerprint`. Returns the
 /// number of marks to wait for until the peers know of it; `None` if nothing was marked.
-async fn mark_if_crashed(shared: &SharedState, entry: &UpstreamEntry, fingerprint: u64) -> Option<u64> {
+async fn mark_if_crashed(shared: &SharedState, entry: &UpstreamEntry, fingerprint: Option<u64>) -> Option<u64> {
     let has_crashed = is_refusing_connections(&entry.address).await;
     let now = shared.now();
     let mut crash_count = 0;
     let mut mark = None;
     if has_crashed {
         shared.routes().connection_refused(&entry.name, now);
-        let mut suspects = shared.suspects();
-        mark = suspects.upstream_crashed(fingerprint, &entry.name, now);
-        crash_count = suspects.crash_count(fingerprint, now);
+        if let Some(fingerprint) = fingerprint {
+            let mut suspects = shared.suspects();
+            mark = suspects.upstream_crashed(fingerprint, &entry.name, now);
+            crash_count = suspects.crash_count(fingerprint, now);
+        }
     }
     LogLine::new("upstream_lost")
         .field("upstream", &entry.name)
         .field("dead", has_crashed)
-        .field("fingerprint", format!("{fingerprint:016x}"))
+        .field(
+            "fingerprint",
+            fingerprint.map_or_else(|| "none".to_owned(), |fingerprint| format!("{fingerprint:016x}")),
+        )
         .field("crashes", crash_count)
         .warn();
     Some(shared.crash_push.add(vec![mark?]))
--- a/crates/daemon/src/upstream/upstream_request.rs
+++ b/crates/daemon/src/upstream/upstream_request.rs
@@ -32,8 +32,19 @@
     pub deadline: TimePoint,
     /// Fingerprint that identifies repeats of the request; includes the organisation and the body or prompt.
     pub fingerprint: u64,
+    /// Whether the request must be run until it completes, whatever happened to the upstreams that ran it. It is then
+    /// never suspected of crashing them.
+    pub is_owed: bool,
     /// Hash of the first bytes of the prompt, used to route requests with the same prefix to the same upstream.
     pub prefix_hash: Option<u64>,
     /// Maximum number of requests that this daemon may have in flight on one upstream.
     pub inflight_max: u64,
 }
+
+impl UpstreamRequest {
+    /// Fingerprint under which crashes of upstreams count against the request; `None` if it is owed.
+    #[must_use]
+    pub fn suspect_fingerprint(&self) -> Option<u64> {
+        (!self.is_owed).then_some(self.fingerprint)
+    }
+}
