Classify a connection that ends before the response as lost

Cause: the HTTP library reports the end of a connection before the head as an I/O error of its parser, which was taken for a malformed response. Such an upstream counted as one that answered, so it did not back off.

a_connection_that_ends_before_the_response_counts_as_lost failed before (result=spoilt twice) and passes. The number of attempts is as before.

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -52,6 +52,18 @@
     assert_eq!(crash_count(&site.desks), crashes);
 }
 
+/// Guards against a crash that is taken for a malformed response, so that the upstream keeps getting requests.
+#[actix_rt::test]
+async fn a_connection_that_ends_before_the_response_counts_as_lost() {
+    let site = EdgeSite::start(1).await;
+    site.desks.iter().for_each(|desk| desk.crash_on(b"boom"));
+    assert_eq!(site.send_quote_for(0, "boom", "boom").await.status, 502);
+    let log = site.edges[0].process.log();
+    let attempts: Vec<&str> = log.lines().filter(|line| line.contains("event=attempt request_id=boom")).collect();
+    assert!(attempts.iter().all(|line| line.contains("result=lost")), "{attempts:?}");
+    assert_eq!(attempts.len(), 2, "the route allows two attempts");
+}
+
 /// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
 #[actix_rt::test]
 async fn an_item_is_completed_after_the_crash_of_each_upstream_that_ran_it() {
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt to send a request to an upstream, up to the header of the response.
 
 use super::{UpstreamCall, UpstreamGuard};
-use actix_web::http::{StatusCode, header::HeaderMap};
+use actix_web::{
+    error::ParseError,
+    http::{StatusCode, header::HeaderMap},
+};
 use awc::{
     Client, ClientResponse,
     error::{ConnectError, PayloadError, SendRequestError},
@@ -119,6 +122,9 @@
         Err(SendRequestError::Connect(ConnectError::Disconnected)) => return Err(AttemptFailure::Lost.into()),
         Err(SendRequestError::Connect(_)) => return Err(AttemptFailure::Unreachable.into()),
         Err(SendRequestError::Timeout) => return Err(AttemptFailure::TimedOut.into()),
+        Err(SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete)) => {
+            return Err(AttemptFailure::Lost.into());
+        }
         Err(SendRequestError::Response(error)) => {
             LogLine::new("response_unreadable")
                 .field("request_id", &call.id)
