Refuse a request that has crashed three upstreams, at every daemon

A request under which three upstreams had ended was sent to upstreams 7 and 4 times more.

Cause: the limit on attempts holds within one request of one caller. Each edge forgot a crash with the request, and a caller's retry reaches another edge.

Change: when a connection is lost before the response is complete, the edge probes the upstream; if it refuses connections, the crash counts against the request (organisation, method, host, path, body) under the process's id and start. The mark is written to the store below the prefix that all daemons follow, on a lease of ten minutes; no request calls the store. A request that completes anywhere clears its marks. After three, it is refused with 503 and the time left; it has not run. A crashed upstream gets no requests for four seconds.

Items of batch jobs and scorer calls are owed and not counted.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -11,7 +11,7 @@
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 /// Values of the `purpose` label of calls to the store.
-const STORE_PURPOSES: [&str; 9] = [
+const STORE_PURPOSES: [&str; 10] = [
     "follow_operator",
     "follow_upstreams",
     "follow_daemons",
@@ -21,6 +21,7 @@
     "duty",
     "usage",
     "relay",
+    "crashes",
 ];
 
 /// Labels for the outcome of an operation or its reason.
@@ -53,6 +54,8 @@
     pub score_calls: Family<ReasonLabel, Counter>,
     /// Panics of background tasks, by task.
     pub task_failures: Family<ReasonLabel, Counter>,
+    /// Crashes of upstreams while they ran a request of this daemon.
+    pub upstream_crashes: Counter,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
     /// Time from the arrival of a request to its response, in seconds.
@@ -92,6 +95,7 @@
             item_runs: Family::default(),
             score_calls: Family::default(),
             task_failures: Family::default(),
+            upstream_crashes: Counter::default(),
             store_calls: Family::default(),
             request_latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_duration: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -106,6 +110,7 @@
         registry.register("item_runs", "Runs of batch items by end", metrics.item_runs.clone());
         registry.register("item_scores", "Calls of scorers by end", metrics.score_calls.clone());
         registry.register("task_failures", "Panics of background tasks", metrics.task_failures.clone());
+        registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
         registry.register("store_calls", "Calls to the store by purpose", metrics.store_calls.clone());
         registry.register("latency_seconds", "Time to the answer of a request", metrics.request_latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     buffer_budget::BufferBudget, edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime, store::PrefixLog,
+    suspect::CrashOutbox,
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
-    OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, TimePoint, TrafficConfig, UsageTally,
-    fingerprint,
+    OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, SuspectTable, TimePoint, TrafficConfig,
+    UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
 use pimentoslip_wire::stored::{DaemonEntry, KeyLayout};
@@ -50,6 +51,8 @@
     pub results_listed: Notify,
     /// Ends the watches that wait on the direct path to the store, after a call on that path has failed.
     pub store_path_lost: Notify,
+    /// Wakes the task that writes crash marks to the store.
+    pub crashes_changed: Notify,
     /// Memory of the bodies of requests and responses.
     pub buffers: Arc<BufferBudget>,
     change_logs: BTreeMap<&'static str, PrefixLog>,
@@ -57,6 +60,8 @@
     active_requests: AtomicUsize,
     config: RwLock<Option<Arc<TrafficConfig>>>,
     upstreams: Mutex<SamplerTable>,
+    suspects: Mutex<SuspectTable>,
+    crash_outbox: Mutex<CrashOutbox>,
     newest_versions: Mutex<BTreeMap<SharedName, u64>>,
     retired_vms: Mutex<Vec<SharedName>>,
     ownership: Mutex<OwnershipTable>,
@@ -130,12 +135,15 @@
             upstreams_changed: Notify::new(),
             results_listed: Notify::new(),
             store_path_lost: Notify::new(),
+            crashes_changed: Notify::new(),
             buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
             change_logs: FOLLOWED_PREFIXES.into_iter().map(|prefix| (prefix, PrefixLog::default())).collect(),
             steady_time: SteadyTime::new(&clock),
             active_requests: AtomicUsize::new(0),
             config: RwLock::new(None),
             upstreams: Mutex::default(),
+            suspects: Mutex::default(),
+            crash_outbox: Mutex::default(),
             newest_versions: Mutex::default(),
             retired_vms: Mutex::default(),
             ownership: Mutex::new(OwnershipTable::new(settings.vm.clone(), incarnation)),
@@ -192,6 +200,16 @@
         lock(&self.upstreams)
     }
 
+    /// Locks the crashes of upstreams by the request that they ran.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        lock(&self.suspects)
+    }
+
+    /// Locks the crash marks that are to be written to the store.
+    pub fn crash_outbox(&self) -> MutexGuard<'_, CrashOutbox> {
+        lock(&self.crash_outbox)
+    }
+
     /// Locks the newest weight version of each model, as written by trainers.
     pub fn newest_versions(&self) -> MutexGuard<'_, BTreeMap<SharedName, u64>> {
         lock(&self.newest_versions)
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -3,6 +3,9 @@
 use crate::edge_metrics::EdgeMetrics;
 use actix_web::{HttpResponse, http::StatusCode};
 use pimentoslip_platform::header;
+use std::borrow::Cow;
+
+const MS_PER_SECOND: u64 = 1_000;
 
 /// Reason why a request is refused or fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +26,11 @@
     BodyTimeout,
     /// No upstream has capacity or can be reached; the request did not run.
     NoUpstream,
+    /// Several upstreams crashed while they ran this request; it did not run again.
+    Quarantined {
+        /// Time until it may run again.
+        retry_after_ms: u64,
+    },
     /// The deadline has passed; the request did not run.
     DeadlinePassed,
     /// The deadline has passed without a response, or the caller has disconnected; the request may have run.
@@ -54,6 +62,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_late",
             Self::NoUpstream => "no_upstream",
+            Self::Quarantined { .. } => "quarantined",
             Self::DeadlinePassed => "deadline_passed",
             Self::ResponseTimeout => "answer_late",
             Self::UpstreamLost => "upstream_lost",
@@ -77,6 +86,7 @@
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::ConfigNotLoaded
             | Self::NoUpstream
+            | Self::Quarantined { .. }
             | Self::DeadlinePassed
             | Self::MemoryUsedUp
             | Self::Stopping
@@ -88,12 +98,13 @@
 
     /// Value of the `Retry-After` header in seconds: about the time after which the cause has passed. `None` if the
     /// response has no such header.
-    fn retry_after(self) -> Option<&'static str> {
+    fn retry_after(self) -> Option<Cow<'static, str>> {
         match self {
-            Self::ConfigNotLoaded | Self::StoreUnreachable => Some("0.5"),
-            Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1"),
+            Self::ConfigNotLoaded | Self::StoreUnreachable => Some("0.5".into()),
+            Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1".into()),
+            Self::Quarantined { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_SECOND).to_string().into()),
             // Another daemon serves the request at once.
-            Self::Stopping => Some("0"),
+            Self::Stopping => Some("0".into()),
             _ => None,
         }
     }
@@ -104,7 +115,7 @@
         EdgeMetrics::increment(&EdgeMetrics::global().refusals, self.code());
         let mut response = HttpResponse::build(self.status());
         if let Some(seconds) = self.retry_after() {
-            response.insert_header((header::RETRY_AFTER, seconds));
+            response.insert_header((header::RETRY_AFTER, &*seconds));
         }
         response.body(self.code())
     }
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -12,17 +12,19 @@
         AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard, fetch_complete, forwarded_request_headers,
         forwarded_response_headers,
     },
+    suspect::{clear_suspect, watch_for_crash},
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use pimentoslip_kernel::{
-    CapacityNeed, RouteKind, RouteRule, SamplerOutcome, SamplerQuery, SharedName, TimePoint, fingerprint,
+    CapacityNeed, RouteKind, RouteRule, SamplerOutcome, SamplerQuery, SharedName, SuspectVerdict, TimePoint,
+    fingerprint,
 };
 use pimentoslip_platform::header;
 use pimentoslip_telemetry::LogLine;
-use std::time::Duration;
+use std::{cell::LazyCell, time::Duration};
 
 /// Largest response body that is buffered; services other than batch jobs respond with kilobytes.
 const RESPONSE_BYTES_MAX: usize = 16 << 20;
@@ -126,6 +128,8 @@
     refusals: u32,
     /// Whether the request may have run in any attempt.
     may_have_run: bool,
+    /// End of the quarantine because of which no attempt was made; `None` if the request is not quarantined.
+    quarantined_until: Option<TimePoint>,
     /// The last complete response; it has an error status if a further attempt was made.
     upstream_response: Option<CompleteResponse>,
 }
@@ -141,8 +145,17 @@
 ) -> Result<CompleteResponse, ApiRefusal> {
     let state = &parts.state;
     let capacity_deadline = context.arrived_at.plus_ms(rule.latency_objective_ms / CAPACITY_WAIT_DIVISOR);
+    // Hashed only while some request is marked, or if this one turns out to crash an upstream.
+    let repeat_fingerprint = LazyCell::new(|| call.repeat_fingerprint());
+    let is_marked = || !state.suspects().is_empty();
     let mut history = AttemptHistory::default();
     while history.runs < rule.attempts_max && history.refusals <= REFUSALS_MAX && state.now() < call.deadline {
+        if is_marked()
+            && let SuspectVerdict::Quarantined { until } = state.suspects().verdict(*repeat_fingerprint, state.now())
+        {
+            history.quarantined_until = Some(until);
+            break;
+        }
         let picked_guard = pick_upstream(parts, service, &call.id, &history.tried);
         let Some(mut guard) = picked_guard else {
             let now = state.now();
@@ -174,6 +187,9 @@
         match attempt {
             Ok(upstream_response) => {
                 guard.set_outcome(SamplerOutcome::Answered(Some(took_ms)));
+                if is_marked() {
+                    clear_suspect(state, *repeat_fingerprint);
+                }
                 count_usage(parts, call, sent_at);
                 history.runs += 1;
                 history.may_have_run = true;
@@ -189,6 +205,9 @@
                 EdgeMetrics::increment(&EdgeMetrics::global().retries, failure.as_str());
                 if failure.may_have_run() {
                     log_unfinished_run(call, &guard, failure);
+                    if failure == AttemptFailure::Lost {
+                        watch_for_crash(state, call, &guard.record);
+                    }
                     count_usage(parts, call, sent_at);
                     history.runs += 1;
                     history.may_have_run = true;
@@ -227,7 +246,11 @@
         EdgeMetrics::increment(&EdgeMetrics::global().answers, outcome);
         return Ok(upstream_response);
     }
-    let is_past_deadline = parts.state.now() >= call.deadline;
+    let now = parts.state.now();
+    let is_past_deadline = now >= call.deadline;
+    if let (Some(until), false) = (history.quarantined_until, history.may_have_run) {
+        return Err(ApiRefusal::Quarantined { retry_after_ms: until.since_ms(now) });
+    }
     Err(match (history.may_have_run, is_past_deadline) {
         (true, true) => ApiRefusal::ResponseTimeout,
         (true, false) => ApiRefusal::UpstreamLost,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod run_storage;
 mod steady_time;
 mod store;
+mod suspect;
 mod task_supervisor;
 mod worker_parts;
 
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -11,7 +11,7 @@
 };
 use std::{collections::BTreeSet, sync::Arc};
 
-/// Handler for the keys of batch jobs, their owners, the daemons' presence and the duty's holder.
+/// Handler for the keys of batch jobs, their owners, the daemons' presence, the duty's holder, and crash marks.
 #[derive(Debug)]
 pub struct CoordinationKeys {
     state: Arc<EdgeState>,
@@ -29,7 +29,9 @@
     /// Applies an entry that is in the snapshot or was written after it.
     fn entry_written(&mut self, store_entry: &StoreEntry, now: TimePoint) {
         self.stored_keys.insert(store_entry.key.clone());
-        if let Some(job) = KeyLayout::parse_job_key(&store_entry.key) {
+        if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(&store_entry.key) {
+            self.state.suspects().process_crashed(fingerprint, process.into(), now);
+        } else if let Some(job) = KeyLayout::parse_job_key(&store_entry.key) {
             match decode::<JobEntry>(&store_entry.value) {
                 Ok(entry) => {
                     self.state.jobs().job_accepted(job.into(), entry);
@@ -78,7 +80,9 @@
     /// Applies the removal of the entry at `key`, which was observed at `revision`.
     fn entry_removed(&mut self, key: &str, revision: u64, now: TimePoint) {
         self.stored_keys.remove(key);
-        if let Some(job) = KeyLayout::parse_owner_key(key) {
+        if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(key) {
+            self.state.suspects().remove(fingerprint, process);
+        } else if let Some(job) = KeyLayout::parse_owner_key(key) {
             self.state.ownership().owner_removed(job, revision, now);
         } else if let Some(daemon) = KeyLayout::parse_presence_key(key) {
             LogLine::new("daemon_left").field("daemon", daemon).info();
--- /dev/null
+++ b/crates/edge/src/suspect/crash_outbox.rs
@@ -0,0 +1,61 @@
+//! Changes of crash marks that are to be written to the store.
+
+use pimentoslip_kernel::{CrashMark, SharedName};
+use std::collections::BTreeMap;
+
+/// A mark's request, as its fingerprint, and the process that crashed.
+pub type MarkKey = (u64, SharedName);
+
+/// Change of one mark.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MarkChange {
+    /// The mark is to be written.
+    Put,
+    /// The mark is to be removed.
+    Remove,
+}
+
+/// Queue of changes, from the listeners to the task that writes them.
+#[derive(Debug, Default)]
+pub struct CrashOutbox {
+    changes: BTreeMap<MarkKey, MarkChange>,
+}
+
+impl CrashOutbox {
+    /// Queues the write of a new mark.
+    pub fn put(&mut self, mark: &CrashMark) {
+        self.changes.insert((mark.fingerprint, mark.process.clone()), MarkChange::Put);
+    }
+
+    /// Queues the removal of marks, or drops their writes if they have not been written yet.
+    pub fn remove(&mut self, marks: &[CrashMark]) {
+        for mark in marks {
+            let key = (mark.fingerprint, mark.process.clone());
+            if self.changes.get(&key) == Some(&MarkChange::Put) {
+                self.changes.remove(&key);
+            } else {
+                self.changes.insert(key, MarkChange::Remove);
+            }
+        }
+    }
+
+    /// Whether nothing is queued.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
+    /// Takes up to `count_max` changes.
+    pub fn take(&mut self, count_max: usize) -> BTreeMap<MarkKey, MarkChange> {
+        let rest = self.changes.keys().nth(count_max).cloned();
+        let rest = rest.map(|first| self.changes.split_off(&first)).unwrap_or_default();
+        std::mem::replace(&mut self.changes, rest)
+    }
+
+    /// Queues changes again whose write failed, unless a newer change of the same mark is queued.
+    pub fn restore(&mut self, changes: BTreeMap<MarkKey, MarkChange>) {
+        for (key, change) in changes {
+            self.changes.entry(key).or_insert(change);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/suspect/mod.rs
@@ -0,0 +1,10 @@
+//! Requests that crash upstreams: observes crashes, shares them with the other daemons through the store, and keeps
+//! requests that caused several of them from running.
+
+mod crash_outbox;
+mod crash_task;
+mod crash_watch;
+
+pub use crash_outbox::CrashOutbox;
+pub use crash_task::store_crash_marks;
+pub use crash_watch::{clear_suspect, watch_for_crash};
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -312,6 +312,15 @@
         }
     }
 
+    /// Handles the end of the process that `record` describes: it gets no requests until its entry is removed, or until
+    /// the longest backoff if it is not.
+    pub fn process_ended(&mut self, record: &SamplerRecord, now: TimePoint) {
+        let entry = self.entries.get_mut(&record.id).filter(|entry| entry.record.is_same_process(record));
+        if let Some(entry) = entry {
+            entry.backoff_until = entry.backoff_until.max(now.plus_ms(BACKOFF_MAX_MS));
+        }
+    }
+
     /// Handles a refusal of a request for `model` at an upstream that had a free slot. The upstream is loading weights,
     /// so it backs off for this model only.
     pub fn model_refused(&mut self, id: &str, model: &SharedName, now: TimePoint) {
--- /dev/null
+++ b/crates/wire/src/stored/crash_entry.rs
@@ -0,0 +1,13 @@
+//! Stored mark of a crash.
+
+use pimentoslip_kernel::SharedName;
+use serde::{Deserialize, Serialize};
+
+/// Where a crash was observed. The key names the request and the process that crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEntry {
+    /// Daemon that observed the crash.
+    pub daemon: SharedName,
+    /// Time of the observation in milliseconds since the Unix epoch.
+    pub observed_unix_ms: u64,
+}
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -20,6 +20,7 @@
     const OWNER_PREFIX: &'static str = "p/w/own/";
     const END_PREFIX: &'static str = "p/w/end/";
     const PRESENCE_PREFIX: &'static str = "p/w/vm/";
+    const CRASH_PREFIX: &'static str = "p/w/crash/";
 
     /// Key of a batch job's entry.
     #[must_use]
@@ -45,6 +46,12 @@
         format!("{}{daemon}", Self::PRESENCE_PREFIX)
     }
 
+    /// Key of the mark that `process` crashed while it ran the request with `fingerprint`.
+    #[must_use]
+    pub fn crash_key(fingerprint: u64, process: &str) -> String {
+        format!("{}{fingerprint:016x}/{process}", Self::CRASH_PREFIX)
+    }
+
     /// Key of the number of upstreams of `service` that are always kept.
     #[must_use]
     pub fn floor_key(service: &str) -> String {
@@ -147,4 +154,11 @@
     pub fn parse_presence_key(key: &str) -> Option<&str> {
         key.strip_prefix(Self::PRESENCE_PREFIX)
     }
+
+    /// Fingerprint of the request and name of the process whose crash is marked at `key`; `None` for other keys.
+    #[must_use]
+    pub fn parse_crash_key(key: &str) -> Option<(u64, &str)> {
+        let (fingerprint, process) = key.strip_prefix(Self::CRASH_PREFIX)?.split_once('/')?;
+        Some((u64::from_str_radix(fingerprint, 16).ok()?, process))
+    }
 }
--- a/crates/wire/src/stored/mod.rs
+++ b/crates/wire/src/stored/mod.rs
@@ -1,5 +1,6 @@
 //! Keys and values of this service's entries in the platform's store.
 
+mod crash_entry;
 mod daemon_entry;
 mod duty_history_entry;
 mod floor_entry;
@@ -9,6 +10,7 @@
 mod text_checkpoint_entry;
 mod usage_entry;
 
+pub use crash_entry::CrashEntry;
 pub use daemon_entry::{DaemonEntry, PresenceEntry};
 pub use duty_history_entry::DutyHistoryEntry;
 pub use floor_entry::FloorEntry;
