Keep a request that crashed two upstreams from the last one of its service

Cause: the request's retries went on to whichever upstream was left. With the limit of three crashes alone, a service of three upstreams still goes down once.

Change: a request one crash short of the quarantine is refused as not run (503 isolated, Retry-After 1) while only one upstream of its service is available. A crash that another daemon observed is logged (crash_known).

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -1,7 +1,7 @@
 //! Tests of crashing upstreams on the users' platform: a request that crashes every upstream, and items that were running
 //! when their upstreams crashed.
 
-use crate::support::{EdgeSite, job_item, job_submission};
+use crate::support::{EdgeSite, job_item, job_submission, wait_for};
 use pimentoslip_standin::PlatformUpstream;
 use std::time::Duration;
 
@@ -52,16 +52,48 @@
     assert_eq!(crash_count(&site.desks), crashes);
 }
 
+/// Guards against one request that crashes all upstreams of a service, so that nobody is served.
+#[actix_rt::test]
+async fn a_request_that_crashed_two_upstreams_is_kept_from_the_last_one() {
+    let mut site = EdgeSite::start(2).await;
+    site.start_desk("desk-3");
+    site.desks.iter().for_each(|desk| desk.crash_on(b"boom"));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(site.send_quote_for(0, "boom-0", "boom").await.status, 502);
+    // The platform removes the entries of crashed upstreams.
+    for (index, _) in site.desks.iter().enumerate().filter(|(_, desk)| desk.has_crashed()) {
+        site.store.contents().remove(&format!("servers/desk-{}", index + 1));
+    }
+    assert_eq!(crash_count(&site.desks), 2);
+    for edge in 0..2 {
+        wait_for("the edge knows of both crashes", || async {
+            site.edges[edge].process.log().contains("crashes=2").then_some(())
+        })
+        .await;
+        let reply = site.send_quote_for(edge, &format!("last-{edge}"), "boom").await;
+        assert_eq!((reply.status, reply.body.as_str()), (503, "isolated"));
+        assert_eq!(reply.header("retry-after"), "1");
+        assert_eq!(site.send_quote(edge, &format!("sound-{edge}")).await.status, 200);
+    }
+    assert_eq!(crash_count(&site.desks), 2);
+}
+
 /// Guards against a crash that is taken for a malformed response, so that the upstream keeps getting requests.
 #[actix_rt::test]
 async fn a_connection_that_ends_before_the_response_counts_as_lost() {
     let site = EdgeSite::start(1).await;
     site.desks.iter().for_each(|desk| desk.crash_on(b"boom"));
     assert_eq!(site.send_quote_for(0, "boom", "boom").await.status, 502);
-    let log = site.edges[0].process.log();
-    let attempts: Vec<&str> = log.lines().filter(|line| line.contains("event=attempt request_id=boom")).collect();
+    assert_eq!(crash_count(&site.desks), 2, "the route allows two attempts");
+    // The edge writes its log in the background.
+    let attempts = wait_for("both attempts are logged", || async {
+        let log = site.edges[0].process.log();
+        let lines = log.lines().filter(|line| line.contains("event=attempt request_id=boom"));
+        let attempts: Vec<String> = lines.map(str::to_owned).collect();
+        (attempts.len() == 2).then_some(attempts)
+    })
+    .await;
     assert!(attempts.iter().all(|line| line.contains("result=lost")), "{attempts:?}");
-    assert_eq!(attempts.len(), 2, "the route allows two attempts");
 }
 
 /// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -31,6 +31,8 @@
         /// Time until it may run again.
         retry_after_ms: u64,
     },
+    /// Two upstreams crashed while they ran this request, and only one is left; it did not run again.
+    Isolated,
     /// The deadline has passed; the request did not run.
     DeadlinePassed,
     /// The deadline has passed without a response, or the caller has disconnected; the request may have run.
@@ -63,6 +65,7 @@
             Self::BodyTimeout => "body_late",
             Self::NoUpstream => "no_upstream",
             Self::Quarantined { .. } => "quarantined",
+            Self::Isolated => "isolated",
             Self::DeadlinePassed => "deadline_passed",
             Self::ResponseTimeout => "answer_late",
             Self::UpstreamLost => "upstream_lost",
@@ -87,6 +90,7 @@
             Self::ConfigNotLoaded
             | Self::NoUpstream
             | Self::Quarantined { .. }
+            | Self::Isolated
             | Self::DeadlinePassed
             | Self::MemoryUsedUp
             | Self::Stopping
@@ -102,6 +106,8 @@
         match self {
             Self::ConfigNotLoaded | Self::StoreUnreachable => Some("0.5".into()),
             Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1".into()),
+            // Crashed upstreams are replaced within seconds.
+            Self::Isolated => Some("1".into()),
             Self::Quarantined { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_SECOND).to_string().into()),
             // Another daemon serves the request at once.
             Self::Stopping => Some("0".into()),
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -128,8 +128,8 @@
     refusals: u32,
     /// Whether the request may have run in any attempt.
     may_have_run: bool,
-    /// End of the quarantine because of which no attempt was made; `None` if the request is not quarantined.
-    quarantined_until: Option<TimePoint>,
+    /// Why no further attempt was made, if it is because upstreams crashed while they ran the request.
+    suspect_refusal: Option<ApiRefusal>,
     /// The last complete response; it has an error status if a further attempt was made.
     upstream_response: Option<CompleteResponse>,
 }
@@ -150,11 +150,11 @@
     let is_marked = || !state.suspects().is_empty();
     let mut history = AttemptHistory::default();
     while history.runs < rule.attempts_max && history.refusals <= REFUSALS_MAX && state.now() < call.deadline {
-        if is_marked()
-            && let SuspectVerdict::Quarantined { until } = state.suspects().verdict(*repeat_fingerprint, state.now())
-        {
-            history.quarantined_until = Some(until);
-            break;
+        if is_marked() {
+            history.suspect_refusal = suspect_refusal(parts, service, *repeat_fingerprint);
+            if history.suspect_refusal.is_some() {
+                break;
+            }
         }
         let picked_guard = pick_upstream(parts, service, &call.id, &history.tried);
         let Some(mut guard) = picked_guard else {
@@ -246,11 +246,10 @@
         EdgeMetrics::increment(&EdgeMetrics::global().answers, outcome);
         return Ok(upstream_response);
     }
-    let now = parts.state.now();
-    let is_past_deadline = now >= call.deadline;
-    if let (Some(until), false) = (history.quarantined_until, history.may_have_run) {
-        return Err(ApiRefusal::Quarantined { retry_after_ms: until.since_ms(now) });
+    if let (Some(refusal), false) = (history.suspect_refusal, history.may_have_run) {
+        return Err(refusal);
     }
+    let is_past_deadline = parts.state.now() >= call.deadline;
     Err(match (history.may_have_run, is_past_deadline) {
         (true, true) => ApiRefusal::ResponseTimeout,
         (true, false) => ApiRefusal::UpstreamLost,
@@ -259,17 +258,42 @@
     })
 }
 
+/// Why the request with `fingerprint` must not run because of the upstreams that crashed under it; `None` if it may. A
+/// request that could be the cause is kept from the last upstream of its service, which serves all other requests.
+fn suspect_refusal(parts: &WorkerParts, service: &str, fingerprint: u64) -> Option<ApiRefusal> {
+    let now = parts.state.now();
+    let verdict = parts.state.suspects().verdict(fingerprint, now);
+    match verdict {
+        SuspectVerdict::Quarantined { until } => Some(ApiRefusal::Quarantined { retry_after_ms: until.since_ms(now) }),
+        SuspectVerdict::Isolated => {
+            let available_count =
+                parts.state.upstreams().available_count(&upstream_query(parts, service, "", &[]), now);
+            (available_count <= 1).then_some(ApiRefusal::Isolated)
+        }
+        SuspectVerdict::Unsuspected => None,
+    }
+}
+
 /// Picks an upstream of `service` other than those in `tried`. `None` if none has capacity.
 fn pick_upstream(parts: &WorkerParts, service: &str, id: &str, tried: &[SharedName]) -> Option<UpstreamGuard> {
-    let query = SamplerQuery {
+    UpstreamGuard::pick(&parts.state, &upstream_query(parts, service, id, tried))
+}
+
+/// Query for an upstream of `service` that may queue the request.
+fn upstream_query<'a>(
+    parts: &'a WorkerParts,
+    service: &'a str,
+    id: &'a str,
+    excluded: &'a [SharedName],
+) -> SamplerQuery<'a> {
+    SamplerQuery {
         service,
         model: None,
         failure_domain: &parts.state.settings.failure_domain,
-        excluded: tried,
+        excluded,
         capacity: CapacityNeed::Queue,
         affinity: id,
-    };
-    UpstreamGuard::pick(&parts.state, &query)
+    }
 }
 
 /// Counts a request that an upstream may have run as usage of its organisation, in the window in which it was sent.
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -30,7 +30,7 @@
     fn entry_written(&mut self, store_entry: &StoreEntry, now: TimePoint) {
         self.stored_keys.insert(store_entry.key.clone());
         if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(&store_entry.key) {
-            self.state.suspects().process_crashed(fingerprint, process.into(), now);
+            self.crash_marked(fingerprint, process, now);
         } else if let Some(job) = KeyLayout::parse_job_key(&store_entry.key) {
             match decode::<JobEntry>(&store_entry.value) {
                 Ok(entry) => {
@@ -64,6 +64,18 @@
         }
     }
 
+    /// Counts a crash that some daemon observed against the request that the upstream ran.
+    fn crash_marked(&self, fingerprint: u64, process: &str, now: TimePoint) {
+        let mut suspects = self.state.suspects();
+        if suspects.process_crashed(fingerprint, process.into(), now).is_some() {
+            LogLine::new("crash_known")
+                .field("fingerprint", format!("{fingerprint:016x}"))
+                .field("process", process)
+                .field("crashes", suspects.crash_count(fingerprint, now))
+                .info();
+        }
+    }
+
     /// Applies an entry whose value is the daemon that owns a job or holds the duty.
     fn owner_written(&self, store_entry: &StoreEntry, entry: DaemonEntry, now: TimePoint) {
         if let Some(job) = KeyLayout::parse_owner_key(&store_entry.key) {
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -221,6 +221,12 @@
         Some(entry.record.clone())
     }
 
+    /// Number of upstreams that serve the query and do not back off, whatever their load.
+    #[must_use]
+    pub fn available_count(&self, query: &SamplerQuery<'_>, now: TimePoint) -> usize {
+        self.entries.values().filter(|entry| entry.serves(query) && entry.is_available(query, now)).count()
+    }
+
     /// Id of the upstream with the shortest expected wait; `None` if no upstream meets the query.
     fn select(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SharedName> {
         let mut fastest_ms = u64::MAX;
