Answer 503, not 404 or 401, while a newer configuration may have been missed

Callers do not retry after 404 or 401, so a daemon that missed a change ends requests that any other daemon would serve.

The age of its knowledge was used to choose a source of changes only.

Change: 404 and 401 for unknown routes and keys are given only while every configuration is known that must be in force; else 503 config_stale, which has not run and is retried elsewhere. Known routes and keys stay in force. an_edge_that_may_have_missed_a_configuration_calls_no_route_or_key_unknown failed before (404 for as long as the store was down) and passes.

--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -2,7 +2,7 @@
 //! and API keys that grant access to their own organisation only.
 
 use crate::support::{EdgeSite, HOST, HttpClient, ROSE_KEY, TRAY_KEY, wait_for};
-use pimentoslip_standin::{RelayRule, TcpRelay, UpstreamFault};
+use pimentoslip_standin::{RelayRule, StoreFault, TcpRelay, UpstreamFault};
 use std::time::Duration;
 
 #[actix_rt::test]
@@ -89,6 +89,35 @@
     assert_eq!(site.send_quote(0, "q").await.status, 401);
 }
 
+/// Guards against callers that are told, for good, that a new route or key does not exist, by an edge that missed it.
+#[actix_rt::test]
+async fn an_edge_that_may_have_missed_a_configuration_calls_no_route_or_key_unknown() {
+    let site = EdgeSite::start(1).await;
+    let bearer = format!("Bearer {ROSE_KEY}");
+    // Path and authorization header of requests that the known configuration doesn't allow.
+    let cases = [("/new/route", bearer.as_str()), ("/quote/x", "Bearer new-key")];
+    let status = async |path: &str, authorization: &str| {
+        let headers = [("request-id", "new"), ("deadline-ms", "1000"), ("authorization", authorization)];
+        site.send(0, "POST", path, &headers, "").await
+    };
+    assert_eq!(status(cases[0].0, cases[0].1).await.status, 404);
+    assert_eq!(status(cases[1].0, cases[1].1).await.status, 401);
+    site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
+    for (path, authorization) in cases {
+        let reply = wait_for("the edge is not certain any more", || async {
+            let reply = status(path, authorization).await;
+            (reply.status == 503).then_some(reply)
+        });
+        assert_eq!(reply.await.header("retry-after"), "0.5");
+    }
+    assert_eq!(site.send_quote(0, "known").await.status, 200, "what is known stays in force");
+    site.store.set_fault(StoreFault::default());
+    wait_for("the edge is certain again", || async {
+        (status(cases[0].0, cases[0].1).await.status == 404).then_some(())
+    })
+    .await;
+}
+
 /// Guards against an idempotent request that keeps failing, or receives the answer to another request, because of one
 /// upstream. The caller sends a failed request once more.
 #[actix_rt::test]
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -189,6 +189,13 @@
         true
     }
 
+    /// Whether every configuration is known that was written before the time within which one must be in force.
+    #[must_use]
+    pub fn is_config_current(&self) -> bool {
+        let current_as_of = self.change_log(OPERATOR_PREFIX).map_or(TimePoint(0), PrefixLog::current_as_of);
+        self.now().since_ms(current_as_of) <= self.settings.config_apply_ms
+    }
+
     /// The recent changes below `prefix`; `None` if it is not followed.
     #[must_use]
     pub fn change_log(&self, prefix: &str) -> Option<&PrefixLog> {
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -12,6 +12,8 @@
 pub enum ApiRefusal {
     /// No configuration has been read from the store yet.
     ConfigNotLoaded,
+    /// The route or API key is not known, but may be in a configuration that this daemon has not received.
+    ConfigStale,
     /// No route matches.
     RouteNotFound,
     /// The API key is missing, sent more than once, or not in the configuration.
@@ -57,6 +59,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::ConfigNotLoaded => "config_unknown",
+            Self::ConfigStale => "config_stale",
             Self::RouteNotFound => "route_unknown",
             Self::KeyInvalid => "key_unknown",
             Self::Malformed => "malformed",
@@ -88,6 +91,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::ConfigNotLoaded
+            | Self::ConfigStale
             | Self::NoUpstream
             | Self::Quarantined { .. }
             | Self::Isolated
@@ -104,7 +108,7 @@
     /// response has no such header.
     fn retry_after(self) -> Option<Cow<'static, str>> {
         match self {
-            Self::ConfigNotLoaded | Self::StoreUnreachable => Some("0.5".into()),
+            Self::ConfigNotLoaded | Self::ConfigStale | Self::StoreUnreachable => Some("0.5".into()),
             Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1".into()),
             // Crashed upstreams are replaced within seconds.
             Self::Isolated => Some("1".into()),
--- a/crates/edge/src/http/front_app.rs
+++ b/crates/edge/src/http/front_app.rs
@@ -1,7 +1,7 @@
 //! Entry point of the public listener, to which callers connect.
 
 use super::{api_refusal::ApiRefusal, batch_api, proxy, request_context::RequestContext};
-use crate::{edge_metrics::EdgeMetrics, worker_parts::WorkerParts};
+use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, worker_parts::WorkerParts};
 use actix_web::{
     HttpRequest, HttpResponse,
     http::{Method, header},
@@ -30,7 +30,7 @@
     };
     let mut response = match outcome {
         Ok(response) => response,
-        Err(refusal) => refusal_response(&request, refusal),
+        Err(refusal) => refusal_response(&request, certain_refusal(&parts.state, refusal)),
     };
     EdgeMetrics::global().request_latency.observe(parts.state.now().since_ms(started_at) as f64 / MS_PER_SECOND);
     if parts.state.is_draining() {
@@ -39,6 +39,15 @@
     response
 }
 
+/// The refusal that holds whatever this daemon may have missed: callers do not retry after being told that a route or key
+/// is unknown.
+fn certain_refusal(state: &EdgeState, refusal: ApiRefusal) -> ApiRefusal {
+    match refusal {
+        ApiRefusal::RouteNotFound | ApiRefusal::KeyInvalid if !state.is_config_current() => ApiRefusal::ConfigStale,
+        certain => certain,
+    }
+}
+
 /// Logs a refusal and creates its response.
 fn refusal_response(request: &HttpRequest, refusal: ApiRefusal) -> HttpResponse {
     let id = request.headers().get(pimentoslip_platform::header::REQUEST_ID);
--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// All changes written before this time are in the log.
+    #[must_use]
+    pub fn current_as_of(&self) -> TimePoint {
+        self.lock().current_as_of()
+    }
+
     /// The response to another daemon's request: changes as soon as there are any, or none once the requested wait has
     /// passed. `now` returns the current time.
     pub async fn response(&self, request: &ChangesRequest, now: impl Fn() -> TimePoint) -> ChangesResponse {
