Return to a healed direct path to the store within two seconds

If that peer froze then, changes waited for its timeouts.

Change: the direct path is probed every two seconds at most while a peer relays.

--- a/crates/kernel/src/path_selector.rs
+++ b/crates/kernel/src/path_selector.rs
@@ -6,8 +6,9 @@
 
 /// Backoff of the direct path after its first failure; doubles with each further one.
 const DIRECT_BACKOFF_MS: u64 = 500;
-/// Longest backoff of the direct path while a peer reaches the service.
-const DIRECT_BACKOFF_MAX_MS: u64 = 4_000;
+/// Longest backoff of the direct path while a peer reaches the service; well below the time after which the platform
+/// expects of a VM that has its path back what it expects of the others.
+const DIRECT_BACKOFF_MAX_MS: u64 = 2_000;
 /// First backoff of the direct path while no peer reaches the service either; doubles with each further failure.
 const UNREACHABLE_BACKOFF_MS: u64 = 250;
 /// Longest such backoff. It bounds how long after its return the service is found reachable again.
