Keep the failures of an item when its job's owner crashes

Cause: the number of failures was in the owner's memory; a handover passed it on, a takeover began at 0.

Change: a checkpoint also holds the failures that are new since the one before. The type is named after the job now, not after texts. failures_of_an_item_count_across_owners_that_crash failed before (10 failures, one an owner, for both) and passes; the oracle of the batch machine follows what is stored.

--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -6,12 +6,12 @@
 };
 use crate::{edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
 use bytes::{Bytes, BytesMut};
-use pimentoslip_kernel::{SharedName, TextCheckpoint, TimePoint};
+use pimentoslip_kernel::{JobCheckpoint, SharedName, TimePoint};
 use pimentoslip_platform::{BatchSubmission, RangePage, StoreChange, StoreEntry, StoreError, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    stored::{JobEntry, KeyLayout, ResultEntry, ResultsEntry, TextCheckpointEntry},
+    stored::{JobCheckpointEntry, JobEntry, KeyLayout, ResultEntry, ResultsEntry},
 };
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -214,13 +214,13 @@
 
 /// Reads the text checkpoints that previous owners stored. A malformed entry counts as an empty checkpoint: the
 /// generation of its texts starts again.
-pub async fn read_checkpoints(store: &StoreAccess, job: &str) -> Result<Vec<TextCheckpoint>> {
-    let page = store.range(&KeyLayout::text_checkpoints_prefix(job)).await?;
-    let checkpoints = page.entries.iter().map(|store_entry| match decode::<TextCheckpointEntry>(&store_entry.value) {
-        Ok(entry) => TextCheckpoint::from(entry),
+pub async fn read_checkpoints(store: &StoreAccess, job: &str) -> Result<Vec<JobCheckpoint>> {
+    let page = store.range(&KeyLayout::checkpoints_prefix(job)).await?;
+    let checkpoints = page.entries.iter().map(|store_entry| match decode::<JobCheckpointEntry>(&store_entry.value) {
+        Ok(entry) => JobCheckpoint::from(entry),
         Err(error) => {
             LogLine::new("entry_unreadable").field("key", &store_entry.key).field("reason", error).warn();
-            TextCheckpoint::default()
+            JobCheckpoint::default()
         }
     });
     Ok(checkpoints.collect())
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -15,8 +15,8 @@
 };
 use awc::Client;
 use pimentoslip_kernel::{
-    BatchLedger, BatchOptions, CapacityNeed, ItemSpec, RouteRule, RunAssignment, SamplerQuery, SharedName,
-    TextCheckpoint, TimePoint,
+    BatchLedger, BatchOptions, CapacityNeed, ItemSpec, JobCheckpoint, RouteRule, RunAssignment, SamplerQuery,
+    SharedName, TimePoint,
 };
 use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError};
 use pimentoslip_telemetry::LogLine;
@@ -85,7 +85,7 @@
     /// Stored results, in order of their positions.
     results: Vec<ResultEntry>,
     /// Stored checkpoints of unfinished texts.
-    checkpoints: Vec<TextCheckpoint>,
+    checkpoints: Vec<JobCheckpoint>,
 }
 
 /// Reads the job, and repeats failed reads. `None` if this process must stop running the job meanwhile.
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -7,7 +7,7 @@
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     CodecResult, encode,
-    stored::{KeyLayout, ResultsEntry, TextCheckpointEntry},
+    stored::{JobCheckpointEntry, KeyLayout, ResultsEntry},
 };
 
 /// Largest total size of the results of one write; below the platform's limit on the size of a value.
@@ -94,8 +94,8 @@
 fn checkpoint_write(job: &OwnedJob) -> Option<CheckpointWrite> {
     let mut ledger = job.ledger.borrow_mut();
     let (number, checkpoint) = ledger.next_checkpoint(CHECKPOINT_BYTES_MAX)?;
-    let value = encoded_entry(job, encode(&TextCheckpointEntry::from(checkpoint)))?;
-    Some(CheckpointWrite { key: KeyLayout::text_checkpoint_key(&job.id, number), number, value })
+    let value = encoded_entry(job, encode(&JobCheckpointEntry::from(checkpoint)))?;
+    Some(CheckpointWrite { key: KeyLayout::checkpoint_key(&job.id, number), number, value })
 }
 
 /// The encoded entry. `None` if it could not be encoded, which is logged.
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -1,8 +1,8 @@
 //! Scheduling, progress and results of one batch job, kept by the daemon that owns the job.
 
 use super::{
-    BatchOptions, EventOutcome, ItemResult, ItemSpec, ItemState, LedgerState, ResultChunk, RunAssignment, RunOutcome,
-    SampleText, ScoreOutcome, TextCheckpoint, UnfinishedItem,
+    BatchOptions, EventOutcome, FailureCount, ItemResult, ItemSpec, ItemState, JobCheckpoint, LedgerState, ResultChunk,
+    RunAssignment, RunOutcome, SampleText, ScoreOutcome, UnfinishedItem,
 };
 use crate::{SharedName, TimePoint};
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,10 +35,9 @@
     phase: ItemPhase,
     /// Events received so far; cleared when the item is finished.
     text: SampleText,
-    /// Runs that failed at the upstream.
-    run_failures: u32,
-    /// Requests that failed at the scorer.
-    score_failures: u32,
+    failures: FailureCount,
+    /// Failures that are in checkpoints, including one whose write is not confirmed.
+    saved_failures: FailureCount,
 }
 
 /// Progress and results of the items of one batch job.
@@ -57,7 +56,7 @@
     /// Number of results that are stored, and so visible to the submitter.
     listed_count: usize,
     /// Texts whose write to the store is not confirmed yet.
-    pending_checkpoint: Option<TextCheckpoint>,
+    pending_checkpoint: Option<JobCheckpoint>,
     /// Number of checkpoints in the store, which is also the number of the next one.
     checkpoint_count: usize,
     /// Number of unfinished items in each group.
@@ -78,8 +77,8 @@
                 spec,
                 phase: ItemPhase::Waiting { not_before: TimePoint(0) },
                 text: SampleText::default(),
-                run_failures: 0,
-                score_failures: 0,
+                failures: FailureCount::default(),
+                saved_failures: FailureCount::default(),
             })
             .collect();
         for item_index in listed {
@@ -120,8 +119,8 @@
             item_index,
             text: item.text.clone(),
             is_complete: matches!(item.phase, ItemPhase::ScorePending { .. } | ItemPhase::Scoring),
-            run_failures: item.run_failures,
-            score_failures: item.score_failures,
+            run_failures: item.failures.run_failures,
+            score_failures: item.failures.score_failures,
         });
         LedgerState {
             unlisted: pending.chain(&self.unlisted).cloned().collect(),
@@ -141,8 +140,8 @@
                 continue;
             }
             item.text = restored.text;
-            item.run_failures = restored.run_failures;
-            item.score_failures = restored.score_failures;
+            item.failures =
+                FailureCount { run_failures: restored.run_failures, score_failures: restored.score_failures };
             if restored.is_complete && item.text.last_event().is_some() {
                 item.phase = ItemPhase::ScorePending { not_before: TimePoint(0) };
                 self.run_queue.remove(&(std::cmp::Reverse(item.spec.expected_tokens), restored.item_index));
@@ -156,9 +155,18 @@
         }
     }
 
-    /// Restores the texts of waiting items from all stored checkpoints, which are passed in the order of their numbers.
-    pub fn replay_checkpoints(&mut self, checkpoints: &[TextCheckpoint]) {
+    /// Restores the texts and failures of waiting items from all stored checkpoints, which are passed in the order of
+    /// their numbers.
+    pub fn replay_checkpoints(&mut self, checkpoints: &[JobCheckpoint]) {
         self.checkpoint_count = self.checkpoint_count.max(checkpoints.len());
+        for (item_index, failures) in checkpoints.iter().flat_map(|checkpoint| &checkpoint.failures) {
+            if let Some(item) = self.items.get_mut(*item_index) {
+                // A conflicting checkpoint of an earlier owner may hold fewer.
+                item.failures.run_failures = item.failures.run_failures.max(failures.run_failures);
+                item.failures.score_failures = item.failures.score_failures.max(failures.score_failures);
+                item.saved_failures = item.failures;
+            }
+        }
         for part in checkpoints.iter().flat_map(|checkpoint| &checkpoint.parts) {
             if let Some(item) = self.items.get_mut(part.item_index)
                 && matches!(item.phase, ItemPhase::Waiting { .. })
@@ -170,14 +178,15 @@
 
     /// The checkpoint to be stored next and its number. Texts are added until their data reaches `bytes_max`, so the
     /// last one may exceed it. The same checkpoint is returned until its write succeeds or conflicts; `None` if too few
-    /// events are new or the job has ended.
-    pub fn next_checkpoint(&mut self, bytes_max: usize) -> Option<(usize, &TextCheckpoint)> {
+    /// events and no failures are new, or the job has ended.
+    pub fn next_checkpoint(&mut self, bytes_max: usize) -> Option<(usize, &JobCheckpoint)> {
         if self.ended {
             return None;
         }
         if self.pending_checkpoint.is_none() {
             let mut bytes = 0;
             let mut parts = Vec::new();
+            let mut failures = Vec::new();
             let unfinished = self.items.iter_mut().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
             for (item_index, item) in unfinished {
                 if bytes < bytes_max && item.text.unsaved_count() >= CHECKPOINT_EVENTS_MIN {
@@ -185,8 +194,13 @@
                     bytes += part.as_ref().map_or(0, |part| part.text.len());
                     parts.extend(part);
                 }
+                if item.failures != item.saved_failures {
+                    item.saved_failures = item.failures;
+                    failures.push((item_index, item.failures));
+                }
             }
-            self.pending_checkpoint = (!parts.is_empty()).then_some(TextCheckpoint { parts });
+            let is_empty = parts.is_empty() && failures.is_empty();
+            self.pending_checkpoint = (!is_empty).then_some(JobCheckpoint { parts, failures });
         }
         Some((self.checkpoint_count, self.pending_checkpoint.as_ref()?))
     }
@@ -200,7 +214,8 @@
     }
 
     /// Handles a write of the checkpoint `number` that found a different checkpoint stored under that number. It is
-    /// then uncertain which texts are stored, so the following checkpoints write every text again from its first event.
+    /// then uncertain what is stored, so the following checkpoints write every text again from its first event, and all
+    /// failures.
     pub fn checkpoint_conflicted(&mut self, number: usize) {
         if self.checkpoint_count != number {
             return;
@@ -209,6 +224,7 @@
         self.checkpoint_count += 1;
         for item in &mut self.items {
             item.text.clear_saved();
+            item.saved_failures = FailureCount::default();
         }
     }
 
@@ -312,8 +328,8 @@
             RunOutcome::Completed if item.text.last_event().is_some() => self.complete_item(item_index, None),
             RunOutcome::Completed | RunOutcome::Interrupted | RunOutcome::NotRun => self.retry_later(item_index, now),
             RunOutcome::Failed => {
-                item.run_failures += 1;
-                if item.run_failures >= attempts_max {
+                item.failures.run_failures += 1;
+                if item.failures.run_failures >= attempts_max {
                     self.terminate_item(item_index)
                 } else {
                     self.retry_later(item_index, now)
@@ -331,10 +347,10 @@
         }
         match outcome {
             ScoreOutcome::Signed(signature) => return self.complete_item(item_index, Some(signature)),
-            ScoreOutcome::Failed => item.score_failures += 1,
+            ScoreOutcome::Failed => item.failures.score_failures += 1,
             ScoreOutcome::Interrupted => {}
         }
-        if item.score_failures >= failures_max.max(1) {
+        if item.failures.score_failures >= failures_max.max(1) {
             return self.terminate_item(item_index);
         }
         item.phase = ItemPhase::ScorePending { not_before: now.plus_ms(RETRY_BACKOFF_MS) };
--- a/crates/kernel/src/batch/text_checkpoint.rs
+++ b/crates/kernel/src/batch/job_checkpoint.rs
@@ -1,4 +1,4 @@
-//! Checkpoints of partial texts, from which the next owner of a batch job resumes.
+//! Checkpoints of unfinished items, from which the next owner of a batch job continues.
 
 /// Consecutive events of one text that follow those of earlier checkpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,9 +16,20 @@
     pub versions: Vec<u64>,
 }
 
-/// Parts of partial texts that are stored in one write.
+/// Failures of an item since its submission.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FailureCount {
+    /// Runs that failed at the upstream.
+    pub run_failures: u32,
+    /// Requests that failed at the scorer.
+    pub score_failures: u32,
+}
+
+/// Progress of unfinished items that is stored in one write.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TextCheckpoint {
-    /// At most one part per item.
+pub struct JobCheckpoint {
+    /// Parts of partial texts, at most one per item.
     pub parts: Vec<TextPart>,
+    /// Failures by the index of the item, of items that have failed since the checkpoint before.
+    pub failures: Vec<(usize, FailureCount)>,
 }
--- a/crates/kernel/src/batch/mod.rs
+++ b/crates/kernel/src/batch/mod.rs
@@ -3,17 +3,17 @@
 mod batch_ledger;
 mod batch_options;
 mod item_result;
+mod job_checkpoint;
 mod ledger_state;
 mod run_monitor;
 mod sample_text;
-mod text_checkpoint;
 mod write_schedule;
 
 pub use batch_ledger::BatchLedger;
 pub use batch_options::{BatchOptions, EventOutcome, ItemSpec, RunAssignment, RunOutcome, ScoreOutcome};
 pub use item_result::{ItemResult, ItemState};
+pub use job_checkpoint::{FailureCount, JobCheckpoint, TextPart};
 pub use ledger_state::{LedgerState, ResultChunk, UnfinishedItem};
 pub use run_monitor::RunMonitor;
 pub use sample_text::{FIRST_EVENT_NUMBER, SampleText};
-pub use text_checkpoint::{TextCheckpoint, TextPart};
 pub use write_schedule::WriteSchedule;
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -3,8 +3,8 @@
 
 use crate::sequence;
 use pimentoslip_kernel::{
-    BatchLedger, BatchOptions, EventOutcome, FIRST_EVENT_NUMBER, ItemResult, ItemSpec, ItemState, RunAssignment,
-    RunOutcome, ScoreOutcome, TextCheckpoint, TimePoint,
+    BatchLedger, BatchOptions, EventOutcome, FIRST_EVENT_NUMBER, ItemResult, ItemSpec, ItemState, JobCheckpoint,
+    RunAssignment, RunOutcome, ScoreOutcome, TimePoint,
 };
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
@@ -101,7 +101,7 @@
 /// A checkpoint with the versions that generated its texts.
 #[derive(Clone, Debug, PartialEq)]
 struct StoredCheckpoint {
-    checkpoint: TextCheckpoint,
+    checkpoint: JobCheckpoint,
     /// Version of each event of a text, from its first event to the last one in the checkpoint, by item.
     versions: BTreeMap<usize, Vec<u64>>,
 }
@@ -327,15 +327,20 @@
             self.ledger.restore(state);
             return;
         }
-        let checkpoints: Vec<TextCheckpoint> =
+        let checkpoints: Vec<JobCheckpoint> =
             self.oracle.stored_checkpoints.values().map(|stored| stored.checkpoint.clone()).collect();
         self.ledger.replay_checkpoints(&checkpoints);
         for item_index in (0..ITEMS).filter(|item_index| !listed.contains(item_index)) {
             let stored_versions =
                 self.oracle.stored_checkpoints.values().rev().find_map(|stored| stored.versions.get(&item_index));
             self.oracle.event_versions[item_index] = stored_versions.cloned().unwrap_or_default();
-            self.oracle.run_failures[item_index] = 0;
-            self.oracle.scorer_failures[item_index] = 0;
+            let stored = self.oracle.stored_checkpoints.values().flat_map(|stored| &stored.checkpoint.failures);
+            let stored = stored.filter(|(index, _)| *index == item_index).map(|(_, count)| *count);
+            let (runs, scores) = stored.fold((0, 0), |(runs, scores): (u32, u32), count| {
+                (runs.max(count.run_failures), scores.max(count.score_failures))
+            });
+            self.oracle.run_failures[item_index] = runs;
+            self.oracle.scorer_failures[item_index] = scores;
         }
     }
 
@@ -508,3 +513,44 @@
     ledger.chunk_stored(first);
     assert!(!ledger.is_listing_urgent());
 }
+
+/// Guards against an item that fails at each run and is run for ever, because each owner that crashes takes the number of
+/// its failures with it.
+#[test]
+fn failures_of_an_item_count_across_owners_that_crash() {
+    const ATTEMPTS_MAX: u32 = 3;
+    let options = BatchOptions {
+        attempts_max: ATTEMPTS_MAX,
+        oldest_version: 1,
+        single_version: false,
+        retention_ends_at: TimePoint(RETENTION_MS),
+        groups_awaited: 1,
+    };
+    for needs_score in [false, true] {
+        let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score };
+        let mut checkpoints: Vec<JobCheckpoint> = Vec::new();
+        let mut failures = 0;
+        loop {
+            // Each owner sees one failure, stores its progress and crashes.
+            let mut owner = BatchLedger::new(options, vec![spec.clone()], &[]);
+            owner.replay_checkpoints(&checkpoints);
+            let assignment = owner.start_next_run(TimePoint(0)).expect("the item waits");
+            if needs_score {
+                let first_event = assignment.resume_after.map_or(FIRST_EVENT_NUMBER, |last| last + 1);
+                owner.event_received(0, first_event, 1, "x");
+                owner.run_ended(0, RunOutcome::Completed, TimePoint(0));
+                owner.start_next_scoring(TimePoint(0)).expect("the text is complete");
+                owner.scoring_ended(0, ScoreOutcome::Failed, ATTEMPTS_MAX, TimePoint(0));
+            } else {
+                owner.run_ended(0, RunOutcome::Failed, TimePoint(0));
+            }
+            failures += 1;
+            if owner.all_items_finished() {
+                break;
+            }
+            assert!(failures < 10, "the item was not given up after {failures} failures");
+            checkpoints.extend(owner.next_checkpoint(1 << 20).map(|(_, checkpoint)| checkpoint.clone()));
+        }
+        assert_eq!(failures, ATTEMPTS_MAX, "scored: {needs_score}");
+    }
+}
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -97,13 +97,13 @@
 
     /// Prefix of the text checkpoints of a batch job.
     #[must_use]
-    pub fn text_checkpoints_prefix(job: &str) -> String {
+    pub fn checkpoints_prefix(job: &str) -> String {
         format!("p/d/{job}/text/")
     }
 
     /// Key of the text checkpoint `number` of a batch job.
     #[must_use]
-    pub fn text_checkpoint_key(job: &str, number: usize) -> String {
+    pub fn checkpoint_key(job: &str, number: usize) -> String {
         format!("p/d/{job}/text/{number:06}")
     }
 
