Load a version that ends upstreams at one upstream at a time

In the new kernel test 8 of 20 upstreams are down at once after 8 crashes: an upstream that ended left the list, so that its place among the loading ones was free at once, and the planner forgot with its process why it had ended.

Change: the planner counts upstreams that end while they load a version.

--- a/crates/kernel/src/duty/version_planner.rs
+++ b/crates/kernel/src/duty/version_planner.rs
@@ -11,6 +11,9 @@
 
 /// At most one in this many standing upstreams loads at a time; more than a few concurrent loads slow each other down.
 const LOADING_DIVISOR: usize = 5;
+/// Upstreams that may end while they load a version that no upstream has. After that, it is loaded at one upstream at a
+/// time, so that a version that ends them leaves the others running.
+const LOAD_CRASHES_MAX: u32 = 3;
 /// Time after which an accepted load is considered lost if the list of upstreams doesn't show the new version.
 const LOAD_TIMEOUT_MS: u64 = 6_000;
 /// Time for which upstreams that can serve the newest step with their current version wait before they load a new one.
@@ -105,6 +108,15 @@
     Busy,
 }
 
+/// Upstreams that ended while they loaded a version.
+#[derive(Clone, Copy, Debug)]
+struct LoadCrashes {
+    version: u64,
+    count: u32,
+    /// When the upstream that ended last is considered to be running again.
+    recovered_at: TimePoint,
+}
+
 /// Assigns the upstreams of a service to models and plans their loads.
 #[derive(Debug, Default)]
 pub struct VersionPlanner {
@@ -114,12 +126,14 @@
     newest_seen: BTreeMap<SharedName, (u64, TimePoint)>,
     /// Number of upstreams that each model should have.
     quotas: BTreeMap<SharedName, u64>,
+    /// Crashes of upstreams by the model that they loaded, while no upstream has the version.
+    load_crashes: BTreeMap<SharedName, LoadCrashes>,
 }
 
 impl VersionPlanner {
     /// Orders to be sent now.
     pub fn plan(&mut self, service: &ServiceSnapshot<'_>, now: TimePoint) -> Vec<LoadOrder> {
-        self.sync_upstreams(service.upstreams);
+        self.sync_upstreams(service.upstreams, now);
         self.update_newest_seen(service.models, now);
         let ready: Vec<&SamplerRecord> =
             service.upstreams.iter().filter(|record| record.state == SamplerState::Ready).collect();
@@ -129,10 +143,12 @@
         let mut allowed_loads = standing.div_ceil(LOADING_DIVISOR).max(1).saturating_sub(loading);
         let mut orders = Vec::new();
         for model in self.models_by_need(&ready, service.models, now) {
+            let mut allowed_of_model = self.allowed_loads(&model, allowed_loads, now);
             for record in self.load_candidates(&ready, &model, service, now) {
-                if allowed_loads == 0 {
-                    return orders;
+                if allowed_of_model == 0 {
+                    break;
                 }
+                allowed_of_model -= 1;
                 orders.push(self.create_order(record, &model, service.models[&model].newest_version, now));
                 allowed_loads -= 1;
             }
@@ -164,8 +180,9 @@
     }
 
     /// Drops the plans of upstreams that are no longer listed, resets those of restarted ones, and clears the loading
-    /// state of upstreams that list the ordered version.
-    fn sync_upstreams(&mut self, upstreams: &[SamplerRecord]) {
+    /// state of upstreams that list the ordered version. Counts the upstreams that ended while they loaded.
+    fn sync_upstreams(&mut self, upstreams: &[SamplerRecord], now: TimePoint) {
+        self.count_load_crashes(upstreams, now);
         let listed: BTreeSet<&SharedName> = upstreams.iter().map(|record| &record.id).collect();
         self.plans.retain(|id, _| listed.contains(id));
         for record in upstreams {
@@ -184,6 +201,43 @@
         }
     }
 
+    /// Counts the upstreams that ended while they loaded, by model, and forgets the counts of versions that some upstream
+    /// has or that are not the newest.
+    fn count_load_crashes(&mut self, upstreams: &[SamplerRecord], now: TimePoint) {
+        let processes: BTreeMap<&SharedName, u64> =
+            upstreams.iter().map(|record| (&record.id, record.started_unix_ms)).collect();
+        let ended = self.plans.iter().filter(|(id, plan)| {
+            plan.loading_until > now && processes.get(*id).is_none_or(|started| *started != plan.started_unix_ms)
+        });
+        for (_, plan) in ended {
+            let Some(model) = &plan.model else { continue };
+            let crashes = self.load_crashes.entry(model.clone()).or_insert(LoadCrashes {
+                version: plan.loading_version,
+                count: 0,
+                recovered_at: now,
+            });
+            if crashes.version < plan.loading_version {
+                *crashes = LoadCrashes { version: plan.loading_version, count: 0, recovered_at: now };
+            }
+            crashes.count += 1;
+            crashes.recovered_at = now.plus_ms(LOAD_TIMEOUT_MS);
+        }
+        self.load_crashes.retain(|model, crashes| {
+            let has_version =
+                |record: &SamplerRecord| record.versions.get(model).is_some_and(|version| *version >= crashes.version);
+            !upstreams.iter().any(has_version)
+        });
+    }
+
+    /// Number of loads of a model's newest version that may start now, of `allowed_loads` in all.
+    fn allowed_loads(&self, model: &SharedName, allowed_loads: usize, now: TimePoint) -> usize {
+        let Some(crashes) = self.load_crashes.get(model).filter(|crashes| crashes.count >= LOAD_CRASHES_MAX) else {
+            return allowed_loads;
+        };
+        let is_loading = |plan: &UpstreamPlan| plan.model.as_ref() == Some(model) && plan.loading_until > now;
+        if now < crashes.recovered_at || self.plans.values().any(is_loading) { 0 } else { allowed_loads.min(1) }
+    }
+
     /// Records the time at which a new version of a model is first seen.
     fn update_newest_seen(&mut self, models: &BTreeMap<SharedName, ModelDemand>, now: TimePoint) {
         for (model, demand) in models {
--- a/crates/kernel/tests/machines/versions.rs
+++ b/crates/kernel/tests/machines/versions.rs
@@ -367,3 +367,60 @@
         assert_eq!(counts, expected, "{upstreams} upstreams for {work:?}");
     }
 }
+
+/// Guards against a version that ends the upstreams that load it and is ordered at a fifth of them all the time.
+#[test]
+fn a_version_that_ends_upstreams_is_loaded_at_one_upstream_at_a_time() {
+    const UPSTREAM_COUNT: usize = 20;
+    const CRASH_AFTER_MS: u64 = 500;
+    const RESTART_AFTER_MS: u64 = 4_000;
+    /// Crashes after which the version is known to end upstreams.
+    const CRASHES_MAX: usize = 3;
+    let mut simulation = Simulation::new();
+    while simulation.upstreams.len() < UPSTREAM_COUNT {
+        simulation.join();
+    }
+    simulation.newest_versions.insert("m0".into(), 2);
+    // End of each load by the upstream's id, and the upstreams that are down until a time.
+    let mut crashes_at: BTreeMap<SharedName, TimePoint> = BTreeMap::new();
+    let mut down: Vec<(TimePoint, Upstream)> = Vec::new();
+    let mut crash_count = 0;
+    for _ in 0..PASSES_MAX {
+        simulation.now = simulation.now.plus_ms(PASS_INTERVAL_MS);
+        let now = simulation.now;
+        let (restarted, still_down) = down.into_iter().partition(|(until, _)| *until <= now);
+        down = still_down;
+        simulation.upstreams.extend(restarted.into_iter().map(|(_, upstream)| upstream));
+        simulation.run_planner(false, false).unwrap();
+        for upstream in &simulation.upstreams {
+            if upstream.loading.is_some() {
+                crashes_at.entry(upstream.record.id.clone()).or_insert(now.plus_ms(CRASH_AFTER_MS));
+            }
+        }
+        let is_crashing = |upstream: &Upstream| crashes_at.get(&upstream.record.id).is_some_and(|at| *at <= now);
+        while let Some(index) = simulation.upstreams.iter().position(is_crashing) {
+            let mut upstream = simulation.upstreams.remove(index);
+            crash_count += 1;
+            (upstream.loading, upstream.accepted_count) = (None, 0);
+            upstream.record.started_unix_ms += 1_000;
+            down.push((now.plus_ms(RESTART_AFTER_MS), upstream));
+        }
+        crashes_at.retain(|_, at| *at > now);
+        let unavailable = down.len() + crashes_at.len();
+        // Loads that began before the third crash may still end their upstreams.
+        if crash_count > CRASHES_MAX + UPSTREAM_COUNT / 5 {
+            assert!(unavailable <= 1, "{unavailable} upstreams are down or loading after {crash_count} crashes");
+        }
+    }
+    assert!(crash_count > CRASHES_MAX, "the version is tried again");
+    // The version loads after all, for example because the upstreams got a new release.
+    simulation.upstreams.extend(down.into_iter().map(|(_, upstream)| upstream));
+    for _ in 0..PASSES_MAX {
+        simulation.apply(&Command::CompleteLoads).unwrap();
+        simulation.now = simulation.now.plus_ms(PASS_INTERVAL_MS);
+        simulation.run_planner(false, false).unwrap();
+    }
+    simulation.apply(&Command::CompleteLoads).unwrap();
+    let loaded = simulation.upstreams.iter().filter(|upstream| upstream.record.versions["m0"] == 2);
+    assert_eq!(loaded.count(), UPSTREAM_COUNT / 2, "all upstreams of the model have the version");
+}
