Keep a later state of a member against an answer that arrives late

Change: an entry of the same process is ignored if it is older than what is known; the end of a process has a time, too. a_late_answer_neither_revives_an_ended_- process_nor_makes_it_older failed before and passes.

--- a/crates/kernel/src/member_table.rs
+++ b/crates/kernel/src/member_table.rs
@@ -11,7 +11,7 @@
 const FAIL_AFTER_MS: u64 = 3_000;
 /// Largest number of members that [`MemberTable::next_exchange_peers`] returns at a time.
 const EXCHANGE_PEERS_MAX: usize = 4;
-/// Time since the last exchange after which a member whose process has ended is removed.
+/// Time after which a member whose process has ended is removed.
 const REMOVE_AFTER_MS: u64 = 600_000;
 
 /// Liveness of a member.
@@ -44,7 +44,7 @@
     pub control_address: SharedName,
     /// Liveness as this daemon sees it.
     pub state: MemberState,
-    /// Time of the last exchange with the member, or of the report that added it, by this daemon's clock.
+    /// Time of the last exchange with the member, of the report that added it, or of its end, by this daemon's clock.
     #[serde(skip)]
     pub heard_at: TimePoint,
 }
@@ -70,17 +70,17 @@
     }
 
     /// Applies the entry that a peer sent about itself: in a request that was received at `seen_at`, or in the answer
-    /// to a request that this daemon sent at `seen_at`. Ignored if a newer incarnation has been seen.
+    /// to a request that this daemon sent at `seen_at`. Ignored if a newer incarnation, or a later state of this one, is
+    /// known.
     pub fn peer_seen(&mut self, entry: MemberEntry, seen_at: TimePoint) {
         if entry.name == self.own_name {
             return;
         }
-        let heard_at = seen_at;
-        let cached = self.members.get(&entry.name);
-        if cached.is_some_and(|old| old.incarnation > entry.incarnation) {
+        let known = self.members.get(&entry.name).map(|old| (old.incarnation, old.heard_at));
+        if known.is_some_and(|known| known > (entry.incarnation, seen_at)) {
             return;
         }
-        self.members.insert(entry.name.clone(), MemberEntry { heard_at, ..entry });
+        self.members.insert(entry.name.clone(), MemberEntry { heard_at: seen_at, ..entry });
     }
 
     /// Applies a live member's entry as reported by another daemon. Such an indirect report only adds unseen members
@@ -106,6 +106,7 @@
             heard_at: now,
         });
         member.state = MemberState::Ended;
+        member.heard_at = member.heard_at.max(now);
     }
 
     /// Marks unresponsive members as suspect, then as failed, and removes members that ended long ago.
--- a/crates/kernel/tests/machines/small_machines.rs
+++ b/crates/kernel/tests/machines/small_machines.rs
@@ -241,6 +241,22 @@
     assert_eq!(table.get("other").expect("known").incarnation, 2, "an older process must not replace a newer one");
 }
 
+/// Guards against a daemon that is taken for running because an answer that it sent before its end arrives late.
+#[test]
+fn a_late_answer_neither_revives_an_ended_process_nor_makes_it_older() {
+    let state = |table: &MemberTable| table.get("other").expect("known").state;
+    let mut table = MemberTable::new("one".into(), "a".into());
+    table.peer_seen(member("other", 1), TimePoint(5_000));
+    table.peer_seen(MemberEntry { state: MemberState::Leaving, ..member("other", 1) }, TimePoint(6_000));
+    table.peer_seen(member("other", 1), TimePoint(4_000));
+    assert_eq!((state(&table), table.get("other").expect("known").heard_at), (MemberState::Leaving, TimePoint(6_000)));
+    table.process_ended(&"other".into(), TimePoint(7_000));
+    table.peer_seen(member("other", 1), TimePoint(6_900));
+    assert_eq!(state(&table), MemberState::Ended);
+    table.peer_seen(member("other", 1), TimePoint(7_100));
+    assert_eq!(state(&table), MemberState::Alive, "it was seen after it seemed to have ended");
+}
+
 #[test]
 fn refusal_codes_are_unique_and_statuses_are_errors() {
     let mut codes: Vec<&str> = RefusalReason::ALL.iter().map(|reason| reason.code()).collect();
