Keep upstreams that were needed within the last minute when a higher peak expires

Change: the planner keeps the demands that were not reached again since. upstreams_needed_within_the_last_minute_are_kept_when_a_higher_peak_expires failed before (6 upstreams, not 10) and passes; the oracle of the machine takes the largest demand of the last minute.

--- a/crates/kernel/src/duty/scaling_planner.rs
+++ b/crates/kernel/src/duty/scaling_planner.rs
@@ -6,9 +6,9 @@
 //! reclaimable upstreams at any time, but not standing ones.
 
 use crate::{SamplerRecord, SamplerState, ScalingRule, SharedName, TimePoint};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-/// Time for which the largest demand is used after it was last reached. It spans several training steps; upstreams are
+/// Time for which a demand counts after it was last reached; the largest one that counts is used. It spans several training steps; upstreams are
 /// released only after it, since starting them costs time and money.
 const PEAK_HOLD_MS: u64 = 60_000;
 /// Added to the startup time of ordered upstreams before they count as missing.
@@ -71,10 +71,9 @@
 pub struct ScalingPlanner {
     /// State of the orders by failure domain.
     domains: BTreeMap<SharedName, DomainPlan>,
-    /// Largest demand, which is used for [`PEAK_HOLD_MS`] after it was last reached.
-    peak_demand: u64,
-    /// Time at which the largest demand was last reached.
-    peak_at: TimePoint,
+    /// Demands that were not reached again since, with the times at which they were last reached: the largest demand, the
+    /// largest one after it, and so on.
+    peaks: VecDeque<(TimePoint, u64)>,
 }
 
 impl ScalingPlanner {
@@ -88,15 +87,12 @@
         demand: u64,
         now: TimePoint,
     ) -> Vec<ScalingOrder> {
-        if demand >= self.peak_demand || now >= self.peak_at.plus_ms(PEAK_HOLD_MS) {
-            self.peak_demand = demand;
-            self.peak_at = now;
-        }
+        let peak_demand = self.record_demand(demand, now);
         let slots = upstreams.iter().map(|record| record.slots).max().unwrap_or(0);
         if slots == 0 {
             return Vec::new();
         }
-        let targets = domain_targets(rule, self.peak_demand.div_ceil(slots));
+        let targets = domain_targets(rule, peak_demand.div_ceil(slots));
         let mut orders = Vec::new();
         for (failure_domain, target) in targets {
             let ready_count = |reclaimable: bool| {
@@ -129,6 +125,18 @@
         orders
     }
 
+    /// Records the present demand. Returns the largest one within [`PEAK_HOLD_MS`].
+    fn record_demand(&mut self, demand: u64, now: TimePoint) -> u64 {
+        while self.peaks.back().is_some_and(|(_, lower)| *lower <= demand) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back((now, demand));
+        while self.peaks.front().is_some_and(|(at, _)| now >= at.plus_ms(PEAK_HOLD_MS)) {
+            self.peaks.pop_front();
+        }
+        self.peaks.front().map_or(demand, |(_, peak)| *peak)
+    }
+
     /// Handles the outcome of an order. `startup_ms` is the time that ordered upstreams need until they are ready.
     pub fn order_answered(&mut self, order: &ScalingOrder, outcome: ScalingOutcome, startup_ms: u64, now: TimePoint) {
         let Some(plan) = self.domains.get_mut(&order.failure_domain) else { return };
--- a/crates/kernel/tests/machines/scaling.rs
+++ b/crates/kernel/tests/machines/scaling.rs
@@ -19,8 +19,7 @@
 const SLOTS: u64 = 4;
 const STARTUP_MS: u64 = 4_000;
 const PASS_INTERVAL_MS: u64 = 1_000;
-/// Time for which the planner uses the largest demand after it was last reached, so upstreams are kept when the demand
-/// falls.
+/// Time for which a demand counts after it was last reached, so upstreams are kept when the demand falls.
 const PEAK_HOLD_MS: u64 = 60_000;
 
 /// Input to the simulation of a scaled service.
@@ -62,8 +61,8 @@
     /// Failure domain in which no reclaimable upstreams are available.
     exhausted_domain: Option<SharedName>,
     demand: u64,
-    /// Largest demand that the planner uses, and the time at which it was last reached.
-    peak: (u64, TimePoint),
+    /// Demand at each run of the planner.
+    demands: Vec<(TimePoint, u64)>,
     now: TimePoint,
 }
 
@@ -88,7 +87,7 @@
             running,
             exhausted_domain: None,
             demand: 0,
-            peak: (0, TimePoint(0)),
+            demands: Vec::new(),
             now: TimePoint(0),
         };
         simulation.floor = standing_counts(&simulation.records());
@@ -120,9 +119,7 @@
     /// Runs the planner once and carries out its orders.
     fn run_planner(&mut self, orders_fail: bool) -> Result<(), String> {
         self.now = self.now.plus_ms(PASS_INTERVAL_MS);
-        if self.demand >= self.peak.0 || self.now >= self.peak.1.plus_ms(PEAK_HOLD_MS) {
-            self.peak = (self.demand, self.now);
-        }
+        self.demands.push((self.now, self.demand));
         let orders = self.planner.plan(&scaling_rule(), &self.records(), &self.floor, self.demand, self.now);
         for order in orders {
             self.check_order(&order)?;
@@ -158,7 +155,9 @@
 
     /// Number of upstreams that the largest demand needs, within the limits.
     fn expected_upstreams(&self) -> u64 {
-        self.peak.0.div_ceil(SLOTS).clamp(FLOOR * DOMAINS.len() as u64, UPSTREAMS_MAX * DOMAINS.len() as u64)
+        let counted = self.demands.iter().filter(|(at, _)| self.now < at.plus_ms(PEAK_HOLD_MS));
+        let peak = counted.map(|(_, demand)| *demand).max().unwrap_or(0);
+        peak.div_ceil(SLOTS).clamp(FLOOR * DOMAINS.len() as u64, UPSTREAMS_MAX * DOMAINS.len() as u64)
     }
 
     fn apply(&mut self, command: &Command) -> Result<(), String> {
@@ -219,6 +218,23 @@
     assert_eq!(simulation.running.values().sum::<u64>(), FLOOR * 3);
 }
 
+/// Guards against upstreams that are released although they were needed within the last minute, since the peak before
+/// that was higher.
+#[test]
+fn upstreams_needed_within_the_last_minute_are_kept_when_a_higher_peak_expires() {
+    let mut simulation = Simulation::new();
+    simulation.demand = 48;
+    (0..10).try_for_each(|_| simulation.run_planner(false)).unwrap();
+    simulation.demand = 40;
+    (0..50).try_for_each(|_| simulation.run_planner(false)).unwrap();
+    // A trainer that has read its step asks for the next one after some seconds.
+    simulation.demand = 0;
+    (0..55).try_for_each(|_| simulation.run_planner(false)).unwrap();
+    assert_eq!(simulation.running.values().sum::<u64>(), 10, "40 requests ran within the last minute");
+    (0..15).try_for_each(|_| simulation.run_planner(false)).unwrap();
+    assert_eq!(simulation.running.values().sum::<u64>(), FLOOR * 3);
+}
+
 #[test]
 fn standing_upstreams_replace_reclaimed_ones_until_reclaimable_ones_are_available() {
     let mut simulation = Simulation::new();
