Claim jobs without an owner at the daemon that gets new jobs of their route

After the end of an owner its jobs were spread over all daemons, none of which had an exact count of what ran on the route's engines, while the next jobs went to one of them.

Change: both use the route's key. jobs_without_an_owner_are_claimed_by_the_- daemon_that_gets_new_jobs_of_their_route fails with the ranking by job (another daemon claims 7 of 20 jobs) and passes.

--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -1,6 +1,6 @@
 //! Claims batch jobs that have no owner, and starts the tasks that run the jobs owned by this daemon.
 
-use super::job_runner::run_job;
+use super::{job_runner::run_job, owned_job::placement_key};
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use pimentoslip_kernel::{DueClaim, OwnerRecord, SharedName};
@@ -22,7 +22,9 @@
         let claims = {
             let reconnected_at = state.store_reconnected_at();
             let jobs = state.jobs();
-            state.ownership().due_claims(now, reconnected_at, |job| jobs.has_state(job))
+            let key =
+                |job: &SharedName| jobs.get(job).map_or_else(|| job.clone(), |view| placement_key(&state, &view.entry));
+            state.ownership().due_claims(now, reconnected_at, |job| jobs.has_state(job), key)
         };
         let lease = state.lease_view().lease;
         if let Some(lease) = lease {
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -6,7 +6,7 @@
     job_reader::{read_all_results, read_checkpoints, read_submission},
     job_writer::{SubmittedJob, hand_over_job},
     ledger_writer::{LedgerWriter, WriteOutcome},
-    owned_job::OwnedJob,
+    owned_job::{OwnedJob, placement_key},
     score_run::{PlacementError, prepare_score_call, score_item},
 };
 use crate::{
@@ -208,11 +208,10 @@
 
 /// Hands an unfinished job over to another daemon.
 async fn hand_over(job: &OwnedJob) {
-    let placement_key = job.route().map_or_else(|| job.entry.path.clone(), |rule| rule.name.clone());
     let submitted_job = SubmittedJob {
         id: job.id.clone(),
         entry: job.entry.clone(),
-        placement_key,
+        placement_key: placement_key(&job.state, &job.entry),
         body: job.body.clone(),
         submission: job.submission.clone(),
     };
--- a/crates/edge/src/job/owned_job.rs
+++ b/crates/edge/src/job/owned_job.rs
@@ -42,6 +42,12 @@
     pub ledger_changed: Rc<Notify>,
 }
 
+/// Key by which the owner of a job is chosen: the name of its route, or its path if it has none.
+pub fn placement_key(state: &EdgeState, entry: &JobEntry) -> SharedName {
+    let rule = state.config().and_then(|config| config.route(&entry.host, &entry.path).cloned());
+    rule.map_or_else(|| entry.path.clone(), |rule| rule.name.clone())
+}
+
 impl std::fmt::Debug for OwnedJob {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter.debug_struct("OwnedJob").field("id", &self.id).finish_non_exhaustive()
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 /// Additional delay before daemons other than the preferred one claim a job. It exceeds the duration of a claim, so
-/// that the preferred daemon, which ranks highest for the job's id, claims first.
+/// that the preferred daemon, to which new jobs of the route are assigned, claims first.
 const FALLBACK_CLAIM_DELAY_MS: u64 = 1_000;
 /// Time after an owner's lease lapsed in which only daemons that hold the job's state, such as that owner, claim it.
 const RECLAIM_MS: u64 = 300;
@@ -238,17 +238,18 @@
     }
 
     /// Jobs that this process should claim now. `reconnected_at` is when the store was reachable again after the last
-    /// outage, if there was one; `is_held` returns whether this process has a job's state in memory.
+    /// outage, if there was one; `is_held` returns whether this process has a job's state in memory, `placement_key` the
+    /// key for [`Self::preferred_daemon`].
     #[must_use]
     pub fn due_claims(
         &self,
         now: TimePoint,
         reconnected_at: Option<TimePoint>,
         is_held: impl Fn(&str) -> bool,
+        placement_key: impl Fn(&SharedName) -> SharedName,
     ) -> Vec<DueClaim> {
         let is_after_outage =
             |since: TimePoint| reconnected_at.is_some_and(|at| since.since_ms(at) < OUTAGE_RECLAIM_MS);
-        let daemons: Vec<&SharedName> = self.daemons.keys().collect();
         let open_jobs = self.entries.iter().filter(|(_, entry)| entry.accepted && !entry.closed);
         let due = open_jobs.filter_map(|(job, entry)| {
             let claim = |replaced_revision| Some(DueClaim { job: job.clone(), replaced_revision });
@@ -257,7 +258,8 @@
                 let is_previous_process = owner.daemon == self.daemon && owner.incarnation < self.incarnation;
                 return if is_previous_process { claim(owner.revision) } else { None };
             }
-            let is_preferred = rendezvous::highest_ranked(job, &daemons).is_some_and(|daemon| **daemon == self.daemon);
+            let preferred = self.preferred_daemon(&placement_key(job), None);
+            let is_preferred = preferred.is_some_and(|(daemon, _)| *daemon == self.daemon);
             let reclaim_ms = if is_after_outage(entry.vacant_since) { OUTAGE_RECLAIM_MS } else { RECLAIM_MS };
             let delay_ms = match (is_held(job), is_preferred) {
                 (true, _) => 0,
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -137,8 +137,12 @@
     /// Writes the claims that are due on `daemon`. Fails if one of them replaces the record of a running owner.
     fn claim(&mut self, daemon: usize, lost: bool) -> Result<(), String> {
         let held: Vec<SharedName> = self.daemons[daemon].held.iter().map(|job| job_id(*job)).collect();
-        let claims =
-            self.daemons[daemon].table.due_claims(self.now, None, |job| held.iter().any(|held| **held == *job));
+        let claims = self.daemons[daemon].table.due_claims(
+            self.now,
+            None,
+            |job| held.iter().any(|held| **held == *job),
+            Clone::clone,
+        );
         for claim in claims {
             let job = (0..JOBS).find(|job| job_id(*job) == claim.job).ok_or("claimed a job that does not exist")?;
             let stored = self.store.owners[job].as_ref();
@@ -249,9 +253,29 @@
     table.daemon_joined("a".into(), presence(1));
     table.daemon_joined("b".into(), presence(1));
     table.job_accepted("j".into(), TimePoint(0));
-    assert_eq!(table.due_claims(TimePoint(0), None, |_| true).len(), 1);
-    assert!(table.due_claims(TimePoint(0), None, |_| false).is_empty());
-    assert_eq!(table.due_claims(TimePoint(5_000), None, |_| false).len(), 1);
+    assert_eq!(table.due_claims(TimePoint(0), None, |_| true, Clone::clone).len(), 1);
+    assert!(table.due_claims(TimePoint(0), None, |_| false, Clone::clone).is_empty());
+    assert_eq!(table.due_claims(TimePoint(5_000), None, |_| false, Clone::clone).len(), 1);
+}
+
+/// Guards against jobs of one route that are spread over all daemons after their owner has ended, although one daemon owns
+/// all new jobs of the route.
+#[test]
+fn jobs_without_an_owner_are_claimed_by_the_daemon_that_gets_new_jobs_of_their_route() {
+    const JOB_COUNT: usize = 20;
+    let daemons: [SharedName; 3] = ["a".into(), "b".into(), "c".into()];
+    let route = |_: &SharedName| SharedName::from("route");
+    let claimed_by = |name: &SharedName| {
+        let mut table = OwnershipTable::new(name.clone(), 1);
+        daemons.iter().for_each(|daemon| table.daemon_joined(daemon.clone(), presence(1)));
+        (0..JOB_COUNT).for_each(|job| table.job_accepted(format!("j{job}").into(), TimePoint(0)));
+        let preferred = table.preferred_daemon("route", None).map(|(daemon, _)| daemon.clone());
+        // Later than the preferred daemon claims, and earlier than any other one.
+        let claims = table.due_claims(TimePoint(1_000), None, |_| false, route).len();
+        assert_eq!(claims, if preferred.as_ref() == Some(name) { JOB_COUNT } else { 0 }, "{name}");
+        claims
+    };
+    assert_eq!(daemons.iter().map(claimed_by).sum::<usize>(), JOB_COUNT);
 }
 
 #[test]
@@ -260,7 +284,7 @@
     table.job_accepted("j".into(), TimePoint(0));
     table.job_closed("j");
     table.job_accepted("j".into(), TimePoint(1));
-    assert!(table.due_claims(TimePoint(9_000), None, |_| true).is_empty());
+    assert!(table.due_claims(TimePoint(9_000), None, |_| true, Clone::clone).is_empty());
 }
 
 /// Name, failure domain and region of daemons in two failure domains of one region and in another region.
