--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -256,7 +256,8 @@
     /// Whether no work is left: all results are listed, or the submitter ended the job.
     #[must_use]
     pub fn is_settled(&self) -> bool {
-        self.ended || self.listed_count == self.items.len()
+        let all_listed = self.unlisted.is_empty() && self.pending_chunk.is_none();
+        self.ended || (all_listed && self.all_items_finished())
     }
 
     /// Whether the submitter ended the job.
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -491,6 +491,30 @@
     }
 }
 
+/// Guards against a job that is never settled because a stored result names an item twice, or one that does not exist.
+#[test]
+fn a_job_with_a_doubled_or_unknown_stored_result_is_settled() {
+    let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score: false };
+    let options = BatchOptions {
+        attempts_max: 1,
+        oldest_version: 1,
+        single_version: false,
+        retention_ends_at: TimePoint(RETENTION_MS),
+        groups_awaited: 1,
+    };
+    for stored in [vec![0, 0], vec![0, 7], vec![0, 0, 7]] {
+        let mut ledger = BatchLedger::new(options, vec![spec.clone(), spec.clone()], &stored);
+        assert!(!ledger.is_settled(), "item 1 has no result: {stored:?}");
+        assert_eq!(ledger.start_next_run(TimePoint(0)).expect("item 1 waits").item_index, 1);
+        ledger.run_ended(1, RunOutcome::Unrunnable, TimePoint(0));
+        assert!(!ledger.is_settled(), "the result of item 1 is not stored: {stored:?}");
+        let chunk = ledger.next_chunk(CHUNK_BYTES_MAX).expect("a result");
+        assert_eq!(chunk.first_position, stored.len());
+        ledger.chunk_stored(stored.len());
+        assert!(ledger.is_settled(), "{stored:?}");
+    }
+}
+
 #[test]
 fn listing_becomes_urgent_with_the_last_awaited_group() {
     let groups = ["a", "a", "b", "b", "c"];
