Limit the wait of a trainer's fetch before it is forwarded

a_fetch_that_would_wait_for_ever_is_answered_when_samples_are_ready failed before (no answer) and passes.

--- a/crates/cli/tests/processes/samples.rs
+++ b/crates/cli/tests/processes/samples.rs
@@ -252,6 +252,27 @@
     .await;
 }
 
+/// Guards against a trainer's wait that has no limit, or that ends its call because a sum overflows.
+#[actix_rt::test]
+async fn a_fetch_that_would_wait_for_ever_is_answered_when_samples_are_ready() {
+    let site = DaemonSite::start(SiteOptions::default()).await;
+    let key = site.create_key(0, 1).await;
+    assert_eq!(open_step(&site, 0, &key, 1).await.status, 200);
+    for daemon in 0..3 {
+        let fetch = FetchRequest {
+            trainer: "menus".into(),
+            step: 1,
+            cursor: FetchCursor::default(),
+            published_version: 0,
+            samples_max: 1,
+            wait_ms: u64::MAX,
+        };
+        let answer = site.send(daemon, "POST", "/v1/steps/fetch", &key, &[], &fetch).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.json::<FetchResponse>().samples.len(), 1);
+    }
+}
+
 /// Guards against a sample that is never run again because engines crashed while they ran it.
 #[actix_rt::test]
 async fn a_sample_is_completed_after_crashes_of_the_engines_that_ran_it() {
--- a/crates/daemon/src/step/step_actor.rs
+++ b/crates/daemon/src/step/step_actor.rs
@@ -28,7 +28,7 @@
 /// Time without a fetch after which a step is removed.
 const STEP_IDLE_TIMEOUT_MS: u64 = 600_000;
 /// Maximum time for which a fetch waits for a sample.
-const FETCH_WAIT_MS_MAX: u64 = 20_000;
+pub const FETCH_WAIT_MS_MAX: u64 = 20_000;
 /// Maximum number of samples in a step.
 const STEP_SAMPLES_MAX: usize = 65_536;
 /// Share of an upstream's request slots that samples may use, as numerator and denominator. The other slots stay free
--- a/crates/daemon/src/step/step_client.rs
+++ b/crates/daemon/src/step/step_client.rs
@@ -1,6 +1,10 @@
 //! Forwards trainers' calls to the daemons that own their steps.
 
-use super::{FetchSamplesMessage, OpenStepMessage, StepActor, step_actor::StepOutcome, step_key};
+use super::{
+    FetchSamplesMessage, OpenStepMessage, StepActor,
+    step_actor::{FETCH_WAIT_MS_MAX, StepOutcome},
+    step_key,
+};
 use crate::{
     api_error::{ApiError, Result},
     peer_client::PeerClient,
@@ -46,7 +50,13 @@
     }
 
     /// Fetches samples from the daemon that owns the step.
-    pub async fn fetch(&self, organisation: SharedName, fetch: FetchRequest, id: &RequestId) -> Result<FetchResponse> {
+    pub async fn fetch(
+        &self,
+        organisation: SharedName,
+        mut fetch: FetchRequest,
+        id: &RequestId,
+    ) -> Result<FetchResponse> {
+        fetch.wait_ms = fetch.wait_ms.min(FETCH_WAIT_MS_MAX);
         let key = step_key(&organisation, &fetch.trainer, fetch.step);
         let timeout_ms = fetch.wait_ms + FORWARD_TIMEOUT_MS;
         let request = ForwardRequest::Fetch { organisation, request_id: id.to_arc(), fetch };
