Pause before a failed sample is attempted again

Change: 100 ms after a failed attempt. The new kernel test calls the dispatcher as often as it returns an order, which never ended without the pause; 20 to 100 attempts in 10 s are allowed.

--- a/crates/daemon/src/step/step_actor.rs
+++ b/crates/daemon/src/step/step_actor.rs
@@ -155,7 +155,7 @@
                 }
             }
             Err(error) => {
-                state.ledger.attempt_failed(message.order);
+                state.ledger.attempt_failed(message.order, now);
                 LogLine::new("sample_failed")
                     .field("step", &message.step)
                     .field("sample", message.order.position)
--- a/crates/kernel/src/step_ledger.rs
+++ b/crates/kernel/src/step_ledger.rs
@@ -8,6 +8,9 @@
 /// Maximum number of concurrent attempts at one sample, its hedge included.
 const CONCURRENT_ATTEMPTS_MAX: u32 = 2;
 
+/// Backoff of a sample after a failed attempt. A sound engine answers an attempt later than this.
+const RETRY_BACKOFF_MS: u64 = 100;
+
 /// Position of a sample within its step: `group * group_size + index`.
 pub type SampleId = usize;
 
@@ -69,6 +72,8 @@
 struct SampleEntry {
     /// Running attempts, by number and start time.
     attempts: Vec<(u64, TimePoint)>,
+    /// End of the backoff after a failed attempt.
+    backoff_until: TimePoint,
     /// Accepted result that the trainer has not confirmed yet.
     result: Option<SampleResult>,
 }
@@ -136,8 +141,9 @@
     /// unfinished sample that has been running longest, among those whose attempts all started at least
     /// `hedge_after_ms` ago. Returns `None` if there is nothing to start.
     pub fn dispatch(&mut self, now: TimePoint, hedge_after_ms: Option<u64>) -> Option<DispatchOrder> {
-        let unstarted = (0..self.samples.len())
-            .find(|&position| self.is_unfinished(position) && self.samples[position].attempts.is_empty());
+        let is_due = |entry: &SampleEntry| entry.attempts.is_empty() && entry.backoff_until <= now;
+        let unstarted =
+            (0..self.samples.len()).find(|&position| self.is_unfinished(position) && is_due(&self.samples[position]));
         if let Some(position) = unstarted {
             return Some(self.start_attempt(position, false, now));
         }
@@ -153,9 +159,10 @@
         Some(self.start_attempt(straggler, true, now))
     }
 
-    /// Records that an attempt ended without a complete sample.
-    pub fn attempt_failed(&mut self, order: DispatchOrder) {
+    /// Records that an attempt ended without a complete sample. Another one may start after a short backoff.
+    pub fn attempt_failed(&mut self, order: DispatchOrder, now: TimePoint) {
         if let Some(entry) = self.samples.get_mut(order.position) {
+            entry.backoff_until = now.plus_ms(RETRY_BACKOFF_MS);
             entry.attempts.retain(|(attempt, _)| *attempt != order.attempt);
         }
     }
--- a/crates/kernel/tests/machines/steps.rs
+++ b/crates/kernel/tests/machines/steps.rs
@@ -147,7 +147,7 @@
             Command::Fail { run } if !self.running.is_empty() => {
                 let (owner, process, order) = self.running.remove(usize::from(run) % self.running.len());
                 if self.owners[owner].0 == process {
-                    self.owners[owner].1.attempt_failed(order);
+                    self.owners[owner].1.attempt_failed(order, self.now);
                 }
             }
             Command::Finish { .. } | Command::Fail { .. } => {}
@@ -223,6 +223,21 @@
     assert_eq!(simulation.owners[0].1.wasted_tokens(), 2);
 }
 
+/// Guards against a sample that fails at once and is attempted hundreds of times a second.
+#[test]
+fn a_failing_sample_is_attempted_at_most_ten_times_a_second_and_delays_no_other() {
+    let spec = StepSpec { service: "s".into(), prompts: vec!["p".into()], group_size: 2, max_tokens: 1 };
+    let mut ledger = StepLedger::new(spec, 1, 1);
+    let mut attempts = [0; 2];
+    for now in (0..10_000).step_by(20).map(TimePoint) {
+        while let Some(order) = ledger.dispatch(now, None) {
+            attempts[order.position] += 1;
+            ledger.attempt_failed(order, now);
+        }
+    }
+    assert!(attempts.iter().all(|count| (20..=100).contains(count)), "{attempts:?} attempts in 10 s");
+}
+
 #[test]
 fn a_result_without_versions_is_rejected() {
     let mut simulation = Simulation::new();
