Release the place of a request that stops waiting once

Change: only the guard of a request releases its place. No test of its own: the two threads would have to meet between two lines (read from the code; the awaited receiver is dropped before the guard).

--- a/crates/daemon/src/admission_controller.rs
+++ b/crates/daemon/src/admission_controller.rs
@@ -50,11 +50,9 @@
     pub fn admit_waiting(&self, service: &SharedName, running_max: usize) {
         self.with_queue(service, |service_queue| {
             while let Some(ticket) = service_queue.queue.admit(running_max) {
-                let admitted = service_queue.waiting.remove(&ticket).is_some_and(|sender| sender.send(()).is_ok());
-                // A request that has stopped waiting frees its place again.
-                if !admitted {
-                    service_queue.queue.release();
-                }
+                let Some(sender) = service_queue.waiting.remove(&ticket) else { continue };
+                // A request that has just stopped waiting frees its place when its guard is dropped.
+                let _ = sender.send(());
             }
         });
     }
