Tests: assert what was only counted, and make sure of what was assumed

Rows of docs/FINDINGS.md on tests and stand-ins: the orders of a duty now start each VM once, a leaving engine receives no request (the stand-in counted none that it refused), the end of a job is sent to an edge that does not own it, and a relay that is cut between accept and connect closes that connection.

--- a/crates/cli/tests/processes/duties.rs
+++ b/crates/cli/tests/processes/duties.rs
@@ -5,7 +5,7 @@
 use pimentoslip_kernel::KeySecret;
 use pimentoslip_standin::{KvFault, PlainFault, RecordedOrder, RecordedUsageReport, SpareUpstream};
 use pimentoslip_wire::provider::OrderState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Service `cards`, for which the ordering duty orders four upstreams in failure domain "a".
 const ORDERED_SERVICE: &str = "
@@ -82,9 +82,9 @@
     let fencing_numbers: Vec<u64> =
         orders.iter().filter(|order| order.state != OrderState::Fenced).map(|order| order.request.fencing).collect();
     assert!(fencing_numbers.is_sorted(), "fencing numbers decrease: {fencing_numbers:?}");
-    let mut starts_by_vm: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut started_vms: BTreeSet<&str> = BTreeSet::new();
     for vm in orders.iter().filter_map(|order| order.vm.as_deref()) {
-        *starts_by_vm.entry(vm).or_default() += 1;
+        assert!(started_vms.insert(vm), "{vm} was started twice");
     }
 }
 
--- a/crates/cli/tests/processes/leaving.rs
+++ b/crates/cli/tests/processes/leaving.rs
@@ -112,7 +112,9 @@
     // The load report marks the engine as leaving; the VM list still shows it as live. The engine refuses new requests.
     site.set_engine_fault(0, EngineFault { leaving: true, ..EngineFault::default() }).await;
     wait_not_live(&site, "engine-0").await;
+    let refused_before = site.refused_count(0).await;
     assert_eq!(send_and_count_runs(&site, &key, 0, 30).await, 0, "a leaving engine runs no requests");
+    assert_eq!(site.refused_count(0).await, refused_before, "and receives none");
 }
 
 /// Guards against new requests to an upstream that the VM list shows as leaving.
--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -64,7 +64,10 @@
     let site = EdgeSite::start(3).await;
     assert_eq!(site.submit_job(0, "job", &job_submission(1, &[job_item("long", 2_000, false)])).await.status, 202);
     wait_for("the item runs", || async { (!site.engine_calls("long").is_empty()).then_some(()) }).await;
-    assert_eq!(site.send_job_request(1, "DELETE", "/pimentoslip/lots/job").await.status, 200);
+    let is_owner = |edge: &usize| site.edges[*edge].process.log().contains("event=job_begun job=job");
+    let owner = wait_for("the owner has logged it", || async { (0..3).find(is_owner) }).await;
+    let second_edge = (owner + 1) % 3;
+    assert_eq!(site.send_job_request(second_edge, "DELETE", "/pimentoslip/lots/job").await.status, 200);
     let running_requests = || site.engines.iter().map(|engine| engine.running_requests()).sum::<usize>();
     wait_for("the run is cancelled", || async { (running_requests() == 0).then_some(()) }).await;
 }
--- a/crates/cli/tests/processes/support/daemon_site.rs
+++ b/crates/cli/tests/processes/support/daemon_site.rs
@@ -371,6 +371,12 @@
         self.http.get_json(&format!("http://{}/standin/seen", self.engines[engine].1)).await.unwrap_or_default()
     }
 
+    /// Number of completion requests that engine `engine` has refused because it is leaving.
+    pub async fn refused_count(&self, engine: usize) -> u64 {
+        let url = format!("http://{}/standin/refused", self.engines[engine].1);
+        self.http.get_json(&url).await.expect("the number of refused requests")
+    }
+
     /// Sets the faults that the stand-in for the key-value store simulates from now on.
     pub async fn set_kv_fault(&self, fault: KvFault) {
         self.http.put_json(&format!("http://{}/standin/fault", self.kv_address), &fault).await;
--- a/crates/standin/src/engine_service.rs
+++ b/crates/standin/src/engine_service.rs
@@ -41,6 +41,8 @@
     checks_fencing: bool,
     fault: Mutex<EngineFault>,
     requests: Mutex<Vec<RecordedRequest>>,
+    /// Number of completion requests refused because the engine is leaving.
+    refused_count: AtomicU64,
     load_orders: Mutex<Vec<LoadOrder>>,
 }
 
@@ -71,6 +73,7 @@
         checks_fencing,
         fault: Mutex::default(),
         requests: Mutex::default(),
+        refused_count: AtomicU64::new(0),
         load_orders: Mutex::default(),
     }));
     start_server!(listen, move || {
@@ -82,6 +85,7 @@
             .route("/orders/load", web::put().to(load_weights))
             .route("/standin/fault", web::put().to(set_fault))
             .route("/standin/seen", web::get().to(list_requests))
+            .route("/standin/refused", web::get().to(count_refused))
             .route("/standin/orders", web::get().to(list_load_orders))
     })
 }
@@ -92,6 +96,7 @@
     let fault = state.take_fault();
     let id = recorded.header(REQUEST_ID_HEADER).to_owned();
     if fault.leaving {
+        state.refused_count.fetch_add(1, Ordering::SeqCst);
         return HttpResponse::ServiceUnavailable()
             .insert_header((REQUEST_ID_HEADER, id))
             .insert_header((RUN_STATE_HEADER, NOT_RUN))
@@ -261,6 +266,10 @@
     HttpResponse::Ok().json(&*state.requests.lock().unwrap_or_else(PoisonError::into_inner))
 }
 
+async fn count_refused(state: web::Data<EngineState>) -> HttpResponse {
+    HttpResponse::Ok().json(state.refused_count.load(Ordering::SeqCst))
+}
+
 async fn list_load_orders(state: web::Data<EngineState>) -> HttpResponse {
     HttpResponse::Ok().json(&*state.load_orders.lock().unwrap_or_else(PoisonError::into_inner))
 }
--- a/crates/standin/src/tcp_relay.rs
+++ b/crates/standin/src/tcp_relay.rs
@@ -81,11 +81,14 @@
     mut rule: watch::Receiver<(u64, RelayRule)>,
     forwarded_bytes: Arc<Mutex<(usize, usize)>>,
 ) {
+    let cuts = rule.borrow().0;
     let Ok(mut target_stream) = TcpStream::connect(target).await else { return };
+    if rule.borrow().0 != cuts {
+        return;
+    }
     let (mut request_bytes, mut answer_bytes) = (0, 0);
     let mut request_buffer = vec![0; BUFFER_BYTES];
     let mut answer_buffer = vec![0; BUFFER_BYTES];
-    let cuts = rule.borrow().0;
     loop {
         let current_rule = rule.borrow().1;
         let stalled = current_rule == RelayRule::Stall;
