Distrust numbers and texts of other daemons and of stored entries

Two tests failed: - malformed_calls_between_edges_end_neither_a_process_nor_a_task: reports of runs whose sum overflows ended the duty's task, again at each start (with overflow checks, as in tests; without them the sum wrapped). - malformed_entries_in_the_store_keep_no_other_job_from_being_completed: a checkpoint whose text is said to end after event 2^64 - 1 was resumed there, so that an upstream answered with nothing more and the item was listed as complete with a wrong text; then a job's entry with extreme numbers ended the duty's task.

Change: sums saturate, a job's numbers are limited where it enters the index, and a text of another daemon is taken only if it can hold the events that it says. Truncated, flipped, nested and over-long messages did no harm.

--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -14,6 +14,8 @@
 /// Host name that the routes of the configuration match.
 pub const HOST: &str = "desk.example";
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Reads of a job's results, each of which waits up to half a second.
+const PAGES_MAX: usize = 400;
 const ANSWER_BODY_MAX_BYTES: usize = 16 << 20;
 
 /// HTTP answer of an edge.
@@ -49,6 +51,8 @@
     frontend_address: SocketAddr,
     /// Address of the readiness check.
     readiness_address: SocketAddr,
+    /// Address for calls from other edges.
+    pub control_address: SocketAddr,
     /// Path of its settings file.
     settings_path: String,
 }
@@ -183,7 +187,7 @@
         });
         let settings_path = self.workdir.write(&format!("{vm}.json"), &settings.to_string());
         let process = self.spawn_edge(&vm, &settings_path);
-        EdgeProcess { process, vm, frontend_address, readiness_address, settings_path }
+        EdgeProcess { process, vm, frontend_address, readiness_address, control_address, settings_path }
     }
 
     /// Starts the process of an edge with the settings file at `settings_path`.
@@ -275,11 +279,11 @@
         self.send(edge, method, path, &headers, "").await
     }
 
-    /// All results of a job, read page by page from `edge`. Waits without a time limit until every item of the job has
-    /// a result.
+    /// All results of a job, read page by page from `edge`, once every item of the job has one. Panics after
+    /// [`PAGES_MAX`] reads.
     pub async fn all_results(&self, edge: usize, job: &str) -> Vec<Value> {
         let mut results: Vec<Value> = Vec::new();
-        loop {
+        for _ in 0..PAGES_MAX {
             let path = format!("/pimentoslip/lots/{job}?after={}", results.len());
             let reply = self.send_job_request(edge, "GET", &path).await;
             if reply.status != 200 {
@@ -293,6 +297,7 @@
                 return results;
             }
         }
+        panic!("{} results of {job} after {PAGES_MAX} reads: {}", results.len(), self.edges[edge].process.log());
     }
 
     /// Requests with the id `id` that upstreams of the service `engine` have run.
--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -143,7 +143,7 @@
         LogLine::new("usage_sealed")
             .field("window", window)
             .field("batches", batch_count)
-            .field("requests", counts.values().sum::<u64>())
+            .field("requests", counts.values().fold(0, |sum: u64, count| sum.saturating_add(*count)))
             .info();
         self.unreported.insert(window, counts);
         self.remove_counts(window, remaining_entries).await;
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -75,11 +75,10 @@
     }
 }
 
-/// Sum of the expected tokens of all items, limited so that sums over many jobs cannot overflow.
+/// Sum of the expected tokens of all items.
 fn expected_tokens(submission: &BatchSubmission) -> u64 {
-    const TOKENS_MAX: u64 = 1 << 40;
     let tokens = submission.items.iter().map(BatchItem::expected_tokens);
-    tokens.fold(0, u64::saturating_add).min(TOKENS_MAX)
+    tokens.fold(0, u64::saturating_add).min(JobEntry::EXPECTED_TOKENS_MAX)
 }
 
 /// The job `id`; fails with `JobNotFound` unless the request's key belongs to the organisation that submitted the job.
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -72,7 +72,7 @@
     pub fn job_accepted(&mut self, job: SharedName, entry: JobEntry) {
         let ended = self.ended.contains(&job);
         self.jobs.entry(job).or_insert_with(|| JobView {
-            entry,
+            entry: entry.limited(),
             ended,
             settled: false,
             chunk_ends: BTreeMap::new(),
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -125,7 +125,7 @@
         LedgerState {
             unlisted: pending.chain(&self.unlisted).cloned().collect(),
             items: items.collect(),
-            checkpoints: self.checkpoint_count + usize::from(self.pending_checkpoint.is_some()),
+            checkpoints: self.checkpoint_count.saturating_add(usize::from(self.pending_checkpoint.is_some())),
         }
     }
 
@@ -135,7 +135,8 @@
         self.checkpoint_count = self.checkpoint_count.max(state.checkpoints);
         for restored in state.items {
             let Some(item) = self.items.get_mut(restored.item_index) else { continue };
-            let is_restorable = matches!(item.phase, ItemPhase::Waiting { .. }) && item.text.last_event().is_none();
+            let is_waiting = matches!(item.phase, ItemPhase::Waiting { .. }) && item.text.last_event().is_none();
+            let is_restorable = is_waiting && restored.text.is_consistent();
             if !is_restorable {
                 continue;
             }
@@ -209,7 +210,7 @@
     pub fn checkpoint_stored(&mut self, number: usize) {
         if self.pending_checkpoint.is_some() && self.checkpoint_count == number {
             self.pending_checkpoint = None;
-            self.checkpoint_count += 1;
+            self.checkpoint_count = self.checkpoint_count.saturating_add(1);
         }
     }
 
@@ -221,7 +222,7 @@
             return;
         }
         self.pending_checkpoint = None;
-        self.checkpoint_count += 1;
+        self.checkpoint_count = self.checkpoint_count.saturating_add(1);
         for item in &mut self.items {
             item.text.clear_saved();
             item.saved_failures = FailureCount::default();
@@ -329,7 +330,7 @@
             RunOutcome::Completed if item.text.last_event().is_some() => self.complete_item(item_index, None),
             RunOutcome::Completed | RunOutcome::Interrupted | RunOutcome::NotRun => self.retry_later(item_index, now),
             RunOutcome::Failed => {
-                item.failures.run_failures += 1;
+                item.failures.run_failures = item.failures.run_failures.saturating_add(1);
                 if item.failures.run_failures >= attempts_max {
                     self.terminate_item(item_index)
                 } else {
@@ -348,7 +349,7 @@
         }
         match outcome {
             ScoreOutcome::Signed(signature) => return self.complete_item(item_index, Some(signature)),
-            ScoreOutcome::Failed => item.failures.score_failures += 1,
+            ScoreOutcome::Failed => item.failures.score_failures = item.failures.score_failures.saturating_add(1),
             ScoreOutcome::Interrupted => {}
         }
         if item.failures.score_failures >= failures_max.max(1) {
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -38,7 +38,7 @@
     /// Number of events received.
     #[must_use]
     pub fn event_count(&self) -> u64 {
-        self.last_event.map_or(0, |last| last + 1 - FIRST_EVENT_NUMBER)
+        self.last_event.map_or(0, |last| last.saturating_sub(FIRST_EVENT_NUMBER - 1))
     }
 
     /// Number of events that are in no checkpoint.
@@ -56,7 +56,7 @@
     /// Appends an event. Returns false without a change if its number doesn't follow that of the last event, or isn't
     /// [`FIRST_EVENT_NUMBER`] in an empty text.
     pub fn push_event(&mut self, number: u64, version: u64, data: &str) -> bool {
-        if number != self.last_event.map_or(FIRST_EVENT_NUMBER, |last| last + 1) {
+        if number != self.last_event.map_or(FIRST_EVENT_NUMBER, |last| last.saturating_add(1)) {
             return false;
         }
         self.append(number, data, &[version]);
@@ -83,17 +83,26 @@
     }
 
     /// Appends a part that was read from a checkpoint. A part that starts with the first event replaces the text; a
-    /// part that would leave a gap is ignored.
+    /// part that would leave a gap, or whose text does not have as many events as it says, is ignored.
     pub fn replay_part(&mut self, part: &TextPart) {
+        if !has_events(&part.text, part.first_event, part.last_event) {
+            return;
+        }
         if part.first_event == FIRST_EVENT_NUMBER {
             *self = Self::default();
-        } else if self.last_event.is_none_or(|last| part.first_event != last + 1) {
+        } else if self.last_event.is_none_or(|last| part.first_event != last.saturating_add(1)) {
             return;
         }
         self.append(part.last_event, &part.text, &part.versions);
         self.saved = SavedLength { events: self.event_count(), bytes: self.text.len() };
     }
 
+    /// Whether the text has as many events as it says. False for a malformed text of another daemon.
+    #[must_use]
+    pub fn is_consistent(&self) -> bool {
+        self.last_event.is_none_or(|last| has_events(&self.text, FIRST_EVENT_NUMBER, last))
+    }
+
     /// Returns the text and the versions of the weights that generated it.
     #[must_use]
     pub fn into_parts(self) -> (String, Vec<u64>) {
@@ -114,3 +123,10 @@
         }
     }
 }
+
+/// Whether `text` can hold the events from `first` to `last`, which are separated by line feeds. An event may contain line
+/// feeds of its own.
+fn has_events(text: &str, first: u64, last: u64) -> bool {
+    let line_feeds = text.bytes().filter(|byte| *byte == b'\n').count() as u64;
+    first >= FIRST_EVENT_NUMBER && first <= last && last - first <= line_feeds
+}
--- a/crates/kernel/src/duty/run_reports.rs
+++ b/crates/kernel/src/duty/run_reports.rs
@@ -24,7 +24,8 @@
         self.reports.retain(|_, (expires_at, _)| *expires_at > now);
         let mut total: BTreeMap<SharedName, u64> = BTreeMap::new();
         for (upstream, runs) in self.reports.values().flat_map(|(_, runs)| runs) {
-            *total.entry(upstream.clone()).or_default() += runs;
+            let total_runs = total.entry(upstream.clone()).or_default();
+            *total_runs = total_runs.saturating_add(*runs);
         }
         total
     }
--- a/crates/kernel/src/duty/usage_tally.rs
+++ b/crates/kernel/src/duty/usage_tally.rs
@@ -100,7 +100,8 @@
     pub fn sum_counts(counts: impl IntoIterator<Item = BTreeMap<SharedName, u64>>) -> BTreeMap<SharedName, u64> {
         let mut total: BTreeMap<SharedName, u64> = BTreeMap::new();
         for (organisation, count) in counts.into_iter().flatten() {
-            *total.entry(organisation).or_default() += count;
+            let total_count = total.entry(organisation).or_default();
+            *total_count = total_count.saturating_add(count);
         }
         total
     }
--- a/crates/wire/src/stored/job_entry.rs
+++ b/crates/wire/src/stored/job_entry.rs
@@ -29,3 +29,20 @@
     /// Time of the first submission in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
 }
+
+impl JobEntry {
+    /// Largest expected number of tokens of a job, so that sums over many jobs cannot overflow.
+    pub const EXPECTED_TOKENS_MAX: u64 = 1 << 40;
+    /// Largest number of items of a job, far above what fits into the largest submission.
+    const ITEM_COUNT_MAX: usize = 1 << 24;
+
+    /// The entry with its numbers within their limits, whoever wrote it.
+    #[must_use]
+    pub fn limited(self) -> Self {
+        Self {
+            expected_tokens: self.expected_tokens.min(Self::EXPECTED_TOKENS_MAX),
+            item_count: self.item_count.min(Self::ITEM_COUNT_MAX),
+            ..self
+        }
+    }
+}
