--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -459,17 +459,22 @@
     assert_eq!(simulation.ledger.start_next_run(TimePoint(0)).unwrap().item_index, ITEMS - 1);
 }
 
-/// Simulates an owner that crashes after it received `events` events of a text and stored a checkpoint after event
-/// `saved`. Returns the event after which the next owner resumes the text.
-fn resumed_after(saved: u64, events: u64) -> Option<u64> {
-    let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score: false };
-    let options = BatchOptions {
+/// Options of a job whose items are tried once and may be of any version.
+fn single_attempt() -> BatchOptions {
+    BatchOptions {
         attempts_max: 1,
         oldest_version: 1,
         single_version: false,
         retention_ends_at: TimePoint(RETENTION_MS),
         groups_awaited: 1,
-    };
+    }
+}
+
+/// Simulates an owner that crashes after it received `events` events of a text and stored a checkpoint after event
+/// `saved`. Returns the event after which the next owner resumes the text.
+fn resumed_after(saved: u64, events: u64) -> Option<u64> {
+    let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score: false };
+    let options = single_attempt();
     let mut first_owner = BatchLedger::new(options, vec![spec.clone()], &[]);
     first_owner.start_next_run(TimePoint(0)).unwrap();
     let mut checkpoints = Vec::new();
@@ -495,13 +500,7 @@
 #[test]
 fn a_job_with_a_doubled_or_unknown_stored_result_is_settled() {
     let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score: false };
-    let options = BatchOptions {
-        attempts_max: 1,
-        oldest_version: 1,
-        single_version: false,
-        retention_ends_at: TimePoint(RETENTION_MS),
-        groups_awaited: 1,
-    };
+    let options = single_attempt();
     for stored in [vec![0, 0], vec![0, 7], vec![0, 0, 7]] {
         let mut ledger = BatchLedger::new(options, vec![spec.clone(), spec.clone()], &stored);
         assert!(!ledger.is_settled(), "item 1 has no result: {stored:?}");
@@ -519,13 +518,7 @@
 fn listing_becomes_urgent_with_the_last_awaited_group() {
     let groups = ["a", "a", "b", "b", "c"];
     let specs = groups.map(|group| ItemSpec { group: group.into(), expected_tokens: 1, needs_score: false });
-    let options = BatchOptions {
-        attempts_max: 1,
-        oldest_version: 1,
-        single_version: false,
-        retention_ends_at: TimePoint(RETENTION_MS),
-        groups_awaited: 2,
-    };
+    let options = BatchOptions { groups_awaited: 2, ..single_attempt() };
     let mut ledger = BatchLedger::new(options, specs.into(), &[]);
     while ledger.start_next_run(TimePoint(0)).is_some() {}
     for (item_index, urgent) in [(0, false), (2, false), (1, false), (3, true)] {
@@ -543,13 +536,7 @@
 #[test]
 fn failures_of_an_item_count_across_owners_that_crash() {
     const ATTEMPTS_MAX: u32 = 3;
-    let options = BatchOptions {
-        attempts_max: ATTEMPTS_MAX,
-        oldest_version: 1,
-        single_version: false,
-        retention_ends_at: TimePoint(RETENTION_MS),
-        groups_awaited: 1,
-    };
+    let options = BatchOptions { attempts_max: ATTEMPTS_MAX, ..single_attempt() };
     for needs_score in [false, true] {
         let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score };
         let mut checkpoints: Vec<JobCheckpoint> = Vec::new();
