--- a/crates/daemon/src/http/admin_api.rs
+++ b/crates/daemon/src/http/admin_api.rs
@@ -4,7 +4,7 @@
 use crate::{
     config_writer::{ConfigWriter, WriteError},
     step::ListStepsMessage,
-    task::{NewKnowledge, push_knowledge},
+    task::{PeerUpdate, push_update},
 };
 use actix_web::{HttpResponse, web};
 use pimentoslip_client::KeyValueClient;
@@ -52,8 +52,8 @@
 async fn push_until_confirmed(worker: &WorkerState, entries: Vec<RecordEntry>) -> (Vec<SharedName>, Vec<SharedName>) {
     let deadline = worker.shared.now().plus_ms(CONFIRM_TIMEOUT_MS);
     loop {
-        let knowledge = NewKnowledge::records(entries.clone());
-        let (confirmed, unconfirmed) = push_knowledge(&worker.shared, &worker.peer_client, knowledge).await;
+        let update = PeerUpdate::records(entries.clone());
+        let (confirmed, unconfirmed) = push_update(&worker.shared, &worker.peer_client, update).await;
         if unconfirmed.is_empty() || worker.shared.now() >= deadline {
             return (confirmed, unconfirmed);
         }
--- a/crates/daemon/src/http/trainer_api.rs
+++ b/crates/daemon/src/http/trainer_api.rs
@@ -5,7 +5,7 @@
     api_error::{ApiError, Result},
     config_writer::ConfigWriter,
     request_id::RequestId,
-    task::{NewKnowledge, push_knowledge},
+    task::{PeerUpdate, push_update},
 };
 use actix_web::{HttpRequest, HttpResponse, web};
 use pimentoslip_kernel::{ConfigRecord, RecordName, RefusalReason, ServiceKind};
@@ -96,7 +96,7 @@
         .map_err(|_| ApiError::not_run(RefusalReason::PeerUnreachable, id))?;
     if let Some(entry) = written {
         worker.shared.apply_records(vec![entry.clone()], 0);
-        push_knowledge(&worker.shared, &worker.peer_client, NewKnowledge::records(vec![entry])).await;
+        push_update(&worker.shared, &worker.peer_client, PeerUpdate::records(vec![entry])).await;
     }
     Ok(worker.shared.config().published_version(&publish_request.service).max(publish_request.version))
 }
--- a/crates/daemon/src/running_daemon.rs
+++ b/crates/daemon/src/running_daemon.rs
@@ -7,9 +7,7 @@
     peer_client::PeerClient,
     shared_state::SharedState,
     step::StepActor,
-    task::{
-        DiscoveryTask, ExchangeTask, NewKnowledge, OrderTask, PeriodicActor, StopMessage, UsageTask, push_knowledge,
-    },
+    task::{DiscoveryTask, ExchangeTask, OrderTask, PeerUpdate, PeriodicActor, StopMessage, UsageTask, push_update},
 };
 use actix::{Actor, Addr};
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
@@ -126,7 +124,7 @@
 async fn push_crash_marks(shared: Arc<SharedState>, peer_client: PeerClient) {
     loop {
         let (marks, count) = shared.crash_push.take().await;
-        push_knowledge(&shared, &peer_client, NewKnowledge::crashes(marks)).await;
+        push_update(&shared, &peer_client, PeerUpdate::crashes(marks)).await;
         shared.crash_push.marks_sent(count);
     }
 }
--- a/crates/daemon/src/task/exchange_task.rs
+++ b/crates/daemon/src/task/exchange_task.rs
@@ -113,7 +113,7 @@
     async fn run(&mut self) {
         let exchange_peers = self.exchange_peers();
         let exchanges = join_all(
-            exchange_peers.iter().map(|peer| exchange(&self.shared, &self.peer_client, peer, NewKnowledge::default())),
+            exchange_peers.iter().map(|peer| exchange(&self.shared, &self.peer_client, peer, PeerUpdate::default())),
         );
         let config_read = async {
             if self.must_read_config() {
@@ -142,16 +142,16 @@
     }
 }
 
-/// What this daemon has just learnt and its peers probably do not know.
+/// What is new at this daemon and not yet known to its peers.
 #[derive(Clone, Debug, Default)]
-pub struct NewKnowledge {
+pub struct PeerUpdate {
     /// Configuration records.
     pub records: Vec<RecordEntry>,
     /// Crashes of upstreams while they ran a request.
     pub crashes: Vec<CrashMark>,
 }
 
-impl NewKnowledge {
+impl PeerUpdate {
     /// New configuration records.
     #[must_use]
     pub fn records(records: Vec<RecordEntry>) -> Self {
@@ -165,13 +165,13 @@
     }
 }
 
-fn exchange_request(shared: &SharedState, knowledge: NewKnowledge) -> ExchangeRequest {
+fn exchange_request(shared: &SharedState, update: PeerUpdate) -> ExchangeRequest {
     let now = shared.now();
     ExchangeRequest {
         sender: shared.own_member(),
         complete_revision: shared.config().complete_revision(),
-        records: knowledge.records,
-        crashes: mark_bodies(knowledge.crashes, now),
+        records: update.records,
+        crashes: mark_bodies(update.crashes, now),
         crashes_digest: shared.suspects().digest(now),
         members_digest: members_digest(shared),
     }
@@ -195,10 +195,10 @@
     shared.members().digest(shared.incarnation)
 }
 
-/// Sends `knowledge` and this daemon's state to a peer and applies its answer. Returns true if the peer answered.
-async fn exchange(shared: &SharedState, peer_client: &PeerClient, peer: &PeerAddress, knowledge: NewKnowledge) -> bool {
+/// Sends `update` and this daemon's state to a peer and applies its answer. Returns true if the peer answered.
+async fn exchange(shared: &SharedState, peer_client: &PeerClient, peer: &PeerAddress, update: PeerUpdate) -> bool {
     let (name, control_address) = peer;
-    let body = match encode(&exchange_request(shared, knowledge)) {
+    let body = match encode(&exchange_request(shared, update)) {
         Ok(body) => body,
         Err(error) => {
             LogLine::new("peer_message_not_encoded").field("peer", name).field("error", error).warn();
@@ -277,12 +277,12 @@
     shared.members().iter().map(MemberBody::from).collect()
 }
 
-/// Sends `knowledge` to every daemon that may be running, without waiting for the next exchange. Returns the names of
+/// Sends `update` to every daemon that may be running, without waiting for the next exchange. Returns the names of
 /// the daemons that confirmed it, this one included, and of those that did not.
-pub async fn push_knowledge(
+pub async fn push_update(
     shared: &SharedState,
     peer_client: &PeerClient,
-    knowledge: NewKnowledge,
+    update: PeerUpdate,
 ) -> (Vec<SharedName>, Vec<SharedName>) {
     let targets: Vec<PeerAddress> = shared
         .members()
@@ -290,7 +290,7 @@
         .map(|member| (member.name.clone(), member.control_address.clone()))
         .collect();
     let exchange_results =
-        join_all(targets.iter().map(|peer| exchange(shared, peer_client, peer, knowledge.clone()))).await;
+        join_all(targets.iter().map(|peer| exchange(shared, peer_client, peer, update.clone()))).await;
     let mut confirmed = vec![shared.settings.name.clone()];
     let mut unconfirmed = Vec::new();
     for ((name, _), answered) in targets.into_iter().zip(exchange_results) {
--- a/crates/daemon/src/task/mod.rs
+++ b/crates/daemon/src/task/mod.rs
@@ -10,7 +10,7 @@
 mod usage_task;
 
 pub use discovery_task::DiscoveryTask;
-pub use exchange_task::{ExchangeTask, NewKnowledge, answer_exchange, push_knowledge};
+pub use exchange_task::{ExchangeTask, PeerUpdate, answer_exchange, push_update};
 pub use order_task::OrderTask;
 pub use periodic_actor::{PeriodicActor, PeriodicTask, StopMessage};
 pub use usage_task::{UsageTask, sealed_reports};
--- a/crates/daemon/src/upstream/crash_push.rs
+++ b/crates/daemon/src/upstream/crash_push.rs
@@ -11,11 +11,18 @@
 /// later exchanges.
 const PUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Marks that are not sent yet.
+#[derive(Debug, Default)]
+struct MarkQueue {
+    marks: Vec<CrashMark>,
+    /// Number of marks added so far.
+    added_count: u64,
+}
+
 /// Queue of new marks, from the requests that create them to the task that sends them.
 #[derive(Debug)]
 pub struct CrashPush {
-    /// Marks that are not sent yet, and the number of marks added so far.
-    queue: Mutex<(Vec<CrashMark>, u64)>,
+    queue: Mutex<MarkQueue>,
     added: Notify,
     /// Number of marks that have been sent.
     sent_count: watch::Sender<u64>,
@@ -32,11 +39,11 @@
     pub fn add(&self, marks: Vec<CrashMark>) -> u64 {
         let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
         if !marks.is_empty() {
-            queue.1 += marks.len() as u64;
-            queue.0.extend(marks);
+            queue.added_count += marks.len() as u64;
+            queue.marks.extend(marks);
             self.added.notify_one();
         }
-        queue.1
+        queue.added_count
     }
 
     /// Waits until the first `count` marks have been sent to the peers, but not for long.
@@ -51,8 +58,8 @@
         loop {
             {
                 let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
-                if !queue.0.is_empty() {
-                    return (std::mem::take(&mut queue.0), queue.1);
+                if !queue.marks.is_empty() {
+                    return (std::mem::take(&mut queue.marks), queue.added_count);
                 }
             }
             self.added.notified().await;
--- a/crates/kernel/tests/machines/suspects.rs
+++ b/crates/kernel/tests/machines/suspects.rs
@@ -81,7 +81,7 @@
             }
             Command::Wait { ms } => now = now.plus_ms(ms),
         }
-        // Expired marks are forgotten, and may be recorded anew.
+        // Expired marks are forgotten; the same crash may be recorded again.
         tables.iter_mut().for_each(|table| drop(table.active_marks(now)));
         for daemon in 0..DAEMONS {
             for request in 0..REQUESTS {
--- a/crates/wire/src/stored/job_entry.rs
+++ b/crates/wire/src/stored/job_entry.rs
@@ -36,7 +36,7 @@
     /// Largest number of items of a job, far above what fits into the largest submission.
     const ITEM_COUNT_MAX: usize = 1 << 24;
 
-    /// The entry with its numbers within their limits, whoever wrote it.
+    /// The entry with its numbers within their limits; another release or a fault may have stored others.
     #[must_use]
     pub fn limited(self) -> Self {
         Self {
