Log the limits that upstreams name, and the requests sent there

Without these lines the hypotheses of docs/incidents/limit.md cannot be told apart: no line showed a limit, and the number of requests at an upstream could not be counted. Nothing decides by the limit yet.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -56,6 +56,8 @@
     pub task_failures: Family<ReasonLabel, Counter>,
     /// Crashes of upstreams while they ran a request of this daemon.
     pub upstream_crashes: Counter,
+    /// Changes of the limits that upstreams name: `named`, `ended` or `malformed`.
+    pub limit_changes: Family<ReasonLabel, Counter>,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
     /// Time from the arrival of a request to its response, in seconds.
@@ -96,6 +98,7 @@
             score_calls: Family::default(),
             task_failures: Family::default(),
             upstream_crashes: Counter::default(),
+            limit_changes: Family::default(),
             store_calls: Family::default(),
             request_latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_duration: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -111,6 +114,7 @@
         registry.register("item_scores", "Calls of scorers by end", metrics.score_calls.clone());
         registry.register("task_failures", "Panics of background tasks", metrics.task_failures.clone());
         registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
+        registry.register("limit_changes", "Changes of limits named by upstreams", metrics.limit_changes.clone());
         registry.register("store_calls", "Calls to the store by purpose", metrics.store_calls.clone());
         registry.register("latency_seconds", "Time to the answer of a request", metrics.request_latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to an upstream, up to the header of the response.
 
 use super::{UpstreamCall, UpstreamGuard};
+use crate::edge_metrics::EdgeMetrics;
 use actix_web::{
     error::ParseError,
     http::{StatusCode, header::HeaderMap},
@@ -12,7 +13,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use pimentoslip_kernel::{SamplerOutcome, TimePoint};
-use pimentoslip_platform::header;
+use pimentoslip_platform::{decode_request_limit, header};
 use pimentoslip_telemetry::LogLine;
 use std::time::Duration;
 
@@ -117,6 +118,7 @@
     if let Some(event_id) = call.last_event_id {
         request = request.insert_header((header::LAST_EVENT_ID, event_id.to_string()));
     }
+    guard.request_sent();
     let response = match request.send_body(call.body.clone()).await {
         Ok(response) => response,
         Err(SendRequestError::Connect(ConnectError::Disconnected)) => return Err(AttemptFailure::Lost.into()),
@@ -138,7 +140,11 @@
     if let Some(requests) = reported_load(response.headers()) {
         guard.load_reported(requests);
     }
-    check_response(&call.id, response.status(), response.headers())?;
+    let checked = check_response(&call.id, response.status(), response.headers());
+    if is_from_upstream(checked, &call.id, response.headers()) {
+        report_limit(guard, response.headers());
+    }
+    checked?;
     Ok(response)
 }
 
@@ -163,6 +169,29 @@
     Ok(())
 }
 
+/// Whether a response with the result `checked` was written by the upstream that the request `id` was sent to, so that
+/// its limit is that of this upstream. A response without an id may belong to an earlier request.
+fn is_from_upstream(checked: Result<()>, id: &str, headers: &HeaderMap) -> bool {
+    let has_id = headers.get(header::REQUEST_ID).is_some_and(|echoed_id| echoed_id.as_bytes() == id.as_bytes());
+    has_id && checked.err().is_none_or(|error| error.failure != AttemptFailure::Misdirected)
+}
+
+/// Records the limit that a response names, or that it names none. A malformed limit changes nothing.
+fn report_limit(guard: &UpstreamGuard, headers: &HeaderMap) {
+    let Some(value) = headers.get(header::REQUEST_LIMIT) else { return guard.limit_reported(None) };
+    match decode_request_limit(value.to_str().unwrap_or_default()) {
+        Ok(limit) => guard.limit_reported(Some(limit)),
+        Err(error) => {
+            EdgeMetrics::increment(&EdgeMetrics::global().limit_changes, "malformed");
+            LogLine::new("limit_malformed")
+                .field("upstream", &guard.record.id)
+                .field("limit", format!("{value:?}"))
+                .field("reason", error)
+                .warn();
+        }
+    }
+}
+
 /// Number of requests that are running and queued at the upstream, as reported in a response header.
 fn reported_load(headers: &HeaderMap) -> Option<u64> {
     let mut fields = headers.get(header::UPSTREAM_LOAD)?.to_str().ok()?.split(',');
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -1,7 +1,8 @@
 //! Counts a request towards the load of its upstream while it is in flight.
 
-use crate::{buffer_budget::BufferShare, edge_state::EdgeState};
-use pimentoslip_kernel::{SamplerOutcome, SamplerQuery, SamplerRecord};
+use crate::{buffer_budget::BufferShare, edge_metrics::EdgeMetrics, edge_state::EdgeState};
+use pimentoslip_kernel::{RateLimit, SamplerOutcome, SamplerQuery, SamplerRecord};
+use pimentoslip_telemetry::LogLine;
 use std::sync::Arc;
 
 /// Counts a request as in flight at an upstream; when dropped, records the outcome of the attempt.
@@ -39,6 +40,22 @@
         self.state.buffers.share()
     }
 
+    /// Records that the request is being sent.
+    pub fn request_sent(&self) {
+        self.state.upstreams().request_sent(&self.record.id);
+    }
+
+    /// Records the limit that the upstream's response names; `None` if it names none.
+    pub fn limit_reported(&self, limit: Option<RateLimit>) {
+        if !self.state.upstreams().limit_reported(&self.record, limit) {
+            return;
+        }
+        let (event, reason) = if limit.is_some() { ("limit_named", "named") } else { ("limit_ended", "ended") };
+        EdgeMetrics::increment(&EdgeMetrics::global().limit_changes, reason);
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        LogLine::new(event).field("upstream", &self.record.id).field("limit", limit).info();
+    }
+
     /// Records the number of requests that the upstream reported as running and queued.
     pub fn load_reported(&self, requests: u64) {
         self.state.upstreams().load_reported(&self.record.id, requests, self.state.now());
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -42,6 +42,8 @@
 const GRACE_MARGIN_MS: u64 = 3_000;
 /// Time for requests that are still active when the HTTP server is stopped.
 const SHUTDOWN_TIMEOUT_SECONDS: u64 = 2;
+/// Interval at which the numbers of requests at upstreams with a limit are logged.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval at which the numbers of calls to the store are logged.
 const CALL_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time for the handover of all owned jobs; each takes two calls.
@@ -113,6 +115,7 @@
     });
     spawn_task(&parts, "crashes", |parts| store_crash_marks(parts.state, parts.store.with_purpose("crashes")));
     actix_rt::spawn(log_store_calls());
+    spawn_task(&parts, "log_limits", |parts| log_limited_upstreams(parts.state));
     // Jobs have a thread of their own, so that a large one delays neither the lease nor the changes of the store.
     let job_state = state.clone();
     Arbiter::new().spawn_fn(move || {
@@ -155,6 +158,21 @@
     }
 }
 
+/// Logs the number of this daemon's requests at each upstream that names a limit, at a fixed interval.
+async fn log_limited_upstreams(state: Arc<EdgeState>) {
+    loop {
+        actix_rt::time::sleep(LIMIT_LOG_INTERVAL).await;
+        let counts = state.upstreams().take_limited_counts();
+        for (upstream, limit, sent_count) in counts {
+            LogLine::new("limited_requests")
+                .field("upstream", upstream)
+                .field("limit", limit)
+                .field("sent", sent_count)
+                .info();
+        }
+    }
+}
+
 /// Starts the public HTTP server, to which callers connect.
 fn serve_public(state: &Arc<EdgeState>) -> Result<ServerHandle> {
     let address = state.settings.public_address.context("the settings file has no address for callers; add one")?;
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -1,7 +1,7 @@
 //! Table of the listed upstreams with their load, from which an upstream is selected for each request.
 
 use super::{SamplerRecord, SamplerState};
-use crate::{SharedName, TimePoint, rendezvous};
+use crate::{RateLimit, SharedName, TimePoint, rendezvous};
 use std::collections::BTreeMap;
 
 /// Backoff after a failed request; doubles with each further consecutive failure.
@@ -97,6 +97,10 @@
     model_backoff_until: BTreeMap<SharedName, TimePoint>,
     /// Moving average of the latency per unit of work.
     latency_ms: Option<u64>,
+    /// Limit that the last response named.
+    limit: Option<RateLimit>,
+    /// Number of requests sent since the last call of [`SamplerTable::take_limited_counts`].
+    sent_count: u64,
 }
 
 impl SamplerEntry {
@@ -110,6 +114,8 @@
             backoff_until: TimePoint(0),
             model_backoff_until: BTreeMap::new(),
             latency_ms: None,
+            limit: None,
+            sent_count: 0,
         }
     }
 
@@ -335,6 +341,31 @@
         }
     }
 
+    /// Handles the limit that a response of the process `responder` names; `None` if it names none. Returns whether the
+    /// previous response named another one.
+    pub fn limit_reported(&mut self, responder: &SamplerRecord, limit: Option<RateLimit>) -> bool {
+        let entry = self.entries.get_mut(&responder.id).filter(|entry| entry.record.is_same_process(responder));
+        entry.is_some_and(|entry| std::mem::replace(&mut entry.limit, limit) != limit)
+    }
+
+    /// Counts a request that is sent to the upstream `id`.
+    pub fn request_sent(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.sent_count += 1;
+        }
+    }
+
+    /// The limits of upstreams that name one, and the numbers of requests sent there since the last call. Upstreams
+    /// without requests are omitted.
+    pub fn take_limited_counts(&mut self) -> Vec<(SharedName, RateLimit, u64)> {
+        let counts = self.entries.values_mut().filter_map(|entry| {
+            let sent_count = std::mem::take(&mut entry.sent_count);
+            let limit = entry.limit.filter(|_| sent_count > 0)?;
+            Some((entry.record.id.clone(), limit, sent_count))
+        });
+        counts.collect()
+    }
+
     /// Handles a load report of the upstream `id`. `requests` is its number of running and queued requests, including
     /// those of this daemon.
     pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) {
