--- a/crates/cli/tests/processes/support/mod.rs
+++ b/crates/cli/tests/processes/support/mod.rs
@@ -8,7 +8,7 @@
 
 pub use child_process::{ChildProcess, Workdir, run_cli};
 pub use daemon_site::{DaemonSite, KEY_ORGANISATION, OPERATOR_KEY, SiteOptions};
-pub use edge_site::{EdgeSite, HOST, ROSE_KEY, TRAY_KEY, job_item, job_submission};
+pub use edge_site::{EdgeReply, EdgeSite, HOST, ROSE_KEY, TRAY_KEY, job_item, job_submission};
 pub use http_client::{HttpAnswer, HttpClient};
 pub use raw_server::{RawAnswer, RawEnding, RawServer};
 
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -11,7 +11,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Number of the first event of a streamed answer.
@@ -94,6 +94,10 @@
     /// Faults of the next requests, at most one per request.
     faults: VecDeque<UpstreamFault>,
     calls: Vec<RecordedCall>,
+    /// Value of the limit header in each response; `None` for responses without one.
+    named_limit: Option<String>,
+    /// Arrivals of requests, also of refused ones.
+    arrivals: Vec<Instant>,
     running_requests: usize,
     /// Body of the requests that crash the upstream.
     crash_body: Option<Bytes>,
@@ -144,6 +148,17 @@
         self.inner.state().crash_body = Some(Bytes::from_static(body));
     }
 
+    /// Names `limit` in the responses from now on; `None` for responses without a limit. The limit is not enforced.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.inner.state().named_limit = limit.map(str::to_owned);
+    }
+
+    /// Arrivals of requests so far, also of refused ones, in order.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.inner.state().arrivals.clone()
+    }
+
     /// Whether the upstream has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -219,10 +234,14 @@
     if header(&request, "expect-instance") != upstream.settings.id {
         return HttpResponse::MisdirectedRequest().insert_header(("request-id", id)).finish();
     }
-    let fault = upstream.state().faults.pop_front();
+    let fault = {
+        let mut state = upstream.state();
+        state.arrivals.push(Instant::now());
+        state.faults.pop_front()
+    };
     if fault == Some(UpstreamFault::Refuse) {
-        let mut refusal = HttpResponse::ServiceUnavailable();
-        return refusal.insert_header(("request-id", id)).insert_header(("not-executed", "1")).finish();
+        let mut refusal = response_builder(&upstream, StatusCode::SERVICE_UNAVAILABLE, &id);
+        return refusal.insert_header(("not-executed", "1")).finish();
     }
     let last_event_id = header(&request, "last-event-id").parse().ok();
     let call = RecordedCall {
@@ -254,30 +273,40 @@
                 actix_rt::time::sleep(HANG_BYTE_INTERVAL).await;
                 Some((Ok::<_, io::Error>(Bytes::from_static(b".")), guard))
             });
-            answer_builder(StatusCode::OK, &id).streaming(bytes.boxed_local())
+            answer_builder(&upstream, StatusCode::OK, &id).streaming(bytes.boxed_local())
         }
         Some(UpstreamFault::LoseAnswer) => truncated_response(stream::empty().boxed_local()),
         Some(UpstreamFault::Status(status)) => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-            answer_builder(status, &id).body("failed")
+            answer_builder(&upstream, status, &id).body("failed")
         }
         Some(UpstreamFault::Truncate) => {
             let partial_body = stream::iter([Ok(Bytes::from_static(b"half"))]).boxed_local();
-            let mut response = answer_builder(StatusCode::OK, &id);
+            let mut response = answer_builder(&upstream, StatusCode::OK, &id);
             response.no_chunking(100).streaming(partial_body.chain(connection_reset()))
         }
         _ if upstream.settings.models.is_empty() => {
             actix_rt::time::sleep(Duration::from_millis(upstream.settings.event_ms)).await;
-            answer_builder(StatusCode::OK, &id).body(format!("answer to {id}"))
+            answer_builder(&upstream, StatusCode::OK, &id).body(format!("answer to {id}"))
         }
         _ => generate(&upstream, &request, &id, last_event_id, fault, guard),
     }
 }
 
-/// Response with the headers that every answer has.
-fn answer_builder(status: StatusCode, id: &str) -> actix_web::HttpResponseBuilder {
+/// Response with the headers that refusals and answers have.
+fn response_builder(upstream: &UpstreamInner, status: StatusCode, id: &str) -> actix_web::HttpResponseBuilder {
     let mut response = HttpResponse::build(status);
-    response.insert_header(("request-id", id)).insert_header(("server-signature", format!("signed {id}")));
+    response.insert_header(("request-id", id));
+    if let Some(limit) = &upstream.state().named_limit {
+        response.insert_header(("server-limit", limit.as_str()));
+    }
+    response
+}
+
+/// Response with the headers that every answer has.
+fn answer_builder(upstream: &UpstreamInner, status: StatusCode, id: &str) -> actix_web::HttpResponseBuilder {
+    let mut response = response_builder(upstream, status, id);
+    response.insert_header(("server-signature", format!("signed {id}")));
     response
 }
 
@@ -308,7 +337,7 @@
     let version = upstream.state().versions.get(&model).copied().unwrap_or(0);
     let first_event = last_event_id.map_or(FIRST_EVENT, |last| last + 1);
     let end = FIRST_EVENT + event_count;
-    let mut response = answer_builder(StatusCode::OK, id);
+    let mut response = answer_builder(upstream, StatusCode::OK, id);
     response.insert_header(("content-type", "text/event-stream"));
     if first_event >= end {
         return response.streaming(stream::empty::<io::Result<Bytes>>());
