Log the software version of upstreams

Without it the logs cannot say whether a resumed run, or a stream that a caller takes up again, changed the software. Nothing decides by it yet.

--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -189,6 +189,8 @@
             .field("request_id", &context.id)
             .field("route", &rule.name)
             .field("upstream", &upstream)
+            .field("software", &guard.record.software)
+            .field("resumed_after", call.last_event_id.map_or_else(|| "none".to_owned(), |last| last.to_string()))
             .field("config", context.config.version)
             .field("left_ms", call.deadline.since_ms(sent_at))
             .field("took_ms", took_ms)
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -72,6 +72,7 @@
         .field("job", &job.id)
         .field("item", &job.submission.items[assignment.item_index].id)
         .field("upstream", &guard.record.id)
+        .field("software", &guard.record.software)
         .field("listed_version", listed_version(&job, assignment.item_index, &guard))
         .field("resumed_after", assignment.resume_after.map_or_else(|| "none".to_owned(), |last| last.to_string()))
         .field("events", new_event_count)
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -34,13 +34,17 @@
             Ok(record) => {
                 let mut upstreams = self.state.upstreams();
                 let previous = upstreams.get(id);
-                if previous.is_none_or(|previous| previous.state != record.state || previous.address != record.address)
-                {
+                if previous.is_none_or(|previous| {
+                    previous.state != record.state
+                        || previous.address != record.address
+                        || previous.software != record.software
+                }) {
                     LogLine::new("upstream_listed")
                         .field("upstream", id)
                         .field("service", &record.service)
                         .field("address", &record.address)
                         .field("failure_domain", &record.failure_domain)
+                        .field("software", &record.software)
                         .field("state", format!("{:?}", record.state).to_lowercase())
                         .field("revision", store_entry.revision)
                         .info();
--- a/crates/kernel/src/sampler/sampler_record.rs
+++ b/crates/kernel/src/sampler/sampler_record.rs
@@ -27,6 +27,8 @@
     pub slots: u64,
     /// Whether the upstream accepts new requests.
     pub state: SamplerState,
+    /// Version of the upstream's software; empty if it names none. What two versions generate does not fit together.
+    pub software: SharedName,
     /// Loaded version of the weights by model.
     pub versions: BTreeMap<SharedName, u64>,
     /// Start of the upstream's process, in milliseconds since the Unix epoch. Distinguishes incarnations with the same
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -15,6 +15,7 @@
         failure_domain: domain.into(),
         slots: 2,
         state: SamplerState::Ready,
+        software: "v1".into(),
         versions: BTreeMap::from([("m".into(), version)]),
         started_unix_ms: 1,
         reclaimable: false,
--- a/crates/kernel/tests/machines/limits.rs
+++ b/crates/kernel/tests/machines/limits.rs
@@ -90,6 +90,7 @@
             failure_domain: "d".into(),
             slots: 64,
             state: SamplerState::Ready,
+            software: "v1".into(),
             versions: BTreeMap::new(),
             started_unix_ms: self.started_unix_ms,
             reclaimable: false,
--- a/crates/kernel/tests/machines/scaling.rs
+++ b/crates/kernel/tests/machines/scaling.rs
@@ -103,6 +103,7 @@
                 failure_domain: domain.clone(),
                 slots: SLOTS,
                 state: SamplerState::Ready,
+                software: "v1".into(),
                 versions: BTreeMap::new(),
                 started_unix_ms: 1,
                 reclaimable: *reclaimable,
