--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod platform_limits;
 mod platform_malformed;
 mod platform_path;
+mod platform_software;
 mod reclaim;
 mod requests;
 mod samples;
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -13,6 +13,7 @@
 pub const TRAY_KEY: &str = "key-of-tray";
 /// Host name that the routes of the configuration match.
 pub const HOST: &str = "desk.example";
+const BASE_SOFTWARE: &str = UpstreamSettings::BASE_SOFTWARE;
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Reads of a job's results, each of which waits up to half a second.
 const PAGES_MAX: usize = 400;
@@ -79,13 +80,15 @@
     listener.local_addr().expect("the address of the listener")
 }
 
-/// Starts an upstream of `service`. One of the service `engine` serves a model.
-fn start_upstream(store: &PlatformStore, id: &str, service: &str) -> PlatformUpstream {
+/// Starts an upstream of `service` with the version `software` of its software. One of the service `engine` serves a
+/// model.
+fn start_upstream(store: &PlatformStore, id: &str, service: &str, software: &str) -> PlatformUpstream {
     let models: &[&str] = if service == "engine" { &["verse"] } else { &[] };
     let settings = UpstreamSettings {
         id: id.to_owned(),
         service: service.to_owned(),
         failure_domain: "north".to_owned(),
+        software: software.to_owned(),
         slots: 8,
         models: models.iter().map(ToString::to_string).collect(),
         event_ms: if models.is_empty() { 5 } else { 10 },
@@ -111,8 +114,8 @@
     pub fn without_edges() -> Self {
         let store = PlatformStore::start().expect("start the store");
         let provider = PlatformProvider::start().expect("start the cloud interface");
-        let desks = ["desk-1", "desk-2"].map(|id| start_upstream(&store, id, "desk"));
-        let engines = ["engine-1", "engine-2"].map(|id| start_upstream(&store, id, "engine"));
+        let desks = ["desk-1", "desk-2"].map(|id| start_upstream(&store, id, "desk", BASE_SOFTWARE));
+        let engines = ["engine-1", "engine-2"].map(|id| start_upstream(&store, id, "engine", BASE_SOFTWARE));
         Self {
             desks: desks.into(),
             engines: engines.into(),
@@ -125,12 +128,17 @@
 
     /// Starts one more upstream of the plain service `desk`.
     pub fn start_desk(&mut self, id: &str) {
-        self.desks.push(start_upstream(&self.store, id, "desk"));
+        self.desks.push(start_upstream(&self.store, id, "desk", BASE_SOFTWARE));
     }
 
     /// Starts one more upstream of the service `engine`.
     pub fn start_engine(&mut self, id: &str) {
-        self.engines.push(start_upstream(&self.store, id, "engine"));
+        self.start_engine_with(id, BASE_SOFTWARE);
+    }
+
+    /// Starts one more upstream of the service `engine`, with the version `software` of its software.
+    pub fn start_engine_with(&mut self, id: &str, software: &str) {
+        self.engines.push(start_upstream(&self.store, id, "engine", software));
     }
 
     /// Stores a configuration with the version `version` and the organisations in `keys` (name, API key).
@@ -141,7 +149,7 @@
             json!({
                 "name": name, "host": HOST, "pathPrefix": prefix, "type": route_type, "timeoutMs": 1_500,
                 "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": name == "score",
-                "runTargetMs": 7_500, "retentionS": 60,
+                "runTargetMs": 7_500, "retentionS": 60, "resumable": name == "talk",
             })
         };
         let config = json!({
@@ -149,6 +157,7 @@
             "routes": [
                 route("quote", "/quote/", "safe", "desk"), route("score", "/score/", "safe", "desk"),
                 route("once", "/once/", "unsafe", "desk"), route("cards", "/cards/", "rollout", "engine"),
+                route("talk", "/talk/", "streaming", "engine"),
             ],
             "services": [
                 { "name": "desk", "healthPath": "/health", "maxConnections": 100 },
@@ -265,6 +274,19 @@
         self.send(edge, "POST", "/quote/roses", &headers, body).await
     }
 
+    /// Sends a request for a stream of `events` events, with `id` as its request id and more headers in `headers`, and
+    /// reads the complete answer. As `rose`, unless the headers have another key.
+    pub async fn send_talk(&self, edge: usize, id: &str, events: u64, headers: &[(&str, &str)]) -> EdgeReply {
+        let (bearer, events) = (format!("Bearer {ROSE_KEY}"), events.to_string());
+        let mut all_headers = vec![("request-id", id), ("deadline-ms", "8000"), ("model", "verse")];
+        all_headers.push(("length-hint", events.as_str()));
+        if !headers.iter().any(|(name, _)| *name == "authorization") {
+            all_headers.push(("authorization", bearer.as_str()));
+        }
+        all_headers.extend_from_slice(headers);
+        self.send(edge, "POST", "/talk/verse", &all_headers, "how sad").await
+    }
+
     /// Submits the batch job `job`, as `rose`.
     pub async fn submit_job(&self, edge: usize, job: &str, body: &Value) -> EdgeReply {
         let bearer = format!("Bearer {ROSE_KEY}");
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -69,6 +69,8 @@
     pub service: String,
     /// Failure domain of the upstream.
     pub failure_domain: String,
+    /// Version of the upstream's software; the data of its events ends with it, unless it is [`Self::BASE_SOFTWARE`].
+    pub software: String,
     /// Number of concurrent requests that the upstream registers as its capacity; not enforced.
     pub slots: u64,
     /// Models that the upstream serves, all at version 1 initially; empty for a plain service.
@@ -77,6 +79,16 @@
     pub event_ms: u64,
 }
 
+impl UpstreamSettings {
+    /// Version of the software that leaves no trace in the events.
+    pub const BASE_SOFTWARE: &'static str = "v1";
+
+    /// End of the data of each event.
+    fn event_suffix(&self) -> String {
+        if self.software == Self::BASE_SOFTWARE { String::new() } else { format!("@{}", self.software) }
+    }
+}
+
 /// Settings and state of an upstream, shared by its request handlers.
 struct UpstreamInner {
     settings: UpstreamSettings,
@@ -183,6 +195,15 @@
         self.inner.state().running_requests
     }
 
+    /// Ends the upstream: it closes its connections, and its entry is removed from the store.
+    pub async fn stop(&self) {
+        self.inner.store.contents().remove(&format!("servers/{}", self.inner.settings.id));
+        let server = self.inner.state().server.take();
+        if let Some(server) = server {
+            server.stop(false).await;
+        }
+    }
+
     /// Registers the upstream as draining.
     pub fn start_draining(&self) {
         self.inner.register("draining");
@@ -205,7 +226,7 @@
             .map(|(name, version)| json!({ "name": name, "version": version, "adapters": [] }))
             .collect();
         let entry = json!({
-            "service": self.settings.service, "address": address, "zone": self.settings.failure_domain, "version": "v1",
+            "service": self.settings.service, "address": address, "zone": self.settings.failure_domain, "version": self.settings.software,
             "slots": self.settings.slots, "state": status, "coldRemainingMs": 0, "models": models, "sequence": 1,
             "born": 1,
         });
@@ -359,7 +380,8 @@
             let version = upstream.state().versions.get(&model).copied().unwrap_or(0);
             let version_line =
                 if version == last_version { String::new() } else { format!("weight-versions: {version}\n") };
-            let event = format!("{version_line}id: {number}\ndata: {id}:{number}\n\n");
+            let suffix = upstream.settings.event_suffix();
+            let event = format!("{version_line}id: {number}\ndata: {id}:{number}{suffix}\n\n");
             Some((Ok(Bytes::from(event)), (number + 1, version, guard)))
         }
     })
