Continue the text of an item only at the software version that began it

Cause: a text keeps its events, but not what generated them, so that any engine with a free slot continues it: after a broken run, from a checkpoint of a crashed owner, after a handover. The class of fault: state is carried on without the identity of what made it.

Change: a text keeps the software of its first event, in memory, checkpoints and handovers; the ledger takes no event and no stored part of other software, and a run resumes only at an upstream of that software. A text without its software, from an earlier release, is begun anew. A run whose upstream was replaced under its id meanwhile discards its text. A slow run moves to an engine of its software only.

--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -127,8 +127,14 @@
     let mut site = EdgeSite::start(2).await;
     assert_eq!(site.submit_job(0, "job", &job_submission(1, &[job_item("long", 600, false)])).await.status, 202);
     wait_for("the item runs", || async { (!site.engine_calls("long").is_empty()).then_some(()) }).await;
-    let part =
-        TextPart { item_index: 0, first_event: 1, last_event: u64::MAX, text: "x".to_owned(), versions: vec![9] };
+    let part = TextPart {
+        item_index: 0,
+        first_event: 1,
+        last_event: u64::MAX,
+        text: "x".to_owned(),
+        versions: vec![9],
+        software: Some("v1".into()),
+    };
     let checkpoint = JobCheckpoint {
         parts: vec![
             part.clone(),
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -313,6 +313,7 @@
     SamplerQuery {
         service,
         model: None,
+        software: None,
         failure_domain: &parts.state.settings.failure_domain,
         excluded,
         capacity: CapacityNeed::Queue,
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -58,7 +58,12 @@
     let state = job.state.clone();
     let started_at = state.now();
     let mut monitor = RunMonitor::new(started_at);
-    let run = stream_item(&job, assignment, &guard, priority, retention_ends_at, &mut monitor).await;
+    let mut run = stream_item(&job, &assignment, &guard, priority, retention_ends_at, &mut monitor).await;
+    if guard.is_replaced() {
+        // The response may be that of the new process, whose software may be another version.
+        job.ledger.borrow_mut().discard_text(assignment.item_index);
+        run = FinishedRun::from_failure(AttemptFailure::Mismatch);
+    }
     let event_count = job.ledger.borrow().event_count(assignment.item_index);
     let took_ms = state.now().since_ms(started_at);
     let new_event_count =
@@ -96,7 +101,7 @@
 }
 
 /// The request for an item. It resumes after the item's last event in the ledger, if there is one.
-fn item_call(job: &OwnedJob, assignment: RunAssignment, priority: u32, deadline: TimePoint) -> UpstreamCall {
+fn item_call(job: &OwnedJob, assignment: &RunAssignment, priority: u32, deadline: TimePoint) -> UpstreamCall {
     let item = &job.submission.items[assignment.item_index];
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
@@ -123,7 +128,7 @@
 /// intervals between the events.
 async fn stream_item(
     job: &OwnedJob,
-    assignment: RunAssignment,
+    assignment: &RunAssignment,
     guard: &UpstreamGuard,
     priority: u32,
     retention_ends_at: TimePoint,
@@ -194,8 +199,13 @@
             version = event.version.or(version);
             // The ledger records the version of each event, so an event without one is malformed.
             let Some(version) = version else { return FinishedRun::from_failure(AttemptFailure::Malformed) };
-            let outcome =
-                job.ledger.borrow_mut().event_received(assignment.item_index, event.number, version, &event.data);
+            let outcome = job.ledger.borrow_mut().event_received(
+                assignment.item_index,
+                event.number,
+                version,
+                &guard.record.software,
+                &event.data,
+            );
             match outcome {
                 EventOutcome::Accepted => {}
                 EventOutcome::Restart => {
@@ -220,6 +230,7 @@
     let query = SamplerQuery {
         service: &guard.record.service,
         model: model.as_deref().map(|model| (model, job.submission.oldest_version)),
+        software: Some(&guard.record.software),
         failure_domain: &job.state.settings.failure_domain,
         excluded: &[],
         capacity: CapacityNeed::FreeSlot,
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -289,12 +289,19 @@
     {
         let next_run = job.ledger.borrow_mut().start_next_run(now);
         let Some(assignment) = next_run else { break };
-        let Some(guard) = select_upstream(job, &rule, assignment) else {
-            job.ledger.borrow_mut().requeue_run(assignment.item_index);
-            break;
-        };
-        runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
         start_count += 1;
+        match (select_upstream(job, &rule, &assignment), &assignment.software) {
+            (Some(guard), _) => {
+                runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
+            }
+            // Other items may be run by upstreams with other software.
+            (None, Some(_)) => defer_item(job, &rule, &assignment, now),
+            (None, None) => {
+                job.ledger.borrow_mut().requeue_run(assignment.item_index);
+                start_count -= 1;
+                break;
+            }
+        }
     }
     let has_waiting = job.ledger.borrow().waiting_count() > 0;
     update_waiting(job, &rule, has_waiting);
@@ -329,19 +336,37 @@
 }
 
 /// Selects an upstream with a free slot for an item, and counts the run on it. `None` if there is no such upstream.
-fn select_upstream(job: &OwnedJob, rule: &RouteRule, assignment: RunAssignment) -> Option<UpstreamGuard> {
-    let item = &job.submission.items[assignment.item_index];
+fn select_upstream(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment) -> Option<UpstreamGuard> {
     let model = item_model(job, assignment.item_index);
+    UpstreamGuard::pick(&job.state, &item_query(job, rule, assignment, model.as_deref())?)
+}
+
+/// Lets an item wait for an upstream that can continue its text, or discards the text if there is none.
+fn defer_item(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) {
+    let model = item_model(job, assignment.item_index);
+    let query = item_query(job, rule, assignment, model.as_deref());
+    let is_served = query.is_some_and(|query| job.state.upstreams().is_served(&query));
+    job.ledger.borrow_mut().defer_run(assignment.item_index, is_served, now);
+}
+
+/// Query for an upstream with a free slot that can run an item. `None` if the route has no targets.
+fn item_query<'a>(
+    job: &'a OwnedJob,
+    rule: &'a RouteRule,
+    assignment: &'a RunAssignment,
+    model: Option<&'a str>,
+) -> Option<SamplerQuery<'a>> {
+    let item = &job.submission.items[assignment.item_index];
     let service = rule.service_for_draw(pimentoslip_kernel::fingerprint(&[item.id.as_bytes()]))?;
     let waiting_count = job.ledger.borrow().waiting_count() + 1;
-    let query = SamplerQuery {
+    Some(SamplerQuery {
         service,
-        model: model.as_deref().map(|model| (model, job.submission.oldest_version)),
+        model: model.map(|model| (model, job.submission.oldest_version)),
+        software: assignment.software.as_deref(),
         failure_domain: &job.state.settings.failure_domain,
         excluded: &[],
         capacity: CapacityNeed::FreeSlot,
         affinity: &item.group,
         permits: queued_permits(&job.state, RequestUrgency::of_item(rule.priority), waiting_count),
-    };
-    UpstreamGuard::pick(&job.state, &query)
+    })
 }
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -48,6 +48,7 @@
     let query = SamplerQuery {
         service,
         model: None,
+        software: None,
         failure_domain: &state.settings.failure_domain,
         excluded: &[],
         capacity: CapacityNeed::SpareSlot,
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -36,6 +36,12 @@
         self.outcome = outcome;
     }
 
+    /// Whether the list names another process under the upstream's id by now, or one with other software.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.state.upstreams().get(&self.record.id).is_some_and(|record| !record.is_same_process(&self.record))
+    }
+
     /// Number of this daemon's requests in progress at the upstream, this one included.
     #[must_use]
     pub fn inflight(&self) -> u64 {
--- a/crates/kernel/src/batch/batch_options.rs
+++ b/crates/kernel/src/batch/batch_options.rs
@@ -29,12 +29,14 @@
 }
 
 /// An item to be run at an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunAssignment {
     /// Index of the item in its batch job.
     pub item_index: usize,
     /// Number of the last event received in earlier runs; the upstream continues the text after it.
     pub resume_after: Option<u64>,
+    /// Version of the software that an upstream must have to continue the text; `None` if it starts with the first event.
+    pub software: Option<SharedName>,
 }
 
 /// Result of adding an event to the text of its item.
--- a/crates/kernel/src/batch/job_checkpoint.rs
+++ b/crates/kernel/src/batch/job_checkpoint.rs
@@ -1,5 +1,7 @@
 //! Checkpoints of unfinished items, from which the next owner of a batch job continues.
 
+use crate::SharedName;
+
 /// Consecutive events of one text that follow those of earlier checkpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TextPart {
@@ -14,6 +16,8 @@
     pub text: String,
     /// Versions of the weights that generated the text from its first event to the part's last event, ascending.
     pub versions: Vec<u64>,
+    /// Version of the software that generated the text; `None` if it is not known.
+    pub software: Option<SharedName>,
 }
 
 /// Failures of an item since its submission.
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -1,6 +1,7 @@
 //! Texts that are assembled from the events of their runs.
 
 use super::TextPart;
+use crate::SharedName;
 use serde::{Deserialize, Serialize};
 
 /// Number of the first event of a text.
@@ -16,6 +17,10 @@
     last_event: Option<u64>,
     /// Versions of the weights that generated the events, ascending.
     versions: Vec<u64>,
+    /// Version of the software that generated the events; `None` before the first one, or if a daemon of an earlier
+    /// release did not keep it.
+    #[serde(default)]
+    software: Option<SharedName>,
     /// Length of the portion that is in checkpoints, including one whose write is not confirmed.
     #[serde(skip)]
     saved: SavedLength,
@@ -53,12 +58,25 @@
         &self.versions
     }
 
-    /// Appends an event. Returns false without a change if its number doesn't follow that of the last event, or isn't
-    /// [`FIRST_EVENT_NUMBER`] in an empty text.
-    pub fn push_event(&mut self, number: u64, version: u64, data: &str) -> bool {
+    /// Version of the software that generated the text, without which it cannot be continued. `None` if there are no
+    /// events or it is not known.
+    #[must_use]
+    pub fn software(&self) -> Option<&SharedName> {
+        self.software.as_ref()
+    }
+
+    /// Appends an event that an upstream with the version `software` of its software generated. Returns false without a
+    /// change if its number doesn't follow that of the last event, or isn't [`FIRST_EVENT_NUMBER`] in an empty text, or if
+    /// other software generated the text.
+    pub fn push_event(&mut self, number: u64, version: u64, software: &SharedName, data: &str) -> bool {
         if number != self.last_event.map_or(FIRST_EVENT_NUMBER, |last| last.saturating_add(1)) {
             return false;
         }
+        if self.last_event.is_none() {
+            self.software = Some(software.clone());
+        } else if self.software.as_ref() != Some(software) {
+            return false;
+        }
         self.append(number, data, &[version]);
         true
     }
@@ -74,7 +92,8 @@
         let separator_bytes = usize::from(self.saved.events > 0);
         let text = self.text[self.saved.bytes + separator_bytes..].to_owned();
         self.saved = SavedLength { events: self.event_count(), bytes: self.text.len() };
-        Some(TextPart { item_index, first_event, last_event, text, versions: self.versions.clone() })
+        let (versions, software) = (self.versions.clone(), self.software.clone());
+        Some(TextPart { item_index, first_event, last_event, text, versions, software })
     }
 
     /// Marks all events as unsaved, so that they are written to the following checkpoints again.
@@ -83,14 +102,21 @@
     }
 
     /// Appends a part that was read from a checkpoint. A part that starts with the first event replaces the text; a
-    /// part that would leave a gap, or whose text does not have as many events as it says, is ignored.
+    /// part that would leave a gap, that other software generated, or whose text does not have as many events as it
+    /// says, is ignored. One of unknown software, by an earlier release, discards the text.
     pub fn replay_part(&mut self, part: &TextPart) {
         if !has_events(&part.text, part.first_event, part.last_event) {
             return;
         }
-        if part.first_event == FIRST_EVENT_NUMBER {
+        if part.software.is_none() {
             *self = Self::default();
-        } else if self.last_event.is_none_or(|last| part.first_event != last.saturating_add(1)) {
+            return;
+        }
+        if part.first_event == FIRST_EVENT_NUMBER {
+            *self = Self { software: part.software.clone(), ..Self::default() };
+        } else if self.last_event.is_none_or(|last| part.first_event != last.saturating_add(1))
+            || self.software != part.software
+        {
             return;
         }
         self.append(part.last_event, &part.text, &part.versions);
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -98,12 +98,14 @@
         self.pool.as_ref().is_some_and(|pool| now.since_ms(pool.seen_at()) >= LIMIT_RECHECK_MS)
     }
 
-    /// Whether the upstream accepts new requests for the service and has an acceptable version of the model.
+    /// Whether the upstream accepts new requests for the service, and has an acceptable version of the model and the
+    /// software.
     pub(super) fn serves(&self, query: &SamplerQuery<'_>) -> bool {
         let record = &self.record;
         let has_model = query
             .model
             .is_none_or(|(model, oldest)| record.versions.get(model).is_some_and(|version| *version >= oldest));
-        record.state == SamplerState::Ready && *record.service == *query.service && has_model
+        let has_software = query.software.is_none_or(|software| *record.software == *software);
+        record.state == SamplerState::Ready && *record.service == *query.service && has_model && has_software
     }
 }
--- a/crates/kernel/src/sampler/sampler_query.rs
+++ b/crates/kernel/src/sampler/sampler_query.rs
@@ -35,6 +35,8 @@
     pub service: &'a str,
     /// Model that the request needs, and the oldest acceptable version of its weights.
     pub model: Option<(&'a str, u64)>,
+    /// Version of the software that the upstream must have, to continue what it generated; `None` for any.
+    pub software: Option<&'a str>,
     /// Failure domain of the daemon, whose upstreams are preferred.
     pub failure_domain: &'a str,
     /// Ids of upstreams that must not be selected, such as those already tried.
--- a/crates/kernel/src/sampler/sampler_record.rs
+++ b/crates/kernel/src/sampler/sampler_record.rs
@@ -39,9 +39,12 @@
 }
 
 impl SamplerRecord {
-    /// Whether `other` describes the same process of the upstream.
+    /// Whether `other` describes the same process of the upstream, with the same software.
     #[must_use]
     pub fn is_same_process(&self, other: &Self) -> bool {
-        self.id == other.id && self.address == other.address && self.started_unix_ms == other.started_unix_ms
+        self.id == other.id
+            && self.address == other.address
+            && self.started_unix_ms == other.started_unix_ms
+            && self.software == other.software
     }
 }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -65,6 +65,7 @@
 struct FastestEntry {
     service: SharedName,
     model: Option<(SharedName, u64)>,
+    software: Option<SharedName>,
     /// When the upstreams are compared again.
     valid_until: TimePoint,
     /// Latencies and ids, the lowest latency first.
@@ -74,7 +75,7 @@
 impl FastestEntry {
     fn is_for(&self, query: &SamplerQuery<'_>) -> bool {
         let model = self.model.as_ref().map(|(model, oldest)| (&**model, *oldest));
-        *self.service == *query.service && model == query.model
+        *self.service == *query.service && model == query.model && self.software.as_deref() == query.software
     }
 }
 
@@ -165,6 +166,12 @@
         Some(entry.record.clone())
     }
 
+    /// Whether an upstream serves the query, even if it has no capacity or backs off.
+    #[must_use]
+    pub fn is_served(&self, query: &SamplerQuery<'_>) -> bool {
+        self.entries.values().any(|entry| entry.serves(query))
+    }
+
     /// Number of upstreams that serve the query and do not back off, whatever their load.
     #[must_use]
     pub fn available_count(&self, query: &SamplerQuery<'_>, now: TimePoint) -> usize {
@@ -307,6 +314,7 @@
         FastestEntry {
             service: query.service.into(),
             model: query.model.map(|(model, oldest)| (model.into(), oldest)),
+            software: query.software.map(Into::into),
             valid_until: now.plus_ms(FASTEST_TTL_MS),
             fastest,
         }
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -27,6 +27,7 @@
     SamplerQuery {
         service: "s",
         model: Some(("m", 2)),
+        software: None,
         failure_domain: "a",
         excluded,
         capacity: CapacityNeed::FreeSlot,
--- a/crates/kernel/tests/machines/limits.rs
+++ b/crates/kernel/tests/machines/limits.rs
@@ -230,6 +230,7 @@
             let query = SamplerQuery {
                 service: "s",
                 model: None,
+                software: None,
                 failure_domain: "d",
                 excluded: &[],
                 capacity: CapacityNeed::FreeSlot,
--- a/crates/wire/src/stored/job_checkpoint_entry.rs
+++ b/crates/wire/src/stored/job_checkpoint_entry.rs
@@ -1,6 +1,6 @@
 //! Stored progress of unfinished items, from which the next owner of a batch job continues.
 
-use pimentoslip_kernel::{FailureCount, JobCheckpoint, TextPart};
+use pimentoslip_kernel::{FailureCount, JobCheckpoint, SharedName, TextPart};
 use serde::{Deserialize, Serialize};
 
 /// Part of an item's partial text: consecutive events of its stream.
@@ -19,6 +19,9 @@
     text: String,
     /// Versions of the weights that generated the text up to the last event.
     versions: Vec<u64>,
+    /// Version of the software that generated the text.
+    #[serde(default)]
+    software: Option<SharedName>,
 }
 
 /// Failures of an item since its submission.
@@ -50,6 +53,7 @@
             last_event: part.last_event,
             text: part.text.clone(),
             versions: part.versions.clone(),
+            software: part.software.clone(),
         };
         let failure = |(item_index, count): &(usize, FailureCount)| FailureEntry {
             item_index: *item_index,
@@ -71,6 +75,7 @@
             last_event: entry.last_event,
             text: entry.text,
             versions: entry.versions,
+            software: entry.software,
         };
         let failure = |entry: FailureEntry| {
             (entry.item_index, FailureCount { run_failures: entry.run, score_failures: entry.score })
