Continue the stream of a caller only at the software version that began it

Cause: `Last-Event-Id` was forwarded to any upstream, and nothing was kept of the upstream that began a stream.

Change: a daemon keeps the software of the streams that it begins, and while several versions may have begun streams it stores them in groups, at most 200 writes a second of all daemons; the versions that have served are stored themselves. A daemon to which a caller comes back continues the stream at that version, as it knows, as the store says or as another daemon knows; otherwise it refuses at once, as not run: `stream_unknown`, or `software_gone` without an upstream of that version. The key of a stream contains what its attempts have in common, so that a foreign or invented first attempt finds nothing. A response of an upstream that was replaced under its id is not used.

Added delay of a first event: none, it does not wait for the write. Responses of streaming routes are still buffered.

--- a/crates/cli/tests/processes/platform_software.rs
+++ b/crates/cli/tests/processes/platform_software.rs
@@ -186,3 +186,26 @@
         assert_eq!(reply.status, 503, "{reply:?}");
     }
 }
+
+/// Guards against streams that are lost, or written to the store, while one software version alone has served.
+#[actix_rt::test]
+async fn streams_go_on_without_a_write_while_one_software_version_serves() {
+    let mut site = EdgeSite::start(3).await;
+    for number in 0..6 {
+        assert_eq!(site.send_talk(number % 3, &format!("first-{number}"), 6, &[]).await.status, 200);
+    }
+    for is_restarted in [false, true] {
+        if is_restarted {
+            (0..3).for_each(|edge| site.edges[edge].process.kill());
+            (0..3).for_each(|edge| site.restart_edge(edge));
+            site.wait_ready().await;
+        }
+        for number in 0..6 {
+            let first_id = format!("first-{number}");
+            let headers = [("resumes", first_id.as_str()), ("last-event-id", "2")];
+            let reply = site.send_talk((number + 1) % 3, &format!("again-{number}"), 6, &headers).await;
+            assert_eq!(reply.status, 200, "restarted: {is_restarted}, {reply:?}");
+        }
+    }
+    assert!(site.store.contents().range("p/stream/", "").is_empty());
+}
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -11,7 +11,7 @@
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0];
 
 /// Values of the `purpose` label of calls to the store.
-const STORE_PURPOSES: [&str; 10] = [
+const STORE_PURPOSES: [&str; 11] = [
     "follow_operator",
     "follow_upstreams",
     "follow_daemons",
@@ -22,6 +22,7 @@
     "usage",
     "relay",
     "crashes",
+    "streams",
 ];
 
 /// Labels for the outcome of an operation or its reason.
@@ -61,6 +62,9 @@
     /// Requests for permits of one upstream, by result: `granted`, `unmet`, `ended` if the upstream names no limit any
     /// more, `unresponsive`, `malformed`, or `deferred` by the bound on calls.
     pub permit_asks: Family<ReasonLabel, Counter>,
+    /// Streams that callers take up again, by where what began them was found: `known`, `sole_version`, `peer`, `store`; or
+    /// `unknown`, `store_unreachable` or `timed_out`.
+    pub stream_lookups: Family<ReasonLabel, Counter>,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
     /// Time from the arrival of a request to its response, in seconds.
@@ -103,6 +107,7 @@
             upstream_crashes: Counter::default(),
             limit_changes: Family::default(),
             permit_asks: Family::default(),
+            stream_lookups: Family::default(),
             store_calls: Family::default(),
             request_latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_duration: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -120,6 +125,7 @@
         registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
         registry.register("limit_changes", "Changes of limits named by upstreams", metrics.limit_changes.clone());
         registry.register("permit_asks", "Requests for permits by result", metrics.permit_asks.clone());
+        registry.register("stream_lookups", "Streams taken up again by source", metrics.stream_lookups.clone());
         registry.register("store_calls", "Calls to the store by purpose", metrics.store_calls.clone());
         registry.register("latency_seconds", "Time to the answer of a request", metrics.request_latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -6,8 +6,8 @@
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
-    CoordinatorTable, GrantTable, OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, SuspectTable,
-    TimePoint, TrafficConfig, UsageTally, fingerprint,
+    CoordinatorTable, GrantTable, OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, SoftwareHistory,
+    StreamRegister, SuspectTable, TimePoint, TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
 use pimentoslip_wire::stored::{DaemonEntry, KeyLayout};
@@ -61,8 +61,17 @@
     pub permits_wanted: Notify,
     /// Wakes the tasks that wait for permits.
     pub permits_changed: Notify,
+    /// Whether a request waits for an upstream whose software version is not stored yet.
+    pub software_wanted: AtomicBool,
+    /// Wakes the task that stores the software versions of services.
+    pub software_unrecorded: Notify,
+    /// Wakes the task that stores what began the streams of callers.
+    pub streams_begun: Notify,
     /// Memory of the bodies of requests and responses.
     pub buffers: Arc<BufferBudget>,
+    /// Held while the store and other daemons are asked what began a stream. Contains the time from which on the store was
+    /// last read.
+    pub stream_lookup_turn: tokio::sync::Mutex<TimePoint>,
     change_logs: BTreeMap<&'static str, PrefixLog>,
     steady_time: SteadyTime,
     active_requests: AtomicUsize,
@@ -70,6 +79,8 @@
     upstreams: Mutex<SamplerTable>,
     coordinators: Mutex<CoordinatorTable>,
     grants: Mutex<GrantTable>,
+    streams: Mutex<StreamRegister>,
+    software_history: Mutex<SoftwareHistory>,
     suspects: Mutex<SuspectTable>,
     crash_outbox: Mutex<CrashOutbox>,
     newest_versions: Mutex<BTreeMap<SharedName, u64>>,
@@ -155,7 +166,11 @@
             crashes_changed: Notify::new(),
             permits_wanted: Notify::new(),
             permits_changed: Notify::new(),
+            software_wanted: AtomicBool::new(false),
+            software_unrecorded: Notify::new(),
+            streams_begun: Notify::new(),
             buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
+            stream_lookup_turn: tokio::sync::Mutex::new(TimePoint(0)),
             change_logs: FOLLOWED_PREFIXES.into_iter().map(|prefix| (prefix, PrefixLog::default())).collect(),
             steady_time: SteadyTime::new(&clock),
             active_requests: AtomicUsize::new(0),
@@ -163,6 +178,8 @@
             upstreams: Mutex::default(),
             coordinators: Mutex::new(CoordinatorTable::new(settings.vm.clone(), settle_ms, clock.since_boot())),
             grants: Mutex::default(),
+            streams: Mutex::default(),
+            software_history: Mutex::default(),
             suspects: Mutex::default(),
             crash_outbox: Mutex::default(),
             newest_versions: Mutex::default(),
@@ -238,6 +255,16 @@
         lock(&self.grants)
     }
 
+    /// Locks the register of streams that callers may take up again.
+    pub fn streams(&self) -> MutexGuard<'_, StreamRegister> {
+        lock(&self.streams)
+    }
+
+    /// Locks the versions of the software with which services have served.
+    pub fn software_history(&self) -> MutexGuard<'_, SoftwareHistory> {
+        lock(&self.software_history)
+    }
+
     /// Locks the crashes of upstreams by the request that they ran.
     pub fn suspects(&self) -> MutexGuard<'_, SuspectTable> {
         lock(&self.suspects)
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -42,6 +42,10 @@
         /// Time until an upstream may have room.
         retry_after_ms: u64,
     },
+    /// It is not certain which software began the stream that the request continues; the request did not run.
+    StreamUnknown,
+    /// No upstream has the software that began the stream that the request continues; the request did not run.
+    SoftwareGone,
     /// The deadline has passed; the request did not run.
     DeadlinePassed,
     /// The deadline has passed without a response, or the caller has disconnected; the request may have run.
@@ -77,6 +81,8 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Isolated => "isolated",
             Self::RateLimited { .. } => "rate_limited",
+            Self::StreamUnknown => "stream_unknown",
+            Self::SoftwareGone => "software_gone",
             Self::DeadlinePassed => "deadline_passed",
             Self::ResponseTimeout => "answer_late",
             Self::UpstreamLost => "upstream_lost",
@@ -104,6 +110,8 @@
             | Self::Quarantined { .. }
             | Self::Isolated
             | Self::RateLimited { .. }
+            | Self::StreamUnknown
+            | Self::SoftwareGone
             | Self::DeadlinePassed
             | Self::MemoryUsedUp
             | Self::Stopping
@@ -117,7 +125,9 @@
     /// response has no such header.
     fn retry_after(self) -> Option<Cow<'static, str>> {
         match self {
-            Self::ConfigNotLoaded | Self::ConfigStale | Self::StoreUnreachable => Some("0.5".into()),
+            Self::ConfigNotLoaded | Self::ConfigStale | Self::StoreUnreachable | Self::StreamUnknown => {
+                Some("0.5".into())
+            }
             Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1".into()),
             // Crashed upstreams are replaced within seconds.
             Self::Isolated => Some("1".into()),
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod proxy;
 mod ready_app;
 mod request_context;
+mod request_target;
 
 pub use front_app::configure_front;
 pub use ready_app::{configure_control, configure_ready};
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -4,6 +4,7 @@
     job::{ResultsQuery, SubmittedJob, accept_job, local_item, local_results},
     limit,
     store::RELAY_PATH,
+    stream::known_streams,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
@@ -13,7 +14,8 @@
 use pimentoslip_wire::{
     CodecError, decode, encode,
     peer::{
-        ChangesRequest, ChangesResponse, ItemRequest, JobPush, PermitRequest, ResultsRequest, RunReport, UsagePush,
+        ChangesRequest, ChangesResponse, ItemRequest, JobPush, PermitRequest, ResultsRequest, RunReport,
+        StreamsRequest, UsagePush,
     },
 };
 use serde::Serialize;
@@ -93,6 +95,14 @@
     }
 }
 
+/// Responds to a peer with what began streams that this daemon knows.
+pub async fn read_streams(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<StreamsRequest>(&body) {
+        Ok(request) => message_response(&known_streams(&parts.state, &request.keys)),
+        Err(error) => malformed_response(&error),
+    }
+}
+
 /// Collects usage counts of a peer, and responds with whether they were stored.
 pub async fn receive_usage(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     match decode::<UsagePush>(&body) {
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -3,6 +3,7 @@
 use super::{
     api_refusal::ApiRefusal,
     request_context::{RequestContext, header_text},
+    request_target::RequestTarget,
 };
 use crate::{
     buffer_budget::BufferShare,
@@ -13,6 +14,7 @@
         AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard, fetch_complete, forwarded_request_headers,
         forwarded_response_headers,
     },
+    stream::unrecorded_upstreams,
     suspect::{clear_suspect, watch_for_crash},
     worker_parts::WorkerParts,
 };
@@ -20,12 +22,11 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use pimentoslip_kernel::{
-    CapacityNeed, PermitNeed, RouteKind, RouteRule, SamplerOutcome, SamplerQuery, SharedName, SuspectVerdict,
-    TimePoint, fingerprint,
+    BegunStream, PermitNeed, RouteKind, RouteRule, SamplerOutcome, SharedName, SuspectVerdict, TimePoint,
 };
 use pimentoslip_platform::header;
 use pimentoslip_telemetry::LogLine;
-use std::{cell::LazyCell, time::Duration};
+use std::{cell::LazyCell, sync::atomic::Ordering, time::Duration};
 
 /// Largest response body that is buffered; services other than batch jobs respond with kilobytes.
 const RESPONSE_BYTES_MAX: usize = 16 << 20;
@@ -75,9 +76,7 @@
 ) -> Result<HttpResponse, ApiRefusal> {
     let grant = if rule.allows_anonymous { None } else { context.key_grant(request)? };
     let (body, _body_share) = read_body(parts, context, payload).await?;
-    let request_hash = fingerprint(&[context.id.as_bytes()]);
     let priority = grant.as_ref().and_then(|grant| grant.priority).unwrap_or(rule.priority);
-    let service = rule.service_for_draw(request_hash).ok_or(ApiRefusal::NoUpstream)?.clone();
     let path_and_query = request.uri().path_and_query().map_or_else(|| context.path.clone(), ToString::to_string);
     let call = UpstreamCall {
         id: context.id.clone(),
@@ -91,7 +90,8 @@
         last_event_id: header_text(request.headers(), header::LAST_EVENT_ID).and_then(|text| text.parse().ok()),
     };
     let client_watch = request.conn_data::<ClientWatch>().cloned();
-    let attempts = try_upstreams(parts, context, &call, &service, rule, priority);
+    let target = RequestTarget::select(parts, request.headers(), rule, &call).await?;
+    let attempts = try_upstreams(parts, context, &call, &target, rule, priority);
     let upstream_response = match client_watch {
         // Only idempotent requests are cancelled when the caller disconnects. Others may run at most once and are
         // finished, because the caller may request the outcome later.
@@ -138,13 +138,13 @@
     upstream_response: Option<CompleteResponse>,
 }
 
-/// Sends `call` to upstreams of `service`, one at a time, until one returns a response that is not to be retried, or
+/// Sends `call` to upstreams of `target`, one at a time, until one returns a response that is not to be retried, or
 /// until the attempts, the wait for capacity or the deadline are exhausted.
 async fn try_upstreams(
     parts: &WorkerParts,
     context: &RequestContext,
     call: &UpstreamCall,
-    service: &SharedName,
+    target: &RequestTarget,
     rule: &RouteRule,
     priority: u32,
 ) -> Result<CompleteResponse, ApiRefusal> {
@@ -157,16 +157,15 @@
     let mut history = AttemptHistory::default();
     while history.runs < rule.attempts_max && history.refusals <= REFUSALS_MAX && state.now() < call.deadline {
         if is_marked() {
-            history.suspect_refusal = suspect_refusal(parts, service, *repeat_fingerprint);
+            history.suspect_refusal = suspect_refusal(parts, target, *repeat_fingerprint);
             if history.suspect_refusal.is_some() {
                 break;
             }
         }
-        let picked_guard = pick_upstream(parts, service, &call.id, &history.tried, permits);
+        let picked_guard = pick_upstream(parts, target, &call.id, &history.tried, permits);
         let Some(mut guard) = picked_guard else {
             let now = state.now();
-            history.permitted_at =
-                state.upstreams().permit_time(&upstream_query(parts, service, &call.id, &[], permits), now);
+            history.permitted_at = state.upstreams().permit_time(&target.query(parts, &call.id, &[], permits), now);
             // A permit that comes too late is not waited for.
             let is_over = now.max(history.permitted_at.unwrap_or(now)) >= permits.useful_until;
             if history.upstream_response.is_some() || is_over {
@@ -178,6 +177,7 @@
         };
         let sent_at = state.now();
         let attempt = fetch_complete(&parts.upstream_client, call, &guard, sent_at, RESPONSE_BYTES_MAX).await;
+        let attempt = attempt.and_then(|response| check_software(response, target, &guard));
         let took_ms = state.now().since_ms(sent_at);
         let upstream = guard.record.id.clone();
         history.tried.push(upstream.clone());
@@ -206,6 +206,9 @@
                 history.runs += 1;
                 history.may_have_run = true;
                 let should_retry = upstream_response.status.is_server_error() && rule.kind == RouteKind::Idempotent;
+                if upstream_response.status.is_success() {
+                    stream_begun(parts, target, &guard);
+                }
                 history.upstream_response = Some(upstream_response);
                 if !should_retry {
                     break;
@@ -235,6 +238,17 @@
     final_response(parts, call, history)
 }
 
+/// Fails if the response may be that of a process with other software than the target's, which was started under the
+/// upstream's id meanwhile.
+fn check_software(
+    response: CompleteResponse,
+    target: &RequestTarget,
+    guard: &UpstreamGuard,
+) -> Result<CompleteResponse, AttemptFailure> {
+    let needs_software = target.software.is_some() || target.begun_key.is_some();
+    if needs_software && guard.is_replaced() { Err(AttemptFailure::Mismatch) } else { Ok(response) }
+}
+
 /// Logs an attempt that may have run and got no response, with what identifies repeats of the request at any daemon.
 fn log_unfinished_run(request_id: &str, fingerprint: u64, guard: &UpstreamGuard, failure: AttemptFailure) {
     LogLine::new("run_unfinished")
@@ -275,51 +289,53 @@
 
 /// Why the request with `fingerprint` must not run because of the upstreams that crashed under it; `None` if it may. A
 /// request that could be the cause is kept from the last upstream of its service, which serves all other requests.
-fn suspect_refusal(parts: &WorkerParts, service: &str, fingerprint: u64) -> Option<ApiRefusal> {
+fn suspect_refusal(parts: &WorkerParts, target: &RequestTarget, fingerprint: u64) -> Option<ApiRefusal> {
     let now = parts.state.now();
     let verdict = parts.state.suspects().verdict(fingerprint, now);
     match verdict {
         SuspectVerdict::Quarantined { until } => Some(ApiRefusal::Quarantined { retry_after_ms: until.since_ms(now) }),
         SuspectVerdict::Isolated => {
-            let available_count = parts
-                .state
-                .upstreams()
-                .available_count(&upstream_query(parts, service, "", &[], PermitNeed::NONE), now);
+            let available_count =
+                parts.state.upstreams().available_count(&target.query(parts, "", &[], PermitNeed::NONE), now);
             (available_count <= 1).then_some(ApiRefusal::Isolated)
         }
         SuspectVerdict::Unsuspected => None,
     }
 }
 
-/// Picks an upstream of `service` other than those in `tried`. `None` if none has capacity.
+/// Picks an upstream of `target` other than those in `tried`. `None` if none has capacity. A stream that a caller may
+/// continue begins only at a software version that is stored.
 fn pick_upstream(
     parts: &WorkerParts,
-    service: &str,
+    target: &RequestTarget,
     id: &str,
     tried: &[SharedName],
     permits: PermitNeed,
 ) -> Option<UpstreamGuard> {
-    UpstreamGuard::pick(&parts.state, &upstream_query(parts, service, id, tried, permits))
+    let unrecorded = match target.begun_key {
+        Some(_) => unrecorded_upstreams(&parts.state, &target.service),
+        None => Vec::new(),
+    };
+    if unrecorded.is_empty() {
+        return UpstreamGuard::pick(&parts.state, &target.query(parts, id, tried, permits));
+    }
+    let excluded: Vec<SharedName> = tried.iter().chain(&unrecorded).cloned().collect();
+    let guard = UpstreamGuard::pick(&parts.state, &target.query(parts, id, &excluded, permits));
+    if guard.is_none() {
+        parts.state.software_wanted.store(true, Ordering::SeqCst);
+        parts.state.software_unrecorded.notify_one();
+    }
+    guard
 }
 
-/// Query for an upstream of `service` that may queue the request.
-fn upstream_query<'a>(
-    parts: &'a WorkerParts,
-    service: &'a str,
-    id: &'a str,
-    excluded: &'a [SharedName],
-    permits: PermitNeed,
-) -> SamplerQuery<'a> {
-    SamplerQuery {
-        service,
-        model: None,
-        software: None,
-        failure_domain: &parts.state.settings.failure_domain,
-        excluded,
-        capacity: CapacityNeed::Queue,
-        affinity: id,
-        permits,
-    }
+/// Records which software begins the stream of a response that is passed to the caller, who may come back with a part of it
+/// to any daemon.
+fn stream_begun(parts: &WorkerParts, target: &RequestTarget, guard: &UpstreamGuard) {
+    let Some(key) = target.begun_key else { return };
+    let stream = BegunStream { service: target.service.clone(), software: guard.record.software.clone() };
+    let state = &parts.state;
+    state.streams().begun(key, stream, state.now());
+    state.streams_begun.notify_one();
 }
 
 /// Counts a request that an upstream may have run as usage of its organisation, in the window in which it was sent.
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -7,6 +7,7 @@
     job::{ITEM_BODY_PATH, JOB_PUSH_PATH, RESULTS_PATH},
     limit::PERMITS_PATH,
     store::{CHANGES_PATH, RELAY_PATH},
+    stream::STREAMS_PATH,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpResponse, web};
@@ -40,6 +41,7 @@
         .route(CHANGES_PATH, web::post().to(peer_api::read_changes))
         .route(RESULTS_PATH, web::post().to(peer_api::read_results))
         .route(PERMITS_PATH, web::post().to(peer_api::grant_permits))
+        .route(STREAMS_PATH, web::post().to(peer_api::read_streams))
         .route(RUNS_PATH, web::post().to(peer_api::receive_runs))
         .route(USAGE_PATH, web::post().to(peer_api::receive_usage))
         .route(ITEM_BODY_PATH, web::post().to(peer_api::read_item))
--- /dev/null
+++ b/crates/edge/src/http/request_target.rs
@@ -0,0 +1,98 @@
+//! Selects the service of a request, and the software version that can continue its stream.
+
+use super::api_refusal::ApiRefusal;
+use crate::{relay::UpstreamCall, stream::find_stream, worker_parts::WorkerParts};
+use actix_web::http::header::HeaderMap;
+use pimentoslip_kernel::{CapacityNeed, PermitNeed, RouteKind, RouteRule, SamplerQuery, SharedName, fingerprint};
+use pimentoslip_platform::header;
+
+/// Upstreams that a request may be sent to.
+#[derive(Clone, Debug)]
+pub struct RequestTarget {
+    /// Service that serves the request.
+    pub service: SharedName,
+    /// Version of the software that began the stream which the request continues; `None` for any.
+    pub software: Option<SharedName>,
+    /// Key by which the stream that the request begins is found again; `None` if the request begins none that a caller
+    /// may continue.
+    pub begun_key: Option<u64>,
+}
+
+impl RequestTarget {
+    /// Selects the target of `call`, which was sent with `headers`. Fails if the call continues a stream whose software
+    /// is not known for certain or has no upstream.
+    pub async fn select(
+        parts: &WorkerParts,
+        headers: &HeaderMap,
+        rule: &RouteRule,
+        call: &UpstreamCall,
+    ) -> Result<Self, ApiRefusal> {
+        if !rule.is_stream {
+            return Ok(Self { service: drawn_service(rule, &call.id)?, ..Self::any() });
+        }
+        let is_resumable = rule.kind == RouteKind::Idempotent;
+        if !headers.contains_key(header::LAST_EVENT_ID) {
+            let service = drawn_service(rule, &call.id)?;
+            let begun_key = is_resumable.then(|| stream_key(&call.id, call));
+            return Ok(Self { service, begun_key, ..Self::any() });
+        }
+        if call.last_event_id.is_none() || headers.get_all(header::LAST_EVENT_ID).count() > 1 {
+            return Err(ApiRefusal::Malformed);
+        }
+        let first_attempt = first_attempt(headers).filter(|_| is_resumable).ok_or(ApiRefusal::StreamUnknown)?;
+        let service = drawn_service(rule, if first_attempt.is_empty() { &call.id } else { first_attempt })?;
+        let key = stream_key(first_attempt, call);
+        let stream = find_stream(parts, key, &service).await.ok_or(ApiRefusal::StreamUnknown)?;
+        let is_target = rule.targets.iter().any(|target| target.service == stream.service);
+        let target = Self { service: stream.service, software: Some(stream.software), ..Self::any() };
+        let query = target.query(parts, "", &[], PermitNeed::NONE);
+        if !is_target || !parts.state.upstreams().is_served(&query) {
+            return Err(ApiRefusal::SoftwareGone);
+        }
+        Ok(target)
+    }
+
+    /// Query for an upstream that may queue the request `id`.
+    pub fn query<'a>(
+        &'a self,
+        parts: &'a WorkerParts,
+        id: &'a str,
+        excluded: &'a [SharedName],
+        permits: PermitNeed,
+    ) -> SamplerQuery<'a> {
+        SamplerQuery {
+            service: &self.service,
+            model: None,
+            software: self.software.as_deref(),
+            failure_domain: &parts.state.settings.failure_domain,
+            excluded,
+            capacity: CapacityNeed::Queue,
+            affinity: id,
+            permits,
+        }
+    }
+
+    fn any() -> Self {
+        Self { service: "".into(), software: None, begun_key: None }
+    }
+}
+
+/// Service for the request `id` by the weights of the route's targets.
+fn drawn_service(rule: &RouteRule, id: &str) -> Result<SharedName, ApiRefusal> {
+    rule.service_for_draw(fingerprint(&[id.as_bytes()])).cloned().ok_or(ApiRefusal::NoUpstream)
+}
+
+/// Id of the attempt that brought the first event; empty if it is not named, `None` if it is named more than once.
+fn first_attempt(headers: &HeaderMap) -> Option<&str> {
+    let mut values = headers.get_all(header::FIRST_ATTEMPT);
+    match (values.next(), values.next()) {
+        (None, _) => Some(""),
+        (Some(value), None) => value.to_str().ok(),
+        (Some(_), Some(_)) => None,
+    }
+}
+
+/// Key of a stream: hash of its first attempt and of what all attempts have in common, so that no other caller finds it.
+fn stream_key(first_attempt: &str, call: &UpstreamCall) -> u64 {
+    fingerprint(&[first_attempt.as_bytes(), &call.repeat_fingerprint().to_be_bytes()])
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod run_storage;
 mod steady_time;
 mod store;
+mod stream;
 mod suspect;
 mod task_supervisor;
 mod worker_parts;
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -10,6 +10,7 @@
     lease_task::{maintain_lease, revoke_lease},
     limit::request_permits,
     store::{ChangeFeed, CoordinationKeys, OperatorKeys, PrefixHandler, UpstreamKeys, follow_prefix},
+    stream::{keep_software_history, store_streams},
     suspect::store_crash_marks,
     task_supervisor::supervise,
     worker_parts::WorkerParts,
@@ -111,6 +112,8 @@
         record_usage(parts.state, parts.store.with_purpose("usage"), parts.peer_client)
     });
     spawn_task(&parts, "permits", |parts| request_permits(parts.state, parts.peer_client));
+    spawn_task(&parts, "software", |parts| keep_software_history(parts.state, parts.store.with_purpose("streams")));
+    spawn_task(&parts, "streams", |parts| store_streams(parts.state, parts.store.with_purpose("streams")));
     spawn_task(&parts, "crashes", |parts| store_crash_marks(parts.state, parts.store.with_purpose("crashes")));
     actix_rt::spawn(log_store_calls());
     spawn_task(&parts, "log_limits", |parts| log_limited_upstreams(parts.state));
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -7,11 +7,12 @@
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    stored::{DaemonEntry, JobEntry, KeyLayout, PresenceEntry},
+    stored::{DaemonEntry, JobEntry, KeyLayout, PresenceEntry, SoftwareEntry},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
-/// Handler for the keys of batch jobs, their owners, the daemons' presence, the duty's holder, and crash marks.
+/// Handler for the keys of batch jobs, their owners, the daemons' presence, the duty's holder, crash marks, and the
+/// versions of the software of services.
 #[derive(Debug)]
 pub struct CoordinationKeys {
     state: Arc<EdgeState>,
@@ -31,6 +32,13 @@
         self.stored_keys.insert(store_entry.key.clone());
         if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(&store_entry.key) {
             self.crash_marked(fingerprint, process, now);
+        } else if let Some(service) = KeyLayout::parse_software_key(&store_entry.key) {
+            match decode::<SoftwareEntry>(&store_entry.value) {
+                Ok(uses) => {
+                    self.state.software_history().uses_stored(service, uses.into(), store_entry.revision);
+                }
+                Err(error) => log_unreadable(store_entry, &error),
+            }
         } else if let Some(job) = KeyLayout::parse_job_key(&store_entry.key) {
             match decode::<JobEntry>(&store_entry.value) {
                 Ok(entry) => {
--- a/crates/kernel/src/traffic/route_rule.rs
+++ b/crates/kernel/src/traffic/route_rule.rs
@@ -54,6 +54,8 @@
     pub targets: Vec<RouteTarget>,
     /// Highest number of upstreams that one request may be sent to, the first included.
     pub attempts_max: u32,
+    /// Whether responses are streams of events, which a caller may continue after the last event that it received.
+    pub is_stream: bool,
     /// Whether requests without a key are accepted.
     pub allows_anonymous: bool,
 }
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -15,6 +15,7 @@
 mod routes;
 mod small_machines;
 mod steps;
+mod streams;
 mod suspects;
 mod terms;
 mod usage;
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod job_read;
 mod permit;
 mod run_report;
+mod streams;
 mod usage_push;
 mod usage_totals;
 
@@ -21,5 +22,6 @@
 pub use job_read::{ItemRequest, ItemResponse, ResultsRequest, ResultsResponse};
 pub use permit::{AnswerBody, AskBody, ObservationBody, PermitRequest, PermitResponse, UrgencyTimeBody, WantBody};
 pub use run_report::RunReport;
+pub use streams::{StreamBody, StreamsRequest, StreamsResponse};
 pub use usage_push::UsagePush;
 pub use usage_totals::{TotalsLine, TotalsResponse};
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -20,6 +20,9 @@
     const OWNER_PREFIX: &'static str = "p/w/own/";
     const END_PREFIX: &'static str = "p/w/end/";
     const PRESENCE_PREFIX: &'static str = "p/w/vm/";
+    /// Prefix of the streams that daemons began.
+    pub const STREAMS_PREFIX: &'static str = "p/stream/";
+    const SOFTWARE_PREFIX: &'static str = "p/w/software/";
     const CRASH_PREFIX: &'static str = "p/w/crash/";
 
     /// Key of a batch job's entry.
@@ -52,6 +55,18 @@
         format!("{}{fingerprint:016x}/{process}", Self::CRASH_PREFIX)
     }
 
+    /// Key of the versions of the software with which `service` has served.
+    #[must_use]
+    pub fn software_key(service: &str) -> String {
+        format!("{}{service}", Self::SOFTWARE_PREFIX)
+    }
+
+    /// Key of streams that a process of `daemon` began; `number` distinguishes its entries.
+    #[must_use]
+    pub fn streams_key(daemon: &str, incarnation: u64, number: u64) -> String {
+        format!("{}{daemon}/{incarnation}/{number}", Self::STREAMS_PREFIX)
+    }
+
     /// Key of the number of upstreams of `service` that are always kept.
     #[must_use]
     pub fn floor_key(service: &str) -> String {
@@ -155,6 +170,12 @@
         key.strip_prefix(Self::PRESENCE_PREFIX)
     }
 
+    /// Service whose versions of the software are stored at `key`; `None` for other keys.
+    #[must_use]
+    pub fn parse_software_key(key: &str) -> Option<&str> {
+        key.strip_prefix(Self::SOFTWARE_PREFIX)
+    }
+
     /// Fingerprint of the request and name of the process whose crash is marked at `key`; `None` for other keys.
     #[must_use]
     pub fn parse_crash_key(key: &str) -> Option<(u64, &str)> {
--- a/crates/wire/src/stored/mod.rs
+++ b/crates/wire/src/stored/mod.rs
@@ -8,6 +8,7 @@
 mod job_entry;
 mod key_layout;
 mod result_entry;
+mod stream_entry;
 mod usage_entry;
 
 pub use crash_entry::CrashEntry;
@@ -18,4 +19,5 @@
 pub use job_entry::JobEntry;
 pub use key_layout::KeyLayout;
 pub use result_entry::{ResultEntry, ResultsEntry};
+pub use stream_entry::{SoftwareEntry, StreamsEntry};
 pub use usage_entry::{SealedUsageEntry, UsageBatchEntry, UsageBatchesEntry};
