--- a/crates/cli/tests/processes/platform_software.rs
+++ b/crates/cli/tests/processes/platform_software.rs
@@ -53,7 +53,7 @@
         assert_texts_are_of_one_software(&site, 0, &job, 30).await;
     }
     let calls = site.engines[3].recorded_calls();
-    assert!(calls.iter().any(|call| call.last_event_id.is_some()), "runs go on at the other engine of their version");
+    assert!(calls.iter().any(|call| call.last_event_id.is_some()), "runs resume at the other engine of their version");
 }
 
 /// Guards against texts whose stored beginning is continued by other software after all edges have lost power and the
@@ -80,19 +80,19 @@
     assert_texts_are_of_one_software(&site, 1, "job", 120).await;
 }
 
-/// Guards against streams that a caller takes up again at an upstream of other software, or that are refused although
+/// Guards against streams that a caller resumes at an upstream of other software, or that are refused although
 /// upstreams of their software serve.
 #[actix_rt::test]
-async fn a_stream_is_taken_up_again_only_at_the_software_version_that_began_it() {
+async fn a_stream_is_resumed_only_at_the_software_version_that_started_it() {
     let site = mixed_site(3).await;
-    let mut started_at = BTreeSet::new();
+    let mut versions = BTreeSet::new();
     for number in 0..12 {
         let first_id = format!("first-{number}");
         let first = site.send_talk(number % 3, &first_id, 6, &[]).await;
         assert_eq!(first.status, 200, "{first:?}");
         let text = stream_text(&first);
         let (first_software, _) = software_of(&text);
-        started_at.extend(first_software.iter().map(ToString::to_string));
+        versions.extend(first_software.iter().map(ToString::to_string));
         // The caller has received two events; another attempt breaks off after two more.
         for (attempt, last_event) in [(1, "2"), (2, "4")] {
             let headers = [("resumes", first_id.as_str()), ("last-event-id", last_event)];
@@ -102,10 +102,10 @@
             assert_eq!(software_of(&text).0, first_software, "{reply:?}");
         }
     }
-    assert_eq!(started_at.len(), 2, "streams begin at both software versions");
+    assert_eq!(versions.len(), 2, "streams start at both software versions");
 }
 
-/// Guards against streams that are joined because the software that began them is not known.
+/// Guards against streams that are joined because the software that started them is not known.
 #[actix_rt::test]
 async fn a_stream_of_unknown_software_is_refused() {
     let site = mixed_site(2).await;
@@ -126,19 +126,19 @@
         assert!(calls.is_empty(), "{name}: a refused request has run: {calls:?}");
     }
     let headers = [("resumes", "first"), ("last-event-id", "2")];
-    assert_eq!(site.send_talk(1, "again", 6, &headers).await.status, 200, "the stream itself goes on");
+    assert_eq!(site.send_talk(1, "again", 6, &headers).await.status, 200, "the stream itself is resumed");
 }
 
 /// Guards against streams that are joined, or lost, after all edges have lost power at once: while both software versions
 /// serve, and after the first one has left.
 #[actix_rt::test]
-async fn a_stream_goes_on_at_its_software_or_not_at_all_after_all_edges_were_killed() {
+async fn a_stream_is_resumed_at_its_software_or_not_at_all_after_all_edges_were_killed() {
     let mut site = mixed_site(3).await;
-    let mut begun = Vec::new();
+    let mut started = Vec::new();
     for number in 0..12 {
         let id = format!("first-{number}");
         let text = stream_text(&site.send_talk(number % 3, &id, 6, &[]).await);
-        begun.push((id, software_of(&text).0.first().map(ToString::to_string).expect("an event")));
+        started.push((id, software_of(&text).0.first().map(ToString::to_string).expect("an event")));
     }
     actix_rt::time::sleep(LIST_DELAY).await;
     for round in ["both", "one"] {
@@ -153,7 +153,7 @@
             site.restart_edge(edge);
         }
         site.wait_ready().await;
-        for (number, (id, software)) in begun.iter().enumerate() {
+        for (number, (id, software)) in started.iter().enumerate() {
             let headers = [("resumes", id.as_str()), ("last-event-id", "2")];
             let reply = site.send_talk(number % 3, &format!("again-{round}-{number}"), 6, &headers).await;
             if round == "one" && software == "v1" {
@@ -167,9 +167,9 @@
     }
 }
 
-/// Guards against streams that are refused or joined while the store is away: the edge that began a stream is asked.
+/// Guards against streams that are refused or joined while the store is away: the edge that started a stream is asked.
 #[actix_rt::test]
-async fn a_stream_goes_on_at_its_software_while_the_store_is_away() {
+async fn a_stream_is_resumed_at_its_software_while_the_store_is_away() {
     let site = mixed_site(3).await;
     for number in 0..6 {
         assert_eq!(site.send_talk(0, &format!("first-{number}"), 6, &[]).await.status, 200);
@@ -189,7 +189,7 @@
 
 /// Guards against streams that are lost, or written to the store, while one software version alone has served.
 #[actix_rt::test]
-async fn streams_go_on_without_a_write_while_one_software_version_serves() {
+async fn streams_are_resumed_without_a_write_while_one_software_version_serves() {
     let mut site = EdgeSite::start(3).await;
     for number in 0..6 {
         assert_eq!(site.send_talk(number % 3, &format!("first-{number}"), 6, &[]).await.status, 200);
--- a/crates/cli/tests/processes/platform_streams.rs
+++ b/crates/cli/tests/processes/platform_streams.rs
@@ -21,7 +21,7 @@
     body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
 
-/// Guards against streams that reach their caller only when they are complete, and against engines that go on generating for
+/// Guards against streams that reach their caller only when they are complete, and against engines that keep generating for
 /// a caller that has left.
 #[actix_rt::test]
 async fn events_reach_the_caller_while_the_upstream_generates_more_and_end_with_the_caller() {
@@ -40,7 +40,7 @@
     assert_eq!(response.status().as_u16(), 200);
     let mut body = String::new();
     while event_numbers(&body).len() < 5 {
-        let chunk = response.next().await.expect("the stream goes on").expect("a chunk");
+        let chunk = response.next().await.expect("the stream continues").expect("a chunk");
         body.push_str(&String::from_utf8_lossy(&chunk));
     }
     assert_eq!(running_streams(&site), 1, "the engine generates more");
@@ -51,7 +51,7 @@
 
 /// Guards against events that are missing, come twice or are cut when an upstream breaks off within an event.
 #[actix_rt::test]
-async fn a_stream_that_breaks_off_goes_on_in_the_same_answer() {
+async fn a_stream_that_breaks_off_is_continued_in_the_same_answer() {
     const EVENTS: u64 = 30;
     let site = EdgeSite::start(1).await;
     let faults = [
@@ -82,9 +82,9 @@
     site.start_engine_with("engine-3", "v2");
     actix_rt::time::sleep(LIST_DELAY).await;
     site.engines[2].set_faults([UpstreamFault::Refuse; 1]);
-    // The stream begins at the only engine of the first version, which then ends.
+    // The stream starts at the only engine of the first version, which then ends.
     let first_engine = site.engines[0].clone();
-    let begun = async {
+    let stop = async {
         wait_for("the first engine runs the stream", || async { (first_engine.running_requests() > 0).then_some(()) })
             .await;
         actix_rt::time::sleep(Duration::from_millis(100)).await;
@@ -98,9 +98,9 @@
                 return reply;
             }
         }
-        unreachable!("some stream begins at the first engine")
+        unreachable!("some stream starts at the first engine")
     };
-    let (reply, ()) = futures_util::future::join(talk, begun).await;
+    let (reply, ()) = futures_util::future::join(talk, stop).await;
     assert_eq!(reply.status, 0, "an answer that breaks off must not look complete: {} bytes", reply.body.len());
     let continued = site.engines[2].recorded_calls();
     assert!(continued.iter().all(|call| call.last_event_id.is_none()), "{continued:?}");
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -62,8 +62,8 @@
     /// Requests for permits of one upstream, by result: `granted`, `unmet`, `ended` if the upstream names no limit any
     /// more, `unresponsive`, `malformed`, or `deferred` by the bound on calls.
     pub permit_asks: Family<ReasonLabel, Counter>,
-    /// Streams that callers take up again, by where what began them was found: `known`, `sole_version`, `peer`, `store`; or
-    /// `unknown`, `store_unreachable` or `timed_out`.
+    /// Streams that callers resume, by where their origin was found: `known`, `sole_version`, `peer`, `store`; or `unknown`,
+    /// `store_unreachable` or `timed_out`.
     pub stream_lookups: Family<ReasonLabel, Counter>,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
@@ -125,7 +125,11 @@
         registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
         registry.register("limit_changes", "Changes of limits named by upstreams", metrics.limit_changes.clone());
         registry.register("permit_asks", "Requests for permits by result", metrics.permit_asks.clone());
-        registry.register("stream_lookups", "Streams taken up again by source", metrics.stream_lookups.clone());
+        registry.register(
+            "stream_lookups",
+            "Resumed streams by source of their origin",
+            metrics.stream_lookups.clone(),
+        );
         registry.register("store_calls", "Calls to the store by purpose", metrics.store_calls.clone());
         registry.register("latency_seconds", "Time to the answer of a request", metrics.request_latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -65,12 +65,12 @@
     pub software_wanted: AtomicBool,
     /// Wakes the task that stores the software versions of services.
     pub software_unrecorded: Notify,
-    /// Wakes the task that stores what began the streams of callers.
-    pub streams_begun: Notify,
+    /// Wakes the task that stores the origins of callers' streams.
+    pub streams_started: Notify,
     /// Memory of the bodies of requests and responses.
     pub buffers: Arc<BufferBudget>,
-    /// Held while the store and other daemons are asked what began a stream. Contains the time from which on the store was
-    /// last read.
+    /// Held while the store and other daemons are asked for the origin of a stream. Contains the start of the last read of
+    /// the store.
     pub stream_lookup_turn: tokio::sync::Mutex<TimePoint>,
     change_logs: BTreeMap<&'static str, PrefixLog>,
     steady_time: SteadyTime,
@@ -168,7 +168,7 @@
             permits_changed: Notify::new(),
             software_wanted: AtomicBool::new(false),
             software_unrecorded: Notify::new(),
-            streams_begun: Notify::new(),
+            streams_started: Notify::new(),
             buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
             stream_lookup_turn: tokio::sync::Mutex::new(TimePoint(0)),
             change_logs: FOLLOWED_PREFIXES.into_iter().map(|prefix| (prefix, PrefixLog::default())).collect(),
@@ -255,7 +255,7 @@
         lock(&self.grants)
     }
 
-    /// Locks the register of streams that callers may take up again.
+    /// Locks the register of streams that callers may resume.
     pub fn streams(&self) -> MutexGuard<'_, StreamRegister> {
         lock(&self.streams)
     }
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -42,9 +42,9 @@
         /// Time until an upstream may have room.
         retry_after_ms: u64,
     },
-    /// It is not certain which software began the stream that the request continues; the request did not run.
+    /// It is not certain which software started the stream that the request resumes; the request did not run.
     StreamUnknown,
-    /// No upstream has the software that began the stream that the request continues; the request did not run.
+    /// No upstream has the software that started the stream that the request resumes; the request did not run.
     SoftwareGone,
     /// The deadline has passed; the request did not run.
     DeadlinePassed,
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -4,7 +4,7 @@
     job::{ResultsQuery, SubmittedJob, accept_job, local_item, local_results},
     limit,
     store::RELAY_PATH,
-    stream::known_streams,
+    stream::known_origins,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
@@ -95,10 +95,10 @@
     }
 }
 
-/// Responds to a peer with what began streams that this daemon knows.
+/// Responds to a peer with the origins of streams that this daemon knows.
 pub async fn read_streams(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     match decode::<StreamsRequest>(&body) {
-        Ok(request) => message_response(&known_streams(&parts.state, &request.keys)),
+        Ok(request) => message_response(&known_origins(&parts.state, &request.keys)),
         Err(error) => malformed_response(&error),
     }
 }
--- a/crates/edge/src/http/request_target.rs
+++ b/crates/edge/src/http/request_target.rs
@@ -1,7 +1,7 @@
 //! Selects the service of a request, and the software version that can continue its stream.
 
 use super::api_refusal::ApiRefusal;
-use crate::{relay::UpstreamCall, stream::find_stream, worker_parts::WorkerParts};
+use crate::{relay::UpstreamCall, stream::find_origin, worker_parts::WorkerParts};
 use actix_web::http::header::HeaderMap;
 use pimentoslip_kernel::{CapacityNeed, PermitNeed, RouteKind, RouteRule, SamplerQuery, SharedName, fingerprint};
 use pimentoslip_platform::header;
@@ -11,11 +11,10 @@
 pub struct RequestTarget {
     /// Service that serves the request.
     pub service: SharedName,
-    /// Version of the software that began the stream which the request continues; `None` for any.
+    /// Version of the software that started the stream which the request resumes; `None` for any.
     pub software: Option<SharedName>,
-    /// Key by which the stream that the request begins is found again; `None` if the request begins none that a caller
-    /// may continue.
-    pub begun_key: Option<u64>,
+    /// Key of the stream that the request starts; `None` if it starts none that a caller may resume.
+    pub new_stream_key: Option<u64>,
 }
 
 impl RequestTarget {
@@ -33,8 +32,8 @@
         let is_resumable = rule.kind == RouteKind::Idempotent;
         if !headers.contains_key(header::LAST_EVENT_ID) {
             let service = drawn_service(rule, &call.id)?;
-            let begun_key = is_resumable.then(|| stream_key(&call.id, call));
-            return Ok(Self { service, begun_key, ..Self::any() });
+            let new_stream_key = is_resumable.then(|| stream_key(&call.id, call));
+            return Ok(Self { service, new_stream_key, ..Self::any() });
         }
         if call.last_event_id.is_none() || headers.get_all(header::LAST_EVENT_ID).count() > 1 {
             return Err(ApiRefusal::Malformed);
@@ -42,7 +41,7 @@
         let first_attempt = first_attempt(headers).filter(|_| is_resumable).ok_or(ApiRefusal::StreamUnknown)?;
         let service = drawn_service(rule, if first_attempt.is_empty() { &call.id } else { first_attempt })?;
         let key = stream_key(first_attempt, call);
-        let stream = find_stream(parts, key, &service).await.ok_or(ApiRefusal::StreamUnknown)?;
+        let stream = find_origin(parts, key, &service).await.ok_or(ApiRefusal::StreamUnknown)?;
         let is_target = rule.targets.iter().any(|target| target.service == stream.service);
         let target = Self { service: stream.service, software: Some(stream.software), ..Self::any() };
         let query = target.query(parts, "", &[], PermitNeed::NONE);
@@ -73,7 +72,7 @@
     }
 
     fn any() -> Self {
-        Self { service: "".into(), software: None, begun_key: None }
+        Self { service: "".into(), software: None, new_stream_key: None }
     }
 }
 
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -20,7 +20,7 @@
 use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::{Stream, stream};
-use pimentoslip_kernel::{BegunStream, CapacityNeed, RouteKind, SamplerOutcome, SamplerQuery, TimePoint};
+use pimentoslip_kernel::{CapacityNeed, RouteKind, SamplerOutcome, SamplerQuery, StreamOrigin, TimePoint};
 use pimentoslip_telemetry::LogLine;
 use std::{io, time::Duration};
 use tokio::sync::mpsc;
@@ -51,7 +51,7 @@
     }
 }
 
-/// Forwards a request for a stream. The response begins with the first event; its body is passed on by a task of its own.
+/// Forwards a request for a stream. The response starts with the first event; its body is passed on by a task of its own.
 pub async fn forward_stream(
     parts: &WorkerParts,
     mut plan: AttemptPlan,
@@ -63,11 +63,11 @@
         StreamAttempt::Open(open) => open,
         StreamAttempt::Failed(response) => return Ok(caller_response(response)),
     };
-    stream_begun(parts, &plan.target, &guard);
+    stream_started(parts, &plan.target, &guard);
     // Whatever happens from now on, the events of this answer are of one software.
     plan.target = RequestTarget {
         software: Some(guard.record.software.clone()),
-        begun_key: None,
+        new_stream_key: None,
         service: guard.record.service.clone(),
     };
     let mut response = HttpResponse::build(open.status());
@@ -84,7 +84,7 @@
     Ok(response.streaming(portions))
 }
 
-/// Sends the request to upstreams until one begins the stream.
+/// Sends the request to upstreams until one starts the stream, or resumes it.
 async fn try_stream(
     parts: &WorkerParts,
     plan: &AttemptPlan,
@@ -115,14 +115,13 @@
     parts.state.upstreams().is_pickable(&query, parts.state.now())
 }
 
-/// Records which software begins the stream of a response that is passed to the caller, who may come back with a part of it
-/// to any daemon.
-fn stream_begun(parts: &WorkerParts, target: &RequestTarget, guard: &UpstreamGuard) {
-    let Some(key) = target.begun_key else { return };
-    let stream = BegunStream { service: target.service.clone(), software: guard.record.software.clone() };
+/// Records the origin of a stream that is passed to its caller, who may resume it at any daemon.
+fn stream_started(parts: &WorkerParts, target: &RequestTarget, guard: &UpstreamGuard) {
+    let Some(key) = target.new_stream_key else { return };
+    let stream = StreamOrigin { service: target.service.clone(), software: guard.record.software.clone() };
     let state = &parts.state;
-    state.streams().begun(key, stream, state.now());
-    state.streams_begun.notify_one();
+    state.streams().started(key, stream, state.now());
+    state.streams_started.notify_one();
 }
 
 /// Passes a stream on to its caller.
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -202,7 +202,7 @@
     target: &RequestTarget,
     guard: &UpstreamGuard,
 ) -> std::result::Result<R, AttemptFailure> {
-    let needs_software = target.software.is_some() || target.begun_key.is_some();
+    let needs_software = target.software.is_some() || target.new_stream_key.is_some();
     if needs_software && guard.is_replaced() { Err(AttemptFailure::Mismatch) } else { Ok(response) }
 }
 
@@ -268,8 +268,8 @@
     }
 }
 
-/// Picks an upstream of `target` other than those in `tried`. `None` if none has capacity. A stream that a caller may
-/// continue begins only at a software version that is stored.
+/// Picks an upstream of `target` other than those in `tried`. `None` if none has capacity. A resumable stream starts
+/// only at a software version that is stored.
 fn pick_upstream(
     parts: &WorkerParts,
     target: &RequestTarget,
@@ -277,7 +277,7 @@
     tried: &[SharedName],
     permits: PermitNeed,
 ) -> Option<UpstreamGuard> {
-    let unrecorded = match target.begun_key {
+    let unrecorded = match target.new_stream_key {
         Some(_) => unrecorded_upstreams(&parts.state, &target.service),
         None => Vec::new(),
     };
--- a/crates/edge/src/stream/mod.rs
+++ b/crates/edge/src/stream/mod.rs
@@ -1,12 +1,12 @@
-//! Streams of callers: keeps the software version that began each, so that a caller that comes back with part of a stream
-//! gets the rest from the same version.
+//! Origins of callers' streams: keeps the software version that started each, so that a caller that resumes a stream gets the
+//! rest from the same version.
 
 mod software_task;
 mod stream_lookup;
 mod stream_task;
 
 pub use software_task::keep_software_history;
-pub use stream_lookup::{STREAMS_PATH, find_stream, known_streams};
+pub use stream_lookup::{STREAMS_PATH, find_origin, known_origins};
 pub use stream_task::store_streams;
 
 use crate::edge_state::EdgeState;
@@ -20,7 +20,7 @@
     records.map(|record| record.software.clone()).collect()
 }
 
-/// The only version of `service` that can have begun a stream, as this daemon knows; `None` if there may be others.
+/// The only version of `service` that can have started a stream, as this daemon knows; `None` if there may be others.
 pub fn sole_software(state: &EdgeState, service: &str) -> Option<SharedName> {
     state.software_history().sole_software(service, state.unix_ms())
 }
--- a/crates/edge/src/stream/software_task.rs
+++ b/crates/edge/src/stream/software_task.rs
@@ -26,10 +26,10 @@
             () = state.software_unrecorded.notified() => {}
             () = actix_rt::time::sleep(CHECK_PERIOD) => {}
         }
+        // A request that waits for an upstream with a new version does not wait for other daemons.
+        let is_urgent = state.software_wanted.swap(false, Ordering::SeqCst);
         for service in streaming_services(&state) {
             let listed = listed_software(&state, &service);
-            // A request that waits for an upstream with a new version does not wait for other daemons.
-            let is_urgent = state.software_wanted.swap(false, Ordering::SeqCst);
             let own_rank = if is_urgent { 0 } else { own_rank(&state, &service) };
             let (now, unix_ms) = (state.now(), state.unix_ms());
             let update = state.software_history().due_update(&service, &listed, own_rank, now, unix_ms);
--- a/crates/edge/src/stream/stream_lookup.rs
+++ b/crates/edge/src/stream/stream_lookup.rs
@@ -1,9 +1,9 @@
-//! Finds what began a stream that a caller takes up again at this daemon.
+//! Finds the origin of a stream that a caller resumes at this daemon.
 
 use super::sole_software;
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, worker_parts::WorkerParts};
 use futures_util::future::join_all;
-use pimentoslip_kernel::{BegunStream, SharedName};
+use pimentoslip_kernel::{SharedName, StreamOrigin};
 use pimentoslip_platform::StoreError;
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -13,25 +13,25 @@
 };
 use std::time::Duration;
 
-/// Path of the peer interface at which daemons are asked for streams that they began.
+/// Path of the peer interface at which daemons are asked for the origins of streams.
 pub const STREAMS_PATH: &str = "/peer/streams";
 /// Longest wait for the response of a daemon. Round trips take milliseconds.
 const PEER_TIMEOUT_MS: u64 = 200;
-/// Daemons that are asked at most: those of this daemon's failure domain, where callers come back first, then others.
+/// Daemons that are asked at most: those of this daemon's failure domain, among which callers retry first, then others.
 const PEERS_MAX: usize = 24;
 /// Longest time for all calls; the caller is told then that its stream is not known.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// What began the stream with the key `key`, of a caller whose route leads to `service`. `None` if that is not certain, so
-/// that the stream must not be continued.
-pub async fn find_stream(parts: &WorkerParts, key: u64, service: &SharedName) -> Option<BegunStream> {
+/// Origin of the stream with the key `key`, of a caller whose route leads to `service`. `None` if it is not certain, so that
+/// the stream must not be resumed.
+pub async fn find_origin(parts: &WorkerParts, key: u64, service: &SharedName) -> Option<StreamOrigin> {
     let lookup = look_up(parts, key, service);
-    let (found, source) = match known_stream(&parts.state, key) {
+    let (found, source) = match known_origin(&parts.state, key) {
         Some(stream) => (Some(stream), "known"),
         None => actix_rt::time::timeout(LOOKUP_TIMEOUT, lookup).await.unwrap_or((None, "timed_out")),
     };
     EdgeMetrics::increment(&EdgeMetrics::global().stream_lookups, source);
-    LogLine::new("stream_taken_up")
+    LogLine::new("stream_resumed")
         .field("stream", format!("{key:016x}"))
         .field("service", found.as_ref().map_or(&**service, |stream| &*stream.service))
         .field("software", found.as_ref().map_or("unknown", |stream| &*stream.software))
@@ -41,23 +41,23 @@
 }
 
 /// The streams among `keys` that this daemon knows.
-pub fn known_streams(state: &EdgeState, keys: &[u64]) -> StreamsResponse {
-    let known = keys.iter().filter_map(|key| Some((*key, known_stream(state, *key)?).into()));
+pub fn known_origins(state: &EdgeState, keys: &[u64]) -> StreamsResponse {
+    let known = keys.iter().filter_map(|key| Some((*key, known_origin(state, *key)?).into()));
     StreamsResponse { streams: known.collect() }
 }
 
-fn known_stream(state: &EdgeState, key: u64) -> Option<BegunStream> {
+fn known_origin(state: &EdgeState, key: u64) -> Option<StreamOrigin> {
     state.streams().get(key, state.now()).cloned()
 }
 
-/// Asks the store and other daemons. Returns what began the stream, and where that was found or why it was not.
-async fn look_up(parts: &WorkerParts, key: u64, service: &SharedName) -> (Option<BegunStream>, &'static str) {
+/// Asks the store and other daemons. Returns the origin of the stream, and where it was found or why it was not.
+async fn look_up(parts: &WorkerParts, key: u64, service: &SharedName) -> (Option<StreamOrigin>, &'static str) {
     let state = &parts.state;
     let asked_at = state.now();
     // One at a time: what one call learns, such as all streams of a daemon that ended, serves the next ones.
     let mut read_from = state.stream_lookup_turn.lock().await;
     let mut is_read = *read_from >= asked_at;
-    if !is_read && known_stream(state, key).is_none() {
+    if !is_read && known_origin(state, key).is_none() {
         let started_at = state.now();
         match read_store(parts, service).await {
             Ok(()) => {
@@ -67,15 +67,15 @@
             Err(error) => LogLine::new("streams_not_read").field("reason", error).warn(),
         }
     }
-    if let Some(stream) = known_stream(state, key) {
+    if let Some(stream) = known_origin(state, key) {
         return (Some(stream), "store");
     }
-    // The store names every version that began a stream before it was read.
+    // The store names every version that started a stream before it was read.
     if let Some(software) = sole_software(state, service).filter(|_| is_read) {
-        return (Some(BegunStream { service: service.clone(), software }), "sole_version");
+        return (Some(StreamOrigin { service: service.clone(), software }), "sole_version");
     }
     ask_peers(parts, key).await;
-    match known_stream(state, key) {
+    match known_origin(state, key) {
         Some(stream) => (Some(stream), "peer"),
         None => (None, if is_read { "unknown" } else { "store_unreachable" }),
     }
--- a/crates/kernel/src/stream/software_history.rs
+++ b/crates/kernel/src/stream/software_history.rs
@@ -40,8 +40,8 @@
     due_since: Option<TimePoint>,
 }
 
-/// Versions of all services, as stored. While one version alone has served for as long as streams live, every stream
-/// was begun by it.
+/// Versions of all services, as stored. While one version alone has served for as long as streams live, it is the origin
+/// of every stream.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
     services: BTreeMap<SharedName, ServiceEntry>,
@@ -59,7 +59,7 @@
         entry.due_since = None;
     }
 
-    /// The only version that can have begun the streams that may still be taken up. `None` if there were several, or
+    /// The only version that can have started the streams that may still be resumed. `None` if there were several, or
     /// nothing is stored. Certain only right after the store was read.
     #[must_use]
     pub fn sole_software(&self, service: &str, unix_ms: u64) -> Option<SharedName> {
@@ -72,7 +72,7 @@
     }
 
     /// Whether the version is stored as one that serves, so that no daemon that reads the store takes another one for the
-    /// only one. Streams that may be taken up again begin only at such versions.
+    /// only one. Resumable streams start only at such versions.
     #[must_use]
     pub fn is_in_service(&self, service: &str, software: &str) -> bool {
         let uses = self.services.get(service).into_iter().flat_map(|entry| &entry.uses);
@@ -117,7 +117,7 @@
         if now.since_ms(due_since) < own_rank as u64 * UPDATE_DELAY_MS {
             return None;
         }
-        // Streams that a version began long ago are not taken up any more.
+        // Streams that a version started long ago are not resumed any more.
         uses.retain(|software_use| {
             software_use.left_unix_ms.is_none_or(|left| unix_ms.saturating_sub(left) < 2 * STREAM_TTL_MS)
         });
--- a/crates/kernel/src/stream/stream_register.rs
+++ b/crates/kernel/src/stream/stream_register.rs
@@ -1,41 +1,41 @@
-//! Streams that were begun lately, by the key that their caller's later attempts have in common.
+//! Origins of recent streams, by a key that all attempts of their caller have in common.
 
-use super::BegunStream;
+use super::StreamOrigin;
 use crate::TimePoint;
 use std::collections::{HashMap, VecDeque};
 
-/// Time after its begin in which a caller may take a stream up again. Callers wait seconds for a stream; the time covers
-/// their attempts and an outage between them.
+/// Time after its start in which a stream may be resumed. Callers wait seconds for a stream; the time covers their attempts
+/// and an outage between them.
 pub const STREAM_TTL_MS: u64 = 120_000;
 /// Number of streams above which the oldest are forgotten.
 const STREAMS_MAX: usize = 65_536;
 
-/// Streams that this daemon began, and those that it learned of. Both are forgotten after [`STREAM_TTL_MS`].
+/// Streams that this daemon started, and those that it learned of. Both are forgotten after [`STREAM_TTL_MS`].
 #[derive(Debug, Default)]
 pub struct StreamRegister {
-    streams: HashMap<u64, BegunStream>,
+    streams: HashMap<u64, StreamOrigin>,
     /// Keys in the order of their expiry.
     expiries: VecDeque<(TimePoint, u64)>,
-    /// Keys of streams that this daemon began and did not store yet, oldest first.
+    /// Keys of streams that this daemon started and did not store yet, oldest first.
     unstored: VecDeque<u64>,
 }
 
 impl StreamRegister {
-    /// Records a stream that this daemon begins.
-    pub fn begun(&mut self, key: u64, stream: BegunStream, now: TimePoint) {
+    /// Records a stream that this daemon starts.
+    pub fn started(&mut self, key: u64, stream: StreamOrigin, now: TimePoint) {
         self.insert(key, stream, now);
         self.unstored.push_back(key);
     }
 
-    /// Records a stream that another daemon began. What is known of it already is kept.
-    pub fn learned(&mut self, key: u64, stream: BegunStream, now: TimePoint) {
+    /// Records a stream that another daemon started. An origin that is already known is kept.
+    pub fn learned(&mut self, key: u64, stream: StreamOrigin, now: TimePoint) {
         if !self.streams.contains_key(&key) {
             self.insert(key, stream, now);
         }
     }
 
-    /// What began the stream; `None` if it is not known.
-    pub fn get(&mut self, key: u64, now: TimePoint) -> Option<&BegunStream> {
+    /// Origin of the stream; `None` if it is not known.
+    pub fn get(&mut self, key: u64, now: TimePoint) -> Option<&StreamOrigin> {
         self.forget_expired(now);
         self.streams.get(&key)
     }
@@ -46,7 +46,7 @@
         is_mixed: impl Fn(&str) -> bool,
         count_max: usize,
         now: TimePoint,
-    ) -> Vec<(u64, BegunStream)> {
+    ) -> Vec<(u64, StreamOrigin)> {
         self.forget_expired(now);
         let mut taken = Vec::new();
         let mut kept = VecDeque::new();
@@ -69,7 +69,7 @@
         self.unstored.is_empty()
     }
 
-    fn insert(&mut self, key: u64, stream: BegunStream, now: TimePoint) {
+    fn insert(&mut self, key: u64, stream: StreamOrigin, now: TimePoint) {
         self.forget_expired(now);
         self.streams.insert(key, stream);
         self.expiries.push_back((now.plus_ms(STREAM_TTL_MS), key));
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -474,7 +474,7 @@
 
 /// Guards against a text that waits for ever for software that has left, or is discarded although it could be continued.
 #[test]
-fn a_text_is_continued_by_its_software_or_begun_anew_soon() {
+fn a_text_is_continued_by_its_software_or_generated_again_soon() {
     let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score: false };
     let software: SharedName = SOFTWARE[1].into();
     let with_text = || {
@@ -531,7 +531,7 @@
     let cases = [
         ("one version", vec![part(1, Some("a")), part(3, Some("a"))], Some((4, "a"))),
         ("two versions", vec![part(1, Some("a")), part(3, Some("b"))], Some((2, "a"))),
-        ("begun anew", vec![part(1, Some("a")), part(1, Some("b")), part(3, Some("b"))], Some((4, "b"))),
+        ("generated again", vec![part(1, Some("a")), part(1, Some("b")), part(3, Some("b"))], Some((4, "b"))),
         ("unknown", vec![part(1, None), part(3, None)], None),
         ("unknown from its middle on", vec![part(1, Some("a")), part(3, None), part(5, Some("a"))], None),
     ];
--- a/crates/kernel/tests/machines/streams.rs
+++ b/crates/kernel/tests/machines/streams.rs
@@ -1,8 +1,8 @@
 //! Streams of callers: while upstreams of several software versions come and go, daemons lose power, freeze and lose the
-//! store, no stream holds events of two versions, and most streams that callers take up again go on.
+//! store, no stream holds events of two versions, and most streams that callers resume are continued.
 
 use crate::sequence;
-use pimentoslip_kernel::{BegunStream, SharedName, SoftwareHistory, SoftwareUse, StreamRegister, TimePoint};
+use pimentoslip_kernel::{SharedName, SoftwareHistory, SoftwareUse, StreamOrigin, StreamRegister, TimePoint};
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,10 +19,10 @@
 /// Event of a simulated site.
 #[derive(Clone, Debug)]
 enum Command {
-    /// A caller begins a stream at a daemon.
-    Begin { daemon: usize, pick: usize },
-    /// The caller of a stream comes back with a part of it to a daemon.
-    TakeUp { stream: u8, daemon: usize },
+    /// A caller starts a stream at a daemon.
+    Start { daemon: usize, pick: usize },
+    /// The caller of a stream resumes it at a daemon.
+    Resume { stream: u8, daemon: usize },
     /// Upstreams with a version start, or leave.
     Toggle { version: usize },
     /// A daemon freezes; it has not received any change when it wakes.
@@ -40,8 +40,8 @@
         let (daemon, pick) = (usize::arbitrary(rng) % DAEMONS, usize::arbitrary(rng));
         let ms = u16::arbitrary(rng) % 9_000;
         match u8::arbitrary(rng) % 16 {
-            0..=4 => Self::Begin { daemon, pick },
-            5..=9 => Self::TakeUp { stream: u8::arbitrary(rng), daemon },
+            0..=4 => Self::Start { daemon, pick },
+            5..=9 => Self::Resume { stream: u8::arbitrary(rng), daemon },
             10..=11 => Self::Toggle { version: pick % VERSIONS.len() },
             12 => Self::Freeze { daemon, ms },
             13 => Self::PowerLoss { daemons: u8::arbitrary(rng) },
@@ -59,7 +59,7 @@
     previous_uses: Vec<SoftwareUse>,
     revision: u64,
     /// Streams by the daemon's incarnation that stored them; an entry outlives its daemon.
-    streams: BTreeMap<u64, BegunStream>,
+    streams: BTreeMap<u64, StreamOrigin>,
     away_until: u64,
 }
 
@@ -85,9 +85,9 @@
     daemons: Vec<Daemon>,
     serving: BTreeSet<SharedName>,
     streams: Vec<Stream>,
-    /// Streams whose software served when their caller came back, and how many of them went on.
-    taken_up: usize,
-    went_on: usize,
+    /// Streams whose software served when their caller resumed them, and how many of them were continued.
+    resumed_count: usize,
+    continued_count: usize,
 }
 
 impl Site {
@@ -98,8 +98,8 @@
             daemons: (0..DAEMONS).map(|_| Daemon::default()).collect(),
             serving: BTreeSet::from([VERSIONS[0].into()]),
             streams: Vec::new(),
-            taken_up: 0,
-            went_on: 0,
+            resumed_count: 0,
+            continued_count: 0,
         };
         site.run(5_000);
         site
@@ -107,8 +107,8 @@
 
     fn apply(&mut self, command: &Command) -> Result<(), String> {
         match *command {
-            Command::Begin { daemon, pick } => self.begin(daemon, pick),
-            Command::TakeUp { stream, daemon } => return self.take_up(usize::from(stream), daemon),
+            Command::Start { daemon, pick } => self.start(daemon, pick),
+            Command::Resume { stream, daemon } => return self.resume(usize::from(stream), daemon),
             Command::Toggle { version } => {
                 let version: SharedName = VERSIONS[version].into();
                 if !self.serving.remove(&version) {
@@ -171,8 +171,8 @@
         self.store.streams.extend(stored);
     }
 
-    /// Begins a stream at a listed upstream that still serves and whose version is stored.
-    fn begin(&mut self, number: usize, pick: usize) {
+    /// Starts a stream at a listed upstream that still serves and whose version is stored.
+    fn start(&mut self, number: usize, pick: usize) {
         let daemon = &mut self.daemons[number];
         let is_in_service = |version: &&SharedName| daemon.history.is_in_service(SERVICE, version);
         let usable: Vec<SharedName> =
@@ -182,29 +182,29 @@
         }
         let software = usable[pick % usable.len()].clone();
         let key = self.streams.len() as u64;
-        let stream = BegunStream { service: SERVICE.into(), software: software.clone() };
-        daemon.register.begun(key, stream, TimePoint(self.now));
+        let stream = StreamOrigin { service: SERVICE.into(), software: software.clone() };
+        daemon.register.started(key, stream, TimePoint(self.now));
         self.streams.push(Stream { software: BTreeSet::from([software]) });
     }
 
     /// Continues a stream at a daemon, or refuses it.
-    fn take_up(&mut self, stream: usize, number: usize) -> Result<(), String> {
+    fn resume(&mut self, stream: usize, number: usize) -> Result<(), String> {
         if self.streams.is_empty() || self.daemons[number].frozen_until > self.now {
             return Ok(());
         }
         let key = stream % self.streams.len();
-        let begun_by = self.find(key as u64, number);
+        let origin = self.find(key as u64, number);
         let software = self.streams[key].software.clone();
         let is_served = software
             .iter()
             .any(|version| self.serving.contains(version) && self.daemons[number].listed.contains(version));
-        self.taken_up += usize::from(is_served);
-        let Some(version) = begun_by else { return Ok(()) };
+        self.resumed_count += usize::from(is_served);
+        let Some(version) = origin else { return Ok(()) };
         let daemon = &self.daemons[number];
         if !daemon.listed.contains(&version) || !self.serving.contains(&version) {
             return Ok(());
         }
-        self.went_on += usize::from(is_served);
+        self.continued_count += usize::from(is_served);
         self.streams[key].software.insert(version);
         if self.streams[key].software.len() > 1 {
             return Err(format!("stream {key} holds events of {:?} at {} ms", self.streams[key].software, self.now));
@@ -248,8 +248,8 @@
     sequence::check(0x57e4, 60, check_streams);
 }
 
-/// Guards against take-ups that are refused although upstreams of their software serve: after a release began, at other
-/// daemons than the one that began the stream, and after all have lost power.
+/// Guards against resumed streams that are refused although upstreams of their software serve: after a release began, at other
+/// daemons than the one that started the stream, and after all have lost power.
 #[test]
 fn most_streams_go_on_while_upstreams_of_their_software_serve() {
     for is_power_lost in [false, true] {
@@ -259,7 +259,7 @@
                 site.apply(&Command::Toggle { version: 1 }).expect("allowed");
             }
             for daemon in 0..DAEMONS {
-                site.apply(&Command::Begin { daemon, pick: round }).expect("allowed");
+                site.apply(&Command::Start { daemon, pick: round }).expect("allowed");
             }
             site.run(300);
             if is_power_lost && round > 20 {
@@ -269,21 +269,26 @@
             for stream in 0..DAEMONS {
                 let newest = site.streams.len() - 1 - stream;
                 let stream = u8::try_from(newest).expect("fewer than 256 streams");
-                site.apply(&Command::TakeUp { stream, daemon: (stream as usize + 1) % DAEMONS }).expect("not joined");
+                site.apply(&Command::Resume { stream, daemon: (stream as usize + 1) % DAEMONS }).expect("not joined");
             }
         }
-        assert!(site.taken_up >= 100, "{} streams were taken up", site.taken_up);
-        assert!(site.went_on * 10 >= site.taken_up * 9, "{} of {} went on", site.went_on, site.taken_up);
+        assert!(site.resumed_count >= 100, "{} streams were resumed", site.resumed_count);
+        assert!(
+            site.continued_count * 10 >= site.resumed_count * 9,
+            "{} of {} were continued",
+            site.continued_count,
+            site.resumed_count
+        );
     }
 }
 
 /// Guards against writes for each stream while one version alone has served, and for ever after a release.
 #[test]
-fn streams_are_stored_only_while_two_versions_may_have_begun_them() {
+fn streams_are_stored_only_while_two_versions_may_have_started_them() {
     let mut site = Site::new();
     let stored_by_round = |site: &mut Site| {
         let before = site.store.streams.len();
-        (0..DAEMONS).for_each(|daemon| site.begin(daemon, 0));
+        (0..DAEMONS).for_each(|daemon| site.start(daemon, 0));
         site.run(2_000);
         site.store.streams.len() - before
     };
@@ -295,7 +300,7 @@
     assert!(stored_by_round(&mut site) >= DAEMONS, "two versions serve");
     site.apply(&Command::Toggle { version: 0 }).expect("allowed");
     site.run(20_000);
-    assert_eq!(stored_by_round(&mut site), DAEMONS, "streams of the version that left may be taken up");
+    assert_eq!(stored_by_round(&mut site), DAEMONS, "streams of the version that left may be resumed");
     site.run(pimentoslip_kernel::STREAM_TTL_MS + 10_000);
     let revision = site.store.revision;
     assert_eq!(stored_by_round(&mut site), 0, "the version has left long ago");
@@ -305,13 +310,13 @@
 /// Guards against streams of a version that the store says has left, which are taken for streams of the other one when it
 /// has been alone for long.
 #[test]
-fn a_version_that_is_marked_as_left_begins_no_stream_until_it_is_stored_again() {
+fn a_version_that_is_marked_as_left_starts_no_stream_until_it_is_stored_again() {
     let mut history = SoftwareHistory::default();
     let software_use = |version: &str, left: Option<u64>| SoftwareUse { software: version.into(), left_unix_ms: left };
     history.uses_stored(SERVICE, vec![software_use("v1", None), software_use("v2", Some(1_000))], 7);
     assert!(history.is_in_service(SERVICE, "v1"));
     assert!(!history.is_in_service(SERVICE, "v2"));
-    assert_eq!(history.sole_software(SERVICE, 2_000), None, "streams of v2 may be taken up");
+    assert_eq!(history.sole_software(SERVICE, 2_000), None, "streams of v2 may be resumed");
     assert_eq!(history.sole_software(SERVICE, 500_000).as_deref(), Some("v1"));
     let listed: BTreeSet<SharedName> = BTreeSet::from(["v1".into(), "v2".into()]);
     let update = history.due_update(&SERVICE.into(), &listed, 0, TimePoint(600_000), 600_000).expect("v2 is back");
--- a/crates/wire/src/peer/streams.rs
+++ b/crates/wire/src/peer/streams.rs
@@ -1,35 +1,35 @@
-//! Requests for what began streams, and their responses.
+//! Requests for the origins of streams, and their responses.
 
-use pimentoslip_kernel::{BegunStream, SharedName};
+use pimentoslip_kernel::{SharedName, StreamOrigin};
 use serde::{Deserialize, Serialize};
 
-/// Request for what began streams, sent to daemons that may have begun them.
+/// Request for the origins of streams, sent to daemons that may have started them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamsRequest {
     /// Keys of the streams.
     pub keys: Vec<u64>,
 }
 
-/// What began a stream.
+/// Origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamBody {
     /// Key of the stream.
     pub key: u64,
-    /// Service of the upstream that began it.
+    /// Service of the upstream that started it.
     pub service: SharedName,
     /// Version of that upstream's software.
     pub software: SharedName,
 }
 
-impl From<(u64, BegunStream)> for StreamBody {
-    fn from((key, stream): (u64, BegunStream)) -> Self {
+impl From<(u64, StreamOrigin)> for StreamBody {
+    fn from((key, stream): (u64, StreamOrigin)) -> Self {
         Self { key, service: stream.service, software: stream.software }
     }
 }
 
-impl From<StreamBody> for (u64, BegunStream) {
+impl From<StreamBody> for (u64, StreamOrigin) {
     fn from(body: StreamBody) -> Self {
-        (body.key, BegunStream { service: body.service, software: body.software })
+        (body.key, StreamOrigin { service: body.service, software: body.software })
     }
 }
 
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -20,7 +20,7 @@
     const OWNER_PREFIX: &'static str = "p/w/own/";
     const END_PREFIX: &'static str = "p/w/end/";
     const PRESENCE_PREFIX: &'static str = "p/w/vm/";
-    /// Prefix of the streams that daemons began.
+    /// Prefix of the streams that daemons started.
     pub const STREAMS_PREFIX: &'static str = "p/stream/";
     const SOFTWARE_PREFIX: &'static str = "p/w/software/";
     const CRASH_PREFIX: &'static str = "p/w/crash/";
@@ -61,7 +61,7 @@
         format!("{}{service}", Self::SOFTWARE_PREFIX)
     }
 
-    /// Key of streams that a process of `daemon` began; `number` distinguishes its entries.
+    /// Key of streams that a process of `daemon` started; `number` distinguishes its entries.
     #[must_use]
     pub fn streams_key(daemon: &str, incarnation: u64, number: u64) -> String {
         format!("{}{daemon}/{incarnation}/{number}", Self::STREAMS_PREFIX)
--- a/crates/wire/src/stored/stream_entry.rs
+++ b/crates/wire/src/stored/stream_entry.rs
@@ -1,13 +1,13 @@
 //! Stored streams, and the versions of the software with which services have served.
 
-use pimentoslip_kernel::{BegunStream, SharedName, SoftwareUse};
+use pimentoslip_kernel::{SharedName, SoftwareUse, StreamOrigin};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
 
 const KEY_BYTES: usize = 8;
 
-/// Streams that one version of a service's software began.
+/// Streams that one version of a service's software started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct StreamGroup {
     service: SharedName,
@@ -16,19 +16,19 @@
     keys: ByteBuf,
 }
 
-/// Streams that one process of a daemon began.
+/// Streams that one process of a daemon started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamsEntry {
     groups: Vec<StreamGroup>,
 }
 
-impl From<&[(u64, BegunStream)]> for StreamsEntry {
-    fn from(streams: &[(u64, BegunStream)]) -> Self {
-        let mut keys_by_stream: BTreeMap<&BegunStream, Vec<u8>> = BTreeMap::new();
+impl From<&[(u64, StreamOrigin)]> for StreamsEntry {
+    fn from(streams: &[(u64, StreamOrigin)]) -> Self {
+        let mut keys_by_stream: BTreeMap<&StreamOrigin, Vec<u8>> = BTreeMap::new();
         for (key, stream) in streams {
             keys_by_stream.entry(stream).or_default().extend(key.to_be_bytes());
         }
-        let group = |(stream, keys): (&BegunStream, Vec<u8>)| StreamGroup {
+        let group = |(stream, keys): (&StreamOrigin, Vec<u8>)| StreamGroup {
             service: stream.service.clone(),
             software: stream.software.clone(),
             keys: keys.into(),
@@ -37,10 +37,10 @@
     }
 }
 
-impl From<StreamsEntry> for Vec<(u64, BegunStream)> {
+impl From<StreamsEntry> for Vec<(u64, StreamOrigin)> {
     fn from(entry: StreamsEntry) -> Self {
         let streams = |group: StreamGroup| {
-            let stream = BegunStream { service: group.service, software: group.software };
+            let stream = StreamOrigin { service: group.service, software: group.software };
             let (keys, _) = group.keys.as_chunks::<KEY_BYTES>();
             keys.iter().map(|key| (u64::from_be_bytes(*key), stream.clone())).collect::<Vec<_>>()
         };
