Recognise a crash also if its upstream restarts at once, breaks off in a head or falls silent

A request that crashes upstreams which are up again within 150 ms, or which fall silent, gets no mark, so that its repeats crash one upstream after the other.

Cause: a crash was looked for only after a lost connection, for 150 ms, and only as a refused connection. Class: one symptom stands for the event.

Change: each request without a complete response is kept for 15 s (LossTable). If the list of upstreams then shows another process at its address or under its id that started after the request was sent, the process before it has crashed under the request, unless it had announced that it leaves. A process that was found listening after the loss has not crashed, unless the next one had started by then. Requests that time out are examined only if their upstream has not responded to anything since, so that slow upstreams are not probed.

Ruled out: the start in the upstream's own report (a probe, priced, and plain services have none); marks for every loss (innocent requests at faulty upstreams would be refused).

Evidence: platform_crasher::a_crash_is_recognised_however_the_upstream_ends_and_starts_again (4 ends x 4 ways to go on; failed before at its first case: no mark after 90 s), kernel suspects::a_process_that_was_replaced_has_crashed_only_under_the_requests_that_it_ran.

--- a/crates/cli/tests/processes/platform_bytes.rs
+++ b/crates/cli/tests/processes/platform_bytes.rs
@@ -2,7 +2,6 @@
 //! end: no caller gets bytes that are not its own, the connection is closed, memory is bounded and other requests go on.
 
 use crate::support::{EdgeSite, RawAnswer, RawEnding, RawServer, job_item, job_submission, wait_for};
-use serde_json::json;
 use std::time::Duration;
 
 /// Memory that an edge may use at most in these tests; its settings name no limit, so that the smallest VMs' limit of
@@ -25,17 +24,6 @@
     format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len())
 }
 
-/// Registers a server as an upstream of `service`, with or without the model.
-fn register(site: &EdgeSite, id: &str, service: &str, server: &RawServer) {
-    let models =
-        if service == "engine" { json!([{ "name": "verse", "version": 1, "adapters": [] }]) } else { json!([]) };
-    let entry = json!({
-        "service": service, "address": server.address.to_string(), "zone": "north", "version": "v1", "slots": 8,
-        "state": "ready", "coldRemainingMs": 0, "models": models, "sequence": 1, "born": 1,
-    });
-    site.store.put(&format!("servers/{id}"), &entry);
-}
-
 /// Answers that never end, or are followed by bytes that never end.
 fn endless_answers() -> Vec<(&'static str, RawAnswer)> {
     vec![
@@ -79,7 +67,7 @@
     for (case, answer) in endless_answers() {
         let server = RawServer::start(answer).await;
         let upstream = format!("raw-{}", case.replace(' ', "-"));
-        register(&site, &upstream, "desk", &server);
+        site.register(&upstream, "desk", server.address, "ready", 1);
         send_quotes(&site, case, &server).await;
         site.store.contents().remove(&format!("servers/{upstream}"));
         wait_for("the edge has closed the connection", || async { (server.open_connections() == 0).then_some(()) })
@@ -99,7 +87,7 @@
             let name = format!("unmeasured-{number}-{ending:?}").to_lowercase();
             let first = format!("HTTP/1.1 100 Continue\r\n\r\n{HEAD}{close_header}\r\nwhole answer to {{id}}");
             let server = RawServer::start(RawAnswer { first, ending: Some(ending), ..RawAnswer::default() }).await;
-            register(&site, &name, "desk", &server);
+            site.register(&name, "desk", server.address, "ready", 1);
             for request in 0..6 {
                 let id = format!("{name}-{request}");
                 let reply = wait_for("the request reaches the server", || async {
@@ -132,7 +120,7 @@
             ending: None,
         };
         let server = RawServer::start(twice).await;
-        register(&site, &format!("twice-{number}"), "desk", &server);
+        site.register(&format!("twice-{number}"), "desk", server.address, "ready", 1);
         wait_for("the server is used", || async {
             site.send_quote(0, &format!("{:025}", 1_000 + number)).await;
             (!server.requests().is_empty()).then_some(())
@@ -175,7 +163,7 @@
     for (number, (case, answer)) in stalled_streams().into_iter().enumerate() {
         let server = RawServer::start(answer).await;
         let upstream = format!("engine-raw-{number}");
-        register(&site, &upstream, "engine", &server);
+        site.register(&upstream, "engine", server.address, "ready", 1);
         wait_for("the edge lists the server", || async {
             site.edges[0].process.log().contains(&format!("event=upstream_listed upstream={upstream}")).then_some(())
         })
@@ -205,7 +193,7 @@
     site.desks.iter().for_each(|desk| desk.start_draining());
     let server =
         RawServer::start(RawAnswer { first: sound_answer(&"a".repeat(LARGE_BYTES)), ..RawAnswer::default() }).await;
-    register(&site, "large", "desk", &server);
+    site.register("large", "desk", server.address, "ready", 1);
     send_quotes(&site, "large", &server).await;
     let ids: Vec<String> = (0..60).map(|number| format!("large-{number}")).collect();
     let replies = futures_util::future::join_all(ids.iter().map(|id| site.send_quote(0, id))).await;
--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -1,9 +1,9 @@
 //! Tests of crashing upstreams on the users' platform: a request that crashes every upstream, and items that were running
 //! when their upstreams crashed.
 
-use crate::support::{EdgeSite, job_item, job_submission, wait_for};
+use crate::support::{EdgeSite, RawAnswer, RawEnding, RawServer, job_item, job_submission, wait_for};
 use pimentoslip_standin::PlatformUpstream;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Upstreams that a request may crash: three until it is known, and three more before every edge knows of it.
 const CRASHES_MAX: usize = 6;
@@ -119,6 +119,81 @@
     assert!(attempts.iter().all(|line| line.contains("result=lost")), "{attempts:?}");
 }
 
+/// Milliseconds since the Unix epoch.
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+/// Sends a request to the server as the only upstream `id`, until it has received it.
+async fn lose_request(site: &EdgeSite, id: &str, server: &RawServer) {
+    site.register(id, "desk", server.address, "ready", unix_ms());
+    wait_for("the server gets the request", || async {
+        let reply = site.send_quote_for(0, id, "boom").await;
+        (!server.requests().is_empty()).then(|| assert!(matches!(reply.status, 502 | 504), "{id}: {reply:?}"))
+    })
+    .await;
+}
+
+/// Log lines of the first edge that contain `text`.
+fn log_lines(site: &EdgeSite, text: &str) -> usize {
+    site.edges[0].process.log().lines().filter(|line| line.contains(text)).count()
+}
+
+/// Guards against crashes that are missed because the upstream accepts connections again at once, breaks off in the head of
+/// a response, or falls silent instead of closing its connections.
+#[actix_rt::test]
+async fn a_crash_is_recognised_however_the_upstream_ends_and_starts_again() {
+    let site = EdgeSite::start(1).await;
+    site.desks.iter().for_each(|desk| desk.start_draining());
+    let ends = [
+        ("closes", "", Some(RawEnding::Closed)),
+        ("resets", "", Some(RawEnding::Reset)),
+        ("breaks-off", "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-si", Some(RawEnding::Closed)),
+        ("silent", "", None),
+    ];
+    for (end, first, ending) in ends {
+        for restart in ["same-id", "new-id", "leaving", "none"] {
+            let id = format!("{end}-{restart}");
+            let first = first.to_owned();
+            let server = RawServer::start(RawAnswer { first, ending, ..RawAnswer::default() }).await;
+            lose_request(&site, &id, &server).await;
+            let crashed = format!("event=upstream_crashed request_id={id} ");
+            match restart {
+                "same-id" => site.register(&id, "desk", server.address, "ready", unix_ms()),
+                "new-id" => site.register(&format!("{id}-next"), "desk", server.address, "ready", unix_ms()),
+                "leaving" => {
+                    let entry = site.store.contents().value(&format!("servers/{id}")).expect("the entry");
+                    let entry = String::from_utf8_lossy(&entry).replace("ready", "draining");
+                    site.store.put(&format!("servers/{id}"), &serde_json::from_str(&entry).expect("an entry"));
+                    let listed = format!("event=upstream_listed upstream={id} ");
+                    wait_for("the edge knows that it leaves", || async {
+                        (log_lines(&site, &listed) == 2).then_some(())
+                    })
+                    .await;
+                    site.register(&format!("{id}-next"), "desk", server.address, "ready", unix_ms());
+                }
+                _ => {}
+            }
+            if restart.ends_with("id") {
+                wait_for(&format!("the crash of {id} is known"), || async {
+                    (log_lines(&site, &crashed) == 1).then_some(())
+                })
+                .await;
+            } else {
+                actix_rt::time::sleep(Duration::from_millis(600)).await;
+                assert_eq!(log_lines(&site, &crashed), 0, "{id} has not crashed");
+            }
+            // A marked request would be refused in the next case.
+            let marks: Vec<String> =
+                site.store.contents().range("p/w/crash/", "").iter().map(|mark| mark["key"].to_string()).collect();
+            marks.iter().for_each(|key| site.store.contents().remove(key.trim_matches('"')));
+            [id.clone(), format!("{id}-next")]
+                .iter()
+                .for_each(|id| site.store.contents().remove(&format!("servers/{id}")));
+        }
+    }
+}
+
 /// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
 #[actix_rt::test]
 async fn an_item_is_completed_after_the_crash_of_each_upstream_that_ran_it() {
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -141,6 +141,18 @@
         self.engines.push(start_upstream(&self.store, id, "engine", software));
     }
 
+    /// Writes the entry of an upstream that is no stand-in, in the state `state`. Its process has started at
+    /// `started_unix_ms`. One of the service `engine` serves the model.
+    pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str, started_unix_ms: u64) {
+        let models =
+            if service == "engine" { json!([{ "name": "verse", "version": 1, "adapters": [] }]) } else { json!([]) };
+        let entry = json!({
+            "service": service, "address": address.to_string(), "zone": "north", "version": BASE_SOFTWARE, "slots": 8,
+            "state": state, "coldRemainingMs": 0, "models": models, "sequence": 1, "born": started_unix_ms,
+        });
+        self.store.put(&format!("servers/{id}"), &entry);
+    }
+
     /// Stores a configuration with the version `version` and the organisations in `keys` (name, API key).
     pub fn write_config(&self, version: u64, keys: &[(&str, &str)]) {
         let tenants: Vec<Value> =
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -14,7 +14,7 @@
 mod strict_stream;
 
 pub use call_timeout::CallTimeout;
-pub use crash_probe::is_refusing_connections;
+pub use crash_probe::{is_refusing_connections, probe_after_loss, probe_connection};
 pub use deadline_body::DeadlineBody;
 pub use etcd_client::EtcdClient;
 pub use http_client::{client_with_tcp_user_timeout, plain_client};
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -6,8 +6,8 @@
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
-    CoordinatorTable, GrantTable, OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName, SoftwareHistory,
-    StreamRegister, SuspectTable, TimePoint, TrafficConfig, UsageTally, fingerprint,
+    CoordinatorTable, GrantTable, LossTable, OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName,
+    SoftwareHistory, StreamRegister, SuspectTable, TimePoint, TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
 use pimentoslip_wire::stored::{DaemonEntry, KeyLayout};
@@ -82,6 +82,7 @@
     streams: Mutex<StreamRegister>,
     software_history: Mutex<SoftwareHistory>,
     suspects: Mutex<SuspectTable>,
+    losses: Mutex<LossTable>,
     crash_outbox: Mutex<CrashOutbox>,
     newest_versions: Mutex<BTreeMap<SharedName, u64>>,
     retired_vms: Mutex<Vec<SharedName>>,
@@ -181,6 +182,7 @@
             streams: Mutex::default(),
             software_history: Mutex::default(),
             suspects: Mutex::default(),
+            losses: Mutex::default(),
             crash_outbox: Mutex::default(),
             newest_versions: Mutex::default(),
             retired_vms: Mutex::default(),
@@ -270,6 +272,11 @@
         lock(&self.suspects)
     }
 
+    /// Locks the requests without a complete response whose upstream may have crashed.
+    pub fn losses(&self) -> MutexGuard<'_, LossTable> {
+        lock(&self.losses)
+    }
+
     /// Locks the crash marks that are to be written to the store.
     pub fn crash_outbox(&self) -> MutexGuard<'_, CrashOutbox> {
         lock(&self.crash_outbox)
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -5,7 +5,7 @@
     edge_metrics::EdgeMetrics,
     relay::{AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard},
     stream::unrecorded_upstreams,
-    suspect::{clear_suspect, watch_for_crash},
+    suspect::{clear_suspect, examine_loss},
     worker_parts::WorkerParts,
 };
 use actix_web::http::StatusCode;
@@ -206,8 +206,8 @@
     if needs_software && guard.is_replaced() { Err(AttemptFailure::Mismatch) } else { Ok(response) }
 }
 
-/// Handles a run that got no complete response: logs it with what identifies repeats of the request at any daemon, and looks
-/// whether the upstream has crashed.
+/// Handles a run that got no complete response: logs it with what identifies repeats of the request at any daemon, and finds
+/// out whether the upstream has crashed.
 pub fn run_unfinished(
     parts: &WorkerParts,
     request_id: &SharedName,
@@ -223,8 +223,10 @@
         .field("running", guard.inflight())
         .field("result", failure.as_str())
         .warn();
-    if failure == AttemptFailure::Lost {
-        watch_for_crash(&parts.state, request_id, fingerprint, &guard.record);
+    // An upstream that has responded to another request since is slow, not gone.
+    let is_slow = failure == AttemptFailure::TimedOut && guard.has_responded_since();
+    if failure.may_be_crash() && !is_slow {
+        examine_loss(&parts.state, request_id, fingerprint, guard);
     }
 }
 
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -63,6 +63,12 @@
         !matches!(self, Self::NotSent | Self::Unreachable | Self::Refused | Self::Misdirected)
     }
 
+    /// Whether the upstream may have crashed while it ran the request.
+    #[must_use]
+    pub fn may_be_crash(self) -> bool {
+        matches!(self, Self::Lost | Self::TimedOut | Self::Malformed)
+    }
+
     /// Outcome that is recorded for the upstream, on which its availability is based.
     #[must_use]
     pub fn upstream_outcome(self) -> SamplerOutcome {
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -11,6 +11,8 @@
     state: Arc<EdgeState>,
     /// The upstream's record at the time when it was picked.
     pub record: SamplerRecord,
+    /// When the upstream was picked.
+    pub picked_at: TimePoint,
     outcome: SamplerOutcome,
 }
 
@@ -27,7 +29,7 @@
             state.permits_wanted.notify_one();
         }
         let record = record?;
-        Some(Self { state: state.clone(), record, outcome: SamplerOutcome::Abandoned })
+        Some(Self { state: state.clone(), record, picked_at: now, outcome: SamplerOutcome::Abandoned })
     }
 
     /// Sets the outcome that is recorded on drop. Without it the attempt counts as abandoned, which does not affect the
@@ -42,6 +44,12 @@
         self.state.upstreams().get(&self.record.id).is_some_and(|record| !record.is_same_process(&self.record))
     }
 
+    /// Whether the upstream has responded to a request of this daemon since it was picked.
+    #[must_use]
+    pub fn has_responded_since(&self) -> bool {
+        self.state.upstreams().responded_at(&self.record.id).is_some_and(|at| at > self.picked_at)
+    }
+
     /// Number of this daemon's requests in progress at the upstream, this one included.
     #[must_use]
     pub fn inflight(&self) -> u64 {
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -1,7 +1,10 @@
 //! Keeps the table of upstreams up to date with the upstreams listed in the store.
 
 use super::PrefixHandler;
-use crate::edge_state::EdgeState;
+use crate::{
+    edge_state::EdgeState,
+    suspect::{upstream_delisted, upstream_listed},
+};
 use pimentoslip_kernel::{SharedName, TimePoint};
 use pimentoslip_platform::{RangePage, StoreChange, StoreEntry, UPSTREAM_PREFIX, decode_upstream_record, upstream_id};
 use pimentoslip_telemetry::LogLine;
@@ -32,6 +35,7 @@
         self.missing.remove(id);
         match decode_upstream_record(id, &store_entry.value) {
             Ok(record) => {
+                upstream_listed(&self.state, &record);
                 let mut upstreams = self.state.upstreams();
                 let previous = upstreams.get(id);
                 if previous.is_none_or(|previous| {
@@ -67,11 +71,17 @@
             return;
         }
         LogLine::new("upstream_delisted").field("upstream", id).info();
-        self.state.upstreams().remove(id);
+        self.remove(id);
     }
 }
 
 impl UpstreamKeys {
+    /// Removes an upstream that is not listed any more.
+    fn remove(&self, id: &str) {
+        self.state.upstreams().remove(id);
+        upstream_delisted(&self.state, id);
+    }
+
     /// Time until which an entry that is missing now may be written again because of an outage of the store.
     fn relist_deadline(&self, now: TimePoint) -> TimePoint {
         if !self.state.path_selector().is_direct_available() {
@@ -121,7 +131,7 @@
                 .field("upstream", &id)
                 .field("reason", "not listed again after an outage of the store")
                 .info();
-            self.state.upstreams().remove(&id);
+            self.remove(&id);
         }
     }
 }
--- a/crates/edge/src/suspect/crash_watch.rs
+++ b/crates/edge/src/suspect/crash_watch.rs
@@ -1,8 +1,8 @@
-//! Finds out whether an upstream crashed under a request whose connection was lost.
+//! Finds out whether an upstream crashed under a request that got no complete response.
 
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState};
-use pimentoslip_client::is_refusing_connections;
-use pimentoslip_kernel::{SamplerRecord, SharedName};
+use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, relay::UpstreamGuard};
+use pimentoslip_client::probe_after_loss;
+use pimentoslip_kernel::{ProcessVerdict, RequestLoss, SamplerRecord, SharedName};
 use pimentoslip_telemetry::LogLine;
 use std::sync::Arc;
 
@@ -11,32 +11,76 @@
     format!("{}@{}", record.id, record.started_unix_ms).into()
 }
 
-/// Probes the upstream that lost the connection of a request, in the background. If it has crashed, no more requests are
-/// sent to it, and the crash counts against the request, whose repeats have `fingerprint`, at all daemons.
-pub fn watch_for_crash(state: &Arc<EdgeState>, request_id: &SharedName, fingerprint: u64, record: &SamplerRecord) {
-    let (state, request_id, record) = (state.clone(), request_id.clone(), record.clone());
-    actix_rt::spawn(async move {
-        if !is_refusing_connections(&record.address).await {
-            return;
+/// Examines a request that got no complete response, in the background. If its upstream has crashed, no more requests are
+/// sent there, and the crash counts against the request at all daemons. As long as that cannot be told, the list of
+/// upstreams decides.
+pub fn examine_loss(state: &Arc<EdgeState>, request_id: &SharedName, fingerprint: u64, guard: &UpstreamGuard) {
+    let loss = RequestLoss {
+        request_id: request_id.clone(),
+        fingerprint,
+        upstream: guard.record.clone(),
+        sent_unix_ms: state.unix_ms().saturating_sub(state.now().since_ms(guard.picked_at)),
+        running_unix_ms: None,
+    };
+    actix_rt::spawn(classify_loss(state.clone(), loss));
+}
+
+/// Finds out whether the upstream of a lost request has ended, and records what follows.
+async fn classify_loss(state: Arc<EdgeState>, loss: RequestLoss) {
+    let (address, now) = (loss.upstream.address.clone(), state.now());
+    // The list may show the next process while the connections are tried.
+    let number = state.losses().add(loss.clone(), now);
+    let own = probe_after_loss(&address).await;
+    let verdict = ProcessVerdict::judge(own, None);
+    LogLine::new("loss_examined")
+        .field("request_id", &loss.request_id)
+        .field("upstream", &loss.upstream.id)
+        .field("connection", format!("{own:?}").to_lowercase())
+        .field("process", verdict.as_str())
+        .info();
+    match verdict {
+        ProcessVerdict::Ended => {
+            let loss = state.losses().take(number);
+            loss.iter().for_each(|loss| upstream_crashed(&state, loss));
         }
-        let now = state.now();
-        state.upstreams().process_ended(&record, now);
-        let (mark, crash_count) = {
-            let mut suspects = state.suspects();
-            let mark = suspects.process_crashed(fingerprint, process_name(&record), now);
-            (mark, suspects.crash_count(fingerprint, now))
-        };
-        let Some(mark) = mark else { return };
-        state.crash_outbox().put(&mark);
-        state.crashes_changed.notify_one();
-        EdgeMetrics::global().upstream_crashes.inc();
-        LogLine::new("upstream_crashed")
-            .field("request_id", request_id)
-            .field("fingerprint", format!("{fingerprint:016x}"))
-            .field("upstream", &record.id)
-            .field("crashes", crash_count)
-            .warn();
-    });
+        ProcessVerdict::Running => state.losses().process_running(number, state.unix_ms()),
+        ProcessVerdict::Unknown => {}
+    }
+}
+
+/// Handles a listed upstream: the process before it may have crashed under a request.
+pub fn upstream_listed(state: &EdgeState, record: &SamplerRecord) {
+    let crashed = state.losses().upstream_listed(record, state.now());
+    crashed.iter().for_each(|loss| upstream_crashed(state, loss));
+}
+
+/// Handles the removal of an upstream from the list. If nothing listens at its address, it has crashed.
+pub fn upstream_delisted(state: &Arc<EdgeState>, id: &str) {
+    for loss in state.losses().upstream_delisted(id, state.now()) {
+        actix_rt::spawn(classify_loss(state.clone(), loss));
+    }
+}
+
+/// Counts the crash of an upstream against the request that it ran.
+fn upstream_crashed(state: &EdgeState, loss: &RequestLoss) {
+    let RequestLoss { request_id, fingerprint, upstream, .. } = loss;
+    let now = state.now();
+    state.upstreams().process_ended(upstream, now);
+    let (mark, crash_count) = {
+        let mut suspects = state.suspects();
+        let mark = suspects.process_crashed(*fingerprint, process_name(upstream), now);
+        (mark, suspects.crash_count(*fingerprint, now))
+    };
+    let Some(mark) = mark else { return };
+    state.crash_outbox().put(&mark);
+    state.crashes_changed.notify_one();
+    EdgeMetrics::global().upstream_crashes.inc();
+    LogLine::new("upstream_crashed")
+        .field("request_id", request_id)
+        .field("fingerprint", format!("{fingerprint:016x}"))
+        .field("upstream", &upstream.id)
+        .field("crashes", crash_count)
+        .warn();
 }
 
 /// Forgets the crashes that count against a request, which an upstream has completed. The store's changes take the marks
--- a/crates/edge/src/suspect/mod.rs
+++ b/crates/edge/src/suspect/mod.rs
@@ -7,4 +7,4 @@
 
 pub use crash_outbox::CrashOutbox;
 pub use crash_task::store_crash_marks;
-pub use crash_watch::{clear_suspect, watch_for_crash};
+pub use crash_watch::{clear_suspect, examine_loss, upstream_delisted, upstream_listed};
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -30,6 +30,8 @@
     pub(super) pool: Option<PermitPool>,
     /// When a response last named no limit.
     pub(super) unlimited_at: TimePoint,
+    /// When the upstream last responded to this daemon; `None` before its first response.
+    pub(super) responded_at: Option<TimePoint>,
     /// Number of requests sent since the last call of [`SamplerTable::take_limited_counts`].
     pub(super) sent_count: u64,
 }
@@ -47,6 +49,7 @@
             latency_ms: None,
             pool: None,
             unlimited_at: TimePoint(0),
+            responded_at: None,
             sent_count: 0,
         }
     }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -368,7 +368,13 @@
         }
     }
 
-    /// Handles the limit that a response of the process `responder` names, to a request that was sent at `sent_at`;
+    /// When the upstream `id` last responded to this daemon; `None` if it has not, or is not listed.
+    #[must_use]
+    pub fn responded_at(&self, id: &str) -> Option<TimePoint> {
+        self.entries.get(id)?.responded_at
+    }
+
+    /// Handles a response of the process `responder` and the limit that it names, to a request that was sent at `sent_at`;
     /// `None` if it names none. Returns whether the limit has changed.
     pub fn limit_reported(
         &mut self,
@@ -379,6 +385,7 @@
     ) -> bool {
         let entry = self.entries.get_mut(&responder.id).filter(|entry| entry.record.is_same_process(responder));
         let Some(entry) = entry else { return false };
+        entry.responded_at = Some(now);
         // Responses on different connections may overtake each other.
         let is_outdated = limit.is_none() && entry.pool.as_ref().is_some_and(|pool| sent_at <= pool.seen_at());
         if is_outdated {
--- a/crates/kernel/tests/machines/suspects.rs
+++ b/crates/kernel/tests/machines/suspects.rs
@@ -1,7 +1,9 @@
 //! Tests of quarantine: daemons that exchange their marks agree on which requests crash upstreams.
 
 use crate::sequence;
-use pimentoslip_kernel::{CrashMark, SuspectTable, SuspectVerdict, TimePoint};
+use pimentoslip_kernel::{
+    CrashMark, LossTable, RequestLoss, SamplerRecord, SamplerState, SuspectTable, SuspectVerdict, TimePoint,
+};
 use quickcheck::{Arbitrary, Gen};
 use std::collections::BTreeMap;
 
@@ -168,3 +170,52 @@
     assert!(suspects.active_marks(now).len() <= 2_000);
     assert!(matches!(suspects.verdict(0, now), SuspectVerdict::Quarantined { .. }));
 }
+
+fn upstream(id: &str, address: &str, started_unix_ms: u64) -> SamplerRecord {
+    SamplerRecord {
+        id: id.into(),
+        service: "desk".into(),
+        address: address.into(),
+        failure_domain: "north".into(),
+        slots: 8,
+        state: SamplerState::Ready,
+        software: "v1".into(),
+        versions: BTreeMap::new(),
+        started_unix_ms,
+        reclaimable: false,
+    }
+}
+
+/// Guards against crashes that are counted against a request which ran before, or long after, an upstream was replaced.
+#[test]
+fn a_process_that_was_replaced_has_crashed_only_under_the_requests_that_it_ran() {
+    // Process that is listed next, when one was found listening after the loss, and whether that shows a crash. The
+    // request was sent at 60 s.
+    let cases = [
+        (upstream("i-2", "a:1", 60_500), None, true),
+        (upstream("i-1", "b:1", 60_500), None, true),
+        (upstream("i-2", "a:1", 74_000), None, true),
+        (upstream("i-2", "a:1", 60_500), Some(60_600), true),
+        (upstream("i-2", "a:1", 70_000), Some(60_600), false),
+        (upstream("i-2", "a:1", 50_000), None, false),
+        (upstream("i-2", "b:1", 60_500), None, false),
+        (upstream("i-1", "a:1", 10_000), None, false),
+    ];
+    for (next, running_unix_ms, is_crash) in cases {
+        let mut losses = LossTable::default();
+        let loss = RequestLoss {
+            request_id: "q".into(),
+            fingerprint: 7,
+            upstream: upstream("i-1", "a:1", 10_000),
+            sent_unix_ms: 60_000,
+            running_unix_ms: None,
+        };
+        let number = losses.add(loss, TimePoint(0));
+        if let Some(unix_ms) = running_unix_ms {
+            losses.process_running(number, unix_ms);
+        }
+        let crashed = losses.upstream_listed(&next, TimePoint(14_000));
+        assert_eq!(crashed.len(), usize::from(is_crash), "{next:?} {running_unix_ms:?}");
+        assert_eq!(losses.take(number).is_none(), is_crash);
+    }
+}
