Let other daemons confirm that an upstream has ended before its crash counts against a request

What callers would see: a daemon without paths to the upstreams finds each of them refusing connections. It marked innocent requests that were lost there, which after three are refused for ten minutes at every daemon, and took sound upstreams out of use for four seconds.

Cause: this daemon's own refused connection decided. Class: "I do not reach it" taken for "it is not there".

Change: a connection that is not accepted is tried by up to two peers too, of other failure domains first (/peer/reach). One that is accepted there: running. One refused there: ended. Only silence: the list of upstreams decides, as for other losses. Without peers the own connection decides as before. Tests get a relay for each pair of edge and upstream (PathMatrix), whose rules include addresses that refuse new connections only, or do not respond.

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -1,8 +1,8 @@
 //! Tests of crashing upstreams on the users' platform: a request that crashes every upstream, and items that were running
 //! when their upstreams crashed.
 
-use crate::support::{EdgeSite, RawAnswer, RawEnding, RawServer, job_item, job_submission, wait_for};
-use pimentoslip_standin::PlatformUpstream;
+use crate::support::{EdgeSite, PathMatrix, RawAnswer, RawEnding, RawServer, job_item, job_submission, wait_for};
+use pimentoslip_standin::{PlatformUpstream, RelayRule};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Upstreams that a request may crash: three until it is known, and three more before every edge knows of it.
@@ -194,6 +194,32 @@
     }
 }
 
+/// Guards against a daemon that takes each upstream for crashed, and each request for its cause, because its own paths to the
+/// upstreams are lost.
+#[actix_rt::test]
+async fn an_upstream_that_other_edges_reach_has_not_crashed() {
+    let (site, mut matrix) = PathMatrix::start_site(&["north", "south", "south"]).await;
+    site.desks.iter().for_each(|desk| desk.start_draining());
+    for rule in [RelayRule::Refuse, RelayRule::Cut] {
+        let id = format!("reached-{rule:?}").to_lowercase();
+        let server = RawServer::start(RawAnswer::default()).await;
+        matrix.add_address(server.address).await;
+        let lost = async {
+            wait_for("the server runs the request", || async { (!server.requests().is_empty()).then_some(()) }).await;
+            matrix.set_all(0, rule);
+        };
+        futures_util::future::join(lose_request(&site, &id, &server), lost).await;
+        let examined = format!("event=loss_examined request_id={id} ");
+        wait_for("the loss is examined", || async { (log_lines(&site, &examined) == 1).then_some(()) }).await;
+        let log = site.edges[0].process.log();
+        let line = log.lines().find(|line| line.contains(&examined)).expect("the line");
+        assert!(line.ends_with("process=running"), "{line}");
+        assert_eq!(log_lines(&site, "event=upstream_crashed"), 0, "{rule:?}");
+        matrix.set_all(0, RelayRule::Pass);
+        site.store.contents().remove(&format!("servers/{id}"));
+    }
+}
+
 /// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
 #[actix_rt::test]
 async fn an_item_is_completed_after_the_crash_of_each_upstream_that_ran_it() {
--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -6,7 +6,7 @@
 use pimentoslip_kernel::{FailureCount, JobCheckpoint, LedgerState, SampleText, TextPart, UnfinishedItem};
 use pimentoslip_wire::{
     encode,
-    peer::{ChangesRequest, ItemRequest, JobPush, ResultsRequest, RunReport, UsagePush},
+    peer::{ChangesRequest, ItemRequest, JobPush, ReachRequest, ResultsRequest, RunReport, UsagePush},
     stored::{DaemonEntry, JobCheckpointEntry, JobEntry, UsageBatchEntry},
 };
 use serde::Serialize;
@@ -71,6 +71,7 @@
         ("/peer/runs", message(&RunReport { daemon: "y".into(), ..runs })),
         ("/peer/usage", message(&UsagePush { window: u64::MAX, batch })),
         ("/peer/job", message(&push)),
+        ("/peer/reach", message(&ReachRequest { upstream: "engine-1".into(), started: u64::MAX })),
     ]
 }
 
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -58,6 +58,17 @@
     settings_path: String,
 }
 
+/// Place of an edge.
+#[derive(Clone, Debug)]
+pub struct EdgeOptions {
+    /// Address at which the edge calls the store.
+    pub store_address: SocketAddr,
+    /// Failure domain of its VM.
+    pub failure_domain: String,
+    /// Region of its VM.
+    pub region: String,
+}
+
 /// Site of edges, with a stand-in for each service of the users' platform that they use.
 pub struct EdgeSite {
     /// Key-value store.
@@ -101,7 +112,7 @@
     /// are ready.
     pub async fn start(edges: usize) -> Self {
         let mut site = Self::without_edges();
-        site.write_config(2, &[("rose", ROSE_KEY), ("tray", TRAY_KEY)]);
+        site.write_default_config();
         for _ in 0..edges {
             let store_address = site.store.address;
             site.start_edge(store_address);
@@ -126,6 +137,11 @@
         }
     }
 
+    /// Stores the first configuration, with two organisations.
+    pub fn write_default_config(&self) {
+        self.write_config(2, &[("rose", ROSE_KEY), ("tray", TRAY_KEY)]);
+    }
+
     /// Starts one more upstream of the plain service `desk`.
     pub fn start_desk(&mut self, id: &str) {
         self.desks.push(start_upstream(&self.store, id, "desk", BASE_SOFTWARE));
@@ -186,23 +202,32 @@
 
     /// Starts one more edge, which connects to the store at `store_address`.
     pub fn start_edge(&mut self, store_address: SocketAddr) {
+        self.start_edge_with(&EdgeOptions {
+            store_address,
+            failure_domain: "north".to_owned(),
+            region: "land".to_owned(),
+        });
+    }
+
+    /// Starts one more edge at the given place.
+    pub fn start_edge_with(&mut self, options: &EdgeOptions) {
         // Another test may take a free port after it was chosen and before the edge listens on it.
-        let mut edge = self.try_start_edge(store_address);
+        let mut edge = self.try_start_edge(options);
         while edge.process.failed_to_listen() {
-            edge = self.try_start_edge(store_address);
+            edge = self.try_start_edge(options);
         }
         self.edges.push(edge);
     }
 
     /// Starts the next edge on addresses that are free at the time of the call.
-    fn try_start_edge(&self, store_address: SocketAddr) -> EdgeProcess {
+    fn try_start_edge(&self, options: &EdgeOptions) -> EdgeProcess {
         let vm = format!("edge-{}", self.edges.len());
         let (frontend_address, readiness_address, control_address) = (free_address(), free_address(), free_address());
         let settings = json!({
-            "nodeName": vm, "ip": "127.0.0.1", "zone": "north", "zones": { "north": "land" },
+            "nodeName": vm, "ip": "127.0.0.1", "zone": options.failure_domain, "region": options.region,
             "listenAddrs": { "frontend": frontend_address, "ready": readiness_address },
             "internalPorts": [control_address.port(), control_address.port()],
-            "platform": { "address": store_address, "valueBytes": 1_048_576, "minTtlMs": 1000 },
+            "platform": { "address": options.store_address, "valueBytes": 1_048_576, "minTtlMs": 1000 },
             "cloudApi": { "address": self.provider.address },
             "bounds": { "leaseMs": 1000, "graceS": 8, "reportWindowS": 1, "statusS": 120 },
         });
--- a/crates/cli/tests/processes/support/mod.rs
+++ b/crates/cli/tests/processes/support/mod.rs
@@ -4,12 +4,14 @@
 mod daemon_site;
 mod edge_site;
 mod http_client;
+mod path_matrix;
 mod raw_server;
 
 pub use child_process::{ChildProcess, Workdir, run_cli};
 pub use daemon_site::{DaemonSite, KEY_ORGANISATION, OPERATOR_KEY, SiteOptions};
-pub use edge_site::{EdgeReply, EdgeSite, HOST, ROSE_KEY, TRAY_KEY, job_item, job_submission};
+pub use edge_site::{EdgeOptions, EdgeReply, EdgeSite, HOST, ROSE_KEY, TRAY_KEY, job_item, job_submission};
 pub use http_client::{HttpAnswer, HttpClient};
+pub use path_matrix::PathMatrix;
 pub use raw_server::{RawAnswer, RawEnding, RawServer};
 
 use std::{future::Future, time::Duration};
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -5,6 +5,7 @@
     limit,
     store::RELAY_PATH,
     stream::known_origins,
+    suspect,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
@@ -14,7 +15,7 @@
 use pimentoslip_wire::{
     CodecError, decode, encode,
     peer::{
-        ChangesRequest, ChangesResponse, ItemRequest, JobPush, PermitRequest, ResultsRequest, RunReport,
+        ChangesRequest, ChangesResponse, ItemRequest, JobPush, PermitRequest, ReachRequest, ResultsRequest, RunReport,
         StreamsRequest, UsagePush,
     },
 };
@@ -103,6 +104,14 @@
     }
 }
 
+/// Tries a connection to an upstream for a peer.
+pub async fn try_connection(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<ReachRequest>(&body) {
+        Ok(request) => message_response(&suspect::try_connection(&parts.state, &request).await),
+        Err(error) => malformed_response(&error),
+    }
+}
+
 /// Collects usage counts of a peer, and responds with whether they were stored.
 pub async fn receive_usage(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     match decode::<UsagePush>(&body) {
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -226,7 +226,7 @@
     // An upstream that has responded to another request since is slow, not gone.
     let is_slow = failure == AttemptFailure::TimedOut && guard.has_responded_since();
     if failure.may_be_crash() && !is_slow {
-        examine_loss(&parts.state, request_id, fingerprint, guard);
+        examine_loss(parts, request_id, fingerprint, guard);
     }
 }
 
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -3,6 +3,7 @@
 use super::PrefixHandler;
 use crate::{
     edge_state::EdgeState,
+    peer_client::PeerClient,
     suspect::{upstream_delisted, upstream_listed},
 };
 use pimentoslip_kernel::{SharedName, TimePoint};
@@ -18,6 +19,7 @@
 #[derive(Debug)]
 pub struct UpstreamKeys {
     state: Arc<EdgeState>,
+    peer_client: PeerClient,
     /// Upstreams whose entries went missing around an outage of the store, and until when they stay in the table.
     missing: BTreeMap<SharedName, TimePoint>,
 }
@@ -26,7 +28,7 @@
     /// Creates a handler that updates `state`.
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
-        Self { state, missing: BTreeMap::new() }
+        Self { state, peer_client: PeerClient::default(), missing: BTreeMap::new() }
     }
 
     /// Applies the entry of an upstream that is in the snapshot or was written after it.
@@ -79,7 +81,7 @@
     /// Removes an upstream that is not listed any more.
     fn remove(&self, id: &str) {
         self.state.upstreams().remove(id);
-        upstream_delisted(&self.state, id);
+        upstream_delisted(&self.state, &self.peer_client, id);
     }
 
     /// Time until which an entry that is missing now may be written again because of an outage of the store.
--- a/crates/edge/src/suspect/crash_watch.rs
+++ b/crates/edge/src/suspect/crash_watch.rs
@@ -1,8 +1,12 @@
 //! Finds out whether an upstream crashed under a request that got no complete response.
 
-use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, relay::UpstreamGuard};
+use super::reach_check::ask_peers;
+use crate::{
+    edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, relay::UpstreamGuard,
+    worker_parts::WorkerParts,
+};
 use pimentoslip_client::probe_after_loss;
-use pimentoslip_kernel::{ProcessVerdict, RequestLoss, SamplerRecord, SharedName};
+use pimentoslip_kernel::{ConnectOutcome, ProcessVerdict, RequestLoss, SamplerRecord, SharedName};
 use pimentoslip_telemetry::LogLine;
 use std::sync::Arc;
 
@@ -14,7 +18,8 @@
 /// Examines a request that got no complete response, in the background. If its upstream has crashed, no more requests are
 /// sent there, and the crash counts against the request at all daemons. As long as that cannot be told, the list of
 /// upstreams decides.
-pub fn examine_loss(state: &Arc<EdgeState>, request_id: &SharedName, fingerprint: u64, guard: &UpstreamGuard) {
+pub fn examine_loss(parts: &WorkerParts, request_id: &SharedName, fingerprint: u64, guard: &UpstreamGuard) {
+    let state = &parts.state;
     let loss = RequestLoss {
         request_id: request_id.clone(),
         fingerprint,
@@ -22,20 +27,25 @@
         sent_unix_ms: state.unix_ms().saturating_sub(state.now().since_ms(guard.picked_at)),
         running_unix_ms: None,
     };
-    actix_rt::spawn(classify_loss(state.clone(), loss));
+    actix_rt::spawn(classify_loss(state.clone(), parts.peer_client.clone(), loss));
 }
 
 /// Finds out whether the upstream of a lost request has ended, and records what follows.
-async fn classify_loss(state: Arc<EdgeState>, loss: RequestLoss) {
+async fn classify_loss(state: Arc<EdgeState>, peer_client: PeerClient, loss: RequestLoss) {
     let (address, now) = (loss.upstream.address.clone(), state.now());
     // The list may show the next process while the connections are tried.
     let number = state.losses().add(loss.clone(), now);
     let own = probe_after_loss(&address).await;
-    let verdict = ProcessVerdict::judge(own, None);
+    let peers = match own {
+        ConnectOutcome::Accepted => None,
+        ConnectOutcome::Refused | ConnectOutcome::Silent => ask_peers(&state, &peer_client, &loss.upstream).await,
+    };
+    let verdict = ProcessVerdict::judge(own, peers.as_deref());
     LogLine::new("loss_examined")
         .field("request_id", &loss.request_id)
         .field("upstream", &loss.upstream.id)
-        .field("connection", format!("{own:?}").to_lowercase())
+        .field("connection", own.as_str())
+        .field("peers", outcomes_text(peers.as_deref()))
         .field("process", verdict.as_str())
         .info();
     match verdict {
@@ -48,6 +58,12 @@
     }
 }
 
+/// The results of peers in one field of a log line.
+fn outcomes_text(outcomes: Option<&[ConnectOutcome]>) -> String {
+    let names: Vec<&str> = outcomes.unwrap_or_default().iter().map(|outcome| outcome.as_str()).collect();
+    if names.is_empty() { "none".to_owned() } else { names.join(",") }
+}
+
 /// Handles a listed upstream: the process before it may have crashed under a request.
 pub fn upstream_listed(state: &EdgeState, record: &SamplerRecord) {
     let crashed = state.losses().upstream_listed(record, state.now());
@@ -55,9 +71,9 @@
 }
 
 /// Handles the removal of an upstream from the list. If nothing listens at its address, it has crashed.
-pub fn upstream_delisted(state: &Arc<EdgeState>, id: &str) {
+pub fn upstream_delisted(state: &Arc<EdgeState>, peer_client: &PeerClient, id: &str) {
     for loss in state.losses().upstream_delisted(id, state.now()) {
-        actix_rt::spawn(classify_loss(state.clone(), loss));
+        actix_rt::spawn(classify_loss(state.clone(), peer_client.clone(), loss));
     }
 }
 
--- /dev/null
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -0,0 +1,63 @@
+//! Tries connections to upstreams for other daemons, and asks them to: a daemon cannot tell by itself whether an upstream
+//! or its own path to it has failed.
+
+use crate::{edge_state::EdgeState, peer_client::PeerClient};
+use futures_util::future::join_all;
+use pimentoslip_client::probe_connection;
+use pimentoslip_kernel::{ConnectOutcome, SamplerRecord, SharedName, rank};
+use pimentoslip_telemetry::LogLine;
+use pimentoslip_wire::peer::{ReachRequest, ReachResponse};
+
+/// Path of the peer interface at which daemons try connections to upstreams.
+pub const REACH_PATH: &str = "/peer/reach";
+/// Longest wait for the response of a peer, which waits up to 300 ms for the upstream.
+const CALL_TIMEOUT_MS: u64 = 500;
+/// Peers that are asked.
+const PEERS_MAX: usize = 2;
+
+/// Tries a connection for a peer.
+pub async fn try_connection(state: &EdgeState, request: &ReachRequest) -> ReachResponse {
+    let address = {
+        let upstreams = state.upstreams();
+        let record = upstreams.get(&request.upstream).filter(|record| record.started_unix_ms == request.started);
+        record.map(|record| record.address.clone())
+    };
+    match address {
+        Some(address) => probe_connection(&address).await.into(),
+        None => ReachResponse::Unknown,
+    }
+}
+
+/// Lets peers try connections to an upstream, and returns the results. `None` if there is no other daemon.
+pub async fn ask_peers(
+    state: &EdgeState,
+    peer_client: &PeerClient,
+    record: &SamplerRecord,
+) -> Option<Vec<ConnectOutcome>> {
+    let addresses = witness_addresses(state, &record.id);
+    if addresses.is_empty() {
+        return None;
+    }
+    let request = ReachRequest { upstream: record.id.clone(), started: record.started_unix_ms };
+    let request = &request;
+    let calls = addresses.iter().map(|address| async move {
+        let response = peer_client.call::<ReachResponse>(address, REACH_PATH, request, CALL_TIMEOUT_MS).await;
+        if let Err(error) = &response {
+            LogLine::new("reach_not_answered").field("peer", address).field("reason", error).warn();
+        }
+        response.ok()?.outcome()
+    });
+    Some(join_all(calls).await.into_iter().flatten().collect())
+}
+
+/// Addresses of the peers to ask about an upstream: of other failure domains than this daemon's, if there are any, since
+/// the daemons of one may have lost their paths together.
+fn witness_addresses(state: &EdgeState, upstream: &str) -> Vec<SharedName> {
+    let own = &state.settings;
+    let ownership = state.ownership();
+    let others: Vec<&SharedName> = ownership.daemons().map(|(name, _)| name).filter(|name| **name != own.vm).collect();
+    let ranked = rank(upstream, &others);
+    let presences = ranked.into_iter().filter_map(|name| ownership.daemon(name));
+    let (near, far): (Vec<_>, Vec<_>) = presences.partition(|presence| presence.failure_domain == own.failure_domain);
+    far.into_iter().chain(near).take(PEERS_MAX).map(|presence| presence.control_address.clone()).collect()
+}
--- a/crates/kernel/src/suspect/connect_outcome.rs
+++ b/crates/kernel/src/suspect/connect_outcome.rs
@@ -11,6 +11,18 @@
     Silent,
 }
 
+impl ConnectOutcome {
+    /// Name of the result in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Whether the process of an upstream has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessVerdict {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,7 +32,7 @@
 pub use plain_service::start_plain;
 pub use platform::{
     PlatformProvider, PlatformStore, PlatformUpstream, PlatformUsageReport, RecordedCall, ScaleOrder, StoreContents,
-    StoreFault, UpstreamFault, UpstreamSettings,
+    StoreFault, StoreView, UpstreamFault, UpstreamSettings,
 };
 pub use recorded_request::RecordedRequest;
 pub use running::{Result, RunningStandin};
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's key-value store, served over HTTP.
 
-use super::StoreContents;
+use super::{StoreContents, StoreView};
 use crate::{Result, RunningStandin, running::start_server};
 use actix_web::{App, HttpResponse, web};
 use serde_json::{Value, json};
@@ -26,7 +26,7 @@
 
 /// State shared by the request handlers.
 #[derive(Default)]
-struct StoreState {
+pub(super) struct StoreState {
     contents: Mutex<StoreContents>,
     fault: Mutex<StoreFault>,
 }
@@ -43,7 +43,19 @@
     /// Starts a store on the current runtime, at a free loopback port.
     pub fn start() -> Result<Self> {
         let state = Arc::new(StoreState::default());
-        let data = web::Data::from(state.clone());
+        let (address, _) = Self::serve(&state)?;
+        Ok(Self { address, state })
+    }
+
+    /// Opens another address of the store, at which upstreams can be listed with other addresses.
+    pub fn open_view(&self) -> Result<(SocketAddr, Arc<StoreView>)> {
+        Self::serve(&self.state)
+    }
+
+    /// Serves `state` at a free loopback port.
+    fn serve(state: &Arc<StoreState>) -> Result<(SocketAddr, Arc<StoreView>)> {
+        let view = Arc::new(StoreView::new(state.clone()));
+        let data = web::Data::from(view.clone());
         let running: Result<RunningStandin> = start_server!("127.0.0.1:0", move || {
             App::new().app_data(data.clone()).app_data(web::JsonConfig::default().limit(MAX_COMMIT_BYTES)).service(
                 web::scope("/pimentoslip")
@@ -57,7 +69,7 @@
             )
         });
         let (address, _) = running?.spawn();
-        Ok(Self { address, state })
+        Ok((address, view))
     }
 
     /// Locks and returns the contents of the store, with expired leases removed.
@@ -109,28 +121,32 @@
     query.get(name).map_or("", String::as_str)
 }
 
-async fn get(state: web::Data<StoreState>, query: Query) -> HttpResponse {
+async fn get(view: web::Data<StoreView>, query: Query) -> HttpResponse {
+    let state = &view.state;
     if state.is_down() {
         return unavailable();
     }
     let contents = state.contents();
     match contents.get(parameter(&query, "key")) {
-        Some(item) => HttpResponse::Ok().json(item),
+        Some(item) => HttpResponse::Ok().json(view.translated(item)),
         None => HttpResponse::NotFound().finish(),
     }
 }
 
-async fn range(state: web::Data<StoreState>, query: Query) -> HttpResponse {
+async fn range(view: web::Data<StoreView>, query: Query) -> HttpResponse {
+    let state = &view.state;
     if state.is_down() {
         return unavailable();
     }
     let contents = state.contents();
     let items = contents.range(parameter(&query, "pathPrefix"), parameter(&query, "after"));
+    let items: Vec<Value> = items.into_iter().map(|item| view.translated(item)).collect();
     HttpResponse::Ok().json(json!({ "items": items, "morePages": false, "asOf": contents.revision() }))
 }
 
 /// Returns the changes below a prefix after a revision. Waits for a change until the requested time has passed.
-async fn watch(state: web::Data<StoreState>, query: Query) -> HttpResponse {
+async fn watch(view: web::Data<StoreView>, query: Query) -> HttpResponse {
+    let state = &view.state;
     let after = parameter(&query, "after").parse().unwrap_or(0);
     let wait_ms = parameter(&query, "waitMs").parse().unwrap_or(0);
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
@@ -143,13 +159,15 @@
             (contents.changes_after(parameter(&query, "pathPrefix"), after), contents.revision())
         };
         if !events.is_empty() || Instant::now() >= deadline {
+            let events: Vec<Value> = events.into_iter().map(|event| view.translated(event)).collect();
             return HttpResponse::Ok().json(json!({ "events": events, "asOf": revision }));
         }
         actix_rt::time::sleep(WATCH_POLL_INTERVAL).await;
     }
 }
 
-async fn commit(state: web::Data<StoreState>, body: web::Json<Value>) -> HttpResponse {
+async fn commit(view: web::Data<StoreView>, body: web::Json<Value>) -> HttpResponse {
+    let state = &view.state;
     if state.is_down() {
         return unavailable();
     }
@@ -169,7 +187,8 @@
     }
 }
 
-async fn grant_lease(state: web::Data<StoreState>, body: web::Json<Value>) -> HttpResponse {
+async fn grant_lease(view: web::Data<StoreView>, body: web::Json<Value>) -> HttpResponse {
+    let state = &view.state;
     if state.is_down() {
         return unavailable();
     }
@@ -178,7 +197,8 @@
     HttpResponse::Ok().json(json!({ "lease": lease, "ttlMs": ttl_ms }))
 }
 
-async fn renew_lease(state: web::Data<StoreState>, lease: web::Path<u64>) -> HttpResponse {
+async fn renew_lease(view: web::Data<StoreView>, lease: web::Path<u64>) -> HttpResponse {
+    let state = &view.state;
     if state.is_down() {
         return unavailable();
     }
@@ -186,7 +206,8 @@
     if is_renewed { HttpResponse::Ok().json(json!({})) } else { HttpResponse::NotFound().finish() }
 }
 
-async fn end_lease(state: web::Data<StoreState>, lease: web::Path<u64>) -> HttpResponse {
+async fn end_lease(view: web::Data<StoreView>, lease: web::Path<u64>) -> HttpResponse {
+    let state = &view.state;
     if state.is_down() {
         return unavailable();
     }
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Writes the entry of the upstream again.
+    pub fn list_again(&self) {
+        self.inner.register("ready");
+    }
+
     /// Registers the upstream as draining.
     pub fn start_draining(&self) {
         self.inner.register("draining");
