Send crash marks to peers while the store is away

What callers would see: a request that crashed upstreams during an outage of the store runs again, and crashes more, once the daemon that observed the crashes has stopped or was killed.

Cause: marks waited in one daemon's memory until the store took them.

Change: marks whose write fails are sent once to two peers, of other failure domains first (/peer/crashes), which follow them at once and write them when they can; a daemon that stops waits up to 400 ms for its last write.

Left: a crash that is observed less than about 100 ms before its daemon is killed, outage or not.

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -2,7 +2,7 @@
 //! when their upstreams crashed.
 
 use crate::support::{EdgeSite, PathMatrix, RawAnswer, RawEnding, RawServer, job_item, job_submission, wait_for};
-use pimentoslip_standin::{PlatformUpstream, RelayRule};
+use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Upstreams that a request may crash: three until it is known, and three more before every edge knows of it.
@@ -220,6 +220,41 @@
     }
 }
 
+/// Guards against crashes that are forgotten because the edge that observed them ends while the store is away.
+#[actix_rt::test]
+async fn crashes_observed_in_an_outage_of_the_store_outlive_the_edge_that_observed_them() {
+    for is_killed in [false, true] {
+        let mut site = EdgeSite::start(3).await;
+        site.start_desk("desk-3");
+        site.desks[..2].iter().for_each(|desk| desk.crash_on(b"boom"));
+        site.desks[2].start_draining();
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
+        wait_for("both desks have crashed", || async {
+            site.send_quote_for(0, "boom", "boom").await;
+            (crash_count(&site.desks) == 2).then_some(())
+        })
+        .await;
+        wait_for("the edge has tried to write both marks", || async {
+            (log_lines(&site, "event=crashes_not_recorded") >= 2).then_some(())
+        })
+        .await;
+        if is_killed {
+            site.edges[0].process.kill();
+        } else {
+            site.edges[0].process.terminate();
+            while site.edges[0].process.exit_status().is_none() {
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        site.store.set_fault(StoreFault::default());
+        wait_for("both crashes are stored", || async {
+            (site.store.contents().range("p/w/crash/", "").len() == 2).then_some(())
+        })
+        .await;
+    }
+}
+
 /// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
 #[actix_rt::test]
 async fn an_item_is_completed_after_the_crash_of_each_upstream_that_ran_it() {
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -15,8 +15,8 @@
 use pimentoslip_wire::{
     CodecError, decode, encode,
     peer::{
-        ChangesRequest, ChangesResponse, ItemRequest, JobPush, PermitRequest, ReachRequest, ResultsRequest, RunReport,
-        StreamsRequest, UsagePush,
+        ChangesRequest, ChangesResponse, CrashPush, ItemRequest, JobPush, PermitRequest, ReachRequest, ResultsRequest,
+        RunReport, StreamsRequest, UsagePush,
     },
 };
 use serde::Serialize;
@@ -104,6 +104,17 @@
     }
 }
 
+/// Keeps crash marks of a peer that cannot write them to the store.
+pub async fn receive_marks(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
+    match decode::<CrashPush>(&body) {
+        Ok(push) => {
+            suspect::receive_marks(&parts.state, push);
+            message_response(&true)
+        }
+        Err(error) => malformed_response(&error),
+    }
+}
+
 /// Tries a connection to an upstream for a peer.
 pub async fn try_connection(parts: web::Data<WorkerParts>, body: web::Bytes) -> HttpResponse {
     match decode::<ReachRequest>(&body) {
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -8,7 +8,7 @@
     limit::PERMITS_PATH,
     store::{CHANGES_PATH, RELAY_PATH},
     stream::STREAMS_PATH,
-    suspect::REACH_PATH,
+    suspect::{CRASHES_PATH, REACH_PATH},
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpResponse, web};
@@ -43,6 +43,7 @@
         .route(RESULTS_PATH, web::post().to(peer_api::read_results))
         .route(PERMITS_PATH, web::post().to(peer_api::grant_permits))
         .route(STREAMS_PATH, web::post().to(peer_api::read_streams))
+        .route(CRASHES_PATH, web::post().to(peer_api::receive_marks))
         .route(REACH_PATH, web::post().to(peer_api::try_connection))
         .route(RUNS_PATH, web::post().to(peer_api::receive_runs))
         .route(USAGE_PATH, web::post().to(peer_api::receive_usage))
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -50,6 +50,8 @@
 const CALL_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time for the handover of all owned jobs; each takes two calls.
 const JOB_HANDOVER_MS: u64 = 700;
+/// Longest time for the write of the last crash marks.
+const CRASH_FLUSH_MS: u64 = 400;
 /// Interval at which the conditions for the next step of a shutdown are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -82,6 +84,10 @@
     state.stopping.store(true, Ordering::SeqCst);
     // Closes idle connections and lets the remaining requests finish.
     public_server.stop(true).await;
+    let flush_deadline = state.now().plus_ms(CRASH_FLUSH_MS);
+    while !state.crash_outbox().is_settled() && state.now() < flush_deadline {
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
     LogLine::new("stopped").field("requests", state.active_requests()).info();
     // Gives the log writer thread time to write the last lines.
     actix_rt::time::sleep(POLL_INTERVAL).await;
@@ -114,7 +120,9 @@
     spawn_task(&parts, "permits", |parts| request_permits(parts.state, parts.peer_client));
     spawn_task(&parts, "software", |parts| keep_software_history(parts.state, parts.store.with_purpose("streams")));
     spawn_task(&parts, "streams", |parts| store_streams(parts.state, parts.store.with_purpose("streams")));
-    spawn_task(&parts, "crashes", |parts| store_crash_marks(parts.state, parts.store.with_purpose("crashes")));
+    spawn_task(&parts, "crashes", |parts| {
+        store_crash_marks(parts.state, parts.store.with_purpose("crashes"), parts.peer_client)
+    });
     actix_rt::spawn(log_store_calls());
     spawn_task(&parts, "log_limits", |parts| log_limited_upstreams(parts.state));
     // Jobs have a thread of their own, so that a large one delays neither the lease nor the changes of the store.
--- a/crates/edge/src/suspect/crash_outbox.rs
+++ b/crates/edge/src/suspect/crash_outbox.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct CrashOutbox {
     changes: BTreeMap<MarkKey, MarkChange>,
+    /// Whether changes are being written.
+    is_writing: bool,
 }
 
 impl CrashOutbox {
@@ -45,15 +47,28 @@
         self.changes.is_empty()
     }
 
-    /// Takes up to `count_max` changes.
+    /// Whether all changes are written.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.changes.is_empty() && !self.is_writing
+    }
+
+    /// Takes up to `count_max` changes, which are written until [`Self::written`] or [`Self::restore`] is called.
     pub fn take(&mut self, count_max: usize) -> BTreeMap<MarkKey, MarkChange> {
+        self.is_writing = true;
         let rest = self.changes.keys().nth(count_max).cloned();
         let rest = rest.map(|first| self.changes.split_off(&first)).unwrap_or_default();
         std::mem::replace(&mut self.changes, rest)
     }
 
+    /// Records that the taken changes are written.
+    pub fn written(&mut self) {
+        self.is_writing = false;
+    }
+
     /// Queues changes again whose write failed, unless a newer change of the same mark is queued.
     pub fn restore(&mut self, changes: BTreeMap<MarkKey, MarkChange>) {
+        self.is_writing = false;
         for (key, change) in changes {
             self.changes.entry(key).or_insert(change);
         }
--- a/crates/edge/src/suspect/mod.rs
+++ b/crates/edge/src/suspect/mod.rs
@@ -7,6 +7,6 @@
 mod reach_check;
 
 pub use crash_outbox::CrashOutbox;
-pub use crash_task::store_crash_marks;
+pub use crash_task::{CRASHES_PATH, receive_marks, store_crash_marks};
 pub use crash_watch::{clear_suspect, examine_loss, upstream_delisted, upstream_listed};
 pub use reach_check::{REACH_PATH, try_connection};
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -12,7 +12,7 @@
 pub const REACH_PATH: &str = "/peer/reach";
 /// Longest wait for the response of a peer, which waits up to 300 ms for the upstream.
 const CALL_TIMEOUT_MS: u64 = 500;
-/// Peers that are asked.
+/// Peers that are chosen at once.
 const PEERS_MAX: usize = 2;
 
 /// Tries a connection for a peer.
@@ -34,7 +34,7 @@
     peer_client: &PeerClient,
     record: &SamplerRecord,
 ) -> Option<Vec<ConnectOutcome>> {
-    let addresses = witness_addresses(state, &record.id);
+    let addresses = distant_peers(state, &record.id);
     if addresses.is_empty() {
         return None;
     }
@@ -50,13 +50,13 @@
     Some(join_all(calls).await.into_iter().flatten().collect())
 }
 
-/// Addresses of the peers to ask about an upstream: of other failure domains than this daemon's, if there are any, since
-/// the daemons of one may have lost their paths together.
-fn witness_addresses(state: &EdgeState, upstream: &str) -> Vec<SharedName> {
+/// Addresses of up to two peers, by their rank for `key`: of other failure domains than this daemon's, if there are any,
+/// since the daemons of one may fail together.
+pub fn distant_peers(state: &EdgeState, key: &str) -> Vec<SharedName> {
     let own = &state.settings;
     let ownership = state.ownership();
     let others: Vec<&SharedName> = ownership.daemons().map(|(name, _)| name).filter(|name| **name != own.vm).collect();
-    let ranked = rank(upstream, &others);
+    let ranked = rank(key, &others);
     let presences = ranked.into_iter().filter_map(|name| ownership.daemon(name));
     let (near, far): (Vec<_>, Vec<_>) = presences.partition(|presence| presence.failure_domain == own.failure_domain);
     far.into_iter().chain(near).take(PEERS_MAX).map(|presence| presence.control_address.clone()).collect()
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -111,8 +111,8 @@
     /// Arrivals of requests, also of refused ones.
     arrivals: Vec<Instant>,
     running_requests: usize,
-    /// Body of the requests that crash the upstream.
-    crash_body: Option<Bytes>,
+    /// Bodies of the requests that crash the upstream.
+    crash_bodies: Vec<Bytes>,
     /// Stops the server; `None` once the upstream has crashed.
     server: Option<ServerHandle>,
 }
@@ -157,7 +157,12 @@
     /// Makes the upstream crash when it runs a request with the body `body`: its connections are closed, its address
     /// refuses new ones, and its entry stays in the store.
     pub fn crash_on(&self, body: &'static [u8]) {
-        self.inner.state().crash_body = Some(Bytes::from_static(body));
+        self.crash_on_any(&[body]);
+    }
+
+    /// Makes the upstream crash on several bodies; see [`Self::crash_on`].
+    pub fn crash_on_any(&self, bodies: &[&'static [u8]]) {
+        self.inner.state().crash_bodies = bodies.iter().map(|body| Bytes::from_static(body)).collect();
     }
 
     /// Names `limit` in the responses from now on; `None` for responses without a limit. The limit is not enforced.
@@ -283,7 +288,7 @@
         let mut state = upstream.state();
         state.calls.push(call);
         state.running_requests += 1;
-        if state.crash_body.as_ref() == Some(&body) { state.server.take() } else { None }
+        if state.crash_bodies.contains(&body) { state.server.take() } else { None }
     };
     if let Some(server) = crashed_server {
         // Ends this request too, with its connection.
--- a/crates/wire/src/peer/crash_mark.rs
+++ b/crates/wire/src/peer/crash_mark.rs
@@ -40,3 +40,10 @@
         }
     }
 }
+
+/// Marks of a daemon that cannot write them to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashPush {
+    /// The marks.
+    pub marks: Vec<CrashMarkBody>,
+}
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -16,7 +16,7 @@
 
 pub use changes::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody};
 pub use claim::{ClaimRequest, ClaimResponse, SettleRequest, SettleState, StoredResponse};
-pub use crash_mark::CrashMarkBody;
+pub use crash_mark::{CrashMarkBody, CrashPush};
 pub use exchange::{ExchangeRequest, ExchangeResponse, MemberBody};
 pub use forward::{ForwardRequest, ForwardResponse};
 pub use job_push::JobPush;
