Show that two requests which crash upstreams at once are both refused

Two of them, at two daemons, mark each other as long as they run on the same upstream; both are refused everywhere within the crashes that two may cause.

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -255,6 +255,35 @@
     }
 }
 
+/// Guards against two requests that crash upstreams by turns, and hide each other.
+#[actix_rt::test]
+async fn two_requests_that_crash_upstreams_at_once_are_both_refused() {
+    let mut site = EdgeSite::start(2).await;
+    for number in 3..=14 {
+        site.start_desk(&format!("desk-{number}"));
+    }
+    site.desks.iter().for_each(|desk| desk.crash_on_any(&[b"boom", b"bang"]));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let mut refused = [0, 0];
+    for attempt in 0.. {
+        assert!(attempt < 40, "{refused:?} refused after {} crashes", crash_count(&site.desks));
+        let (boom_id, bang_id) = (format!("boom-{attempt}"), format!("bang-{attempt}"));
+        let boom = site.send_quote_for(attempt % 2, &boom_id, "boom");
+        let bang = site.send_quote_for((attempt + 1) % 2, &bang_id, "bang");
+        let (boom, bang) = futures_util::future::join(boom, bang).await;
+        for (index, reply) in [boom, bang].into_iter().enumerate() {
+            refused[index] += usize::from((reply.status, reply.body.as_str()) == (503, "quarantined"));
+        }
+        if refused.iter().all(|count| *count >= 2) {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+    }
+    let crashes = crash_count(&site.desks);
+    assert!(crashes <= 2 * CRASHES_MAX, "{crashes} upstreams crashed");
+    assert_eq!(site.send_quote(0, "sound").await.status, 200);
+}
+
 /// Guards against an item that is given up, or never placed again, because several upstreams crashed while they ran it.
 #[actix_rt::test]
 async fn an_item_is_completed_after_the_crash_of_each_upstream_that_ran_it() {
