--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -127,21 +127,7 @@
     guard.request_sent();
     let response = match request.send_body(call.body.clone()).await {
         Ok(response) => response,
-        Err(SendRequestError::Connect(ConnectError::Disconnected)) => return Err(AttemptFailure::Lost.into()),
-        Err(SendRequestError::Connect(_)) => return Err(AttemptFailure::Unreachable.into()),
-        Err(SendRequestError::Timeout) => return Err(AttemptFailure::TimedOut.into()),
-        Err(SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete)) => {
-            return Err(AttemptFailure::Lost.into());
-        }
-        Err(SendRequestError::Response(error)) => {
-            LogLine::new("response_unreadable")
-                .field("request_id", &call.id)
-                .field("upstream", &guard.record.id)
-                .field("error", error)
-                .warn();
-            return Err(AttemptFailure::Malformed.into());
-        }
-        Err(_) => return Err(AttemptFailure::Lost.into()),
+        Err(error) => return Err(send_failure(&error, call, guard).into()),
     };
     if let Some(requests) = reported_load(response.headers()) {
         guard.load_reported(requests);
@@ -154,6 +140,22 @@
     Ok(response)
 }
 
+/// Classifies and logs the failure to send a request or to receive the header of its response.
+fn send_failure(error: &SendRequestError, call: &UpstreamCall, guard: &UpstreamGuard) -> AttemptFailure {
+    let (event, failure) = match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => ("connection_lost", AttemptFailure::Lost),
+        SendRequestError::Connect(_) => ("connection_failed", AttemptFailure::Unreachable),
+        SendRequestError::Timeout => ("connection_silent", AttemptFailure::TimedOut),
+        SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete) => {
+            ("connection_lost", AttemptFailure::Lost)
+        }
+        SendRequestError::Response(_) => ("response_unreadable", AttemptFailure::Malformed),
+        _ => ("connection_lost", AttemptFailure::Lost),
+    };
+    LogLine::new(event).field("request_id", &call.id).field("upstream", &guard.record.id).field("error", error).warn();
+    failure
+}
+
 /// Checks that a response belongs to the request `id` and that the upstream accepted the request.
 pub fn check_response(id: &str, status: StatusCode, headers: &HeaderMap) -> Result<()> {
     let echoed_id = headers.get(header::REQUEST_ID).map(|value| value.as_bytes());
