--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod platform_limits;
 mod platform_malformed;
 mod platform_path;
+mod platform_paths;
 mod platform_software;
 mod platform_streams;
 mod reclaim;
