Let peers try an upstream that they list no more, so that its crash is recognised

What callers would see: a request that crashes upstreams gets no mark for a crash whose upstream the platform removes from its list at once; its repeats crash more than three.

Cause: peers that were asked to confirm a crash answered 'unknown' for an upstream that they do not list, and nothing asked them again. Class: 'not known' taken for an answer.

Seen once: platform_crasher::a_request_that_crashed_two_upstreams_is_kept_from_the_last_one waited 90 s for the second mark in a run of all tests; it removes the entries right after the crash.

Change: the question names the address, which is tried unless another process is listed there.

Evidence: platform_crasher::a_crash_is_recognised_after_the_upstream_has_left_the_list waited in vain before (no mark after 90 s).

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -220,6 +220,30 @@
     }
 }
 
+/// Guards against crashes that get no mark because the other edges do not list the upstream any more.
+#[actix_rt::test]
+async fn a_crash_is_recognised_after_the_upstream_has_left_the_list() {
+    let site = EdgeSite::start(2).await;
+    site.desks.iter().for_each(|desk| desk.start_draining());
+    let server = RawServer::start(RawAnswer::default()).await;
+    let crash = async {
+        wait_for("the server runs the request", || async { (!server.requests().is_empty()).then_some(()) }).await;
+        site.store.contents().remove("servers/delisted");
+        wait_for("both edges know that it is not listed", || async {
+            let is_known =
+                |edge: usize| site.edges[edge].process.log().contains("event=upstream_delisted upstream=delisted");
+            (is_known(0) && is_known(1)).then_some(())
+        })
+        .await;
+        server.stop();
+    };
+    futures_util::future::join(lose_request(&site, "delisted", &server), crash).await;
+    wait_for("the crash is known", || async {
+        (log_lines(&site, "event=upstream_crashed request_id=delisted ") == 1).then_some(())
+    })
+    .await;
+}
+
 /// Guards against crashes that are forgotten because the edge that observed them ends while the store is away.
 #[actix_rt::test]
 async fn crashes_observed_in_an_outage_of_the_store_outlive_the_edge_that_observed_them() {
--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -71,7 +71,10 @@
         ("/peer/runs", message(&RunReport { daemon: "y".into(), ..runs })),
         ("/peer/usage", message(&UsagePush { window: u64::MAX, batch })),
         ("/peer/job", message(&push)),
-        ("/peer/reach", message(&ReachRequest { upstream: "engine-1".into(), started: u64::MAX })),
+        (
+            "/peer/reach",
+            message(&ReachRequest { upstream: "engine-1".into(), started: u64::MAX, address: "127.0.0.1:1".into() }),
+        ),
     ]
 }
 
--- a/crates/cli/tests/processes/support/raw_server.rs
+++ b/crates/cli/tests/processes/support/raw_server.rs
@@ -7,7 +7,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    sync::watch,
+};
 
 /// Largest block that is sent at once of bytes that are repeated without end.
 const BLOCK_BYTES: usize = 16 << 10;
@@ -48,6 +51,7 @@
     /// Address that the server listens on.
     pub address: SocketAddr,
     observed: Arc<Mutex<Observed>>,
+    stopped: watch::Sender<bool>,
 }
 
 fn lock(observed: &Mutex<Observed>) -> MutexGuard<'_, Observed> {
@@ -61,17 +65,33 @@
         let address = listener.local_addr().expect("the address of the listener");
         let observed = Arc::new(Mutex::new(Observed::default()));
         let state = observed.clone();
+        let (stopped, stop_watch) = watch::channel(false);
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (answer, state) = (answer.clone(), state.clone());
-                actix_rt::spawn(async move {
-                    lock(&state).open_connections += 1;
-                    serve(stream, &answer, &state).await;
-                    lock(&state).open_connections -= 1;
-                });
+            let mut accept_watch = stop_watch.clone();
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (answer, state, mut stop_watch) = (answer.clone(), state.clone(), stop_watch.clone());
+                    actix_rt::spawn(async move {
+                        lock(&state).open_connections += 1;
+                        tokio::select! {
+                            () = serve(stream, &answer, &state) => {}
+                            () = wait_for_stop(&mut stop_watch) => {}
+                        }
+                        lock(&state).open_connections -= 1;
+                    });
+                }
+            };
+            tokio::select! {
+                () = accept => {}
+                () = wait_for_stop(&mut accept_watch) => {}
             }
         });
-        Self { address, observed }
+        Self { address, observed, stopped }
+    }
+
+    /// Closes all connections and refuses new ones.
+    pub fn stop(&self) {
+        self.stopped.send_replace(true);
     }
 
     /// Ids of the requests received so far.
@@ -85,6 +105,13 @@
     }
 }
 
+/// Waits until the server is stopped; for ever if it is dropped before.
+async fn wait_for_stop(stop_watch: &mut watch::Receiver<bool>) {
+    if stop_watch.wait_for(|is_stopped| *is_stopped).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Serves one connection until either side closes it.
 async fn serve(mut stream: TcpStream, answer: &RawAnswer, observed: &Mutex<Observed>) {
     let mut received = Vec::new();
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -17,17 +17,21 @@
 
 /// Tries a connection for a peer.
 pub async fn try_connection(state: &EdgeState, request: &ReachRequest) -> ReachResponse {
-    let address = {
-        let upstreams = state.upstreams();
-        let record = upstreams.get(&request.upstream).filter(|record| record.started_unix_ms == request.started);
-        record.map(|record| record.address.clone())
-    };
-    match address {
+    match reach_address(state, request) {
         Some(address) => probe_connection(&address).await.into(),
         None => ReachResponse::Unknown,
     }
 }
 
+/// Address at which the upstream of `request` is tried; `None` if another process may listen there.
+fn reach_address(state: &EdgeState, request: &ReachRequest) -> Option<SharedName> {
+    let upstreams = state.upstreams();
+    match upstreams.get(&request.upstream) {
+        Some(record) => (record.started_unix_ms == request.started).then(|| record.address.clone()),
+        None => upstreams.records().all(|record| record.address != request.address).then(|| request.address.clone()),
+    }
+}
+
 /// Lets peers try connections to an upstream, and returns the results. `None` if there is no other daemon.
 pub async fn ask_peers(
     state: &EdgeState,
@@ -38,7 +42,8 @@
     if addresses.is_empty() {
         return None;
     }
-    let request = ReachRequest { upstream: record.id.clone(), started: record.started_unix_ms };
+    let request =
+        ReachRequest { upstream: record.id.clone(), started: record.started_unix_ms, address: record.address.clone() };
     let request = &request;
     let calls = addresses.iter().map(|address| async move {
         let response = peer_client.call::<ReachResponse>(address, REACH_PATH, request, CALL_TIMEOUT_MS).await;
--- a/crates/wire/src/peer/reach.rs
+++ b/crates/wire/src/peer/reach.rs
@@ -11,6 +11,8 @@
     pub upstream: SharedName,
     /// Start of the upstream's process, in milliseconds since the Unix epoch.
     pub started: u64,
+    /// Address of the upstream, which is tried if no process is listed under the id or at the address any more.
+    pub address: SharedName,
 }
 
 /// Response to a [`ReachRequest`].
@@ -23,7 +25,7 @@
     Refused,
     /// Nothing was received in time.
     Silent,
-    /// The daemon does not know the process.
+    /// The daemon lists another process under the id or at the address.
     Unknown,
 }
 
