--- a/crates/cli/tests/processes/platform_paths.rs
+++ b/crates/cli/tests/processes/platform_paths.rs
@@ -56,7 +56,9 @@
         actix_rt::time::sleep(Duration::from_millis(500)).await;
         matrix.set_all(1 - owner, RelayRule::Pass);
         let results = actix_rt::time::timeout(Duration::from_secs(15), site.all_results(1 - owner, "job")).await;
-        let results = results.unwrap_or_else(|_| panic!("{rule:?}: {}", site.edges[owner].process.log()));
+        let results = results.unwrap_or_else(|_| {
+            panic!("{rule:?}: {}\n{}", site.edges[owner].process.log(), site.edges[1 - owner].process.log())
+        });
         assert!(results.iter().all(|result| result["state"] == "completed"), "{rule:?}: {results:?}");
     }
 }
--- a/crates/client/src/http_client.rs
+++ b/crates/client/src/http_client.rs
@@ -18,7 +18,7 @@
 /// A client that reuses connections and reports a truncated response as an error.
 #[must_use]
 pub fn plain_client() -> Client {
-    build_client(None, ConnectionReaper::new(false))
+    build_client(CONNECT_TIMEOUT, None, ConnectionReaper::new(false))
 }
 
 /// A client like [`plain_client`] whose connections are dropped when sent bytes stay unacknowledged for `timeout`.
@@ -26,10 +26,16 @@
 /// without pauses, as a connection whose received bytes are not read for long is closed.
 #[must_use]
 pub fn client_with_tcp_user_timeout(timeout: Duration) -> Client {
-    build_client(Some(timeout), ConnectionReaper::new(true))
+    build_client(CONNECT_TIMEOUT, Some(timeout), ConnectionReaper::new(true))
 }
 
-fn build_client(tcp_user_timeout: Option<Duration>, reaper: ConnectionReaper) -> Client {
+/// A client like [`client_with_tcp_user_timeout`] that waits up to `connect_timeout` for a connection.
+#[must_use]
+pub fn client_with_timeouts(connect_timeout: Duration, tcp_user_timeout: Duration) -> Client {
+    build_client(connect_timeout, Some(tcp_user_timeout), ConnectionReaper::new(true))
+}
+
+fn build_client(connect_timeout: Duration, tcp_user_timeout: Option<Duration>, reaper: ConnectionReaper) -> Client {
     let reaper = Rc::new(reaper);
     let connect = fn_service(move |info: ConnectInfo<Uri>| {
         let reaper = reaper.clone();
@@ -48,7 +54,7 @@
     let connector = Connector::new()
         .connector(connect)
         .limit(CONNECTIONS_MAX)
-        .timeout(CONNECT_TIMEOUT)
+        .timeout(connect_timeout)
         .conn_keep_alive(IDLE_CONNECTION_TTL);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -17,7 +17,7 @@
 pub use crash_probe::{is_refusing_connections, probe_after_loss, probe_connection};
 pub use deadline_body::DeadlineBody;
 pub use etcd_client::EtcdClient;
-pub use http_client::{client_with_tcp_user_timeout, plain_client};
+pub use http_client::{client_with_tcp_user_timeout, client_with_timeouts, plain_client};
 pub use key_value_client::KeyValueClient;
 pub use lease_clock::LeaseClock;
 pub use platform_error::{PlatformError, Result};
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -65,6 +65,15 @@
     /// Streams that callers resume, by where their origin was found: `known`, `sole_version`, `peer`, `store`; or `unknown`,
     /// `store_unreachable` or `timed_out`.
     pub stream_lookups: Family<ReasonLabel, Counter>,
+    /// Checks of paths to upstreams, by verdict: `sound`, `lost` or `upstream_down`.
+    pub path_checks: Family<ReasonLabel, Counter>,
+    /// Upstreams whose direct paths are lost.
+    pub paths_lost: Gauge,
+    /// Requests that peers were asked to relay, by result: `answered`, the failure of the attempt, or `path_lost` if the
+    /// peer did not send it.
+    pub relayed_attempts: Family<ReasonLabel, Counter>,
+    /// Requests that this daemon was asked to relay, by result: `answered`, the failure of the attempt, or the refusal.
+    pub relayed_requests: Family<ReasonLabel, Counter>,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
     /// Time from the arrival of a request to its response, in seconds.
@@ -108,6 +117,10 @@
             limit_changes: Family::default(),
             permit_asks: Family::default(),
             stream_lookups: Family::default(),
+            path_checks: Family::default(),
+            paths_lost: Gauge::default(),
+            relayed_attempts: Family::default(),
+            relayed_requests: Family::default(),
             store_calls: Family::default(),
             request_latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_duration: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -130,6 +143,14 @@
             "Resumed streams by source of their origin",
             metrics.stream_lookups.clone(),
         );
+        registry.register("path_checks", "Checks of paths to upstreams by verdict", metrics.path_checks.clone());
+        registry.register("paths_lost", "Upstreams without a direct path", metrics.paths_lost.clone());
+        registry.register(
+            "relayed_attempts",
+            "Requests sent through peers by result",
+            metrics.relayed_attempts.clone(),
+        );
+        registry.register("relayed_requests", "Requests relayed for peers by result", metrics.relayed_requests.clone());
         registry.register("store_calls", "Calls to the store by purpose", metrics.store_calls.clone());
         registry.register("latency_seconds", "Time to the answer of a request", metrics.request_latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -6,11 +6,16 @@
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
-    CoordinatorTable, GrantTable, LossTable, OwnershipTable, PathSelector, RunReports, SamplerTable, SharedName,
-    SoftwareHistory, StreamRegister, SuspectTable, TimePoint, TrafficConfig, UsageTally, fingerprint,
+    CoordinatorTable, GrantTable, LossTable, OwnershipTable, PathGain, PathSelector, PathTable, ReplayWindow,
+    RunReports, SamplerRecord, SamplerTable, SharedName, SoftwareHistory, StreamRegister, SuspectTable, TimePoint,
+    TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
-use pimentoslip_wire::stored::{DaemonEntry, KeyLayout};
+use pimentoslip_telemetry::LogLine;
+use pimentoslip_wire::{
+    peer::RelaySender,
+    stored::{DaemonEntry, KeyLayout},
+};
 use std::{
     collections::BTreeMap,
     sync::{
@@ -18,6 +23,7 @@
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
+use subtle::ConstantTimeEq;
 use tokio::sync::Notify;
 
 /// Cached batch results may use up to the process's memory limit divided by this.
@@ -61,6 +67,10 @@
     pub permits_wanted: Notify,
     /// Wakes the tasks that wait for permits.
     pub permits_changed: Notify,
+    /// Wakes the task that checks the paths to upstreams.
+    pub paths_changed: Notify,
+    /// Token by which peers recognise the calls that they relay for this process.
+    pub relay_token: SharedName,
     /// Whether a request waits for an upstream whose software version is not stored yet.
     pub software_wanted: AtomicBool,
     /// Wakes the task that stores the software versions of services.
@@ -83,6 +93,10 @@
     software_history: Mutex<SoftwareHistory>,
     suspects: Mutex<SuspectTable>,
     losses: Mutex<LossTable>,
+    paths: Mutex<PathTable>,
+    path_checks: Mutex<BTreeMap<SharedName, SamplerRecord>>,
+    relay_windows: Mutex<BTreeMap<SharedName, (u64, ReplayWindow)>>,
+    relay_call_count: AtomicU64,
     crash_outbox: Mutex<CrashOutbox>,
     newest_versions: Mutex<BTreeMap<SharedName, u64>>,
     retired_vms: Mutex<Vec<SharedName>>,
@@ -167,6 +181,8 @@
             crashes_changed: Notify::new(),
             permits_wanted: Notify::new(),
             permits_changed: Notify::new(),
+            paths_changed: Notify::new(),
+            relay_token: format!("{:032x}", rand::random::<u128>()).into(),
             software_wanted: AtomicBool::new(false),
             software_unrecorded: Notify::new(),
             streams_started: Notify::new(),
@@ -183,6 +199,10 @@
             software_history: Mutex::default(),
             suspects: Mutex::default(),
             losses: Mutex::default(),
+            paths: Mutex::default(),
+            path_checks: Mutex::default(),
+            relay_windows: Mutex::default(),
+            relay_call_count: AtomicU64::new(0),
             crash_outbox: Mutex::default(),
             newest_versions: Mutex::default(),
             retired_vms: Mutex::default(),
@@ -277,6 +297,67 @@
         lock(&self.losses)
     }
 
+    /// Locks the paths to the upstreams.
+    pub fn paths(&self) -> MutexGuard<'_, PathTable> {
+        lock(&self.paths)
+    }
+
+    /// Lets the path to an upstream be checked.
+    pub fn request_path_check(&self, record: &SamplerRecord) {
+        lock(&self.path_checks).insert(record.address.clone(), record.clone());
+        self.paths_changed.notify_one();
+    }
+
+    /// Takes the upstreams whose paths are to be checked.
+    pub fn take_path_checks(&self) -> Vec<SamplerRecord> {
+        std::mem::take(&mut *lock(&self.path_checks)).into_values().collect()
+    }
+
+    /// Handles what an attempt on the direct path to `address` has shown of lost paths.
+    pub fn paths_regained(&self, address: &str, gain: PathGain) {
+        let regained = match gain {
+            PathGain::Nothing => return,
+            PathGain::Path => Some(address),
+            PathGain::AllPaths => None,
+        };
+        LogLine::new("path_regained").field("address", regained.unwrap_or("all")).info();
+        self.upstreams().path_regained(regained);
+    }
+
+    /// Proof for a peer that the next call is from this process.
+    pub fn relay_sender(&self) -> RelaySender {
+        RelaySender {
+            daemon: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            token: self.relay_token.clone(),
+            number: self.relay_call_count.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    /// Whether a call is from a process that is present, and was not received before.
+    pub fn admit_relay_sender(&self, sender: &RelaySender) -> bool {
+        let now = self.now();
+        let is_known = {
+            let ownership = self.ownership();
+            let mut daemons = ownership.possible_daemons(now);
+            daemons.any(|(name, presence)| {
+                *name == sender.daemon
+                    && presence.incarnation == sender.incarnation
+                    && !presence.relay_token.is_empty()
+                    && bool::from(presence.relay_token.as_bytes().ct_eq(sender.token.as_bytes()))
+            })
+        };
+        if !is_known {
+            return false;
+        }
+        let mut windows = lock(&self.relay_windows);
+        let (incarnation, window) = windows.entry(sender.daemon.clone()).or_default();
+        if *incarnation != sender.incarnation {
+            (*incarnation, *window) = (sender.incarnation, ReplayWindow::default());
+        }
+        window.accept(sender.number)
+    }
+
     /// Locks the crash marks that are to be written to the store.
     pub fn crash_outbox(&self) -> MutexGuard<'_, CrashOutbox> {
         lock(&self.crash_outbox)
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -80,6 +80,7 @@
         organisation: grant.map(|grant| grant.organisation),
         body,
         deadline: context.deadline.min(context.arrived_at.plus_ms(rule.timeout_ms)),
+        is_repeatable: rule.kind == RouteKind::Idempotent,
         last_event_id: header_text(request.headers(), header::LAST_EVENT_ID).and_then(|text| text.parse().ok()),
     };
     let client_watch = request.conn_data::<ClientWatch>().cloned();
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -6,6 +6,8 @@
     edge_metrics::EdgeMetrics,
     job::{ITEM_BODY_PATH, JOB_PUSH_PATH, RESULTS_PATH},
     limit::PERMITS_PATH,
+    path::relay_request,
+    relay::{PEER_CHECK_PATH, UPSTREAM_RELAY_PATH},
     store::{CHANGES_PATH, RELAY_PATH},
     stream::STREAMS_PATH,
     suspect::{CRASHES_PATH, REACH_PATH},
@@ -23,6 +25,11 @@
     HttpResponse::Ok().finish()
 }
 
+/// Shows a peer that this daemon runs.
+async fn alive() -> HttpResponse {
+    HttpResponse::NoContent().finish()
+}
+
 /// Metrics in the OpenMetrics text format.
 async fn metrics() -> HttpResponse {
     HttpResponse::Ok()
@@ -44,6 +51,8 @@
         .route(PERMITS_PATH, web::post().to(peer_api::grant_permits))
         .route(STREAMS_PATH, web::post().to(peer_api::read_streams))
         .route(CRASHES_PATH, web::post().to(peer_api::receive_marks))
+        .route(PEER_CHECK_PATH, web::get().to(alive))
+        .route(UPSTREAM_RELAY_PATH, web::post().to(relay_request))
         .route(REACH_PATH, web::post().to(peer_api::try_connection))
         .route(RUNS_PATH, web::post().to(peer_api::receive_runs))
         .route(USAGE_PATH, web::post().to(peer_api::receive_usage))
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -93,12 +93,14 @@
     let open = async |guard: &UpstreamGuard, sent_at: TimePoint| {
         let opening = open_stream(&parts.upstream_client, &plan.call, guard, sent_at, RESPONSE_BYTES_MAX);
         tokio::pin!(opening);
+        let may_repeat = plan.call.is_repeatable;
         loop {
             tokio::select! {
                 result = &mut opening => return result,
+                () = guard.path_lost(sent_at), if may_repeat => return Err(AttemptFailure::Unacknowledged),
                 () = actix_rt::time::sleep(Duration::from_millis(stall_ms(plan))) => {}
             }
-            if plan.rule.kind == RouteKind::Idempotent && has_room_elsewhere(parts, plan, guard) {
+            if may_repeat && has_room_elsewhere(parts, plan, guard) {
                 return Err(AttemptFailure::TimedOut);
             }
         }
@@ -178,10 +180,15 @@
         S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
     {
         let state = &self.parts.state;
+        let waiting_since = state.now();
         loop {
             let left_ms = self.plan.call.deadline.since_ms(state.now());
             let wait = Duration::from_millis(left_ms.min(stall_ms(&self.plan)));
-            if let Ok(portion) = actix_rt::time::timeout(wait, open.next()).await {
+            let portion = tokio::select! {
+                portion = actix_rt::time::timeout(wait, open.next()) => portion,
+                () = guard.path_lost(waiting_since), if self.is_movable() => return Err(AttemptFailure::Unacknowledged),
+            };
+            if let Ok(portion) = portion {
                 return portion;
             }
             let is_over = state.now() >= self.plan.call.deadline;
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -26,6 +26,9 @@
 /// made. They do not count towards the attempts that the route allows.
 const REFUSALS_MAX: u32 = 4;
 
+/// Number of attempts without a path to the upstream, after which one more attempt is made.
+const PATH_FAILURES_MAX: u32 = 6;
+
 /// Results of the attempts to send one request.
 #[derive(Debug)]
 struct AttemptHistory<R> {
@@ -35,6 +38,8 @@
     runs: u32,
     /// Number of attempts in which the request certainly did not run.
     refusals: u32,
+    /// Number of attempts in which the direct path failed or there was none.
+    path_failures: u32,
     /// Whether the request may have run in any attempt.
     may_have_run: bool,
     /// Why no further attempt was made, if it is because upstreams crashed while they ran the request.
@@ -51,6 +56,7 @@
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
+            path_failures: 0,
             may_have_run: false,
             suspect_refusal: None,
             permitted_at: None,
@@ -119,7 +125,11 @@
     let repeat_fingerprint = LazyCell::new(|| call.repeat_fingerprint());
     let is_marked = || !state.suspects().is_empty();
     let mut history = AttemptHistory { runs: plan.earlier_runs, ..AttemptHistory::default() };
-    while history.runs < rule.attempts_max && history.refusals <= REFUSALS_MAX && state.now() < call.deadline {
+    while history.runs < rule.attempts_max
+        && history.refusals <= REFUSALS_MAX
+        && history.path_failures <= PATH_FAILURES_MAX
+        && state.now() < call.deadline
+    {
         if is_marked() {
             history.suspect_refusal = suspect_refusal(parts, target, *repeat_fingerprint);
             if history.suspect_refusal.is_some() {
@@ -139,6 +149,9 @@
             let _ = actix_rt::time::timeout(CAPACITY_CHECK_INTERVAL, state.permits_changed.notified()).await;
             continue;
         };
+        if history.path_failures > 0 {
+            guard.prefer_relay();
+        }
         let sent_at = state.now();
         let result = attempt(&guard, sent_at).await.and_then(|response| check_software(response, target, &guard));
         let took_ms = state.now().since_ms(sent_at);
@@ -153,6 +166,7 @@
             .field("route", &rule.name)
             .field("upstream", &upstream)
             .field("software", &guard.record.software)
+            .field("path", guard.path_text())
             .field("resumed_after", call.last_event_id.map_or_else(|| "none".to_owned(), |last| last.to_string()))
             .field("config", plan.config_version)
             .field("left_ms", call.deadline.since_ms(sent_at))
@@ -178,6 +192,8 @@
             Err(failure) => {
                 guard.set_outcome(failure.upstream_outcome());
                 EdgeMetrics::increment(&EdgeMetrics::global().retries, failure.as_str());
+                let is_path_failure = matches!(failure, AttemptFailure::PathLost | AttemptFailure::Unacknowledged);
+                history.path_failures += u32::from(is_path_failure);
                 if failure.may_have_run() {
                     run_unfinished(parts, &call.id, *repeat_fingerprint, &guard, failure);
                     count_usage(parts, call, sent_at);
@@ -186,7 +202,7 @@
                     if rule.kind != RouteKind::Idempotent {
                         break;
                     }
-                } else {
+                } else if !is_path_failure {
                     history.refusals += 1;
                 }
             }
@@ -226,7 +242,7 @@
     // An upstream that has responded to another request since is slow, not gone.
     let is_slow = failure == AttemptFailure::TimedOut && guard.has_responded_since();
     if failure.may_be_crash() && !is_slow {
-        examine_loss(parts, request_id, fingerprint, guard);
+        examine_loss(parts, request_id, fingerprint, guard, failure);
     }
 }
 
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -31,9 +31,16 @@
     reason: &'static str,
     /// Outcome that is recorded for the upstream, on which its availability is based.
     upstream_outcome: SamplerOutcome,
+    /// Why the attempt failed, if it did.
+    failure: Option<AttemptFailure>,
 }
 
 impl FinishedRun {
+    /// A run with the result `reason`, in which the upstream has responded as it should.
+    fn answered(outcome: RunOutcome, reason: &'static str) -> Self {
+        Self { outcome, reason, upstream_outcome: SamplerOutcome::Answered(None), failure: None }
+    }
+
     /// Classifies a failed attempt.
     fn from_failure(failure: AttemptFailure) -> Self {
         let outcome = if failure.may_have_run() { RunOutcome::Interrupted } else { RunOutcome::NotRun };
@@ -42,7 +49,7 @@
             AttemptFailure::Refused | AttemptFailure::Misdirected => SamplerOutcome::Answered(None),
             other_failure => other_failure.upstream_outcome(),
         };
-        Self { outcome, reason: failure.as_str(), upstream_outcome }
+        Self { outcome, reason: failure.as_str(), upstream_outcome, failure: Some(failure) }
     }
 }
 
@@ -78,13 +85,18 @@
         .field("item", &job.submission.items[assignment.item_index].id)
         .field("upstream", &guard.record.id)
         .field("software", &guard.record.software)
+        .field("path", guard.path_text())
         .field("listed_version", listed_version(&job, assignment.item_index, &guard))
         .field("resumed_after", assignment.resume_after.map_or_else(|| "none".to_owned(), |last| last.to_string()))
         .field("events", new_event_count)
         .field("took_ms", took_ms)
         .field("result", run.reason)
         .info();
+    if let Some(failure) = run.failure {
+        guard.request_path_check(failure);
+    }
     if run.outcome == RunOutcome::NotRun
+        && run.failure != Some(AttemptFailure::PathLost)
         && let Some(model) = item_model(&job, assignment.item_index)
     {
         state.upstreams().model_refused(&guard.record.id, &model, state.now());
@@ -120,6 +132,7 @@
         organisation: job.organisation.clone(),
         body: item.body.clone(),
         deadline,
+        is_repeatable: true,
         last_event_id: assignment.resume_after,
     }
 }
@@ -137,8 +150,10 @@
     let state = &job.state;
     let now = state.now();
     let call = item_call(job, assignment, priority, retention_ends_at.min(now.plus_ms(RUN_MS_MAX)));
-    let response =
-        actix_rt::time::timeout(RESPONSE_HEADER_TIMEOUT, start_attempt(&job.upstream_client, &call, guard, now)).await;
+    let response = tokio::select! {
+        response = actix_rt::time::timeout(RESPONSE_HEADER_TIMEOUT, start_attempt(&job.upstream_client, &call, guard, now)) => response,
+        () = guard.path_lost(now) => return FinishedRun::from_failure(AttemptFailure::Unacknowledged),
+    };
     let mut response = match response {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return FinishedRun::from_failure(error.failure),
@@ -147,18 +162,10 @@
     match response.status() {
         status if status.is_success() => {}
         StatusCode::UNPROCESSABLE_ENTITY => {
-            return FinishedRun {
-                outcome: RunOutcome::Unrunnable,
-                reason: "impossible",
-                upstream_outcome: SamplerOutcome::Answered(None),
-            };
+            return FinishedRun::answered(RunOutcome::Unrunnable, "impossible");
         }
         StatusCode::INTERNAL_SERVER_ERROR => {
-            return FinishedRun {
-                outcome: RunOutcome::Failed,
-                reason: "upstream_failed",
-                upstream_outcome: SamplerOutcome::Answered(None),
-            };
+            return FinishedRun::answered(RunOutcome::Failed, "upstream_failed");
         }
         status => {
             LogLine::new("item_status").field("item", &call.id).field("status", status.as_u16()).warn();
@@ -173,18 +180,18 @@
     loop {
         let other_interval_ms = fastest_other_interval_ms(job, assignment.item_index, guard);
         if other_interval_ms.is_some_and(|ms| monitor.is_slower_than(ms)) {
-            return FinishedRun {
-                outcome: RunOutcome::Interrupted,
-                reason: "moved_slow",
-                upstream_outcome: SamplerOutcome::Answered(None),
-            };
+            return FinishedRun::answered(RunOutcome::Interrupted, "moved_slow");
         }
         // Bytes that complete no event are no progress, however fast they arrive.
         let event_timeout = Duration::from_millis(monitor.unresponsive_at(other_interval_ms).since_ms(state.now()));
         if event_timeout.is_zero() {
             return FinishedRun::from_failure(AttemptFailure::TimedOut);
         }
-        let chunk = match actix_rt::time::timeout(event_timeout, response.next()).await {
+        let chunk = tokio::select! {
+            chunk = actix_rt::time::timeout(event_timeout, response.next()) => chunk,
+            () = guard.path_lost(state.now()) => return FinishedRun::from_failure(AttemptFailure::Unacknowledged),
+        };
+        let chunk = match chunk {
             Ok(Some(Ok(chunk))) => chunk,
             Ok(None) => return classify_stream_end(&reader),
             Ok(Some(Err(error))) if is_delimited_by_close(&headers) && is_clean_close(&error) => {
@@ -210,9 +217,8 @@
                 EventOutcome::Accepted => {}
                 EventOutcome::Restart => {
                     return FinishedRun {
-                        outcome: RunOutcome::Interrupted,
-                        reason: "stale_version",
                         upstream_outcome: SamplerOutcome::Abandoned,
+                        ..FinishedRun::answered(RunOutcome::Interrupted, "stale_version")
                     };
                 }
                 EventOutcome::Mismatch => return FinishedRun::from_failure(AttemptFailure::Mismatch),
@@ -245,7 +251,7 @@
     if !reader.is_between_events() {
         return FinishedRun::from_failure(AttemptFailure::Malformed);
     }
-    FinishedRun { outcome: RunOutcome::Completed, reason: "whole", upstream_outcome: SamplerOutcome::Answered(None) }
+    FinishedRun::answered(RunOutcome::Completed, "whole")
 }
 
 /// The model that an item requests in its own header, or else the model of its batch job.
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -65,6 +65,7 @@
         organisation: None,
         body: scorer.body.clone(),
         deadline: state.now().plus_ms(rule.timeout_ms.min(SCORE_MS_MAX)),
+        is_repeatable: true,
         last_event_id: None,
     };
     Ok(ScoreCall { call, guard })
@@ -107,6 +108,7 @@
     let response = match fetch_complete(&job.upstream_client, &call, &guard, now, RESPONSE_BYTES_MAX).await {
         Ok(response) => response,
         Err(failure) => {
+            guard.request_path_check(failure);
             guard.set_outcome(failure.upstream_outcome());
             return (ScoreOutcome::Interrupted, failure.as_str());
         }
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -78,6 +78,7 @@
         control_address: control_address.into(),
         failure_domain: state.settings.failure_domain.clone(),
         region: state.settings.region.clone(),
+        relay_token: state.relay_token.clone(),
     };
     let entry = match encode(&presence) {
         Ok(entry) => entry,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod job;
 mod lease_task;
 mod limit;
+mod path;
 mod peer_client;
 mod relay;
 mod run_edge;
--- /dev/null
+++ b/crates/edge/src/path/mod.rs
@@ -0,0 +1,33 @@
+//! Paths to the upstreams: finds out whether an upstream or the path to it has failed, and relays requests of peers that have
+//! lost their paths.
+
+mod path_task;
+mod relay_api;
+
+pub use path_task::{record_check, watch_paths};
+pub use relay_api::relay_request;
+
+use crate::edge_state::EdgeState;
+use pimentoslip_kernel::{DaemonPresence, RelayPeer, SharedName};
+
+/// Daemons that may relay requests to upstreams for this one.
+pub fn relay_peers(state: &EdgeState) -> Vec<RelayPeer> {
+    let now = state.now();
+    let ownership = state.ownership();
+    let others = ownership.possible_daemons(now).filter(|(name, presence)| {
+        **name != state.settings.vm && !presence.relay_token.is_empty() && !presence.control_address.is_empty()
+    });
+    others.map(|(name, presence)| peer(name, presence)).collect()
+}
+
+/// The daemon `name` as one that may relay requests; `None` if it has left.
+pub fn relay_peer(state: &EdgeState, name: &str) -> Option<RelayPeer> {
+    let now = state.now();
+    let ownership = state.ownership();
+    let mut daemons = ownership.possible_daemons(now);
+    daemons.find(|(daemon, _)| ***daemon == *name).map(|(daemon, presence)| peer(daemon, presence))
+}
+
+fn peer(name: &SharedName, presence: &DaemonPresence) -> RelayPeer {
+    RelayPeer { name: name.clone(), failure_domain: presence.failure_domain.clone() }
+}
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -1,21 +1,15 @@
 //! One attempt to send a request to an upstream, up to the header of the response.
 
-use super::{UpstreamCall, UpstreamGuard};
+use super::{UpstreamCall, UpstreamGuard, direct_attempt::send_direct, relayed_attempt::send_relayed};
 use crate::edge_metrics::EdgeMetrics;
-use actix_web::{
-    error::ParseError,
-    http::{StatusCode, header::HeaderMap},
-};
-use awc::{
-    Client, ClientResponse,
-    error::{ConnectError, PayloadError, SendRequestError},
-};
-use bytes::Bytes;
-use futures_util::Stream;
-use pimentoslip_kernel::{SamplerOutcome, TimePoint};
+use actix_web::http::{StatusCode, header::HeaderMap};
+use awc::{Client, ClientResponse};
+use pimentoslip_kernel::{SamplerOutcome, ServicePath, TimePoint};
 use pimentoslip_platform::{decode_request_limit, header};
 use pimentoslip_telemetry::LogLine;
-use std::time::Duration;
+
+/// Paths that one attempt tries at most, one after the other: the direct one, and those through peers.
+const PATHS_MAX: usize = 5;
 
 /// Result of an attempt.
 pub type Result<T> = std::result::Result<T, AttemptError>;
@@ -25,6 +19,8 @@
 pub enum AttemptFailure {
     /// The deadline had passed, so nothing was sent.
     NotSent,
+    /// Nothing was sent, as neither this daemon nor a peer has a path to the upstream. Says nothing of the upstream.
+    PathLost,
     /// No connection could be opened.
     Unreachable,
     /// The upstream refused to run the request.
@@ -33,6 +29,8 @@
     Misdirected,
     /// The connection was lost after the request may have been sent.
     Lost,
+    /// The upstream's VM did not acknowledge what was sent, or the path was lost before a response.
+    Unacknowledged,
     /// No complete response, or no further event, was received in time.
     TimedOut,
     /// The response has no request id or that of another request, or its events do not continue the text.
@@ -42,38 +40,60 @@
 }
 
 impl AttemptFailure {
-    /// Name of the reason in metrics and logs.
+    /// All failures.
+    const ALL: [Self; 10] = [
+        Self::NotSent,
+        Self::PathLost,
+        Self::Unreachable,
+        Self::Refused,
+        Self::Misdirected,
+        Self::Lost,
+        Self::Unacknowledged,
+        Self::TimedOut,
+        Self::Mismatch,
+        Self::Malformed,
+    ];
+
+    /// Name of the reason in metrics and logs, and between daemons.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::PathLost => "path_lost",
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
+            Self::Unacknowledged => "unacknowledged",
             Self::TimedOut => "timed_out",
             Self::Mismatch => "mismatch",
             Self::Malformed => "spoilt",
         }
     }
 
+    /// The failure with the name `name`.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|failure| failure.as_str() == name)
+    }
+
     /// Whether the upstream may have run the request.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Unreachable | Self::Refused | Self::Misdirected)
+        !matches!(self, Self::NotSent | Self::PathLost | Self::Unreachable | Self::Refused | Self::Misdirected)
     }
 
     /// Whether the upstream may have crashed while it ran the request.
     #[must_use]
     pub fn may_be_crash(self) -> bool {
-        matches!(self, Self::Lost | Self::TimedOut | Self::Malformed)
+        matches!(self, Self::Lost | Self::Unacknowledged | Self::TimedOut | Self::Malformed)
     }
 
     /// Outcome that is recorded for the upstream, on which its availability is based.
     #[must_use]
     pub fn upstream_outcome(self) -> SamplerOutcome {
         match self {
-            Self::NotSent => SamplerOutcome::Abandoned,
+            Self::NotSent | Self::PathLost | Self::Unacknowledged => SamplerOutcome::Abandoned,
             Self::Refused => SamplerOutcome::Refused,
             Self::Unreachable | Self::Misdirected | Self::Lost | Self::TimedOut => SamplerOutcome::Failed,
             Self::Mismatch | Self::Malformed => SamplerOutcome::Answered(None),
@@ -95,65 +115,62 @@
 }
 
 /// Sends `call` to the guard's upstream and waits until the deadline for the header of the response; the body is not
-/// read. If the deadline has passed already, nothing is sent and the result is `NotSent`.
+/// read. Paths on which nothing was sent are followed by others. If the deadline has passed already, nothing is sent and
+/// the result is `NotSent`.
 pub async fn start_attempt(
     client: &Client,
     call: &UpstreamCall,
     guard: &UpstreamGuard,
     now: TimePoint,
-) -> Result<ClientResponse<impl Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin + use<>>> {
-    let left_ms = call.deadline.since_ms(now);
-    if left_ms == 0 {
-        return Err(AttemptFailure::NotSent.into());
-    }
-    let url = format!("http://{}{}", guard.record.address, call.path);
-    let mut request = client
-        .request(call.method.clone(), url)
-        .no_decompress()
-        .timeout(Duration::from_millis(left_ms))
-        .insert_header(("host", &*call.host))
-        .insert_header((header::REQUEST_ID, &*call.id))
-        .insert_header((header::DEADLINE_MS, left_ms.to_string()))
-        .insert_header((header::EXPECTED_UPSTREAM, &*guard.record.id));
-    for (name, value) in &call.headers {
-        request = request.append_header((name.clone(), value.clone()));
-    }
-    if let Some(organisation) = &call.organisation {
-        request = request.insert_header((header::ORGANISATION, &**organisation));
-    }
-    if let Some(event_id) = call.last_event_id {
-        request = request.insert_header((header::LAST_EVENT_ID, event_id.to_string()));
+) -> Result<ClientResponse> {
+    let mut unreachable_count = 0;
+    for _ in 0..PATHS_MAX {
+        let Some(path) = guard.next_path(&call.id) else { break };
+        let result = match &path {
+            ServicePath::Direct => send_direct(client, call, guard).await,
+            ServicePath::Relay(peer) => send_relayed(client, call, guard, peer).await,
+        };
+        match result {
+            Ok(response) => {
+                observe_response(call, guard, response.status(), response.headers(), now)?;
+                return Ok(response);
+            }
+            Err(error) => match error.failure {
+                AttemptFailure::PathLost => {}
+                // A peer may have lost its path as well; two seldom have.
+                AttemptFailure::Unreachable if path != ServicePath::Direct && unreachable_count == 0 => {
+                    unreachable_count += 1;
+                }
+                _ => return Err(error),
+            },
+        }
     }
-    guard.request_sent();
-    let response = match request.send_body(call.body.clone()).await {
-        Ok(response) => response,
-        Err(error) => return Err(send_failure(&error, call, guard).into()),
-    };
-    if let Some(requests) = reported_load(response.headers()) {
+    guard.path_missing();
+    Err(AttemptFailure::PathLost.into())
+}
+
+/// Records what the header of a response to a request that was sent at `sent_at` says of the upstream, and checks that the
+/// response belongs to the request and that the upstream accepted it.
+fn observe_response(
+    call: &UpstreamCall,
+    guard: &UpstreamGuard,
+    status: StatusCode,
+    headers: &HeaderMap,
+    sent_at: TimePoint,
+) -> Result<()> {
+    let checked = check_response(&call.id, status, headers);
+    observe_upstream(&call.id, guard, status, headers, sent_at);
+    checked
+}
+
+/// Records what the header of a response says of the upstream: its load and its limit.
+pub fn observe_upstream(id: &str, guard: &UpstreamGuard, status: StatusCode, headers: &HeaderMap, sent_at: TimePoint) {
+    if let Some(requests) = reported_load(headers) {
         guard.load_reported(requests);
     }
-    let checked = check_response(&call.id, response.status(), response.headers());
-    if is_from_upstream(checked, &call.id, response.headers()) {
-        report_limit(guard, response.headers(), now);
+    if is_from_upstream(check_response(id, status, headers), id, headers) {
+        report_limit(guard, headers, sent_at);
     }
-    checked?;
-    Ok(response)
-}
-
-/// Classifies and logs the failure to send a request or to receive the header of its response.
-fn send_failure(error: &SendRequestError, call: &UpstreamCall, guard: &UpstreamGuard) -> AttemptFailure {
-    let (event, failure) = match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => ("connection_lost", AttemptFailure::Lost),
-        SendRequestError::Connect(_) => ("connection_failed", AttemptFailure::Unreachable),
-        SendRequestError::Timeout => ("connection_silent", AttemptFailure::TimedOut),
-        SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete) => {
-            ("connection_lost", AttemptFailure::Lost)
-        }
-        SendRequestError::Response(_) => ("response_unreadable", AttemptFailure::Malformed),
-        _ => ("connection_lost", AttemptFailure::Lost),
-    };
-    LogLine::new(event).field("request_id", &call.id).field("upstream", &guard.record.id).field("error", error).warn();
-    failure
 }
 
 /// Checks that a response belongs to the request `id` and that the upstream accepted the request.
--- a/crates/edge/src/relay/complete_response.rs
+++ b/crates/edge/src/relay/complete_response.rs
@@ -77,9 +77,15 @@
         let response = start_attempt(client, call, guard, now).await?;
         read_response(response, bytes_max, guard.buffer_share()).await
     };
-    match actix_rt::time::timeout(time_left, exchange).await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(error)) => Err(error.failure),
-        Err(_) => Err(AttemptFailure::TimedOut),
+    let path_lost = async {
+        if call.is_repeatable { guard.path_lost(guard.picked_at).await } else { std::future::pending().await }
+    };
+    tokio::select! {
+        result = actix_rt::time::timeout(time_left, exchange) => match result {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => Err(error.failure),
+            Err(_) => Err(AttemptFailure::TimedOut),
+        },
+        () = path_lost => Err(AttemptFailure::Unacknowledged),
     }
 }
--- a/crates/edge/src/relay/header_filter.rs
+++ b/crates/edge/src/relay/header_filter.rs
@@ -2,6 +2,7 @@
 
 use actix_web::http::header::{HeaderMap, HeaderName};
 use pimentoslip_platform::header;
+use pimentoslip_wire::peer::RELAY_RESULT_HEADER;
 
 /// Hop-by-hop headers, and headers that the HTTP library sets for each message.
 const CONNECTION_HEADERS: [&str; 11] = [
@@ -50,12 +51,12 @@
     forwarded
 }
 
-/// Headers of an upstream's response that are forwarded to the caller.
+/// Headers of an upstream's response that are forwarded to the caller, or to the peer that it is relayed for.
 #[must_use]
 pub fn forwarded_response_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = HeaderMap::new();
     for (name, value) in headers {
-        if !is_connection_header(name, headers) {
+        if !is_connection_header(name, headers) && name.as_str() != RELAY_RESULT_HEADER {
             forwarded.append(name.clone(), value.clone());
         }
     }
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -2,14 +2,20 @@
 
 mod attempt;
 mod complete_response;
+mod direct_attempt;
 mod header_filter;
 mod open_stream;
+mod relay_refusal;
+mod relayed_attempt;
 mod upstream_call;
 mod upstream_guard;
 
-pub use attempt::{AttemptFailure, Result, start_attempt};
+pub use attempt::{AttemptFailure, Result, observe_upstream, start_attempt};
 pub use complete_response::{CompleteResponse, fetch_complete, is_clean_close, is_delimited_by_close, read_response};
+pub use direct_attempt::send_direct;
 pub use header_filter::{forwarded_request_headers, forwarded_response_headers};
 pub use open_stream::{OpenStream, StreamAttempt, StreamPortion, open_stream};
+pub use relay_refusal::RelayRefusal;
+pub use relayed_attempt::{PEER_CHECK_PATH, UPSTREAM_RELAY_PATH};
 pub use upstream_call::UpstreamCall;
 pub use upstream_guard::UpstreamGuard;
--- a/crates/edge/src/relay/upstream_call.rs
+++ b/crates/edge/src/relay/upstream_call.rs
@@ -24,6 +24,8 @@
     pub body: Bytes,
     /// Time until which the daemon waits for the complete response.
     pub deadline: TimePoint,
+    /// Whether the request may run more than once, so that it is given up where its path is lost.
+    pub is_repeatable: bool,
     /// Number of the last received event, after which an interrupted event stream is resumed.
     pub last_event_id: Option<u64>,
 }
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -1,9 +1,29 @@
 //! Counts a request towards the load of its upstream while it is in flight.
 
-use crate::{buffer_budget::BufferShare, edge_metrics::EdgeMetrics, edge_state::EdgeState};
-use pimentoslip_kernel::{RateLimit, SamplerOutcome, SamplerQuery, SamplerRecord, TimePoint};
+use super::AttemptFailure;
+use crate::{
+    buffer_budget::BufferShare,
+    edge_metrics::EdgeMetrics,
+    edge_state::EdgeState,
+    path::{relay_peer, relay_peers},
+};
+use pimentoslip_kernel::{
+    DirectLoss, PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord,
+    ServicePath, SharedName, TimePoint,
+};
 use pimentoslip_telemetry::LogLine;
-use std::sync::Arc;
+use pimentoslip_wire::peer::RelaySender;
+use std::{cell::RefCell, sync::Arc, time::Duration};
+
+/// Time for which an upstream gets no requests after one had no path to it.
+const NO_PATH_BACKOFF_MS: u64 = 200;
+/// Upstreams without a path that are passed over at once; after that, none counts as having capacity.
+const PATHLESS_MAX: usize = 16;
+/// Time without a byte on a direct path that is lost by then, after which the connection counts as lost too. Connections
+/// may outlive the path for new ones.
+const LOST_PATH_GRACE_MS: u64 = 300;
+/// Interval at which a request in progress looks whether its path is lost.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Counts a request as in flight at an upstream; when dropped, records the outcome of the attempt.
 #[derive(Debug)]
@@ -14,22 +34,190 @@
     /// When the upstream was picked.
     pub picked_at: TimePoint,
     outcome: SamplerOutcome,
+    prefers_relay: bool,
+    /// Path of the last attempt; `None` if there was none.
+    path: RefCell<Option<ServicePath>>,
 }
 
 impl UpstreamGuard {
-    /// Picks an upstream for `query` and counts the request there. `None` if no upstream has capacity.
+    /// Picks an upstream for `query` to which there is a path, and counts the request there. `None` if no upstream has
+    /// capacity.
     #[must_use]
     pub fn pick(state: &Arc<EdgeState>, query: &SamplerQuery<'_>) -> Option<Self> {
-        let now = state.now();
-        let (record, wants_permits) = {
-            let mut upstreams = state.upstreams();
-            (upstreams.pick(query, now), upstreams.wants_permits())
-        };
-        if wants_permits {
-            state.permits_wanted.notify_one();
+        for _ in 0..PATHLESS_MAX {
+            let now = state.now();
+            let (record, wants_permits) = {
+                let mut upstreams = state.upstreams();
+                (upstreams.pick(query, now), upstreams.wants_permits())
+            };
+            if wants_permits {
+                state.permits_wanted.notify_one();
+            }
+            let guard = Self::new(state, record?, now);
+            let path_query = guard.path_query(query.affinity);
+            if state.paths().has_path(&path_query, now, || relay_peers(state)) {
+                return Some(guard);
+            }
+            guard.path_missing();
+        }
+        None
+    }
+
+    /// Counts a request that is sent to an upstream for a peer, which has picked it. `None` unless the upstream is listed as
+    /// the process that started at `started_unix_ms`, and accepts new requests.
+    #[must_use]
+    pub fn adopt(state: &Arc<EdgeState>, id: &str, started_unix_ms: u64) -> Option<Self> {
+        let record = state.upstreams().adopt(id, started_unix_ms)?;
+        Some(Self::new(state, record, state.now()))
+    }
+
+    fn new(state: &Arc<EdgeState>, record: SamplerRecord, picked_at: TimePoint) -> Self {
+        Self {
+            state: state.clone(),
+            record,
+            picked_at,
+            outcome: SamplerOutcome::Abandoned,
+            prefers_relay: false,
+            path: RefCell::new(Some(ServicePath::Direct)),
+        }
+    }
+
+    /// Lets a peer relay the request although the direct path is not known to be lost.
+    pub fn prefer_relay(&mut self) {
+        self.prefers_relay = true;
+    }
+
+    /// Current time.
+    #[must_use]
+    pub fn now(&self) -> TimePoint {
+        self.state.now()
+    }
+
+    /// Selects the path of the next attempt to send the request `id`. `None` if there is none.
+    #[must_use]
+    pub fn next_path(&self, id: &str) -> Option<ServicePath> {
+        let path = self.state.paths().next_path(&self.path_query(id), self.now(), || relay_peers(&self.state));
+        self.path.replace(path.clone());
+        path
+    }
+
+    /// Path of the last attempt, for the log.
+    #[must_use]
+    pub fn path_text(&self) -> String {
+        self.path.borrow().as_ref().map_or_else(|| "none".to_owned(), ToString::to_string)
+    }
+
+    fn is_direct(&self) -> bool {
+        *self.path.borrow() == Some(ServicePath::Direct)
+    }
+
+    fn path_query<'a>(&'a self, affinity: &'a str) -> PathQuery<'a> {
+        PathQuery {
+            address: &self.record.address,
+            upstream_domain: &self.record.failure_domain,
+            own_domain: &self.state.settings.failure_domain,
+            affinity,
+            prefers_relay: self.prefers_relay,
+        }
+    }
+
+    /// Keeps requests from the upstream for a moment, as there is no path to it.
+    pub fn path_missing(&self) {
+        let until = self.now().plus_ms(NO_PATH_BACKOFF_MS);
+        self.state.upstreams().path_missing(&self.record.id, until);
+    }
+
+    /// Records a response on the direct path to a request that was sent at `sent_at`.
+    pub fn direct_succeeded(&self, sent_at: TimePoint) {
+        let gain = self.state.paths().direct_succeeded(&self.record.address, sent_at, self.now());
+        self.state.paths_regained(&self.record.address, gain);
+    }
+
+    /// Records the failure of an attempt that was started at `sent_at` on the direct path. Returns it as the request is to
+    /// treat it: other daemons may reach an upstream that this one does not.
+    #[must_use]
+    pub fn direct_failed(&self, failure: AttemptFailure, sent_at: TimePoint) -> AttemptFailure {
+        let is_path_failure = matches!(failure, AttemptFailure::Unreachable | AttemptFailure::Unacknowledged);
+        if !is_path_failure || relay_peers(&self.state).is_empty() {
+            return failure;
         }
-        let record = record?;
-        Some(Self { state: state.clone(), record, picked_at: now, outcome: SamplerOutcome::Abandoned })
+        let loss = self.state.paths().direct_failed(&self.record.address, sent_at, self.now());
+        if loss == DirectLoss::Cut {
+            LogLine::new("all_paths_lost").field("upstream", &self.record.id).warn();
+        }
+        if loss != DirectLoss::Known {
+            self.state.request_path_check(&self.record);
+        }
+        if failure == AttemptFailure::Unreachable { AttemptFailure::PathLost } else { failure }
+    }
+
+    /// Lets the path of a request that got no complete response be checked, unless the upstream has responded since.
+    pub fn request_path_check(&self, failure: AttemptFailure) {
+        if self.is_direct() && failure.may_be_crash() && !self.has_responded_since() {
+            self.state.request_path_check(&self.record);
+        }
+    }
+
+    /// Waits until the direct path has been lost for a while, if the last attempt used it; the last byte was received at
+    /// `received_at`.
+    pub async fn path_lost(&self, received_at: TimePoint) {
+        while !self.is_path_lost(received_at) {
+            actix_rt::time::sleep(PATH_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Whether the last attempt used the direct path, that path is lost, and nothing was received for a while since; the last
+    /// byte was received at `received_at`.
+    #[must_use]
+    pub fn is_path_lost(&self, received_at: TimePoint) -> bool {
+        let lost_since = if self.is_direct() { self.state.paths().lost_since(&self.record.address) } else { None };
+        lost_since.is_some_and(|since| self.now().since_ms(since.max(received_at)) >= LOST_PATH_GRACE_MS)
+    }
+
+    /// Address of the control listener of `peer`; `None` if it has left.
+    #[must_use]
+    pub fn peer_address(&self, peer: &str) -> Option<SharedName> {
+        let now = self.now();
+        let ownership = self.state.ownership();
+        let mut daemons = ownership.possible_daemons(now);
+        daemons.find(|(name, _)| ***name == *peer).map(|(_, presence)| presence.control_address.clone())
+    }
+
+    /// Records that `peer` has relayed a response of the upstream.
+    pub fn relay_succeeded(&self, peer: &SharedName) {
+        self.state.paths().relay_succeeded(peer, &self.record.address, self.now());
+    }
+
+    /// Records that `peer` has responded.
+    pub fn peer_responded(&self, peer: &SharedName) {
+        self.state.paths().peer_responded(peer, self.now());
+    }
+
+    /// What is known of `peer`, which has not responded to the request since `since`.
+    #[must_use]
+    pub fn peer_check(&self, peer: &SharedName, since: TimePoint) -> PeerCheck {
+        self.state.paths().peer_check(peer, since, self.now())
+    }
+
+    /// Records that `peer` has not responded when it was asked whether it runs.
+    pub fn peer_silent(&self, peer: &SharedName) {
+        self.state.paths().peer_silent(&self.relay_peer(peer), &self.record.address, self.now());
+    }
+
+    /// Records that `peer` has not relayed the request.
+    pub fn relay_failed(&self, peer: &SharedName, failure: RelayFailure) {
+        self.state.paths().relay_failed(&self.relay_peer(peer), &self.record.address, failure, self.now());
+    }
+
+    fn relay_peer(&self, name: &SharedName) -> RelayPeer {
+        let gone = || RelayPeer { name: name.clone(), failure_domain: "".into() };
+        relay_peer(&self.state, name).unwrap_or_else(gone)
+    }
+
+    /// Proof for peers that the next call is from this daemon.
+    #[must_use]
+    pub fn relay_sender(&self) -> RelaySender {
+        self.state.relay_sender()
     }
 
     /// Sets the outcome that is recorded on drop. Without it the attempt counts as abandoned, which does not affect the
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -9,6 +9,7 @@
     job::claim_jobs,
     lease_task::{maintain_lease, revoke_lease},
     limit::request_permits,
+    path::watch_paths,
     store::{ChangeFeed, CoordinationKeys, OperatorKeys, PrefixHandler, UpstreamKeys, follow_prefix},
     stream::{keep_software_history, store_streams},
     suspect::store_crash_marks,
@@ -118,6 +119,7 @@
         record_usage(parts.state, parts.store.with_purpose("usage"), parts.peer_client)
     });
     spawn_task(&parts, "permits", |parts| request_permits(parts.state, parts.peer_client));
+    spawn_task(&parts, "paths", |parts| watch_paths(parts.state, parts.peer_client));
     spawn_task(&parts, "software", |parts| keep_software_history(parts.state, parts.store.with_purpose("streams")));
     spawn_task(&parts, "streams", |parts| store_streams(parts.state, parts.store.with_purpose("streams")));
     spawn_task(&parts, "crashes", |parts| {
@@ -216,6 +218,7 @@
         App::new().app_data(web::Data::new(parts)).configure(configure)
     })
     .workers(1)
+    .on_connect(ClientWatch::on_connect)
     .disable_signals()
     .listen(bind(address)?)?
     .run();
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -58,8 +58,10 @@
         } else if let Some(daemon) = KeyLayout::parse_presence_key(&store_entry.key) {
             match decode::<PresenceEntry>(&store_entry.value) {
                 Ok(entry) => {
-                    let PresenceEntry { incarnation, lease, control_address, failure_domain, region } = entry;
-                    let presence = DaemonPresence { incarnation, lease, control_address, failure_domain, region };
+                    let PresenceEntry { incarnation, lease, control_address, failure_domain, region, relay_token } =
+                        entry;
+                    let presence =
+                        DaemonPresence { incarnation, lease, control_address, failure_domain, region, relay_token };
                     self.state.ownership().daemon_joined(daemon.into(), presence);
                 }
                 Err(error) => log_unreadable(store_entry, &error),
@@ -106,7 +108,7 @@
             self.state.ownership().owner_removed(job, revision, now);
         } else if let Some(daemon) = KeyLayout::parse_presence_key(key) {
             LogLine::new("daemon_left").field("daemon", daemon).info();
-            self.state.ownership().daemon_left(daemon);
+            self.state.ownership().daemon_left(daemon, now);
         } else if let Some(job) = KeyLayout::parse_job_key(key) {
             self.state.jobs().job_deleted(job);
             self.state.ownership().job_deleted(job);
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -38,6 +38,13 @@
         match decode_upstream_record(id, &store_entry.value) {
             Ok(record) => {
                 upstream_listed(&self.state, &record);
+                let is_new = {
+                    let upstreams = self.state.upstreams();
+                    upstreams.get(id).is_none_or(|previous| !previous.is_same_process(&record))
+                };
+                if is_new {
+                    self.state.paths().forget(&record.address);
+                }
                 let mut upstreams = self.state.upstreams();
                 let previous = upstreams.get(id);
                 if previous.is_none_or(|previous| {
@@ -80,7 +87,10 @@
 impl UpstreamKeys {
     /// Removes an upstream that is not listed any more.
     fn remove(&self, id: &str) {
-        self.state.upstreams().remove(id);
+        let removed = self.state.upstreams().remove(id);
+        if let Some(record) = removed {
+            self.state.paths().forget(&record.address);
+        }
         upstream_delisted(&self.state, &self.peer_client, id);
     }
 
--- a/crates/edge/src/suspect/crash_watch.rs
+++ b/crates/edge/src/suspect/crash_watch.rs
@@ -2,10 +2,14 @@
 
 use super::reach_check::ask_peers;
 use crate::{
-    edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, relay::UpstreamGuard,
+    edge_metrics::EdgeMetrics,
+    edge_state::EdgeState,
+    path::record_check,
+    peer_client::PeerClient,
+    relay::{AttemptFailure, UpstreamGuard},
     worker_parts::WorkerParts,
 };
-use pimentoslip_client::probe_after_loss;
+use pimentoslip_client::{probe_after_loss, probe_connection};
 use pimentoslip_kernel::{ConnectOutcome, ProcessVerdict, RequestLoss, SamplerRecord, SharedName};
 use pimentoslip_telemetry::LogLine;
 use std::sync::Arc;
@@ -18,7 +22,13 @@
 /// Examines a request that got no complete response, in the background. If its upstream has crashed, no more requests are
 /// sent there, and the crash counts against the request at all daemons. As long as that cannot be told, the list of
 /// upstreams decides.
-pub fn examine_loss(parts: &WorkerParts, request_id: &SharedName, fingerprint: u64, guard: &UpstreamGuard) {
+pub fn examine_loss(
+    parts: &WorkerParts,
+    request_id: &SharedName,
+    fingerprint: u64,
+    guard: &UpstreamGuard,
+    failure: AttemptFailure,
+) {
     let state = &parts.state;
     let loss = RequestLoss {
         request_id: request_id.clone(),
@@ -27,19 +37,22 @@
         sent_unix_ms: state.unix_ms().saturating_sub(state.now().since_ms(guard.picked_at)),
         running_unix_ms: None,
     };
-    actix_rt::spawn(classify_loss(state.clone(), parts.peer_client.clone(), loss));
+    let is_ending = matches!(failure, AttemptFailure::Lost | AttemptFailure::Malformed);
+    actix_rt::spawn(classify_loss(state.clone(), parts.peer_client.clone(), loss, is_ending));
 }
 
-/// Finds out whether the upstream of a lost request has ended, and records what follows.
-async fn classify_loss(state: Arc<EdgeState>, peer_client: PeerClient, loss: RequestLoss) {
-    let (address, now) = (loss.upstream.address.clone(), state.now());
+/// Finds out whether the upstream of a lost request has ended, and records what follows. One that closes its connections
+/// may be about to end (`is_ending`).
+async fn classify_loss(state: Arc<EdgeState>, peer_client: PeerClient, loss: RequestLoss, is_ending: bool) {
+    let (address, started_at) = (loss.upstream.address.clone(), state.now());
     // The list may show the next process while the connections are tried.
-    let number = state.losses().add(loss.clone(), now);
-    let own = probe_after_loss(&address).await;
+    let number = state.losses().add(loss.clone(), started_at);
+    let own = if is_ending { probe_after_loss(&address).await } else { probe_connection(&address).await };
     let peers = match own {
         ConnectOutcome::Accepted => None,
         ConnectOutcome::Refused | ConnectOutcome::Silent => ask_peers(&state, &peer_client, &loss.upstream).await,
     };
+    record_check(&state, &loss.upstream, own, peers.as_deref(), started_at);
     let verdict = ProcessVerdict::judge(own, peers.as_deref());
     LogLine::new("loss_examined")
         .field("request_id", &loss.request_id)
@@ -73,7 +86,7 @@
 /// Handles the removal of an upstream from the list. If nothing listens at its address, it has crashed.
 pub fn upstream_delisted(state: &Arc<EdgeState>, peer_client: &PeerClient, id: &str) {
     for loss in state.losses().upstream_delisted(id, state.now()) {
-        actix_rt::spawn(classify_loss(state.clone(), peer_client.clone(), loss));
+        actix_rt::spawn(classify_loss(state.clone(), peer_client.clone(), loss, true));
     }
 }
 
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -12,8 +12,10 @@
 pub const REACH_PATH: &str = "/peer/reach";
 /// Longest wait for the response of a peer, which waits up to 300 ms for the upstream.
 const CALL_TIMEOUT_MS: u64 = 500;
-/// Peers that are chosen at once.
+/// Peers that are asked at once.
 const PEERS_MAX: usize = 2;
+/// Times that other peers are asked while those before have no paths themselves.
+const ROUNDS_MAX: usize = 2;
 
 /// Tries a connection for a peer.
 pub async fn try_connection(state: &EdgeState, request: &ReachRequest) -> ReachResponse {
@@ -23,8 +25,12 @@
     }
 }
 
-/// Address at which the upstream of `request` is tried; `None` if another process may listen there.
+/// Address at which the upstream of `request` is tried; `None` if another process may listen there, or the direct path of this
+/// daemon is lost.
 fn reach_address(state: &EdgeState, request: &ReachRequest) -> Option<SharedName> {
+    if state.paths().lost_since(&request.address).is_some() {
+        return None;
+    }
     let upstreams = state.upstreams();
     match upstreams.get(&request.upstream) {
         Some(record) => (record.started_unix_ms == request.started).then(|| record.address.clone()),
@@ -38,31 +44,49 @@
     peer_client: &PeerClient,
     record: &SamplerRecord,
 ) -> Option<Vec<ConnectOutcome>> {
-    let addresses = distant_peers(state, &record.id);
-    if addresses.is_empty() {
+    let mut peers = ranked_peers(state, &record.id);
+    if peers.is_empty() {
         return None;
     }
+    // Peers that have lost their own paths cannot tell.
+    let now = state.now();
+    peers.sort_by_key(|(name, _)| state.paths().is_relay_failed(name, now));
     let request =
         ReachRequest { upstream: record.id.clone(), started: record.started_unix_ms, address: record.address.clone() };
     let request = &request;
-    let calls = addresses.iter().map(|address| async move {
-        let response = peer_client.call::<ReachResponse>(address, REACH_PATH, request, CALL_TIMEOUT_MS).await;
-        if let Err(error) = &response {
-            LogLine::new("reach_not_answered").field("peer", address).field("reason", error).warn();
+    for round in peers.chunks(PEERS_MAX).take(ROUNDS_MAX) {
+        let calls = round.iter().map(|(_, address)| async move {
+            let response = peer_client.call::<ReachResponse>(address, REACH_PATH, request, CALL_TIMEOUT_MS).await;
+            if let Err(error) = &response {
+                LogLine::new("reach_not_answered").field("peer", address).field("reason", error).warn();
+            }
+            response.ok()?.outcome()
+        });
+        let outcomes: Vec<ConnectOutcome> = join_all(calls).await.into_iter().flatten().collect();
+        if !outcomes.is_empty() {
+            return Some(outcomes);
         }
-        response.ok()?.outcome()
-    });
-    Some(join_all(calls).await.into_iter().flatten().collect())
+    }
+    Some(Vec::new())
 }
 
-/// Addresses of up to two peers, by their rank for `key`: of other failure domains than this daemon's, if there are any,
-/// since the daemons of one may fail together.
+/// Addresses of up to two peers; see [`ranked_peers`].
 pub fn distant_peers(state: &EdgeState, key: &str) -> Vec<SharedName> {
+    ranked_peers(state, key).into_iter().take(PEERS_MAX).map(|(_, address)| address).collect()
+}
+
+/// Names and addresses of the peers by their rank for `key`: first those of other failure domains than this daemon's, since
+/// the daemons of one may fail together.
+fn ranked_peers(state: &EdgeState, key: &str) -> Vec<(SharedName, SharedName)> {
     let own = &state.settings;
     let ownership = state.ownership();
     let others: Vec<&SharedName> = ownership.daemons().map(|(name, _)| name).filter(|name| **name != own.vm).collect();
     let ranked = rank(key, &others);
-    let presences = ranked.into_iter().filter_map(|name| ownership.daemon(name));
-    let (near, far): (Vec<_>, Vec<_>) = presences.partition(|presence| presence.failure_domain == own.failure_domain);
-    far.into_iter().chain(near).take(PEERS_MAX).map(|presence| presence.control_address.clone()).collect()
+    let presences = ranked.into_iter().filter_map(|name| Some((name, ownership.daemon(name)?)));
+    let (near, far): (Vec<_>, Vec<_>) =
+        presences.partition(|(_, presence)| presence.failure_domain == own.failure_domain);
+    far.into_iter()
+        .chain(near)
+        .map(|(name, presence)| (SharedName::clone(name), presence.control_address.clone()))
+        .collect()
 }
--- a/crates/edge/src/worker_parts.rs
+++ b/crates/edge/src/worker_parts.rs
@@ -4,13 +4,16 @@
     duty::UsageCollector, edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess,
 };
 use awc::Client;
-use pimentoslip_client::client_with_tcp_user_timeout;
+use pimentoslip_client::client_with_timeouts;
 use pimentoslip_platform::StoreClient;
 use std::{sync::Arc, time::Duration};
 
+/// Longest wait for a connection to an upstream. Round trips take milliseconds; a lost request for a connection is sent again
+/// after a second, when another attempt is worth more.
+const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// TCP user timeout of connections to upstreams: a connection is closed when sent bytes stay unacknowledged for this
-/// long. Round trips take milliseconds.
-const UPSTREAM_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// long. Round trips take milliseconds; lost bytes are sent again twice in this time.
+const UPSTREAM_USER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Shared state and clients of a worker thread; passed to the HTTP handlers.
 #[derive(Clone)]
@@ -43,7 +46,7 @@
         let store = StoreAccess::new(state.clone(), direct_client.with_purpose("serve_batches"));
         let peer_client = PeerClient::default();
         Self {
-            upstream_client: client_with_tcp_user_timeout(UPSTREAM_USER_TIMEOUT),
+            upstream_client: client_with_timeouts(UPSTREAM_CONNECT_TIMEOUT, UPSTREAM_USER_TIMEOUT),
             usage_collector: UsageCollector::new(state.clone(), store.with_purpose("usage")),
             relay_client: direct_client.with_purpose("relay"),
             peer_client,
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -16,6 +16,9 @@
 /// does not arrive within this time, the job is read from the store.
 const PUSH_WAIT_MS: u64 = 500;
 
+/// Time for which a daemon whose lease has ended may still run; it obtains another lease within seconds.
+const LAPSED_TTL_MS: u64 = 10_000;
+
 /// Rendezvous key that selects the daemons which watch the store on behalf of others.
 const WATCH_KEY: &str = "watch";
 
@@ -43,6 +46,8 @@
     pub failure_domain: SharedName,
     /// Region of the daemon's VM.
     pub region: SharedName,
+    /// Token by which other daemons recognise its calls; empty for a daemon that relays none.
+    pub relay_token: SharedName,
 }
 
 /// A claim that this daemon should write to the store now.
@@ -80,23 +85,36 @@
     entries: BTreeMap<SharedName, OwnershipEntry>,
     /// Running daemons by name; this one is included once its presence has been received.
     daemons: BTreeMap<SharedName, DaemonPresence>,
+    /// Daemons whose lease has ended lately, and when.
+    lapsed: BTreeMap<SharedName, (DaemonPresence, TimePoint)>,
 }
 
 impl OwnershipTable {
     /// Creates an empty table for the process `incarnation` of `daemon`.
     #[must_use]
     pub fn new(daemon: SharedName, incarnation: u64) -> Self {
-        Self { daemon, incarnation, entries: BTreeMap::new(), daemons: BTreeMap::new() }
+        Self { daemon, incarnation, entries: BTreeMap::new(), daemons: BTreeMap::new(), lapsed: BTreeMap::new() }
     }
 
     /// Adds or updates a running daemon.
     pub fn daemon_joined(&mut self, daemon: SharedName, presence: DaemonPresence) {
+        self.lapsed.remove(&daemon);
         self.daemons.insert(daemon, presence);
     }
 
     /// Removes a daemon whose lease has ended.
-    pub fn daemon_left(&mut self, daemon: &str) {
-        self.daemons.remove(daemon);
+    pub fn daemon_left(&mut self, daemon: &str, now: TimePoint) {
+        self.lapsed.retain(|_, (_, left_at)| now.since_ms(*left_at) < LAPSED_TTL_MS);
+        if let Some((name, presence)) = self.daemons.remove_entry(daemon) {
+            self.lapsed.insert(name, (presence, now));
+        }
+    }
+
+    /// Running daemons, and those whose lease has ended lately: while the store is unreachable, leases end although their
+    /// daemons run.
+    pub fn possible_daemons(&self, now: TimePoint) -> impl Iterator<Item = (&SharedName, &DaemonPresence)> {
+        let lapsed = self.lapsed.iter().filter(move |(_, (_, left_at))| now.since_ms(*left_at) < LAPSED_TTL_MS);
+        self.daemons.iter().chain(lapsed.map(|(name, (presence, _))| (name, presence)))
     }
 
     /// The presence of `daemon`, or `None` if it is not running.
--- a/crates/kernel/src/path_selector.rs
+++ b/crates/kernel/src/path/path_selector.rs
@@ -1,6 +1,7 @@
 //! Selects the path of calls to a shared service: direct, relayed through a peer that still reaches it, or no call
 //! while backing off.
 
+use super::ServicePath;
 use crate::{SharedName, TimePoint};
 use std::collections::BTreeMap;
 
@@ -26,24 +27,6 @@
 /// at the same time.
 const JITTER_DIVISOR: u64 = 4;
 
-/// A path to the service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ServicePath {
-    /// A call to the service itself.
-    Direct,
-    /// A call relayed through the peer of this name.
-    Relay(SharedName),
-}
-
-impl std::fmt::Display for ServicePath {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Direct => formatter.write_str("direct"),
-            Self::Relay(peer) => write!(formatter, "through:{peer}"),
-        }
-    }
-}
-
 /// Selects a path for each call, from the outcomes of earlier calls.
 #[derive(Debug, Default)]
 pub struct PathSelector {
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -4,6 +4,10 @@
 use crate::{LimitObservation, PermitPool, SharedName, TimePoint};
 use std::collections::BTreeMap;
 
+/// Backoff after a failed request; doubles with each further consecutive failure.
+const BACKOFF_BASE_MS: u64 = 250;
+/// Longest backoff after failed requests; a restarting upstream is ready again within a few seconds.
+pub(super) const BACKOFF_MAX_MS: u64 = 4_000;
 /// Time after which one request is sent to an upstream with a limit although another one has a shorter expected wait,
 /// as only its response shows whether the limit has ended.
 const LIMIT_RECHECK_MS: u64 = 10_000;
@@ -54,6 +58,13 @@
         }
     }
 
+    /// Starts the backoff after a failed request.
+    pub(super) fn failed(&mut self, now: TimePoint) {
+        let backoff_ms = (BACKOFF_BASE_MS << self.failures.min(8)).min(BACKOFF_MAX_MS);
+        self.backoff_until = self.backoff_until.max(now.plus_ms(backoff_ms));
+        self.failures += 1;
+    }
+
     /// Records the limit that a response named.
     pub(super) fn observe(&mut self, observation: LimitObservation) {
         let LimitObservation { limit, seen_at } = observation;
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -1,13 +1,12 @@
 //! Table of the listed upstreams with their load, from which an upstream is selected for each request.
 
-use super::{PermitNeed, SamplerQuery, SamplerRecord, sampler_entry::SamplerEntry};
+use super::{
+    PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
+    sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
+};
 use crate::{LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, SharedName, TimePoint, rendezvous};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Backoff after a failed request; doubles with each further consecutive failure.
-const BACKOFF_BASE_MS: u64 = 250;
-/// Longest backoff after failed requests; a restarting upstream is ready again within a few seconds.
-const BACKOFF_MAX_MS: u64 = 4_000;
 /// Backoff after a refused request: about the time until a slot becomes free.
 const REFUSAL_BACKOFF_MS: u64 = 200;
 /// Backoff for one model after a refusal due to loading of weights: a fraction of the time that a load takes.
@@ -110,9 +109,9 @@
         }
     }
 
-    /// Removes an upstream that is no longer listed.
-    pub fn remove(&mut self, id: &str) {
-        self.entries.remove(id);
+    /// Removes and returns an upstream that is no longer listed.
+    pub fn remove(&mut self, id: &str) -> Option<SamplerRecord> {
+        self.entries.remove(id).map(|entry| entry.record)
     }
 
     /// Replaces the complete list; see [`Self::upsert`] for upstreams that were listed before.
@@ -342,11 +341,7 @@
                 }
             }
             SamplerOutcome::Refused => entry.backoff_until = entry.backoff_until.max(now.plus_ms(REFUSAL_BACKOFF_MS)),
-            SamplerOutcome::Failed => {
-                let backoff_ms = (BACKOFF_BASE_MS << entry.failures.min(8)).min(BACKOFF_MAX_MS);
-                entry.backoff_until = entry.backoff_until.max(now.plus_ms(backoff_ms));
-                entry.failures += 1;
-            }
+            SamplerOutcome::Failed => entry.failed(now),
             SamplerOutcome::Abandoned => {}
         }
     }
@@ -360,6 +355,42 @@
         }
     }
 
+    /// Handles a request without a path to the upstream `id`: it gets no more until `until`, which says nothing of the
+    /// upstream itself.
+    pub fn path_missing(&mut self, id: &str, until: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.backoff_until = entry.backoff_until.max(until);
+        }
+    }
+
+    /// Handles the return of the path to `address`, or of all paths for `None`: upstreams that back off are tried again at once.
+    pub fn path_regained(&mut self, address: Option<&str>) {
+        let is_regained = |entry: &&mut SamplerEntry| address.is_none_or(|address| *entry.record.address == *address);
+        for entry in self.entries.values_mut().filter(is_regained) {
+            entry.failures = 0;
+            entry.backoff_until = TimePoint(0);
+        }
+    }
+
+    /// Handles a check which showed that the upstream at `address` is reached by nobody that was asked.
+    pub fn address_unreachable(&mut self, address: &str, now: TimePoint) {
+        for entry in self.entries.values_mut().filter(|entry| *entry.record.address == *address) {
+            entry.failed(now);
+        }
+    }
+
+    /// Counts a request that this daemon sends to the upstream `id` for a peer, which has selected it. The caller must
+    /// report its end with [`Self::request_ended`]. `None` unless the upstream is listed as the process that started at
+    /// `started_unix_ms`, and accepts new requests.
+    pub fn adopt(&mut self, id: &str, started_unix_ms: u64) -> Option<SamplerRecord> {
+        let entry = self.entries.get_mut(id).filter(|entry| entry.record.started_unix_ms == started_unix_ms)?;
+        if entry.record.state != SamplerState::Ready {
+            return None;
+        }
+        entry.inflight += 1;
+        Some(entry.record.clone())
+    }
+
     /// Handles a refusal of a request for `model` at an upstream that had a free slot. The upstream is loading weights,
     /// so it backs off for this model only.
     pub fn model_refused(&mut self, id: &str, model: &SharedName, now: TimePoint) {
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -12,6 +12,7 @@
 mod fleet_machines;
 mod limits;
 mod ownership;
+mod paths;
 mod routes;
 mod small_machines;
 mod steps;
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -82,6 +82,7 @@
         control_address: "".into(),
         failure_domain: "north".into(),
         region: "land".into(),
+        relay_token: "".into(),
     }
 }
 
@@ -112,7 +113,7 @@
                 Change::OwnerWritten(job, owner) => self.table.owner_recorded(job_id(*job), owner.clone(), now),
                 Change::OwnerRemoved(job, revision) => self.table.owner_removed(&job_id(*job), *revision, now),
                 Change::DaemonJoined(daemon) => self.table.daemon_joined(daemon_name(*daemon), presence(1)),
-                Change::DaemonLeft(daemon) => self.table.daemon_left(&daemon_name(*daemon)),
+                Change::DaemonLeft(daemon) => self.table.daemon_left(&daemon_name(*daemon), now),
                 Change::JobClosed(job) => self.table.job_closed(&job_id(*job)),
             }
         }
--- a/crates/kernel/tests/machines/watching.rs
+++ b/crates/kernel/tests/machines/watching.rs
@@ -105,6 +105,7 @@
                         control_address: daemon_name(other),
                         failure_domain: domain_name(other).into(),
                         region: region_name(other).into(),
+                        relay_token: "".into(),
                     };
                     table.daemon_joined(daemon_name(other), presence);
                 }
--- a/crates/wire/src/stored/daemon_entry.rs
+++ b/crates/wire/src/stored/daemon_entry.rs
@@ -34,4 +34,12 @@
     pub failure_domain: SharedName,
     /// Region of the daemon's VM.
     pub region: SharedName,
+    /// Token by which other daemons recognise its calls; empty for a daemon that relays none.
+    #[serde(default = "no_token")]
+    pub relay_token: SharedName,
+}
+
+/// Token of daemons of earlier releases.
+fn no_token() -> SharedName {
+    "".into()
 }
