Hand the duty over from a holder that has lost its paths to the upstreams

What callers saw: steps came late.

Cause: orders go out on direct paths only, and nobody else may send them while the lease of the holder is renewed.

Change: a holder whose paths are all lost for half a second, while peers reach the upstreams, ends its term for good, waits for its calls to end, and removes its entry; daemons without paths acquire the duty three seconds later than others. Orders that open no connection show lost paths as well.

--- a/crates/cli/tests/processes/platform_paths.rs
+++ b/crates/cli/tests/processes/platform_paths.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{PathMatrix, job_item, job_submission, wait_for};
 use futures_util::future;
-use pimentoslip_standin::RelayRule;
+use pimentoslip_standin::{PlatformUpstream, RelayRule};
 use std::time::{Duration, Instant};
 
 /// Ways in which paths are lost.
@@ -62,3 +62,30 @@
         assert!(results.iter().all(|result| result["state"] == "completed"), "{rule:?}: {results:?}");
     }
 }
+
+/// Guards against weights that nobody loads because the holder of the duty has no paths to the upstreams.
+#[actix_rt::test]
+async fn weights_are_loaded_although_the_holder_of_the_duty_has_lost_its_paths() {
+    for rule in LOSSES {
+        let (site, matrix) = PathMatrix::start_site(&["north", "south", "south"]).await;
+        let holder = wait_for("an edge holds the duty", || async {
+            (0..3).find(|edge| site.edges[*edge].process.log().contains("event=duty_taken"))
+        })
+        .await;
+        matrix.set_all(holder, rule);
+        // The requests of its callers show the edge that its paths are lost.
+        count_served(&site, holder, "early", UNDISTURBED).await;
+        site.store.put("op/version/verse", &serde_json::json!({ "model": "verse", "version": 2 }));
+        let loaded = wait_for("every engine is ordered to load the version", || async {
+            let is_ordered =
+                |engine: &PlatformUpstream| engine.weight_orders().iter().any(|order| order["version"] == 2);
+            site.engines.iter().all(is_ordered).then_some(())
+        });
+        let loaded = actix_rt::time::timeout(Duration::from_secs(15), loaded).await;
+        assert!(loaded.is_ok(), "{rule:?}: {}", site.edges[holder].process.log());
+        let reports = site.provider.reports();
+        let tokens: Vec<u64> = reports.iter().map(|report| report.fencing_token).collect();
+        assert!(tokens.is_sorted(), "{rule:?}: {tokens:?}");
+        assert_ne!(reports.last().map(|report| &report.holder), Some(&site.edges[holder].vm), "{rule:?}");
+    }
+}
--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -21,6 +21,12 @@
 /// all try at once.
 const ACQUIRE_SPREAD_MS: u64 = 600;
 
+/// A daemon without paths to the upstreams waits this long in addition, so that one that has paths acquires the duty first.
+const CUT_ACQUIRE_DELAY_MS: u64 = 3_000;
+/// Time for which all paths of a holder have been lost before it gives up the duty; shorter cuts are over sooner than
+/// another daemon would act.
+const CUT_HOLD_MS: u64 = 500;
+
 /// The current term of this process, shared with the calls that are made under it; `None` while it does not hold the
 /// duty.
 pub type SharedTerm = Rc<RefCell<Option<DutyTerm>>>;
@@ -37,11 +43,18 @@
         let _ = actix_rt::time::timeout(PASS_PERIOD, state.upstreams_changed.notified()).await;
         let now = state.now();
         if refresh_term(&state, &term) {
+            vacant_since = None;
+            if is_cut_off(&state, &term) {
+                term.borrow_mut().iter_mut().for_each(DutyTerm::end);
+            }
+            if term.borrow().is_some_and(|term| term.is_ending()) {
+                give_up_duty(&state, &store, &term).await;
+                continue;
+            }
             load_duty.tick();
             scaling_duty.tick().await;
             usage_duty.tick().await;
             retire_duty.tick().await;
-            vacant_since = None;
             continue;
         }
         let Some(replaced_revision) = replaceable_revision(&state) else {
@@ -60,10 +73,41 @@
 
 /// Time in milliseconds for which the duty must be vacant before this daemon acquires it.
 fn acquire_delay_ms(state: &EdgeState) -> u64 {
+    let spread_ms = fingerprint(&[state.settings.vm.as_bytes()]) % ACQUIRE_SPREAD_MS;
+    if state.paths().is_cut() {
+        return CUT_ACQUIRE_DELAY_MS + spread_ms;
+    }
     match &state.lease_view().last_holder {
         Some(last_holder) if *last_holder == state.settings.vm => 0,
-        Some(_) => PREVIOUS_HOLDER_WAIT_MS + fingerprint(&[state.settings.vm.as_bytes()]) % ACQUIRE_SPREAD_MS,
-        None => fingerprint(&[state.settings.vm.as_bytes()]) % ACQUIRE_SPREAD_MS,
+        Some(_) => PREVIOUS_HOLDER_WAIT_MS + spread_ms,
+        None => spread_ms,
+    }
+}
+
+/// Whether this process holds the duty and has lost its paths to the upstreams since, which its peers reach. Orders cannot
+/// be relayed, as upstreams accept those of one VM only.
+fn is_cut_off(state: &EdgeState, term: &SharedTerm) -> bool {
+    let Some(term) = *term.borrow() else { return false };
+    let cut_since = state.paths().cut_since();
+    let Some(cut_since) = cut_since else { return false };
+    term.acquired_at() < cut_since && state.now().since_ms(cut_since) >= CUT_HOLD_MS
+}
+
+/// Removes the holder's entry once the calls of the term have ended, so that another daemon acquires the duty. Tried again at
+/// the next pass if the store does not respond.
+async fn give_up_duty(state: &EdgeState, store: &StoreAccess, term: &SharedTerm) {
+    let Some(token) = term.borrow().map(|term| term.fencing_token) else { return };
+    if state.pending_duty_calls() > 0 {
+        return;
+    }
+    let commit = StoreCommit::default().expect(KeyLayout::DUTY_HOLDER_KEY, token).remove(KeyLayout::DUTY_HOLDER_KEY);
+    match store.commit(&commit).await {
+        Ok(_) => {
+            LogLine::new("duty_given_up").field("fencing_token", token).field("reason", "all_paths_lost").warn();
+            *term.borrow_mut() = None;
+            EdgeMetrics::global().duty_held.set(0);
+        }
+        Err(error) => LogLine::new("duty_not_given_up").field("reason", error).warn(),
     }
 }
 
--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -1,12 +1,16 @@
 //! Orders upstreams to load the versions of weights that trainers have named.
 
 use super::duty_task::SharedTerm;
-use crate::edge_state::EdgeState;
-use awc::{Client, http::header::HeaderMap};
+use crate::{edge_state::EdgeState, path::direct_failed};
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+    http::header::HeaderMap,
+};
 use bytes::Bytes;
 use pimentoslip_client::DeadlineBody;
 use pimentoslip_kernel::{
-    LoadOrder, LoadOutcome, ModelDemand, SamplerRecord, ServiceSnapshot, SharedName, VersionPlanner,
+    LoadOrder, LoadOutcome, ModelDemand, SamplerRecord, ServiceSnapshot, SharedName, TimePoint, VersionPlanner,
 };
 use pimentoslip_platform::{
     ORDER_PATH, REPORT_PATH, VersionOrder, decode_upstream_report, encode_version_order, header,
@@ -139,7 +143,7 @@
     keep_runs: bool,
 ) -> (LoadOutcome, String) {
     if order.accepted_before.is_none() {
-        match orders_accepted(upstream_client, order).await {
+        match orders_accepted(state, upstream_client, order).await {
             Ok(count) => order.accepted_before = Some(count),
             Err(reason) => return (LoadOutcome::Conflict, reason),
         }
@@ -182,7 +186,19 @@
             };
             (outcome, status.to_string())
         }
-        Err(error) => (LoadOutcome::Unanswered, error.to_string()),
+        Err(error) => {
+            connection_failed(state, order, &error, now);
+            (LoadOutcome::Unanswered, error.to_string())
+        }
+    }
+}
+
+/// Records that the direct path to the upstream of an order has failed, if that is what `error` shows.
+fn connection_failed(state: &EdgeState, order: &LoadOrder, error: &SendRequestError, started_at: TimePoint) {
+    let is_unopened = matches!(error, SendRequestError::Connect(error) if !matches!(error, ConnectError::Disconnected));
+    let record = state.upstreams().get(&order.upstream).cloned();
+    if let (true, Some(record)) = (is_unopened, record) {
+        direct_failed(state, &record, started_at);
     }
 }
 
@@ -197,14 +213,18 @@
 }
 
 /// Number of orders that the upstream has accepted since its start, from its report. Fails with the reason for the log.
-async fn orders_accepted(upstream_client: &Client, order: &LoadOrder) -> Result<u64, String> {
+async fn orders_accepted(state: &EdgeState, upstream_client: &Client, order: &LoadOrder) -> Result<u64, String> {
+    let started_at = state.now();
     let id = format!("report-{}-{}", order.model, order.version);
     let request = upstream_client
         .get(format!("http://{}{REPORT_PATH}", order.address))
         .timeout(Duration::from_millis(ORDER_TIMEOUT_MS))
         .insert_header((header::REQUEST_ID, id.as_str()))
         .insert_header((header::EXPECTED_UPSTREAM, &*order.upstream));
-    let mut response = request.send().await.map_err(|error| error.to_string())?;
+    let mut response = request.send().await.map_err(|error| {
+        connection_failed(state, order, &error, started_at);
+        error.to_string()
+    })?;
     if is_response_to_other(response.headers(), &id) {
         return Err("response_to_another_call".to_owned());
     }
--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -8,7 +8,20 @@
 pub use relay_api::relay_request;
 
 use crate::edge_state::EdgeState;
-use pimentoslip_kernel::{DaemonPresence, RelayPeer, SharedName};
+use pimentoslip_kernel::{DaemonPresence, DirectLoss, RelayPeer, SamplerRecord, SharedName, TimePoint};
+use pimentoslip_telemetry::LogLine;
+
+/// Records that an attempt which was started at `started_at` opened no connection on the direct path to an upstream, or that
+/// its bytes were not acknowledged there.
+pub fn direct_failed(state: &EdgeState, record: &SamplerRecord, started_at: TimePoint) {
+    let loss = state.paths().direct_failed(&record.address, started_at, state.now());
+    if loss == DirectLoss::Cut {
+        LogLine::new("all_paths_lost").field("upstream", &record.id).warn();
+    }
+    if loss != DirectLoss::Known {
+        state.request_path_check(record);
+    }
+}
 
 /// Daemons that may relay requests to upstreams for this one.
 pub fn relay_peers(state: &EdgeState) -> Vec<RelayPeer> {
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -5,11 +5,11 @@
     buffer_budget::BufferShare,
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
-    path::{relay_peer, relay_peers},
+    path::{direct_failed, relay_peer, relay_peers},
 };
 use pimentoslip_kernel::{
-    DirectLoss, PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord,
-    ServicePath, SharedName, TimePoint,
+    PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord, ServicePath,
+    SharedName, TimePoint,
 };
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::RelaySender;
@@ -141,13 +141,7 @@
         if !is_path_failure || relay_peers(&self.state).is_empty() {
             return failure;
         }
-        let loss = self.state.paths().direct_failed(&self.record.address, sent_at, self.now());
-        if loss == DirectLoss::Cut {
-            LogLine::new("all_paths_lost").field("upstream", &self.record.id).warn();
-        }
-        if loss != DirectLoss::Known {
-            self.state.request_path_check(&self.record);
-        }
+        direct_failed(&self.state, &self.record, sent_at);
         if failure == AttemptFailure::Unreachable { AttemptFailure::PathLost } else { failure }
     }
 
--- a/crates/kernel/src/duty/duty_term.rs
+++ b/crates/kernel/src/duty/duty_term.rs
@@ -21,6 +21,9 @@
     /// Id of the lease that the duty's entry depends on. The term doesn't continue under a later lease of the same
     /// process.
     lease: u64,
+    acquired_at: TimePoint,
+    /// Whether the holder is giving up the duty; another daemon may hold it at any time.
+    is_ending: bool,
     /// Earliest time to act. Earlier actions could alternate with those of the previous holder.
     acts_from: TimePoint,
     /// End of the lease, from which on another daemon may hold the duty.
@@ -32,7 +35,25 @@
     /// renewed. The holder waits for `wait_ms` before it acts.
     #[must_use]
     pub fn start(fencing_token: u64, lease: u64, acquired_at: TimePoint, ends_at: TimePoint, wait_ms: u64) -> Self {
-        Self { fencing_token, lease, acts_from: acquired_at.plus_ms(wait_ms), ends_at }
+        let acts_from = acquired_at.plus_ms(wait_ms);
+        Self { fencing_token, lease, acquired_at, is_ending: false, acts_from, ends_at }
+    }
+
+    /// When the duty was acquired.
+    #[must_use]
+    pub fn acquired_at(&self) -> TimePoint {
+        self.acquired_at
+    }
+
+    /// Ends the actions of the holder for good, before the duty's entry is removed.
+    pub fn end(&mut self) {
+        self.is_ending = true;
+    }
+
+    /// Whether the holder is giving up the duty.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
+        self.is_ending
     }
 
     /// Updates the term and returns whether it continues; false means that it is over for good. A late renewal of the
@@ -49,6 +70,6 @@
     /// Whether the holder may act at `now` with a call that takes up to `call_ms`.
     #[must_use]
     pub fn may_act(&self, now: TimePoint, call_ms: u64) -> bool {
-        now >= self.acts_from && now.plus_ms(call_ms) < self.ends_at
+        !self.is_ending && now >= self.acts_from && now.plus_ms(call_ms) < self.ends_at
     }
 }
--- a/crates/kernel/tests/machines/terms.rs
+++ b/crates/kernel/tests/machines/terms.rs
@@ -24,6 +24,8 @@
     ObserveEntry { daemon: u8 },
     /// A daemon acquires the duty if the store has no entry for it.
     AcquireDuty { daemon: u8 },
+    /// A holder gives up the duty; the answer may be lost.
+    GiveUp { daemon: u8, answer_lost: bool },
     /// A daemon acts if its term allows it. Unless `refreshed`, it was delayed after the last refresh of its term.
     Act { daemon: u8, refreshed: bool },
     /// Time passes.
@@ -33,11 +35,12 @@
 impl Arbitrary for Command {
     fn arbitrary(rng: &mut Gen) -> Self {
         let (first, second) = (u8::arbitrary(rng), u8::arbitrary(rng));
-        match u8::arbitrary(rng) % 16 {
+        match u8::arbitrary(rng) % 17 {
             0..=3 => Self::RenewLease { daemon: first, answer_lost: second % 4 == 0 },
             4..=5 => Self::GrantLease { daemon: first },
             6..=7 => Self::ObserveEntry { daemon: first },
             8..=9 => Self::AcquireDuty { daemon: first },
+            16 => Self::GiveUp { daemon: first, answer_lost: second % 4 == 0 },
             10..=12 => Self::Act { daemon: first, refreshed: second % 3 > 0 },
             _ => Self::Wait { ms: u16::arbitrary(rng) % 1_500 },
         }
@@ -166,6 +169,15 @@
                     daemon.term = Some(DutyTerm::start(self.revision, lease, self.now, daemon.lease_ends_at, wait_ms));
                 }
             }
+            Command::GiveUp { daemon, answer_lost } => {
+                let daemon = &mut self.daemons[usize::from(daemon) % DAEMONS];
+                let Some(term) = &mut daemon.term else { return Ok(()) };
+                term.end();
+                self.duty_entry = self.duty_entry.filter(|(token, _)| *token != term.fencing_token);
+                if !answer_lost {
+                    daemon.term = None;
+                }
+            }
             Command::Act { daemon, refreshed } => self.act(usize::from(daemon) % DAEMONS, refreshed)?,
             Command::Wait { ms } => self.now = self.now.plus_ms(u64::from(ms)),
         }
