Let a daemon without paths wait longer for the duty also after an outage of the store

The holder gave the duty up just before an outage of the store; after it a daemon without paths acquired it first, and 89 orders failed.

Cause: its longer wait had passed during the outage, in which nobody could acquire the duty.

Change: the wait begins with the return of the store.

No process test: it needs an outage within the same second.

--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -62,7 +62,7 @@
             continue;
         };
         let since = *vacant_since.get_or_insert(now);
-        if replaced_revision > 0 || now >= since.plus_ms(acquire_delay_ms(&state)) {
+        if replaced_revision > 0 || now >= acquire_time(&state, since) {
             acquire_duty(&state, &store, &term, replaced_revision).await;
             vacant_since = None;
         }
@@ -71,17 +71,19 @@
     EdgeMetrics::global().duty_held.set(0);
 }
 
-/// Time in milliseconds for which the duty must be vacant before this daemon acquires it.
-fn acquire_delay_ms(state: &EdgeState) -> u64 {
+/// When this daemon may acquire the duty, which has been vacant since `vacant_since`.
+fn acquire_time(state: &EdgeState, vacant_since: TimePoint) -> TimePoint {
     let spread_ms = fingerprint(&[state.settings.vm.as_bytes()]) % ACQUIRE_SPREAD_MS;
     if state.paths().is_cut() {
-        return CUT_ACQUIRE_DELAY_MS + spread_ms;
+        // The others could not acquire it either during an outage of the store.
+        let since = state.store_reconnected_at().map_or(vacant_since, |at| at.max(vacant_since));
+        return since.plus_ms(CUT_ACQUIRE_DELAY_MS + spread_ms);
     }
-    match &state.lease_view().last_holder {
+    vacant_since.plus_ms(match &state.lease_view().last_holder {
         Some(last_holder) if *last_holder == state.settings.vm => 0,
         Some(_) => PREVIOUS_HOLDER_WAIT_MS + spread_ms,
         None => spread_ms,
-    }
+    })
 }
 
 /// Whether this process holds the duty and has lost its paths to the upstreams since, which its peers reach. Orders cannot
