Use an upstream again as soon as peers are known to reach it

What callers saw: at a daemon that had just lost its paths, 301 of 8,273 quotes got 503 (rate_limited) within 180 ms, although peers reached an upstream without a limit (platform_limits::relayed_requests_count_towards_the_limit_of_their_upstream).

Cause: an upstream without a path was left out for 200 ms, also once a check had shown, 10 ms later, that peers reach it. The upstream that did get requests was at its limit. Class: a wait that outlives its reason.

Evidence: all_paths_lost at 19.414 s, path_checked verdict=lost at 19.418 s, refusals from 19.431 to 19.612 s.

Change: the wait is a deadline of its own (pathless_until), which ends when a path is found. Backoffs for other reasons stay. Ruled out: clearing all backoffs, since a check of the path says nothing of an upstream that refused.

--- a/crates/cli/tests/processes/platform_limits.rs
+++ b/crates/cli/tests/processes/platform_limits.rs
@@ -1,8 +1,8 @@
 //! Tests of the limits that upstreams on the users' platform name in their responses.
 
-use crate::support::{EdgeReply, EdgeSite, job_item, job_submission, wait_for};
+use crate::support::{EdgeReply, EdgeSite, PathMatrix, job_item, job_submission, wait_for};
 use futures_util::future::join_all;
-use pimentoslip_standin::PlatformUpstream;
+use pimentoslip_standin::{PlatformUpstream, RelayRule};
 use std::time::{Duration, Instant};
 
 const EDGES: usize = 3;
@@ -67,6 +67,21 @@
     .await;
 }
 
+/// Guards against requests that are sent through a peer without a permit, or are counted by neither edge.
+#[actix_rt::test]
+async fn relayed_requests_count_towards_the_limit_of_their_upstream() {
+    let (site, matrix) = PathMatrix::start_site(&["north", "south", "south"]).await;
+    matrix.set_all(0, RelayRule::Refuse);
+    site.desks[0].name_limit(Some("2"));
+    let counted_from = Instant::now() + SETTLE_TIME;
+    let replies = send_quotes(&site, "relayed", counted_from + SPAN + SPAN / 4).await;
+    let busiest = busiest_span(&site.desks[0], counted_from);
+    assert!(busiest as f64 <= arrivals_max(2.0), "{busiest} requests");
+    let unserved: Vec<&EdgeReply> = replies.iter().filter(|reply| reply.status != 200).collect();
+    assert!(unserved.is_empty(), "the other upstream serves the rest of {}: {unserved:?}", replies.len());
+    assert!(site.edges[1..].iter().any(|edge| edge.process.log().contains("event=relayed ")), "requests were relayed");
+}
+
 /// Guards against items of batch jobs and calls of scorers that are not counted towards the limit of their upstream.
 #[actix_rt::test]
 async fn items_and_scorer_calls_count_towards_the_limits_of_their_upstreams() {
--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -17,12 +17,18 @@
     let loss = state.paths().direct_failed(&record.address, started_at, state.now());
     if loss == DirectLoss::Cut {
         LogLine::new("all_paths_lost").field("upstream", &record.id).warn();
+        path_found(state, None);
     }
     if loss != DirectLoss::Known {
         state.request_path_check(record);
     }
 }
 
+/// Lets requests that wait for a path to `address`, or to any upstream for `None`, be sent: peers may relay them now.
+fn path_found(state: &EdgeState, address: Option<&str>) {
+    state.upstreams().path_found(address);
+}
+
 /// Daemons that may relay requests to upstreams for this one.
 pub fn relay_peers(state: &EdgeState) -> Vec<RelayPeer> {
     let now = state.now();
--- a/crates/edge/src/path/path_task.rs
+++ b/crates/edge/src/path/path_task.rs
@@ -1,5 +1,6 @@
 //! Checks the paths to upstreams that have failed, and probes those that are lost.
 
+use super::path_found;
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, suspect::ask_peers};
 use futures_util::future::join;
 use pimentoslip_client::probe_connection;
@@ -95,8 +96,10 @@
     let now = state.now();
     let gain = state.paths().path_checked(&record.address, verdict, started_at, now);
     state.paths_regained(&record.address, gain);
-    if verdict == PathVerdict::UpstreamDown {
-        state.upstreams().address_unreachable(&record.address, now);
+    match verdict {
+        PathVerdict::Sound => {}
+        PathVerdict::Lost => path_found(state, Some(&record.address)),
+        PathVerdict::UpstreamDown => state.upstreams().address_unreachable(&record.address, now),
     }
     EdgeMetrics::increment(&EdgeMetrics::global().path_checks, verdict.as_str());
     LogLine::new("path_checked")
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -26,6 +26,8 @@
     pub(super) failures: u32,
     /// End of the backoff after failed or refused requests.
     pub(super) backoff_until: TimePoint,
+    /// Until when the upstream gets no requests, as there is no path to it.
+    pub(super) pathless_until: TimePoint,
     /// End of the backoff by model, after refusals because the upstream loads weights.
     pub(super) model_backoff_until: BTreeMap<SharedName, TimePoint>,
     /// Moving average of the latency per unit of work.
@@ -49,6 +51,7 @@
             others_load_until: TimePoint(0),
             failures: 0,
             backoff_until: TimePoint(0),
+            pathless_until: TimePoint(0),
             model_backoff_until: BTreeMap::new(),
             latency_ms: None,
             pool: None,
@@ -96,10 +99,10 @@
         self.inflight + others_load
     }
 
-    /// Whether the upstream is not backing off for the query.
+    /// Whether there is a path to the upstream, and it is not backing off for the query.
     pub(super) fn is_available(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
         let model_backoff_until = query.model.and_then(|(model, _)| self.model_backoff_until.get(model));
-        self.backoff_until <= now && model_backoff_until.is_none_or(|until| *until <= now)
+        self.backoff_until.max(self.pathless_until) <= now && model_backoff_until.is_none_or(|until| *until <= now)
     }
 
     /// Whether the query's request may be sent under the upstream's limit, if it names one.
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -355,23 +355,36 @@
         }
     }
 
-    /// Handles a request without a path to the upstream `id`: it gets no more until `until`, which says nothing of the
-    /// upstream itself.
+    /// Handles a request without a path to the upstream `id`: it gets no more until `until` or until a path is found, which
+    /// says nothing of the upstream itself.
     pub fn path_missing(&mut self, id: &str, until: TimePoint) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.backoff_until = entry.backoff_until.max(until);
+            entry.pathless_until = entry.pathless_until.max(until);
         }
     }
 
-    /// Handles the return of the path to `address`, or of all paths for `None`: upstreams that back off are tried again at once.
+    /// Handles the discovery of a path, through peers or a direct one, to `address`, or to all upstreams for `None`.
+    pub fn path_found(&mut self, address: Option<&str>) {
+        for entry in self.entries_at(address) {
+            entry.pathless_until = TimePoint(0);
+        }
+    }
+
+    /// Handles the return of the direct path to `address`, or of all paths for `None`: upstreams that back off are tried again
+    /// at once.
     pub fn path_regained(&mut self, address: Option<&str>) {
-        let is_regained = |entry: &&mut SamplerEntry| address.is_none_or(|address| *entry.record.address == *address);
-        for entry in self.entries.values_mut().filter(is_regained) {
+        for entry in self.entries_at(address) {
             entry.failures = 0;
             entry.backoff_until = TimePoint(0);
+            entry.pathless_until = TimePoint(0);
         }
     }
 
+    /// Upstreams at `address`, or all of them for `None`.
+    fn entries_at(&mut self, address: Option<&str>) -> impl Iterator<Item = &mut SamplerEntry> {
+        self.entries.values_mut().filter(move |entry| address.is_none_or(|address| *entry.record.address == *address))
+    }
+
     /// Handles a check which showed that the upstream at `address` is reached by nobody that was asked.
     pub fn address_unreachable(&mut self, address: &str, now: TimePoint) {
         for entry in self.entries.values_mut().filter(|entry| *entry.record.address == *address) {
