Test requests through a relaying peer: faults, ends of the peer, streams, forged calls

What the direct path is tested for had no test on the relayed one, but for served callers, items and weights.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -18,6 +18,7 @@
 mod platform_malformed;
 mod platform_path;
 mod platform_paths;
+mod platform_relays;
 mod platform_software;
 mod platform_streams;
 mod reclaim;
