Do not take an answer that does not continue a broken stream for its end

What callers saw (reported by users of similar systems, reproduced here): a stream broke off, the next upstream answered something else, and the stream ended as if it were complete: 60 of 100 events, framed as whole.

Cause: any success counted as a stream, and a response without an event as its end. Three answers passed for that: text of another media type, text within a stream (such as a second head), and an empty body that only the close of the connection ends. Through a peer the last one looked measured, since the peer frames each response itself.

Change: only text/event-stream is a stream; another response is passed on whole, or fails the continuation. A resumed stream without an event is complete only if its length is marked, which a peer says (x-relay-unmeasured). A resumed stream that had sent its last event before is empty, and still ends as complete.

Evidence: platform_breaks::a_stream_that_breaks_off_gets_no_byte_and_no_end_of_an_answer_that_does_not_continue_it, 15 answers on the direct path and through a peer.

--- a/crates/cli/tests/processes/platform_breaks.rs
+++ b/crates/cli/tests/processes/platform_breaks.rs
@@ -2,9 +2,11 @@
 //! or gets bytes of another answer. Each on the direct path and through a peer.
 
 use crate::support::{
-    EdgeReply, EdgeSite, PathMatrix, ROSE_KEY, RawAnswer, RawEnding, RawServer, job_item, job_submission,
+    EdgeReply, EdgeSite, HOST, PathMatrix, ROSE_KEY, RawAnswer, RawEnding, RawServer, job_item, job_submission,
+    wait_for,
 };
-use pimentoslip_standin::RelayRule;
+use futures_util::{StreamExt, future};
+use pimentoslip_standin::{RelayRule, UpstreamFault};
 use std::time::Duration;
 
 /// Head of an answer, without its end.
@@ -133,3 +135,114 @@
 fn event_numbers(body: &str) -> Vec<u64> {
     body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
+
+/// Answers to the request that continues a stream which broke off within its fourth event, none of which does so.
+fn unfit_answers() -> Vec<(&'static str, RawAnswer)> {
+    let closed = |first: String| RawAnswer { first, ending: Some(RawEnding::Closed), ..RawAnswer::default() };
+    let failed = |status: &str| {
+        let head = HEAD.replace("200 OK", status);
+        closed(format!("{head}content-length: 15\r\n\r\n{{\"error\":\"full\"}}"))
+    };
+    let other_type = |content_type: &str, body: &str| {
+        closed(format!("{HEAD}content-type: {content_type}\r\ncontent-length: {}\r\n\r\n{body}", body.len()))
+    };
+    let events = |body: &str| {
+        let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+        closed(format!("{HEAD}{STREAM_FIELD}transfer-encoding: chunked\r\n\r\n{chunk}"))
+    };
+    vec![
+        ("a 400", failed("400 Bad Request")),
+        ("a 404", failed("404 Not Found")),
+        ("a 429", failed("429 Too Many Requests")),
+        ("a 500", failed("500 Internal Server Error")),
+        ("a 503", failed("503 Service Unavailable")),
+        ("another content type", other_type("application/json", "{\"error\":\"full\"}")),
+        ("text in lines", other_type("text/plain", "the engine is full\n\n")),
+        ("an empty body", other_type("text/plain", "")),
+        ("an empty body without a length", closed(format!("{HEAD}{STREAM_FIELD}\r\n"))),
+        ("the first event again", events("id: 1\ndata: raw\n\n")),
+        ("an event left out", events("id: 5\ndata: raw\n\n")),
+        ("an event without a number", events("data: raw\n\n")),
+        ("a second head", events("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\nfull\n\n")),
+        ("nothing", closed(String::new())),
+        ("half a head", closed("HTTP/1.1 200 OK\r\nrequest-id: ".to_owned())),
+    ]
+}
+
+/// Reads a stream at the edge without paths until it ends, and returns its body and whether that is complete.
+async fn read_stream(site: &EdgeSite, id: &str, events: u64) -> (String, bool) {
+    let bearer = format!("Bearer {ROSE_KEY}");
+    let events = events.to_string();
+    let headers = [
+        ("host", HOST),
+        ("request-id", id),
+        ("deadline-ms", "8000"),
+        ("model", "verse"),
+        ("length-hint", events.as_str()),
+        ("authorization", bearer.as_str()),
+    ];
+    let request = pimentoslip_client::plain_client().post(site.url(0, "/talk/verse")).force_close();
+    let request = headers.into_iter().fold(request, |request, header| request.insert_header(header));
+    let mut body = String::new();
+    let Ok(mut response) = request.send_body("how sad").await else { return (body, false) };
+    while let Some(chunk) = response.next().await {
+        match chunk {
+            Ok(chunk) => body.push_str(&String::from_utf8_lossy(&chunk)),
+            Err(_) => return (body, false),
+        }
+    }
+    (body, true)
+}
+
+/// Guards against bytes of an error, or an end, in the middle of a stream that broke off and was to be continued.
+#[actix_rt::test]
+async fn a_stream_that_breaks_off_gets_no_byte_and_no_end_of_an_answer_that_does_not_continue_it() {
+    future::join(continue_at_unfit_servers(false), continue_at_unfit_servers(true)).await;
+}
+
+/// Breaks streams off and lets each server that does not continue them be the only one which could.
+async fn continue_at_unfit_servers(is_relayed: bool) {
+    /// Events of a stream, and those before it breaks off; the server is listed meanwhile.
+    const EVENTS: u64 = 100;
+    const CUT_AFTER: u64 = 60;
+    let (site, mut matrix) = start_site(is_relayed).await;
+    site.engines[1].start_draining();
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    for (number, (case, answer)) in unfit_answers().into_iter().enumerate() {
+        let server = RawServer::start(answer).await;
+        matrix.add_address(server.address).await;
+        if is_relayed {
+            matrix.set_all(0, RelayRule::Refuse);
+        }
+        for attempt in 0.. {
+            assert!(attempt < 20, "{case}, relayed: {is_relayed}: no stream was continued at the server");
+            let id = format!("talk-{number}-{attempt}");
+            let upstream = format!("unfit-{number}-{attempt}");
+            wait_for("the engine serves after the break before", || async {
+                (site.send_talk(0, &format!("sound-{id}"), 1, &[]).await.status == 200).then_some(())
+            })
+            .await;
+            site.engines[0].set_faults([UpstreamFault::CutAfter(CUT_AFTER)]);
+            let list = async {
+                wait_for("the stream has started", || async { (!site.engine_calls(&id).is_empty()).then_some(()) })
+                    .await;
+                site.register(&upstream, "engine", server.address, "ready", 1);
+            };
+            let ((body, is_complete), ()) = future::join(read_stream(&site, &id, EVENTS), list).await;
+            site.store.contents().remove(&format!("servers/{upstream}"));
+            let delisted = format!("event=upstream_delisted upstream={upstream}");
+            wait_for("the edge uses the server no more", || async {
+                site.edges[0].process.log().contains(&delisted).then_some(())
+            })
+            .await;
+            if server.requests().contains(&id) {
+                assert!(!is_complete, "{case}, relayed: {is_relayed}: {body:?}");
+                let passed_on: String = (1..=event_numbers(&body).len())
+                    .map(|event| format!("id: {event}\ndata: {id}:{event}\n\n"))
+                    .collect();
+                assert_eq!(body, passed_on, "{case}, relayed: {is_relayed}");
+                break;
+            }
+        }
+    }
+}
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -42,12 +42,12 @@
     fn status(&self) -> StatusCode {
         match self {
             Self::Open(open) => open.status(),
-            Self::Failed(response) => response.status,
+            Self::Whole(response) => response.status,
         }
     }
 
     fn is_complete(&self) -> bool {
-        matches!(self, Self::Failed(_))
+        matches!(self, Self::Whole(_))
     }
 }
 
@@ -61,7 +61,7 @@
     let AnsweredAttempt { response, guard, runs } = answered;
     let open = match response {
         StreamAttempt::Open(open) => open,
-        StreamAttempt::Failed(response) => return Ok(caller_response(response)),
+        StreamAttempt::Whole(response) => return Ok(caller_response(response)),
     };
     stream_started(parts, &plan.target, &guard);
     // Whatever happens from now on, the events of this answer are of one software.
@@ -276,7 +276,7 @@
                 self.runs = runs;
                 Some((open, guard))
             }
-            Ok(AnsweredAttempt { response: StreamAttempt::Failed(_), .. }) | Err(_) => None,
+            Ok(AnsweredAttempt { response: StreamAttempt::Whole(_), .. }) | Err(_) => None,
         }
     }
 
--- a/crates/edge/src/path/relay_api.rs
+++ b/crates/edge/src/path/relay_api.rs
@@ -7,8 +7,8 @@
     edge_metrics::EdgeMetrics,
     edge_state::RequestGuard,
     relay::{
-        AttemptFailure, RelayRefusal, UpstreamCall, UpstreamGuard, forwarded_response_headers, observe_upstream,
-        send_direct,
+        AttemptFailure, RelayRefusal, UpstreamCall, UpstreamGuard, forwarded_response_headers, is_clean_close,
+        is_delimited_by_close, observe_upstream, send_direct,
     },
     worker_parts::WorkerParts,
 };
@@ -27,7 +27,7 @@
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    peer::{RELAY_ANSWERED, RELAY_RESULT_HEADER, RelayedCall},
+    peer::{RELAY_ANSWERED, RELAY_RESULT_HEADER, RELAY_UNMEASURED_HEADER, RelayedCall},
 };
 use std::{io, sync::atomic::Ordering, time::Duration};
 use tokio::sync::mpsc;
@@ -152,6 +152,9 @@
         answer.append_header((name.clone(), value.clone()));
     }
     answer.insert_header((RELAY_RESULT_HEADER, RELAY_ANSWERED));
+    if is_delimited_by_close(response.headers()) {
+        answer.insert_header((RELAY_UNMEASURED_HEADER, "1"));
+    }
     let (sender, receiver) = mpsc::channel(PARTS_MAX);
     actix_rt::spawn(pass_body(parts.clone(), relayed, response, sender, client_watch));
     let chunks = stream::unfold(receiver, |mut receiver| async move {
@@ -173,14 +176,14 @@
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let RelayedRequest { call, guard: _guard, share: _share, request_guard: _request_guard } = relayed;
-    let is_closed_at_end = crate::relay::is_delimited_by_close(response.headers());
+    let is_closed_at_end = is_delimited_by_close(response.headers());
     let pass = async {
         loop {
             let left = Duration::from_millis(call.deadline.since_ms(parts.state.now()));
             let chunk = match actix_rt::time::timeout(left, response.next()).await {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(None) => return None,
-                Ok(Some(Err(error))) if is_closed_at_end && crate::relay::is_clean_close(&error) => return None,
+                Ok(Some(Err(error))) if is_closed_at_end && is_clean_close(&error) => return None,
                 Ok(Some(Err(error))) => return Some(error.to_string()),
                 Err(_) => return Some("the deadline has passed".to_owned()),
             };
--- a/crates/edge/src/relay/header_filter.rs
+++ b/crates/edge/src/relay/header_filter.rs
@@ -2,7 +2,7 @@
 
 use actix_web::http::header::{HeaderMap, HeaderName};
 use pimentoslip_platform::header;
-use pimentoslip_wire::peer::RELAY_RESULT_HEADER;
+use pimentoslip_wire::peer::{RELAY_RESULT_HEADER, RELAY_UNMEASURED_HEADER};
 
 /// Hop-by-hop headers, and headers that the HTTP library sets for each message.
 const CONNECTION_HEADERS: [&str; 11] = [
@@ -30,6 +30,9 @@
     header::PRIORITY,
 ];
 
+/// Response headers that a relaying peer adds.
+const RELAY_HEADERS: [&str; 2] = [RELAY_RESULT_HEADER, RELAY_UNMEASURED_HEADER];
+
 /// Whether `name` is a hop-by-hop header, also one that the message's `Connection` header lists.
 fn is_connection_header(name: &HeaderName, headers: &HeaderMap) -> bool {
     CONNECTION_HEADERS.contains(&name.as_str())
@@ -56,7 +59,7 @@
 pub fn forwarded_response_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = HeaderMap::new();
     for (name, value) in headers {
-        if !is_connection_header(name, headers) && name.as_str() != RELAY_RESULT_HEADER {
+        if !is_connection_header(name, headers) && !RELAY_HEADERS.contains(&name.as_str()) {
             forwarded.append(name.clone(), value.clone());
         }
     }
--- a/crates/edge/src/relay/open_stream.rs
+++ b/crates/edge/src/relay/open_stream.rs
@@ -4,20 +4,24 @@
     AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard, is_clean_close, is_delimited_by_close,
     read_response, start_attempt,
 };
-use actix_web::http::{StatusCode, header::HeaderMap};
+use actix_web::http::{
+    StatusCode,
+    header::{CONTENT_TYPE, HeaderMap},
+};
 use awc::{Client, ClientResponse, error::PayloadError};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::{RunMonitor, TimePoint};
 use pimentoslip_platform::EventReader;
+use pimentoslip_wire::peer::RELAY_UNMEASURED_HEADER;
 use std::time::Duration;
 
 /// Response of an upstream to a request for a stream.
 pub enum StreamAttempt<S> {
     /// A stream with its first events.
     Open(Box<OpenStream<S>>),
-    /// A response without success, which is no stream.
-    Failed(CompleteResponse),
+    /// A response that is no stream of events, such as an error.
+    Whole(CompleteResponse),
 }
 
 /// Portion of a stream.
@@ -39,11 +43,22 @@
     partial_event: BytesMut,
     /// Number of the last complete event; the last one that the caller has before the first.
     last_event: Option<u64>,
+    /// Whether the stream may end before its next event.
+    may_be_empty: bool,
     is_ended: bool,
     /// Measures the intervals between the events.
     pub monitor: RunMonitor,
 }
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Whether the body of a response with `headers` is a stream of events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    content_type.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Sends `call` to the guard's upstream and waits for the first event until the call's deadline.
 pub async fn open_stream(
     client: &Client,
@@ -57,16 +72,19 @@
 > {
     let opening = async {
         let response = start_attempt(client, call, guard, sent_at).await.map_err(|error| error.failure)?;
-        if !response.status().is_success() {
+        if !response.status().is_success() || !is_event_stream(response.headers()) {
             let response = read_response(response, bytes_max, guard.buffer_share()).await;
-            return response.map(StreamAttempt::Failed).map_err(|error| error.failure);
+            return response.map(StreamAttempt::Whole).map_err(|error| error.failure);
         }
+        let headers = response.headers();
+        let is_measured = !is_delimited_by_close(headers) && !headers.contains_key(RELAY_UNMEASURED_HEADER);
         let mut stream = OpenStream {
             response,
             reader: EventReader::default(),
             first_events: Bytes::new(),
             partial_event: BytesMut::new(),
             last_event: call.last_event_id,
+            may_be_empty: call.last_event_id.is_none() || is_measured,
             is_ended: false,
             monitor: RunMonitor::new(sent_at),
         };
@@ -127,6 +145,7 @@
                     return Err(AttemptFailure::Mismatch);
                 }
                 self.last_event = Some(event.number);
+                self.may_be_empty = true;
             }
             if self.reader.is_malformed() {
                 return Err(AttemptFailure::Malformed);
@@ -137,11 +156,15 @@
         }
     }
 
-    /// Classifies the end of the response.
+    /// Classifies the end of the response. A resumed stream without an event may be complete, but not if only the close of the
+    /// connection ends it: then it may as well have broken off.
     fn end(&mut self) -> std::result::Result<StreamPortion, AttemptFailure> {
         if !self.reader.is_between_events() {
             return Err(AttemptFailure::Malformed);
         }
+        if !self.may_be_empty {
+            return Err(AttemptFailure::Lost);
+        }
         self.is_ended = true;
         Ok(StreamPortion::End)
     }
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -24,7 +24,9 @@
 pub use job_read::{ItemRequest, ItemResponse, ResultsRequest, ResultsResponse};
 pub use permit::{AnswerBody, AskBody, ObservationBody, PermitRequest, PermitResponse, UrgencyTimeBody, WantBody};
 pub use reach::{ReachRequest, ReachResponse};
-pub use relayed_call::{HeaderBody, RELAY_ANSWERED, RELAY_RESULT_HEADER, RelaySender, RelayedCall};
+pub use relayed_call::{
+    HeaderBody, RELAY_ANSWERED, RELAY_RESULT_HEADER, RELAY_UNMEASURED_HEADER, RelaySender, RelayedCall,
+};
 pub use run_report::RunReport;
 pub use streams::{StreamBody, StreamsRequest, StreamsResponse};
 pub use usage_push::UsagePush;
--- a/crates/wire/src/peer/relayed_call.rs
+++ b/crates/wire/src/peer/relayed_call.rs
@@ -8,6 +8,8 @@
 pub const RELAY_RESULT_HEADER: &str = "x-relay-result";
 /// Value of [`RELAY_RESULT_HEADER`] for the response of an upstream.
 pub const RELAY_ANSWERED: &str = "answered";
+/// Header of the response to a [`RelayedCall`] whose body ended only with the connection of the upstream.
+pub const RELAY_UNMEASURED_HEADER: &str = "x-relay-unmeasured";
 
 /// Proof that a call is from a daemon that is present, and is not received twice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
