Run an item elsewhere after an upstream has failed it

What callers saw: an item was terminated without a text after 60 s, while two other engines were idle. 580 runs of it, one each 103 ms, had gone to one upstream, whose answers were no streams (platform_breaks::an_answer_that_is_no_stream_completes_no_item, at 'text in lines').

Cause: an answer that cannot be used is one for the load of its upstream, which so remains the first choice of the item's group; nothing remembered which upstream had failed the item. Class: a retry that makes the choice of before, as with scorers.

Change: the owner of a job keeps the upstreams that failed an item (RunFailures) and selects another one while one has a free slot, as requests of callers do.

Ruled out: a backoff for upstreams that spoil an answer, since others of their answers are sound.

--- a/crates/cli/tests/processes/platform_breaks.rs
+++ b/crates/cli/tests/processes/platform_breaks.rs
@@ -246,3 +246,28 @@
         }
     }
 }
+
+/// Guards against items that count as completed, without a text, because their upstream answered something else.
+#[actix_rt::test]
+async fn an_answer_that_is_no_stream_completes_no_item() {
+    let site = EdgeSite::start(1).await;
+    let is_unfit = |(case, _): &(&str, RawAnswer)| *case != "the first event again";
+    for (number, (case, answer)) in unfit_answers().into_iter().filter(is_unfit).enumerate() {
+        let server = RawServer::start(answer).await;
+        let upstream = format!("unfit-{number}");
+        site.register(&upstream, "engine", server.address, "ready", 1);
+        let listed = format!("event=upstream_listed upstream={upstream}");
+        wait_for("the edge lists the server", || async { site.edges[0].process.log().contains(&listed).then_some(()) })
+            .await;
+        let job = format!("job-{number}");
+        let items: Vec<_> = (0..20).map(|item| job_item(&format!("i{number}-{item}"), 2, false)).collect();
+        assert_eq!(site.submit_job(0, &job, &job_submission(1, &items)).await.status, 202);
+        for result in site.all_results(0, &job).await {
+            let id = result["id"].as_str().unwrap_or_default();
+            let is_failed = result["state"] == "terminated" && case == "a 500";
+            assert!(is_failed || result["text"] == format!("{id}:1\n{id}:2"), "{case}: {result}");
+        }
+        assert!(!server.requests().is_empty(), "{case}: the server received no request");
+        site.store.contents().remove(&format!("servers/{upstream}"));
+    }
+}
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -51,6 +51,12 @@
         };
         Self { outcome, reason: failure.as_str(), upstream_outcome, failure: Some(failure) }
     }
+
+    /// Whether the next run should rather be at another upstream. A missing path says nothing of this one.
+    fn is_failed(&self) -> bool {
+        let is_pathless = matches!(self.failure, Some(AttemptFailure::NotSent | AttemptFailure::PathLost));
+        self.outcome == RunOutcome::Failed || (self.failure.is_some() && !is_pathless)
+    }
 }
 
 /// Runs an item at the guard's upstream until `retention_ends_at` at most, and records its events and the end of the
@@ -95,6 +101,13 @@
     if let Some(failure) = run.failure {
         guard.request_path_check(failure);
     }
+    match run.outcome {
+        RunOutcome::Completed => job.run_failures.borrow_mut().forget(assignment.item_index),
+        _ if run.is_failed() => {
+            job.run_failures.borrow_mut().run_failed(assignment.item_index, guard.record.id.clone());
+        }
+        _ => {}
+    }
     if run.outcome == RunOutcome::NotRun
         && run.failure != Some(AttemptFailure::PathLost)
         && let Some(model) = item_model(&job, assignment.item_index)
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -185,6 +185,7 @@
         submitted_at,
         owner_revision: Rc::new(Cell::new(revision)),
         ledger: Rc::new(RefCell::new(ledger)),
+        run_failures: Rc::default(),
         ledger_changed: Rc::new(Notify::new()),
     })
 }
@@ -335,10 +336,20 @@
     job.state.jobs().set_waiting(rule.name.clone(), job.id.clone(), submitted_at);
 }
 
-/// Selects an upstream with a free slot for an item, and counts the run on it. `None` if there is no such upstream.
+/// Selects an upstream with a free slot for an item, and counts the run on it; one that has not failed the item, if possible.
+/// `None` if there is no such upstream.
 fn select_upstream(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment) -> Option<UpstreamGuard> {
     let model = item_model(job, assignment.item_index);
-    UpstreamGuard::pick(&job.state, &item_query(job, rule, assignment, model.as_deref())?)
+    let query = item_query(job, rule, assignment, model.as_deref())?;
+    let failed = job.run_failures.borrow().upstreams(assignment.item_index);
+    if !failed.is_empty() {
+        let guard = UpstreamGuard::pick(&job.state, &SamplerQuery { excluded: &failed, ..query });
+        if guard.is_some() {
+            return guard;
+        }
+        job.run_failures.borrow_mut().forget(assignment.item_index);
+    }
+    UpstreamGuard::pick(&job.state, &query)
 }
 
 /// Lets an item wait for an upstream that can continue its text, or discards the text if there is none.
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -10,6 +10,7 @@
 mod owned_job;
 mod owner_read;
 mod result_cache;
+mod run_failures;
 mod score_run;
 
 pub use claim_task::claim_jobs;
--- a/crates/edge/src/job/owned_job.rs
+++ b/crates/edge/src/job/owned_job.rs
@@ -1,5 +1,6 @@
 //! State of a batch job that this daemon owns and runs.
 
+use super::run_failures::RunFailures;
 use crate::{edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use bytes::Bytes;
@@ -38,6 +39,8 @@
     pub owner_revision: Rc<Cell<u64>>,
     /// Progress of the items, and the results that are not stored yet.
     pub ledger: Rc<RefCell<BatchLedger>>,
+    /// Upstreams that have failed unfinished items.
+    pub run_failures: Rc<RefCell<RunFailures>>,
     /// Wakes the job's main task after a run or a scoring has ended.
     pub ledger_changed: Rc<Notify>,
 }
