Take requests during a planned stop only if they are answered before its end

What callers saw (reported by users of similar systems, reproduced here): requests that came late in the grace were taken, ran at an upstream and were cut without an answer when the process exited, among them orders, which may not be repeated.

Cause: requests were taken until three seconds before the end of the grace, however long they might take; those still running two seconds later were cut. Class: a fixed margin for work of any length.

Change: PlannedStop holds the time until which requests are answered, a second before the end of the grace. A request whose deadline (its caller's or its route's) is later is refused at once as not run (503, Retry-After 0). Requests from before the signal that still run at that time get 504 instead of a closed connection. Usage is stored from two seconds before the end on.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -21,6 +21,7 @@
 mod platform_paths;
 mod platform_relays;
 mod platform_software;
+mod platform_stops;
 mod platform_streams;
 mod reclaim;
 mod requests;
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -174,8 +174,9 @@
         let tenants: Vec<Value> =
             keys.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "priority": 1 })).collect();
         let route = |name: &str, prefix: &str, route_type: &str, service: &str| {
+            let timeout_ms = if name.starts_with("slow") { 6_000 } else { 1_500 };
             json!({
-                "name": name, "host": HOST, "pathPrefix": prefix, "type": route_type, "timeoutMs": 1_500,
+                "name": name, "host": HOST, "pathPrefix": prefix, "type": route_type, "timeoutMs": timeout_ms,
                 "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": name == "score",
                 "runTargetMs": 7_500, "retentionS": 60, "resumable": name == "talk",
             })
@@ -185,7 +186,9 @@
             "routes": [
                 route("quote", "/quote/", "safe", "desk"), route("score", "/score/", "safe", "desk"),
                 route("once", "/once/", "unsafe", "desk"), route("cards", "/cards/", "rollout", "engine"),
-                route("talk", "/talk/", "streaming", "engine"),
+                route("talk", "/talk/", "streaming", "engine"), route("slow", "/slow/", "safe", "desk"),
+                route("slow-once", "/slow-once/", "unsafe", "desk"),
+                route("slow-talk", "/slow-talk/", "streaming", "engine"),
             ],
             "services": [
                 { "name": "desk", "healthPath": "/health", "maxConnections": 100 },
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,8 +1,8 @@
 //! State shared by all listeners and tasks of a daemon.
 
 use crate::{
-    buffer_budget::BufferBudget, edge_metrics::EdgeMetrics, job::JobIndex, steady_time::SteadyTime, store::PrefixLog,
-    suspect::CrashOutbox,
+    buffer_budget::BufferBudget, edge_metrics::EdgeMetrics, job::JobIndex, planned_stop::PlannedStop,
+    steady_time::SteadyTime, store::PrefixLog, suspect::CrashOutbox,
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
@@ -49,10 +49,8 @@
     pub clock: Arc<LeaseClock>,
     /// Start of this process in milliseconds since the Unix epoch.
     pub incarnation: u64,
-    /// Whether this daemon is draining before it stops.
-    pub draining: AtomicBool,
-    /// Whether the process exits shortly, so that no further request may start.
-    pub stopping: AtomicBool,
+    /// Progress of a planned stop.
+    pub planned_stop: PlannedStop,
     /// Wakes the task that claims and starts batch jobs, after a change of jobs, upstreams or configuration.
     pub job_changed: Notify,
     /// Wakes the duty task after a change of the listed upstreams.
@@ -172,8 +170,7 @@
         let settle_ms = coordination_apply_ms(&settings);
         Arc::new(Self {
             incarnation,
-            draining: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            planned_stop: PlannedStop::default(),
             job_changed: Notify::new(),
             upstreams_changed: Notify::new(),
             results_listed: Notify::new(),
@@ -444,7 +441,7 @@
     /// Whether this daemon is draining before it stops.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.planned_stop.is_started()
     }
 
     /// Counts a request as active until the guard is dropped.
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -26,6 +26,8 @@
 const READ_WAIT_MS_MAX: u64 = 1_000;
 /// Time for which a write to the store is retried; callers wait longer than this and retry after a failure.
 const WRITE_TIMEOUT_MS: u64 = 2_000;
+/// Time in which calls of this interface are answered.
+pub const ANSWER_MS_MAX: u64 = WRITE_TIMEOUT_MS;
 
 /// Stores a submitted batch job. Submitting the same job again is accepted too.
 pub async fn submit_job(
--- a/crates/edge/src/http/front_app.rs
+++ b/crates/edge/src/http/front_app.rs
@@ -7,9 +7,9 @@
     http::{Method, header},
     web,
 };
+use pimentoslip_kernel::TimePoint;
 use pimentoslip_platform::{BATCH_PATH_PREFIX, ITEM_PATH_PREFIX};
 use pimentoslip_telemetry::LogLine;
-use std::sync::atomic::Ordering;
 
 const MS_PER_SECOND: f64 = 1_000.0;
 
@@ -23,9 +23,11 @@
     let _request_guard = parts.state.track_request();
     let started_at = parts.state.now();
     let outcome = match RequestContext::from_request(&parts, &request) {
-        // A request on a connection that is still open would be cut off when the process exits.
-        Ok(_) if parts.state.stopping.load(Ordering::SeqCst) => Err(ApiRefusal::Stopping),
-        Ok(context) => dispatch(&parts, &context, &request, payload).await,
+        Ok(context) => tokio::select! {
+            biased;
+            outcome = dispatch(&parts, &context, &request, payload) => outcome,
+            () = parts.state.planned_stop.wait_for_end() => Err(ApiRefusal::ResponseTimeout),
+        },
         Err(refusal) => Err(refusal),
     };
     let mut response = match outcome {
@@ -67,7 +69,9 @@
     request: &HttpRequest,
     payload: web::Payload,
 ) -> Result<HttpResponse, ApiRefusal> {
+    let job_call_due = context.deadline.min(context.arrived_at.plus_ms(batch_api::ANSWER_MS_MAX));
     if let Some(job) = context.path.strip_prefix(BATCH_PATH_PREFIX) {
+        check_stop(parts, job_call_due)?;
         return match *request.method() {
             Method::GET => batch_api::read_results(parts, context, request, job).await,
             Method::DELETE => batch_api::end_job(parts, context, request, job).await,
@@ -75,11 +79,19 @@
         };
     }
     if let Some(job) = context.path.strip_prefix(ITEM_PATH_PREFIX) {
+        check_stop(parts, job_call_due)?;
         return batch_api::read_item(parts, context, request, job).await;
     }
     let rule = context.config.route(&context.host, &context.path).ok_or(ApiRefusal::RouteNotFound)?.clone();
     if rule.batch_rule().is_some() {
+        check_stop(parts, job_call_due)?;
         return batch_api::submit_job(parts, context, request, payload, &rule).await;
     }
+    check_stop(parts, context.answer_deadline(&rule))?;
     proxy::forward_request(parts, context, request, payload, &rule).await
 }
+
+/// Fails if a request that ends at `deadline` at the latest may be cut off by a planned stop.
+fn check_stop(parts: &WorkerParts, deadline: TimePoint) -> Result<(), ApiRefusal> {
+    if parts.state.planned_stop.allows(deadline) { Ok(()) } else { Err(ApiRefusal::Stopping) }
+}
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -79,7 +79,7 @@
         headers: forwarded_request_headers(request.headers()),
         organisation: grant.map(|grant| grant.organisation),
         body,
-        deadline: context.deadline.min(context.arrived_at.plus_ms(rule.timeout_ms)),
+        deadline: context.answer_deadline(rule),
         is_repeatable: rule.kind == RouteKind::Idempotent,
         last_event_id: header_text(request.headers(), header::LAST_EVENT_ID).and_then(|text| text.parse().ok()),
     };
--- a/crates/edge/src/http/request_context.rs
+++ b/crates/edge/src/http/request_context.rs
@@ -3,7 +3,7 @@
 use super::api_refusal::ApiRefusal;
 use crate::worker_parts::WorkerParts;
 use actix_web::{HttpRequest, http::header::HeaderMap};
-use pimentoslip_kernel::{KeyGrant, SharedName, TimePoint, TrafficConfig};
+use pimentoslip_kernel::{KeyGrant, RouteRule, SharedName, TimePoint, TrafficConfig};
 use pimentoslip_platform::header;
 use std::sync::Arc;
 
@@ -54,6 +54,12 @@
         })
     }
 
+    /// Time until which the request is answered on a route with `rule`.
+    #[must_use]
+    pub fn answer_deadline(&self, rule: &RouteRule) -> TimePoint {
+        self.deadline.min(self.arrived_at.plus_ms(rule.timeout_ms))
+    }
+
     /// The permissions of the request's API key; `None` if the configuration has no organisations. Fails if the key is
     /// missing, does not exist, or is sent more than once.
     pub fn key_grant(&self, request: &HttpRequest) -> Result<Option<KeyGrant>, ApiRefusal> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod path;
 mod peer_client;
+mod planned_stop;
 mod relay;
 mod run_edge;
 mod run_storage;
--- a/crates/edge/src/path/relay_api.rs
+++ b/crates/edge/src/path/relay_api.rs
@@ -29,7 +29,7 @@
     decode,
     peer::{RELAY_ANSWERED, RELAY_RESULT_HEADER, RELAY_UNMEASURED_HEADER, RelayedCall},
 };
-use std::{io, sync::atomic::Ordering, time::Duration};
+use std::{io, time::Duration};
 use tokio::sync::mpsc;
 
 /// Parts of a response that wait for a peer that reads slowly; then the upstream waits as well.
@@ -90,7 +90,7 @@
     if !state.admit_relay_sender(&call.sender) {
         return Err(RelayRefusal::Forbidden);
     }
-    if state.is_draining() || state.stopping.load(Ordering::SeqCst) {
+    if state.is_draining() {
         return Err(RelayRefusal::Stopping);
     }
     if state.paths().is_cut() {
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     client_watch::ClientWatch,
-    duty::{hold_duty, record_usage, report_runs},
+    duty::{flush_usage, hold_duty, record_usage, report_runs},
     edge_metrics::EdgeMetrics,
     edge_state::{EdgeState, coordination_apply_ms},
     http::{configure_control, configure_front, configure_ready},
@@ -28,7 +28,7 @@
 use std::{
     future::Future,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::Duration,
 };
 
@@ -41,10 +41,12 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// After SIGTERM new connections are accepted for this long, until the load balancer has stopped sending them.
 const BALANCER_REACTION_MS: u64 = 3_200;
-/// Waiting for active requests stops this long before the end of the grace period, at which the process is killed.
-const GRACE_MARGIN_MS: u64 = 3_000;
-/// Time for requests that are still active when the HTTP server is stopped.
-const SHUTDOWN_TIMEOUT_SECONDS: u64 = 2;
+/// Requests are answered until this long before the end of the grace period, at which the process is killed.
+const ANSWER_MARGIN_MS: u64 = 1_000;
+/// Usage counts are stored from this long before the end of the grace period on, even if requests are still active.
+const USAGE_MARGIN_MS: u64 = 2_000;
+/// Time in which the last responses are written when the HTTP server is stopped.
+const SHUTDOWN_TIMEOUT_SECONDS: u64 = 1;
 /// Interval at which the numbers of requests at upstreams with a limit are logged.
 const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval at which the numbers of calls to the store are logged.
@@ -82,8 +84,8 @@
         }
     }
     drain(&state).await;
-    state.stopping.store(true, Ordering::SeqCst);
-    // Closes idle connections and lets the remaining requests finish.
+    state.planned_stop.end();
+    // Closes idle connections and lets the last responses be written.
     public_server.stop(true).await;
     let flush_deadline = state.now().plus_ms(CRASH_FLUSH_MS);
     while !state.crash_outbox().is_settled() && state.now() < flush_deadline {
@@ -235,7 +237,9 @@
 async fn drain(state: &Arc<EdgeState>) {
     let started_at = state.now();
     LogLine::new("draining").field("requests", state.active_requests()).info();
-    state.draining.store(true, Ordering::SeqCst);
+    let killed_at = started_at.plus_ms(state.settings.shutdown_grace_ms);
+    let answers_due = killed_at.minus_ms(ANSWER_MARGIN_MS);
+    state.planned_stop.start(answers_due);
     state.job_changed.notify_waiters();
     let WorkerParts { store, peer_client, .. } = WorkerParts::new(state.clone());
     // Owned jobs are handed over before the lease is revoked, because that deletes their ownership entries.
@@ -245,9 +249,16 @@
     }
     revoke_lease(state, &store).await;
     let balancer_deadline = started_at.plus_ms(BALANCER_REACTION_MS);
-    let request_deadline = started_at.plus_ms(state.settings.shutdown_grace_ms.saturating_sub(GRACE_MARGIN_MS));
-    while state.now() < balancer_deadline || (state.active_requests() > 0 && state.now() < request_deadline) {
+    let usage_deadline = killed_at.minus_ms(USAGE_MARGIN_MS);
+    while state.now() < balancer_deadline || (state.active_requests() > 0 && state.now() < usage_deadline) {
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+    let store_usage = flush_usage(state, &store, &peer_client);
+    let left = Duration::from_millis(answers_due.since_ms(state.now()));
+    if actix_rt::time::timeout(left, store_usage).await.is_err() {
+        LogLine::new("usage_not_flushed").field("left_ms", left.as_millis()).warn();
+    }
+    while state.active_requests() > 0 && state.now() < answers_due {
         actix_rt::time::sleep(POLL_INTERVAL).await;
     }
-    crate::duty::flush_usage(state, &store, &peer_client).await;
 }
