Send no more requests to an upstream whose response says that it leaves

What callers saw: nothing yet. Upstreams announce with a header of each response (Server-Leaving) that they are about to end; nothing read it, so that they got requests until the list showed it, which some never do (DRAIN).

Change: each response on a connection to an upstream is looked at: answers, failures and refusals to requests, streams, items and scorers, answers to orders and reports, and what a peer relays, which the peer notes too. The process counts as leaving from then on (LeavingProcesses), whatever its entry in the list says, also if that lapses and returns; the next process under its id does not.

--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -1,9 +1,9 @@
 //! Orders upstreams to load the versions of weights that trainers have named.
 
 use super::duty_task::SharedTerm;
-use crate::{edge_state::EdgeState, path::direct_failed};
+use crate::{edge_state::EdgeState, path::direct_failed, relay::observe_leaving};
 use awc::{
-    Client,
+    Client, ClientResponse,
     error::{ConnectError, SendRequestError},
     http::header::HeaderMap,
 };
@@ -172,7 +172,11 @@
         .insert_header((header::REQUEST_ID, id.as_str()))
         .insert_header((header::EXPECTED_UPSTREAM, &*order.upstream))
         .insert_header(("content-type", "application/json"));
-    match request.send_body(body).await {
+    let sent = request.send_body(body).await;
+    if let Ok(response) = &sent {
+        observe_upstream(state, order, response);
+    }
+    match sent {
         Ok(response) if is_response_to_other(response.headers(), &id) => {
             (LoadOutcome::Unanswered, "response_to_another_call".to_owned())
         }
@@ -193,6 +197,14 @@
     }
 }
 
+/// Records what a response of the upstream of an order says of it.
+fn observe_upstream<S>(state: &EdgeState, order: &LoadOrder, response: &ClientResponse<S>) {
+    let record = state.upstreams().get(&order.upstream).filter(|record| record.address == order.address).cloned();
+    if let Some(record) = record {
+        observe_leaving(state, &record, response.status(), response.headers());
+    }
+}
+
 /// Records that the direct path to the upstream of an order has failed, if that is what `error` shows.
 fn connection_failed(state: &EdgeState, order: &LoadOrder, error: &SendRequestError, started_at: TimePoint) {
     let is_unopened = matches!(error, SendRequestError::Connect(error) if !matches!(error, ConnectError::Disconnected));
@@ -225,6 +237,7 @@
         connection_failed(state, order, &error, started_at);
         error.to_string()
     })?;
+    observe_upstream(state, order, &response);
     if is_response_to_other(response.headers(), &id) {
         return Err("response_to_another_call".to_owned());
     }
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -163,11 +163,12 @@
     checked
 }
 
-/// Records what the header of a response says of the upstream: its load and its limit.
+/// Records what the header of a response says of the upstream: its load, its limit and whether it leaves.
 pub fn observe_upstream(id: &str, guard: &UpstreamGuard, status: StatusCode, headers: &HeaderMap, sent_at: TimePoint) {
     if let Some(requests) = reported_load(headers) {
         guard.load_reported(requests);
     }
+    guard.observe_leaving(status, headers);
     if is_from_upstream(check_response(id, status, headers), id, headers) {
         report_limit(guard, headers, sent_at);
     }
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -1,12 +1,13 @@
 //! Counts a request towards the load of its upstream while it is in flight.
 
-use super::AttemptFailure;
+use super::{AttemptFailure, leaving_notice::observe_leaving};
 use crate::{
     buffer_budget::BufferShare,
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
     path::{direct_failed, relay_peer, relay_peers},
 };
+use actix_web::http::{StatusCode, header::HeaderMap};
 use pimentoslip_kernel::{
     PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord, ServicePath,
     SharedName, TimePoint,
@@ -261,6 +262,11 @@
         LogLine::new(event).field("upstream", &self.record.id).field("limit", limit).info();
     }
 
+    /// Records whether a response of the upstream says that it is about to end.
+    pub fn observe_leaving(&self, status: StatusCode, headers: &HeaderMap) {
+        observe_leaving(&self.state, &self.record, status, headers);
+    }
+
     /// Records the number of requests that the upstream reported as running and queued.
     pub fn load_reported(&self, requests: u64) {
         self.state.upstreams().load_reported(&self.record.id, requests, self.state.now());
--- a/crates/kernel/src/sampler/mod.rs
+++ b/crates/kernel/src/sampler/mod.rs
@@ -1,6 +1,7 @@
 //! Samplers: upstreams that register with the platform and generate texts, score them or serve other requests. Keeps
 //! their list and load, and selects one for each request.
 
+mod leaving_processes;
 mod sampler_entry;
 mod sampler_query;
 mod sampler_record;
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -2,6 +2,7 @@
 
 use super::{
     PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
+    leaving_processes::LeavingProcesses,
     sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
 };
 use crate::{LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, SharedName, TimePoint, rendezvous};
@@ -91,6 +92,8 @@
 #[derive(Debug, Default)]
 pub struct SamplerTable {
     entries: BTreeMap<SharedName, SamplerEntry>,
+    /// Processes that leave, whatever the list says.
+    leaving: LeavingProcesses,
     /// Upstreams for which permits are wanted.
     wanting: BTreeSet<SharedName>,
     /// The fastest upstreams by query, so that not every event of every run compares all upstreams.
@@ -99,8 +102,11 @@
 
 impl SamplerTable {
     /// Adds an upstream or updates its record. Load and failures are kept unless the upstream was restarted or has
-    /// another address.
-    pub fn upsert(&mut self, record: SamplerRecord) {
+    /// another address. A process that has said that it leaves stays so.
+    pub fn upsert(&mut self, mut record: SamplerRecord) {
+        if self.leaving.contains(&record) {
+            record.state = SamplerState::Leaving;
+        }
         match self.entries.get_mut(&record.id) {
             Some(entry) if entry.record.is_same_process(&record) => entry.record = record,
             _ => {
@@ -355,6 +361,15 @@
         }
     }
 
+    /// Handles a response of the process that `record` describes, which says that it leaves. Returns whether that is new.
+    pub fn process_leaving(&mut self, record: &SamplerRecord, now: TimePoint) -> bool {
+        let entry = self.entries.get_mut(&record.id).filter(|entry| entry.record.is_same_process(record));
+        if let Some(entry) = entry {
+            entry.record.state = SamplerState::Leaving;
+        }
+        self.leaving.add(record, now)
+    }
+
     /// Handles a request without a path to the upstream `id`: it gets no more until `until` or until a path is found, which
     /// says nothing of the upstream itself.
     pub fn path_missing(&mut self, id: &str, until: TimePoint) {
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -46,6 +46,38 @@
     table.pick(&query(&[]), TimePoint(ms)).map(|record| record.id.to_string())
 }
 
+/// Guards against requests to a process that has said that it leaves, which the list still shows as ready or shows again, and
+/// against a next process under its id that gets none.
+#[test]
+fn a_process_that_leaves_gets_no_requests_whatever_the_list_says() {
+    let upstream = record("u", "a", 2);
+    let next = SamplerRecord { started_unix_ms: 2, ..upstream.clone() };
+    // What happens after the notice, and whether the upstream is picked then.
+    let cases: [(&[&str], bool); 6] = [
+        (&[], false),
+        (&["list"], false),
+        (&["remove", "list"], false),
+        (&["remove", "notice", "list"], false),
+        (&["list next"], true),
+        (&["list next", "notice"], true),
+    ];
+    for (events, is_picked) in cases {
+        let mut table = table(std::slice::from_ref(&upstream));
+        assert!(table.process_leaving(&upstream, TimePoint(0)), "the first notice is new");
+        for event in events {
+            match *event {
+                "list" => table.upsert(upstream.clone()),
+                "list next" => table.upsert(next.clone()),
+                "remove" => drop(table.remove("u")),
+                _ => assert!(!table.process_leaving(&upstream, TimePoint(5)), "{events:?}"),
+            }
+        }
+        let current = table.get("u").map_or(1, |record| record.started_unix_ms);
+        assert_eq!(table.adopt("u", current).is_some(), is_picked, "{events:?}");
+        assert_eq!(pick(&mut table, 10).is_some(), is_picked, "{events:?}");
+    }
+}
+
 #[test]
 fn upstreams_that_are_leaving_outdated_full_or_of_another_service_are_not_picked() {
     let leaving = SamplerRecord { state: SamplerState::Leaving, ..record("leaving", "a", 5) };
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -17,6 +17,9 @@
 /// Number of the first event of a streamed answer.
 const FIRST_EVENT: u64 = 1;
 
+/// Header of the responses of an upstream that is about to end.
+const LEAVING: (&str, &str) = ("server-leaving", "1");
+
 /// Interval between the bytes of an answer that never ends.
 const HANG_BYTE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -108,6 +111,8 @@
     calls: Vec<RecordedCall>,
     /// Value of the limit header in each response; `None` for responses without one.
     named_limit: Option<String>,
+    /// Whether each response says that the upstream is about to end.
+    is_leaving: bool,
     /// Arrivals of requests, also of refused ones.
     arrivals: Vec<Instant>,
     running_requests: usize,
@@ -170,6 +175,11 @@
         self.inner.state().named_limit = limit.map(str::to_owned);
     }
 
+    /// Says in each response from now on whether the upstream is about to end. Its entry in the store stays as it is.
+    pub fn announce_leaving(&self, is_leaving: bool) {
+        self.inner.state().is_leaving = is_leaving;
+    }
+
     /// Arrivals of requests so far, also of refused ones, in order.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -331,6 +341,9 @@
     if let Some(limit) = &upstream.state().named_limit {
         response.insert_header(("server-limit", limit.as_str()));
     }
+    if upstream.state().is_leaving {
+        response.insert_header(LEAVING);
+    }
     response
 }
 
@@ -408,7 +421,7 @@
 
 /// Accepts an order to load weights, unless the sender expects another number of accepted orders.
 async fn load_weights(upstream: web::Data<UpstreamInner>, body: web::Json<Value>) -> HttpResponse {
-    {
+    let is_leaving = {
         let mut state = upstream.state();
         let expected = body["expected"].as_u64();
         if expected.is_some_and(|expected| expected != state.weight_orders.len() as u64) {
@@ -420,9 +433,14 @@
         }
         state.versions.insert(model.to_owned(), version);
         state.weight_orders.push(body.0.clone());
-    }
+        state.is_leaving
+    };
     upstream.register("ready");
-    HttpResponse::Accepted().finish()
+    let mut response = HttpResponse::Accepted();
+    if is_leaving {
+        response.insert_header(LEAVING);
+    }
+    response.finish()
 }
 
 /// Returns the load report of the upstream.
