Soak: paths between each edge and upstream that fail, and an upstream that leaves

Each edge reaches each upstream through a relay, whose connections hang, are reset or refused, for one upstream or all of them, beside the faults of before; a desk says in its responses that it leaves, while the store lists it as ready. Checked anew: from two seconds on it gets no more than six requests, a few of each process that has had no response of it.

--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -1,11 +1,13 @@
 //! Soak on the users' platform: edges as separate processes are killed, frozen, stopped and restarted, the store and the
-//! connections to it fail, upstreams misbehave and are replaced by others with another software version, all at random and
-//! overlapping, while callers send requests, jobs and requests for streams, and one upstream names a limit. What callers
+//! connections to it and to the upstreams fail, upstreams misbehave, leave and are replaced by others with another software
+//! version, all at random and overlapping, while callers send requests, jobs and requests for streams, and one upstream names a limit. What callers
 //! and upstreams see is compared with the promises.
 //!
 //! `PIMENTOSLIP_SOAK_SEEDS=100..120` plays other seeds.
 
-use crate::support::{EdgeSite, HOST, HttpAnswer, HttpClient, ROSE_KEY, job_item, job_submission, wait_for};
+use crate::support::{
+    EdgeSite, HOST, HttpAnswer, HttpClient, PathMatrix, ROSE_KEY, job_item, job_submission, wait_for,
+};
 use futures_util::{StreamExt, future};
 use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault, TcpRelay, UpstreamFault};
 use rand::{Rng, SeedableRng};
@@ -34,6 +36,13 @@
 /// Attempts of a caller to get the rest of a stream.
 const STREAM_ATTEMPTS: usize = 6;
 
+/// Ways in which paths to upstreams are lost.
+const PATH_LOSSES: [RelayRule; 4] = [RelayRule::Silence, RelayRule::Refuse, RelayRule::RefuseNew, RelayRule::Cut];
+/// Time after an upstream has said that it leaves, after which only edges that have not heard it send requests there.
+const LEAVING_BOUND: Duration = Duration::from_secs(2);
+/// Most requests that a leaving upstream may get after that: a few of each process that has not received a response of it.
+const LEAVING_MAX: usize = 2 * EDGES;
+
 /// Time after which a caller gives up, for example on a frozen edge.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -163,13 +172,19 @@
 }
 
 /// Injects faults, several of which may last at the same time, and ends all of them.
-async fn inject_faults(site: &mut EdgeSite, relays: &[TcpRelay], seed: u64) {
+async fn inject_faults(
+    site: &mut EdgeSite,
+    relays: &[TcpRelay],
+    matrix: &mut PathMatrix,
+    seed: u64,
+) -> Vec<LeavingDesk> {
+    let mut leaving = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut frozen = [false; EDGES];
     for _ in 0..FAULTS {
         let edge = rng.random_range(0..EDGES);
         let is_stopped = site.edges[edge].process.exit_status().is_some();
-        match rng.random_range(0..12) {
+        match rng.random_range(0..16) {
             0 | 1 if !is_stopped => {
                 site.edges[edge].process.kill();
                 frozen[edge] = false;
@@ -188,6 +203,18 @@
                 site.engines[engine].stop().await;
                 let id = format!("engine-{}", site.engines.len() + 1);
                 site.start_engine_with(&id, SOFTWARE[rng.random_range(0..SOFTWARE.len())]);
+                matrix.add_upstreams(site).await;
+            }
+            12 | 13 => matrix.set_all(edge, PATH_LOSSES[rng.random_range(0..PATH_LOSSES.len())]),
+            14 => {
+                let upstreams: Vec<&PlatformUpstream> = site.desks.iter().chain(&site.engines).collect();
+                let address = upstreams[rng.random_range(0..upstreams.len())].address;
+                matrix.set(edge, address, PATH_LOSSES[rng.random_range(0..PATH_LOSSES.len())]);
+            }
+            15 if leaving.is_empty() => {
+                let desk = site.desks[1].clone();
+                desk.announce_leaving(true);
+                leaving.push(LeavingDesk { desk, announced_at: Instant::now() });
             }
             10 => {
                 let engine = rng.random_range(0..site.engines.len());
@@ -204,19 +231,27 @@
         // One of the faults of before may end.
         let edge = rng.random_range(0..EDGES);
         if rng.random_bool(0.7) {
-            heal(site, relays, edge, &mut frozen);
+            heal(site, relays, matrix, edge, &mut frozen);
         }
         if rng.random_bool(0.5) {
             site.store.set_fault(StoreFault::default());
         }
     }
-    (0..EDGES).for_each(|edge| heal(site, relays, edge, &mut frozen));
+    (0..EDGES).for_each(|edge| heal(site, relays, matrix, edge, &mut frozen));
     site.store.set_fault(StoreFault::default());
+    leaving
+}
+
+/// A desk that says in its responses that it leaves, while the store lists it as ready.
+struct LeavingDesk {
+    desk: PlatformUpstream,
+    announced_at: Instant,
 }
 
 /// Ends the faults of an edge.
-fn heal(site: &mut EdgeSite, relays: &[TcpRelay], edge: usize, frozen: &mut [bool; EDGES]) {
+fn heal(site: &mut EdgeSite, relays: &[TcpRelay], matrix: &PathMatrix, edge: usize, frozen: &mut [bool; EDGES]) {
     relays[edge].set_rule(RelayRule::Pass);
+    matrix.set_all(edge, RelayRule::Pass);
     if std::mem::take(&mut frozen[edge]) {
         site.edges[edge].process.resume();
     }
@@ -229,12 +264,14 @@
 async fn play(seed: u64) {
     let mut site = EdgeSite::without_edges();
     site.write_config(2, &[("rose", ROSE_KEY)]);
+    site.start_desk("desk-3");
     site.start_engine_with("engine-3", SOFTWARE[1]);
     site.start_engine_with("engine-4", SOFTWARE[1]);
     site.desks[0].name_limit(Some(&LIMIT.to_string()));
     let mut relays = Vec::new();
+    let mut matrix = PathMatrix::default();
     for _ in 0..EDGES {
-        let relay = TcpRelay::start(site.store.address).await.expect("start a relay");
+        let relay = TcpRelay::start(matrix.add_edge(&site).await).await.expect("start a relay");
         site.start_edge(relay.address);
         relays.push(relay);
     }
@@ -242,11 +279,12 @@
     let edges = (0..EDGES).map(|edge| site.url(edge, "")).collect();
     let callers = Callers { http: HttpClient::new(), edges, is_calm: Cell::new(false) };
     let faults = async {
-        inject_faults(&mut site, &relays, seed).await;
+        let leaving = inject_faults(&mut site, &relays, &mut matrix, seed).await;
         callers.is_calm.set(true);
+        leaving
     };
     let started_at = Instant::now();
-    let (quotes, orders, jobs, streams, ()) = future::join5(
+    let (quotes, orders, jobs, streams, leaving) = future::join5(
         callers.send_requests("/quote/roses", "quote", seed),
         callers.send_requests("/once/order", "order", seed),
         callers.submit_jobs(seed),
@@ -272,6 +310,7 @@
     assert!(streams.iter().any(|stream| stream.is_complete), "seed {seed}: no stream was complete");
     streams.iter().for_each(|stream| check_stream(stream, seed));
     check_limit(&site.desks[0], started_at, seed);
+    leaving.iter().for_each(|leaving| check_leaving(leaving, seed));
     check_orders(&site, &orders, seed);
     for job in &jobs {
         check_job(&site, job, seed).await;
@@ -304,6 +343,13 @@
     }
 }
 
+/// A desk that leaves gets no requests of edges that have passed on a response of it.
+fn check_leaving(leaving: &LeavingDesk, seed: u64) {
+    let counted_from = leaving.announced_at + LEAVING_BOUND;
+    let count = leaving.desk.arrivals().iter().filter(|arrival| **arrival > counted_from).count();
+    assert!(count <= LEAVING_MAX, "seed {seed}: a leaving desk got {count} requests");
+}
+
 /// Each order ran once at most; one that was answered ran, one that was refused did not.
 fn check_orders(site: &EdgeSite, orders: &BTreeMap<String, u16>, seed: u64) {
     let calls: Vec<_> = site.desks.iter().flat_map(|desk| desk.recorded_calls()).collect();
--- a/crates/cli/tests/processes/support/path_matrix.rs
+++ b/crates/cli/tests/processes/support/path_matrix.rs
@@ -12,6 +12,7 @@
 }
 
 /// Paths from edges to upstreams.
+#[derive(Default)]
 pub struct PathMatrix {
     edges: Vec<EdgePaths>,
 }
@@ -22,11 +23,9 @@
     pub async fn start_site(failure_domains: &[&str]) -> (EdgeSite, Self) {
         let mut site = EdgeSite::without_edges();
         site.write_default_config();
-        let mut matrix = Self { edges: Vec::new() };
+        let mut matrix = Self::default();
         for (edge, failure_domain) in failure_domains.iter().enumerate() {
-            let (store_address, view) = site.store.open_view().expect("open a view of the store");
-            matrix.edges.push(EdgePaths { view, relays: BTreeMap::new() });
-            matrix.add_upstreams(&site).await;
+            let store_address = matrix.add_edge(&site).await;
             let region = format!("land-{edge}");
             site.start_edge_with(&EdgeOptions { store_address, failure_domain: (*failure_domain).to_owned(), region });
         }
@@ -34,6 +33,14 @@
         (site, matrix)
     }
 
+    /// Adds the paths of the next edge, and returns the address at which it finds them in the store.
+    pub async fn add_edge(&mut self, site: &EdgeSite) -> SocketAddr {
+        let (store_address, view) = site.store.open_view().expect("open a view of the store");
+        self.edges.push(EdgePaths { view, relays: BTreeMap::new() });
+        self.add_upstreams(site).await;
+        store_address
+    }
+
     /// Adds relays for the upstreams that have none, which are listed again then.
     pub async fn add_upstreams(&mut self, site: &EdgeSite) {
         for upstream in site.desks.iter().chain(&site.engines) {
@@ -53,6 +60,11 @@
         }
     }
 
+    /// Sets the rule of the path of an edge to the upstream at `address`.
+    pub fn set(&self, edge: usize, address: SocketAddr, rule: RelayRule) {
+        self.edges[edge].relays[&address].set_rule(rule);
+    }
+
     /// Sets the rule of all paths of an edge.
     pub fn set_all(&self, edge: usize, rule: RelayRule) {
         self.edges[edge].relays.values().for_each(|relay| relay.set_rule(rule));
