--- a/crates/cli/tests/processes/platform_breaks.rs
+++ b/crates/cli/tests/processes/platform_breaks.rs
@@ -1,9 +1,8 @@
-//! Tests of upstreams whose answers break off, or do not continue what was passed on: no caller takes a part for the whole,
+//! Tests of upstreams whose answers break off, or do not continue what was passed on: no caller gets a part as a complete answer,
 //! or gets bytes of another answer. Each on the direct path and through a peer.
 
 use crate::support::{
-    EdgeReply, EdgeSite, HOST, PathMatrix, ROSE_KEY, RawAnswer, RawEnding, RawServer, job_item, job_submission,
-    wait_for,
+    EdgeReply, EdgeSite, PathMatrix, RawAnswer, RawEnding, RawServer, event_numbers, job_item, job_submission, wait_for,
 };
 use futures_util::{StreamExt, future};
 use pimentoslip_standin::{RelayRule, UpstreamFault};
@@ -86,14 +85,9 @@
             if is_relayed {
                 matrix.set_all(0, RelayRule::Refuse);
             }
-            let bearer = format!("Bearer {ROSE_KEY}");
             let bodies = send_until_all_received(&servers, |number| {
-                let (site, bearer) = (&site, bearer.as_str());
-                async move {
-                    let id = format!("{:04}", number);
-                    let headers = [("request-id", id.as_str()), ("deadline-ms", "2000"), ("authorization", bearer)];
-                    site.send(0, "POST", "/once/order", &headers, "one wreath").await
-                }
+                let site = &site;
+                async move { site.send_order(0, &format!("{number:04}")).await }
             })
             .await;
             assert!(bodies.is_empty(), "relayed: {is_relayed}: {bodies:?}");
@@ -131,11 +125,6 @@
     }
 }
 
-/// Numbers of the events in the body of a stream.
-fn event_numbers(body: &str) -> Vec<u64> {
-    body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
-}
-
 /// Answers to the request that continues a stream which broke off within its fourth event, none of which does so.
 fn unfit_answers() -> Vec<(&'static str, RawAnswer)> {
     let closed = |first: String| RawAnswer { first, ending: Some(RawEnding::Closed), ..RawAnswer::default() };
@@ -169,22 +158,10 @@
     ]
 }
 
-/// Reads a stream at the edge without paths until it ends, and returns its body and whether that is complete.
+/// Reads a stream at the edge 0 until it ends, and returns its body and whether that is complete.
 async fn read_stream(site: &EdgeSite, id: &str, events: u64) -> (String, bool) {
-    let bearer = format!("Bearer {ROSE_KEY}");
-    let events = events.to_string();
-    let headers = [
-        ("host", HOST),
-        ("request-id", id),
-        ("deadline-ms", "8000"),
-        ("model", "verse"),
-        ("length-hint", events.as_str()),
-        ("authorization", bearer.as_str()),
-    ];
-    let request = pimentoslip_client::plain_client().post(site.url(0, "/talk/verse")).force_close();
-    let request = headers.into_iter().fold(request, |request, header| request.insert_header(header));
     let mut body = String::new();
-    let Ok(mut response) = request.send_body("how sad").await else { return (body, false) };
+    let Ok(mut response) = site.open_talk(0, id, events).await else { return (body, false) };
     while let Some(chunk) = response.next().await {
         match chunk {
             Ok(chunk) => body.push_str(&String::from_utf8_lossy(&chunk)),
--- a/crates/cli/tests/processes/platform_leaving.rs
+++ b/crates/cli/tests/processes/platform_leaving.rs
@@ -1,6 +1,6 @@
 //! Tests of upstreams that say in their responses that they are about to end, before the store does or without it.
 
-use crate::support::{EdgeSite, PathMatrix, ROSE_KEY, job_item, job_submission, wait_for};
+use crate::support::{EdgeSite, PathMatrix, job_item, job_submission, wait_for};
 use pimentoslip_standin::{PlatformUpstream, RelayRule, UpstreamFault};
 use std::time::Duration;
 
@@ -21,11 +21,7 @@
 async fn send(site: &EdgeSite, kind: &str, id: &str) {
     match kind {
         "quote" => assert_ne!(site.send_quote(0, id).await.status, 0),
-        "order" => {
-            let bearer = format!("Bearer {ROSE_KEY}");
-            let headers = [("request-id", id), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
-            assert_eq!(site.send(0, "POST", "/once/order", &headers, "one wreath").await.status, 200);
-        }
+        "order" => assert_eq!(site.send_order(0, id).await.status, 200),
         "talk" => assert_eq!(site.send_talk(0, id, 3, &[]).await.status, 200),
         "items" | "scores" => {
             let items: Vec<_> = (0..6).map(|item| job_item(&format!("{id}-{item}"), 3, kind == "scores")).collect();
--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -152,9 +152,7 @@
     {
         let id = format!("once-{number}");
         site.desks.iter().for_each(|desk| desk.set_faults([fault]));
-        let bearer = format!("Bearer {ROSE_KEY}");
-        let headers = [("request-id", id.as_str()), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
-        let reply = site.send(0, "POST", "/once/order", &headers, "one wreath").await;
+        let reply = site.send_order(0, &id).await;
         assert_eq!(reply.status, 502, "{fault:?}");
         let runs = site.desks.iter().flat_map(|desk| desk.recorded_calls()).filter(|call| call.id == id).count();
         assert_eq!(runs, 1, "{fault:?}");
--- a/crates/cli/tests/processes/platform_paths.rs
+++ b/crates/cli/tests/processes/platform_paths.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// Guards against jobs that stand still because their owner has no paths to the upstreams.
+/// Guards against jobs that make no progress because their owner has no paths to the upstreams.
 #[actix_rt::test]
 async fn items_of_an_owner_without_paths_to_the_upstreams_are_completed() {
     for rule in LOSSES {
--- a/crates/cli/tests/processes/platform_relays.rs
+++ b/crates/cli/tests/processes/platform_relays.rs
@@ -1,7 +1,7 @@
-//! Tests of requests that an edge without paths to the upstreams sends through its peers: what holds for direct requests holds
-//! for these too.
+//! Tests of requests that an edge without paths to the upstreams sends through its peers: they get
+//! the same answers as direct ones.
 
-use crate::support::{EdgeReply, EdgeSite, HOST, PathMatrix, ROSE_KEY, wait_for};
+use crate::support::{EdgeSite, HOST, PathMatrix, event_numbers, wait_for};
 use awc::Client;
 use futures_util::{StreamExt, future};
 use pimentoslip_standin::{RecordedCall, RelayRule, UpstreamFault};
@@ -32,13 +32,6 @@
     site.edges.iter().map(|edge| edge.process.log().matches(&text).count()).sum()
 }
 
-/// Sends a request that may run only once to the edge without paths.
-async fn send_order(site: &EdgeSite, id: &str) -> EdgeReply {
-    let bearer = format!("Bearer {ROSE_KEY}");
-    let headers = [("request-id", id), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
-    site.send(0, "POST", "/once/order", &headers, "one wreath").await
-}
-
 /// Runs of the request `id` at the plain upstreams.
 fn desk_runs(site: &EdgeSite, id: &str) -> Vec<RecordedCall> {
     site.desks.iter().flat_map(|desk| desk.recorded_calls()).filter(|call| call.id == id).collect()
@@ -53,7 +46,7 @@
     for (number, fault) in faults.into_iter().enumerate() {
         let id = format!("once-{number}");
         site.desks.iter().for_each(|desk| desk.set_faults([fault]));
-        let reply = send_order(&site, &id).await;
+        let reply = site.send_order(0, &id).await;
         let expected = if fault == UpstreamFault::Hang { 504 } else { 502 };
         assert_eq!(reply.status, expected, "{fault:?}: {reply:?}");
         let runs = desk_runs(&site, &id);
@@ -89,7 +82,7 @@
                 }
             }
         };
-        let (reply, ()) = future::join(send_order(&site, "order"), end_relay).await;
+        let (reply, ()) = future::join(site.send_order(0, "order"), end_relay).await;
         assert!(matches!(reply.status, 502 | 504), "{ending}: {reply:?}");
         assert_eq!(desk_runs(&site, "order").len(), 1, "{ending}");
     }
@@ -126,26 +119,14 @@
         site.engines[0].set_faults([fault]);
         for attempt in 0..4 {
             let reply = site.send_talk(0, &format!("talk-{number}-{attempt}"), EVENTS, &[]).await;
-            let events: Vec<u64> =
-                reply.body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect();
-            assert_eq!((reply.status, events), (200, (1..=EVENTS).collect()), "{fault:?}");
+            let events: Vec<u64> = (1..=EVENTS).collect();
+            assert_eq!((reply.status, event_numbers(&reply.body)), (200, events), "{fault:?}");
         }
         site.engines[0].set_faults([]);
     }
-    let request = Client::builder().disable_timeout().finish().post(site.url(0, "/talk/verse")).force_close();
-    let bearer = format!("Bearer {ROSE_KEY}");
-    let headers = [
-        ("host", HOST),
-        ("request-id", "endless"),
-        ("deadline-ms", "60000"),
-        ("model", "verse"),
-        ("length-hint", "1000000"),
-        ("authorization", bearer.as_str()),
-    ];
-    let request = headers.into_iter().fold(request, |request, header| request.insert_header(header));
-    let mut response = request.send_body("how sad").await.expect("a response");
+    let mut response = site.open_talk(0, "endless", 1_000_000).await.expect("a response");
     let mut body = String::new();
-    while body.matches("\n\n").count() < 5 {
+    while event_numbers(&body).len() < 5 {
         let chunk = response.next().await.expect("the stream continues").expect("a chunk");
         body.push_str(&String::from_utf8_lossy(&chunk));
     }
--- a/crates/cli/tests/processes/platform_streams.rs
+++ b/crates/cli/tests/processes/platform_streams.rs
@@ -1,7 +1,6 @@
 //! Tests of streams that an edge passes on to its callers as they arrive.
 
-use crate::support::{EdgeSite, HOST, ROSE_KEY, wait_for};
-use awc::Client;
+use crate::support::{EdgeSite, event_numbers, wait_for};
 use futures_util::StreamExt;
 use pimentoslip_standin::UpstreamFault;
 use std::time::Duration;
@@ -16,27 +15,12 @@
     site.engines.iter().map(|engine| engine.running_requests()).sum()
 }
 
-/// Numbers of the events in the body of a stream.
-fn event_numbers(body: &str) -> Vec<u64> {
-    body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
-}
-
 /// Guards against streams that reach their caller only when they are complete, and against engines that keep generating for
 /// a caller that has left.
 #[actix_rt::test]
 async fn events_reach_the_caller_while_the_upstream_generates_more_and_end_with_the_caller() {
     let site = EdgeSite::start(1).await;
-    let client = Client::builder().disable_timeout().finish();
-    let request = client
-        .post(site.url(0, "/talk/verse"))
-        .force_close()
-        .insert_header(("host", HOST))
-        .insert_header(("request-id", "endless"))
-        .insert_header(("deadline-ms", "60000"))
-        .insert_header(("model", "verse"))
-        .insert_header(("length-hint", ENDLESS.to_string()))
-        .insert_header(("authorization", format!("Bearer {ROSE_KEY}")));
-    let mut response = request.send_body("how sad").await.expect("a response");
+    let mut response = site.open_talk(0, "endless", ENDLESS).await.expect("a response");
     assert_eq!(response.status().as_u16(), 200);
     let mut body = String::new();
     while event_numbers(&body).len() < 5 {
--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -38,7 +38,7 @@
 
 /// Ways in which paths to upstreams are lost.
 const PATH_LOSSES: [RelayRule; 4] = [RelayRule::Silence, RelayRule::Refuse, RelayRule::RefuseNew, RelayRule::Cut];
-/// Time after an upstream has said that it leaves, after which only edges that have not heard it send requests there.
+/// Time after an upstream has said that it leaves, after which only edges without a response of it send requests there.
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
 /// Most requests that a leaving upstream may get after that: a few of each process that has not received a response of it.
 const LEAVING_MAX: usize = 2 * EDGES;
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -2,7 +2,7 @@
 //! each service that they use.
 
 use super::{ChildProcess, Workdir, wait_for};
-use awc::{Client, http::Method};
+use awc::{Client, ClientResponse, error::SendRequestError, http::Method};
 use pimentoslip_standin::{PlatformProvider, PlatformStore, PlatformUpstream, UpstreamSettings};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
@@ -315,6 +315,30 @@
         self.send(edge, "POST", "/quote/roses", &headers, body).await
     }
 
+    /// Sends a request that may run only once, as `rose`, with `id` as its request id.
+    pub async fn send_order(&self, edge: usize, id: &str) -> EdgeReply {
+        let bearer = format!("Bearer {ROSE_KEY}");
+        let headers = [("request-id", id), ("deadline-ms", "2000"), ("authorization", bearer.as_str())];
+        self.send(edge, "POST", "/once/order", &headers, "one wreath").await
+    }
+
+    /// Starts a request for a stream of `events` events, as `rose`, with `id` as its request id. The caller reads the body,
+    /// which fails if it breaks off.
+    pub async fn open_talk(&self, edge: usize, id: &str, events: u64) -> Result<ClientResponse, SendRequestError> {
+        let (bearer, events) = (format!("Bearer {ROSE_KEY}"), events.to_string());
+        let headers = [
+            ("host", HOST),
+            ("request-id", id),
+            ("deadline-ms", "60000"),
+            ("model", "verse"),
+            ("length-hint", events.as_str()),
+            ("authorization", bearer.as_str()),
+        ];
+        let request = pimentoslip_client::plain_client().post(self.url(edge, "/talk/verse")).force_close();
+        let request = headers.into_iter().fold(request, |request, header| request.insert_header(header));
+        request.send_body("how sad").await
+    }
+
     /// Sends a request for a stream of `events` events, with `id` as its request id and more headers in `headers`, and
     /// reads the complete answer. As `rose`, unless the headers have another key.
     pub async fn send_talk(&self, edge: usize, id: &str, events: u64, headers: &[(&str, &str)]) -> EdgeReply {
@@ -369,6 +393,11 @@
     }
 }
 
+/// Numbers of the events in the body of a stream.
+pub fn event_numbers(body: &str) -> Vec<u64> {
+    body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+}
+
 /// Item of a batch job. Its text consists of `events` events; a `scored` item has a scorer on the route `score`.
 pub fn job_item(id: &str, events: u64, scored: bool) -> Value {
     let mut item = json!({
--- a/crates/cli/tests/processes/support/mod.rs
+++ b/crates/cli/tests/processes/support/mod.rs
@@ -9,7 +9,9 @@
 
 pub use child_process::{ChildProcess, Workdir, run_cli};
 pub use daemon_site::{DaemonSite, KEY_ORGANISATION, OPERATOR_KEY, SiteOptions};
-pub use edge_site::{EdgeOptions, EdgeReply, EdgeSite, HOST, ROSE_KEY, TRAY_KEY, job_item, job_submission};
+pub use edge_site::{
+    EdgeOptions, EdgeReply, EdgeSite, HOST, ROSE_KEY, TRAY_KEY, event_numbers, job_item, job_submission,
+};
 pub use http_client::{HttpAnswer, HttpClient};
 pub use path_matrix::PathMatrix;
 pub use raw_server::{RawAnswer, RawEnding, RawServer};
--- a/crates/kernel/tests/machines/paths.rs
+++ b/crates/kernel/tests/machines/paths.rs
@@ -33,7 +33,7 @@
     Heal { daemon: usize },
     /// An upstream ends or starts again.
     Switch { upstream: usize },
-    /// A daemon stops relaying and sending requests, or starts anew.
+    /// A daemon stops relaying and sending requests, or starts again.
     Restart { daemon: usize },
     /// Requests are sent for a while.
     Run { ticks: u8 },
