Repeat the write of a daemon's presence under the lease that it was granted

What callers would see: a daemon that runs and is ready owns no jobs, relays nothing, gets no permits and counts as gone for all others, until its next start.

Cause: a write of the presence without a response was repeated under another lease.

Change: the lease is kept until its presence is stored or the store says that it has ended, so that all repeats are the same.

--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -212,7 +212,7 @@
 #[actix_rt::test]
 async fn a_submission_whose_commit_answer_is_lost_is_accepted_once() {
     let site = EdgeSite::start(2).await;
-    site.store.set_fault(StoreFault { lose_commits: 1, down: false });
+    site.store.set_fault(StoreFault { lose_commits: 1, ..StoreFault::default() });
     let job = job_submission(1, &[job_item("a", 3, false)]);
     assert_eq!(site.submit_job(0, "job", &job).await.status, 202);
     assert_eq!(site.submit_job(1, "job", &job).await.status, 202);
@@ -224,7 +224,7 @@
 #[actix_rt::test]
 async fn jobs_are_refused_and_requests_are_served_while_the_store_is_unreachable() {
     let site = EdgeSite::start(2).await;
-    site.store.set_fault(StoreFault { down: true, lose_commits: 0 });
+    site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
     let job = job_submission(1, &[job_item("a", 3, false)]);
     assert_eq!(site.submit_job(0, "job", &job).await.status, 503);
     assert_eq!(
--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -257,6 +257,23 @@
     .await;
 }
 
+/// Guards against an edge that counts as gone, although it runs, because the first write of its presence was done late, under a
+/// lease that it does not renew.
+#[actix_rt::test]
+async fn a_presence_that_is_written_late_does_not_end_with_another_lease() {
+    let mut site = EdgeSite::without_edges();
+    site.write_default_config();
+    site.store.set_fault(StoreFault { late_key: Some("p/w/vm/edge-0"), ..StoreFault::default() });
+    let store_address = site.store.address;
+    (0..2).for_each(|_| site.start_edge(store_address));
+    site.wait_ready().await;
+    // Twice the time to live of a lease.
+    actix_rt::time::sleep(Duration::from_secs(6)).await;
+    let log = site.edges[1].process.log();
+    assert!(!log.contains("event=daemon_left daemon=edge-0"), "{log}");
+    assert!(site.store.contents().value("p/w/vm/edge-0").is_some());
+}
+
 /// Guards against requests that are cut off by a planned stop after they were passed on to an upstream. Callers keep
 /// sending on their open connections until the edge has exited.
 #[actix_rt::test]
--- a/crates/cli/tests/processes/platform_software.rs
+++ b/crates/cli/tests/processes/platform_software.rs
@@ -175,7 +175,7 @@
         assert_eq!(site.send_talk(0, &format!("first-{number}"), 6, &[]).await.status, 200);
     }
     actix_rt::time::sleep(LIST_DELAY).await;
-    site.store.set_fault(StoreFault { down: true, lose_commits: 0 });
+    site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
     for number in 0..6 {
         let first_id = format!("first-{number}");
         let headers = [("resumes", first_id.as_str()), ("last-event-id", "2")];
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -18,14 +18,22 @@
 /// Delay before a failed grant or renewal is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// A lease under which the daemon's presence is not known to be stored.
+#[derive(Clone, Copy, Debug)]
+struct GrantedLease {
+    lease: u64,
+    ends_at: TimePoint,
+}
+
 /// Acquires and renews the lease until the daemon drains.
 pub async fn maintain_lease(state: Arc<EdgeState>, store: StoreAccess) {
     let lease_ms = LEASE_TTL_MS.max(state.settings.lease_ms_min);
+    let mut granted_lease = None;
     while !state.is_draining() {
         let current_lease = state.lease_view().lease;
         let requested_at = state.now();
         let delay = match current_lease {
-            None => acquire_lease(&state, &store, lease_ms).await,
+            None => acquire_lease(&state, &store, lease_ms, &mut granted_lease).await,
             Some(lease) => match store.renew_lease(lease).await {
                 Ok(()) => {
                     lease_renewed(&state, lease, requested_at.plus_ms(lease_ms));
@@ -61,16 +69,29 @@
     view.ends_at = TimePoint(0);
 }
 
-/// Requests a lease, stores the daemon's presence under it, and returns the delay before the next call.
-async fn acquire_lease(state: &EdgeState, store: &StoreAccess, lease_ms: u64) -> Duration {
-    let requested_at = state.now();
-    let lease = match store.grant_lease(lease_ms).await {
-        Ok(lease) => lease,
-        Err(error) => {
-            LogLine::new("lease_not_granted").field("reason", error).warn();
-            return RETRY_DELAY;
+/// Requests a lease, stores the daemon's presence under it, and returns the delay before the next call. A write without a
+/// response is repeated under the same lease: done late, under another one, it would remove the presence with that one.
+async fn acquire_lease(
+    state: &EdgeState,
+    store: &StoreAccess,
+    lease_ms: u64,
+    granted_lease: &mut Option<GrantedLease>,
+) -> Duration {
+    let granted = match *granted_lease {
+        Some(granted) => granted,
+        None => {
+            let requested_at = state.now();
+            match store.grant_lease(lease_ms).await {
+                Ok(lease) => GrantedLease { lease, ends_at: requested_at.plus_ms(lease_ms) },
+                Err(error) => {
+                    LogLine::new("lease_not_granted").field("reason", error).warn();
+                    return RETRY_DELAY;
+                }
+            }
         }
     };
+    *granted_lease = Some(granted);
+    let GrantedLease { lease, ends_at } = granted;
     let control_address = state.settings.control_address.map(|address| address.to_string()).unwrap_or_default();
     let presence = PresenceEntry {
         incarnation: state.incarnation,
@@ -89,14 +110,18 @@
     };
     let commit = StoreCommit::default().put(KeyLayout::presence_key(&state.settings.vm), entry, lease);
     if let Err(error) = store.commit(&commit).await {
-        LogLine::new("presence_not_recorded").field("reason", error).warn();
+        if matches!(error, StoreError::LeaseNotFound) {
+            *granted_lease = None;
+        }
+        LogLine::new("presence_not_recorded").field("lease", lease).field("reason", error).warn();
         return RETRY_DELAY;
     }
+    *granted_lease = None;
     LogLine::new("lease_granted").field("lease", lease).info();
     let mut view = state.lease_view();
     view.lease = Some(lease);
-    view.ends_at = requested_at.plus_ms(lease_ms);
-    RENEW_INTERVAL
+    view.ends_at = ends_at;
+    RENEW_INTERVAL.min(Duration::from_millis(ends_at.since_ms(state.now()) / 2))
 }
 
 /// Revokes the lease, so that other daemons can take over at once.
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -22,8 +22,13 @@
     pub down: bool,
     /// Number of upcoming commits that take effect but are answered with status 504.
     pub lose_commits: u32,
+    /// Key whose next write is answered with status 504, and takes effect only after [`LATE_COMMIT_DELAY`].
+    pub late_key: Option<&'static str>,
 }
 
+/// Delay of a commit that takes effect late.
+const LATE_COMMIT_DELAY: Duration = Duration::from_millis(1_500);
+
 /// State shared by the request handlers.
 #[derive(Default)]
 pub(super) struct StoreState {
@@ -99,6 +104,16 @@
         self.fault.lock().unwrap_or_else(PoisonError::into_inner).down
     }
 
+    /// Whether the current commit takes effect late; only one does.
+    fn take_late_commit(&self, commit: &Value) -> bool {
+        let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_late = fault.late_key.is_some_and(|key| writes(commit, key));
+        if is_late {
+            fault.late_key = None;
+        }
+        is_late
+    }
+
     /// Whether the response to the current commit is to be lost; decrements the number of responses to lose.
     fn take_lost_commit(&self) -> bool {
         let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
@@ -108,6 +123,11 @@
     }
 }
 
+/// Whether `commit` writes the key `key`.
+fn writes(commit: &Value, key: &str) -> bool {
+    commit["puts"].as_array().is_some_and(|puts| puts.iter().any(|put| put["key"] == key))
+}
+
 /// Parameters of the query string by name.
 type Query = web::Query<HashMap<String, String>>;
 
@@ -171,6 +191,18 @@
     if state.is_down() {
         return unavailable();
     }
+    if state.take_late_commit(&body) {
+        let state = state.clone();
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(LATE_COMMIT_DELAY).await;
+            let mut contents = state.contents();
+            if contents.has_leases(&body) {
+                // A condition that does not hold any more is no failure of the stand-in.
+                let _ = contents.commit(&body);
+            }
+        });
+        return HttpResponse::GatewayTimeout().finish();
+    }
     let result = {
         let mut contents = state.contents();
         if !contents.has_leases(&body) {
