Take requests that may repeat in the first third of a planned stop, whatever their deadline

Cause: the deadline of a stream (12 s) says little of its length (a second); the load balancer keeps sending for three seconds.

Change: a request that may repeat is taken during the first third of the time until answers are due. One that is still running then gets 504, or its stream breaks off, and its caller repeats or resumes it elsewhere. Requests that may not repeat are taken only if their deadline fits, as before.

--- a/crates/edge/src/http/front_app.rs
+++ b/crates/edge/src/http/front_app.rs
@@ -7,7 +7,7 @@
     http::{Method, header},
     web,
 };
-use pimentoslip_kernel::TimePoint;
+use pimentoslip_kernel::{RouteKind, TimePoint};
 use pimentoslip_platform::{BATCH_PATH_PREFIX, ITEM_PATH_PREFIX};
 use pimentoslip_telemetry::LogLine;
 
@@ -71,7 +71,7 @@
 ) -> Result<HttpResponse, ApiRefusal> {
     let job_call_due = context.deadline.min(context.arrived_at.plus_ms(batch_api::ANSWER_MS_MAX));
     if let Some(job) = context.path.strip_prefix(BATCH_PATH_PREFIX) {
-        check_stop(parts, job_call_due)?;
+        check_stop(parts, job_call_due, false)?;
         return match *request.method() {
             Method::GET => batch_api::read_results(parts, context, request, job).await,
             Method::DELETE => batch_api::end_job(parts, context, request, job).await,
@@ -79,19 +79,20 @@
         };
     }
     if let Some(job) = context.path.strip_prefix(ITEM_PATH_PREFIX) {
-        check_stop(parts, job_call_due)?;
+        check_stop(parts, job_call_due, false)?;
         return batch_api::read_item(parts, context, request, job).await;
     }
     let rule = context.config.route(&context.host, &context.path).ok_or(ApiRefusal::RouteNotFound)?.clone();
     if rule.batch_rule().is_some() {
-        check_stop(parts, job_call_due)?;
+        check_stop(parts, job_call_due, false)?;
         return batch_api::submit_job(parts, context, request, payload, &rule).await;
     }
-    check_stop(parts, context.answer_deadline(&rule))?;
+    check_stop(parts, context.answer_deadline(&rule), rule.kind == RouteKind::Idempotent)?;
     proxy::forward_request(parts, context, request, payload, &rule).await
 }
 
-/// Fails if a request that ends at `deadline` at the latest may be cut off by a planned stop.
-fn check_stop(parts: &WorkerParts, deadline: TimePoint) -> Result<(), ApiRefusal> {
-    if parts.state.planned_stop.allows(deadline) { Ok(()) } else { Err(ApiRefusal::Stopping) }
+/// Fails if a request that ends at `deadline` at the latest is not taken during a planned stop.
+fn check_stop(parts: &WorkerParts, deadline: TimePoint, may_repeat: bool) -> Result<(), ApiRefusal> {
+    let state = &parts.state;
+    if state.planned_stop.allows(deadline, may_repeat, state.now()) { Ok(()) } else { Err(ApiRefusal::Stopping) }
 }
--- a/crates/edge/src/planned_stop.rs
+++ b/crates/edge/src/planned_stop.rs
@@ -7,32 +7,48 @@
 };
 use tokio::sync::Notify;
 
+/// Requests that may repeat are taken for the time until answers are due, divided by this. The rest of it
+/// suffices for most of them, whatever their deadlines.
+const REPEATABLE_DIVISOR: u64 = 3;
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+struct StopTimes {
+    /// Time until which requests are answered.
+    answers_due: TimePoint,
+    /// Time until which requests are taken that may repeat, whatever their deadline.
+    repeatable_until: TimePoint,
+}
+
 /// Progress of a planned stop.
 #[derive(Debug, Default)]
 pub struct PlannedStop {
-    /// Time until which requests are answered; unset while no stop is planned.
-    answers_due: OnceLock<TimePoint>,
+    /// Unset while no stop is planned.
+    times: OnceLock<StopTimes>,
     is_over: AtomicBool,
     ended: Notify,
 }
 
 impl PlannedStop {
     /// Starts the stop. Requests are answered until `answers_due`.
-    pub fn start(&self, answers_due: TimePoint) {
+    pub fn start(&self, now: TimePoint, answers_due: TimePoint) {
+        let repeatable_until = now.plus_ms(answers_due.since_ms(now) / REPEATABLE_DIVISOR);
         // A second start changes nothing.
-        let _ = self.answers_due.set(answers_due);
+        let _ = self.times.set(StopTimes { answers_due, repeatable_until });
     }
 
     /// Whether the stop has started.
     #[must_use]
     pub fn is_started(&self) -> bool {
-        self.answers_due.get().is_some()
+        self.times.get().is_some()
     }
 
-    /// Whether a request that ends at `deadline` at the latest is answered before the process exits.
+    /// Whether a request that ends at `deadline` at the latest is taken: it is answered before the process exits; or it may
+    /// repeat, and arrives so early that few are given up.
     #[must_use]
-    pub fn allows(&self, deadline: TimePoint) -> bool {
-        !self.is_over() && self.answers_due.get().is_none_or(|due| deadline <= *due)
+    pub fn allows(&self, deadline: TimePoint, may_repeat: bool, now: TimePoint) -> bool {
+        let Some(times) = self.times.get() else { return true };
+        !self.is_over() && (deadline <= times.answers_due || (may_repeat && now < times.repeatable_until))
     }
 
     /// Ends the time for answers: requests in progress are given up.
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -239,7 +239,7 @@
     LogLine::new("draining").field("requests", state.active_requests()).info();
     let killed_at = started_at.plus_ms(state.settings.shutdown_grace_ms);
     let answers_due = killed_at.minus_ms(ANSWER_MARGIN_MS);
-    state.planned_stop.start(answers_due);
+    state.planned_stop.start(started_at, answers_due);
     state.job_changed.notify_waiters();
     let WorkerParts { store, peer_client, .. } = WorkerParts::new(state.clone());
     // Owned jobs are handed over before the lease is revoked, because that deletes their ownership entries.
