--- a/crates/cli/tests/processes/platform_stops.rs
+++ b/crates/cli/tests/processes/platform_stops.rs
@@ -54,3 +54,24 @@
     })
     .await;
 }
+
+/// Guards against callers whose connection is closed without an answer because their upstream takes longer than the grace.
+#[actix_rt::test]
+async fn a_request_that_runs_until_the_end_of_the_grace_is_answered_before_the_edge_exits() {
+    let site = EdgeSite::start(1).await;
+    let desk = RawServer::start(RawAnswer::default()).await;
+    site.desks.iter().for_each(|upstream| upstream.start_draining());
+    site.register("silent-desk", "desk", desk.address, "ready", 1);
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    let bearer = format!("Bearer {ROSE_KEY}");
+    let send = async |path: &'static str, id: &'static str| {
+        let headers = [("request-id", id), ("deadline-ms", "12000"), ("authorization", bearer.as_str())];
+        site.send(0, "POST", path, &headers, "one wreath").await.status
+    };
+    let stop = async {
+        wait_for("both requests run", || async { (desk.requests().len() == 2).then_some(()) }).await;
+        site.edges[0].process.terminate();
+    };
+    let statuses = future::join3(send("/slow/quote", "quote"), send("/slow-once/order", "order"), stop).await;
+    assert_eq!((statuses.0, statuses.1), (504, 504));
+}
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -174,7 +174,7 @@
         let tenants: Vec<Value> =
             keys.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "priority": 1 })).collect();
         let route = |name: &str, prefix: &str, route_type: &str, service: &str| {
-            let timeout_ms = if name.starts_with("slow") { 6_000 } else { 1_500 };
+            let timeout_ms = if name.starts_with("slow") { 12_000 } else { 1_500 };
             json!({
                 "name": name, "host": HOST, "pathPrefix": prefix, "type": route_type, "timeoutMs": timeout_ms,
                 "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": name == "score",
