Do not count a lost path against the upstream of an item's run

An item whose connection is given up because the daemon's path is lost may run at the same upstream again, through a peer: the path says nothing of the upstream. Found on reading; no test, no call of it observed.

--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -52,10 +52,13 @@
         Self { outcome, reason: failure.as_str(), upstream_outcome, failure: Some(failure) }
     }
 
-    /// Whether the next run should rather be at another upstream. A missing path says nothing of this one.
+    /// Whether the next run should rather be at another upstream. A missing or lost path says nothing of this one.
     fn is_failed(&self) -> bool {
-        let is_pathless = matches!(self.failure, Some(AttemptFailure::NotSent | AttemptFailure::PathLost));
-        self.outcome == RunOutcome::Failed || (self.failure.is_some() && !is_pathless)
+        match self.failure {
+            Some(AttemptFailure::NotSent | AttemptFailure::PathLost | AttemptFailure::Unacknowledged) => false,
+            Some(_) => true,
+            None => self.outcome == RunOutcome::Failed,
+        }
     }
 }
 
