End open streams with a planned stop, rather than with the process

What callers saw: nothing else than before, a stream without its end. The daemon waited another second for streams that outlast the grace, and was killed at its end while it waited, before it logged how they ended.

Evidence: platform_stops::a_request_that_runs_until_the_end_of_the_grace_is_answered_before_the_edge_exits, extended by a stream of 50 s: without the change stream_ended is not logged; with it, stream_ended and stopped are.

--- a/crates/cli/tests/processes/platform_stops.rs
+++ b/crates/cli/tests/processes/platform_stops.rs
@@ -65,13 +65,21 @@
     actix_rt::time::sleep(Duration::from_millis(700)).await;
     let bearer = format!("Bearer {ROSE_KEY}");
     let send = async |path: &'static str, id: &'static str| {
-        let headers = [("request-id", id), ("deadline-ms", "12000"), ("authorization", bearer.as_str())];
+        let fields = [("request-id", id), ("deadline-ms", "12000"), ("authorization", bearer.as_str())];
+        let headers = [&fields[..], &[("model", "verse"), ("length-hint", "5000")]].concat();
         site.send(0, "POST", path, &headers, "one wreath").await.status
     };
     let stop = async {
         wait_for("both requests run", || async { (desk.requests().len() == 2).then_some(()) }).await;
+        wait_for("the stream runs", || async { (!site.engine_calls("talk").is_empty()).then_some(()) }).await;
         site.edges[0].process.terminate();
     };
-    let statuses = future::join3(send("/slow/quote", "quote"), send("/slow-once/order", "order"), stop).await;
-    assert_eq!((statuses.0, statuses.1), (504, 504));
+    let (quote, order) = (send("/slow/quote", "quote"), send("/slow-once/order", "order"));
+    let (quote, order, talk, ()) = future::join4(quote, order, send("/slow-talk/verse", "talk"), stop).await;
+    assert_eq!((quote, order, talk), (504, 504, 0), "answers, and a stream without its end");
+    wait_for("the edge has logged its end", || async {
+        let log = site.edges[0].process.log();
+        (log.contains("event=stream_ended request_id=talk") && log.contains("event=stopped")).then_some(())
+    })
+    .await;
 }
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -42,8 +42,8 @@
 /// All counters, gauges and histograms of the process.
 pub struct EdgeMetrics {
     registry: Registry,
-    /// Forwarded requests, by outcome: `served`, `upstream_failed` if the upstream's response is no success, or
-    /// `client_left`. Requests to which no upstream has responded are counted as refusals.
+    /// Forwarded requests, by outcome: `served`, `upstream_failed` if the upstream's response is no success,
+    /// `client_left`, or `stopping` for a stream that the end of a planned stop breaks off. Requests to which no upstream has responded are counted as refusals.
     pub answers: Family<ReasonLabel, Counter>,
     /// Error responses that the daemon created itself, by reason.
     pub refusals: Family<ReasonLabel, Counter>,
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -143,6 +143,8 @@
     Complete,
     /// The caller has closed its connection.
     ClientLeft,
+    /// The process is about to exit.
+    Stopping,
     /// The upstream failed.
     Failed(AttemptFailure),
 }
@@ -216,10 +218,13 @@
             }
         };
         tokio::pin!(client_left);
+        let stopping = state.planned_stop.wait_for_end();
+        tokio::pin!(stopping);
         loop {
             let portion = tokio::select! {
                 portion = self.next_portion(open, guard) => portion,
                 () = &mut client_left => return RelayEnd::ClientLeft,
+                () = &mut stopping => return RelayEnd::Stopping,
             };
             let events = match portion {
                 Ok(StreamPortion::Events(events)) => events,
@@ -242,7 +247,7 @@
     fn run_ended(&self, end: RelayEnd, guard: &mut UpstreamGuard, event_interval_ms: Option<u64>) -> RelayEnd {
         match &end {
             RelayEnd::Complete => guard.set_outcome(SamplerOutcome::Answered(event_interval_ms)),
-            RelayEnd::ClientLeft => guard.set_outcome(SamplerOutcome::Abandoned),
+            RelayEnd::ClientLeft | RelayEnd::Stopping => guard.set_outcome(SamplerOutcome::Abandoned),
             RelayEnd::Failed(failure) => {
                 guard.set_outcome(failure.upstream_outcome());
                 EdgeMetrics::increment(&EdgeMetrics::global().retries, failure.as_str());
@@ -286,6 +291,7 @@
         let (outcome, result) = match &end {
             RelayEnd::Complete => ("served", "whole"),
             RelayEnd::ClientLeft => ("client_left", "client_left"),
+            RelayEnd::Stopping => ("stopping", "stopping"),
             RelayEnd::Failed(failure) => ("upstream_failed", failure.as_str()),
         };
         if matches!(end, RelayEnd::Complete) && !state.suspects().is_empty() {
@@ -299,9 +305,9 @@
             .field("took_ms", state.now().since_ms(started_at))
             .field("result", result)
             .info();
-        if let RelayEnd::Failed(failure) = end {
+        if matches!(end, RelayEnd::Failed(_) | RelayEnd::Stopping) {
             // The caller's connection is closed without the end mark of the body. If the caller has left, nobody is told.
-            let _ = self.sender.send(Err(io::Error::other(failure.as_str()))).await;
+            let _ = self.sender.send(Err(io::Error::other(result))).await;
         }
     }
 }
