Let a peer answer for an upstream only if it reaches another one

What callers saw: at a daemon without paths 0 of 17 requests were served, although one of three peers reached all upstreams (platform_paths::callers_are_served_although_most_peers_have_lost_their_paths_without_noticing).

Cause: the two peers that were asked had lost their paths as well and did not know it, as they had sent nothing. Their refused connections were taken for proof that each upstream was down, so that no request was relayed; it would also have been taken for a crash under a request. Class: 'I do not reach it' taken for 'it is not there', one hop further.

Change: a peer whose connection is not accepted tries another upstream; without a path to that one either it answers that it cannot tell, and notes that its own paths have failed. Then two other peers are asked, as before.

It passes for all three ways of losing paths.

--- a/crates/cli/tests/processes/platform_paths.rs
+++ b/crates/cli/tests/processes/platform_paths.rs
@@ -41,6 +41,20 @@
     }
 }
 
+/// Guards against callers that are refused because the peers that are asked first have lost their paths too, and do not know it.
+#[actix_rt::test]
+async fn callers_are_served_although_most_peers_have_lost_their_paths_without_noticing() {
+    for rule in LOSSES {
+        // The peers of the other failure domain are asked first.
+        let (site, matrix) = PathMatrix::start_site(&["north", "south", "south", "north"]).await;
+        count_served(&site, 0, "warm", Duration::from_millis(500)).await;
+        (0..3).for_each(|edge| matrix.set_all(edge, rule));
+        count_served(&site, 0, "early", UNDISTURBED).await;
+        let (sent, served) = count_served(&site, 0, "late", Duration::from_secs(3)).await;
+        assert!(served * 3 >= sent * 2, "{rule:?}: {served} of {sent} are served: {}", site.edges[0].process.log());
+    }
+}
+
 /// Guards against jobs that make no progress because their owner has no paths to the upstreams.
 #[actix_rt::test]
 async fn items_of_an_owner_without_paths_to_the_upstreams_are_completed() {
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -1,28 +1,48 @@
 //! Tries connections to upstreams for other daemons, and asks them to: a daemon cannot tell by itself whether an upstream
 //! or its own path to it has failed.
 
-use crate::{edge_state::EdgeState, peer_client::PeerClient};
-use futures_util::future::join_all;
+use crate::{
+    edge_state::EdgeState,
+    path::{direct_failed, probe_paths},
+    peer_client::PeerClient,
+};
+use futures_util::future::{join, join_all};
 use pimentoslip_client::probe_connection;
 use pimentoslip_kernel::{ConnectOutcome, SamplerRecord, SharedName, rank};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::{ReachRequest, ReachResponse};
+use std::time::Duration;
 
 /// Path of the peer interface at which daemons try connections to upstreams.
 pub const REACH_PATH: &str = "/peer/reach";
 /// Longest wait for the response of a peer, which waits up to 300 ms for the upstream.
 const CALL_TIMEOUT_MS: u64 = 500;
+/// Wait for the connection that a peer has asked for before another upstream is tried as well. Round trips take milliseconds.
+const OTHER_DELAY: Duration = Duration::from_millis(50);
 /// Peers that are asked at once.
 const PEERS_MAX: usize = 2;
 /// Times that other peers are asked while those before have no paths themselves.
 const ROUNDS_MAX: usize = 2;
 
-/// Tries a connection for a peer.
+/// Tries a connection for a peer. One that is not accepted shows something of the upstream only if this daemon reaches another
+/// one.
 pub async fn try_connection(state: &EdgeState, request: &ReachRequest) -> ReachResponse {
-    match reach_address(state, request) {
-        Some(address) => probe_connection(&address).await.into(),
-        None => ReachResponse::Unknown,
+    let Some(address) = reach_address(state, request) else { return ReachResponse::Unknown };
+    let started_at = state.now();
+    let own_attempt = probe_connection(&address);
+    tokio::pin!(own_attempt);
+    let early = actix_rt::time::timeout(OTHER_DELAY, &mut own_attempt).await;
+    let (outcome, has_paths) = match early {
+        Ok(ConnectOutcome::Accepted) => return ReachResponse::Accepted,
+        Ok(outcome) => (outcome, probe_paths(state, &address, 1).await),
+        Err(_) => join(own_attempt, probe_paths(state, &address, 1)).await,
+    };
+    if outcome == ConnectOutcome::Accepted || has_paths {
+        return outcome.into();
     }
+    let record = state.upstreams().get(&request.upstream).cloned();
+    record.iter().for_each(|record| direct_failed(state, record, started_at));
+    ReachResponse::Unknown
 }
 
 /// Address at which the upstream of `request` is tried; `None` if another process may listen there, or the direct path of this
--- a/crates/wire/src/peer/reach.rs
+++ b/crates/wire/src/peer/reach.rs
@@ -25,7 +25,7 @@
     Refused,
     /// Nothing was received in time.
     Silent,
-    /// The daemon lists another process under the id or at the address.
+    /// The daemon lists another process under the id or at the address, or reaches no other upstream either.
     Unknown,
 }
 
