--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -34,8 +34,8 @@
     let early = actix_rt::time::timeout(OTHER_DELAY, &mut own_attempt).await;
     let (outcome, has_paths) = match early {
         Ok(ConnectOutcome::Accepted) => return ReachResponse::Accepted,
-        Ok(outcome) => (outcome, probe_paths(state, &address, 1).await),
-        Err(_) => join(own_attempt, probe_paths(state, &address, 1)).await,
+        Ok(outcome) => (outcome, probe_paths(state, &address).await),
+        Err(_) => join(own_attempt, probe_paths(state, &address)).await,
     };
     if outcome == ConnectOutcome::Accepted || has_paths {
         return outcome.into();
@@ -48,7 +48,7 @@
 /// Address at which the upstream of `request` is tried; `None` if another process may listen there, or the direct path of this
 /// daemon is lost.
 fn reach_address(state: &EdgeState, request: &ReachRequest) -> Option<SharedName> {
-    if state.paths().lost_since(&request.address).is_some() {
+    if state.paths().is_lost_here(&request.address) {
         return None;
     }
     let upstreams = state.upstreams();
--- a/crates/kernel/src/path/path_table.rs
+++ b/crates/kernel/src/path/path_table.rs
@@ -298,6 +298,12 @@
         path.map(|path| path.failed_at).or_else(|| self.cut_since())
     }
 
+    /// Whether the direct path to `address` is known to be lost, so that this daemon cannot tell whether the upstream runs.
+    #[must_use]
+    pub fn is_lost_here(&self, address: &str) -> bool {
+        self.lost_since(address).is_some() && !self.is_upstream_down(address)
+    }
+
     /// Number of direct paths that are known to be lost, apart from those that count as lost with all others.
     #[must_use]
     pub fn lost_count(&self) -> usize {
