Log when the removal of an upstream's entry is read, and how long the upstream is kept

Nothing was logged when a removal was read and postponed, so that a removal that was kept could not be told from one that was read late. upstream_missing says when it was read, its revision, how old the list may be, and for how long the upstream is kept; upstream_listed_again and upstream_delisted what followed; removed_upstreams_total counts each.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -65,6 +65,9 @@
     /// Streams that callers resume, by where their origin was found: `known`, `sole_version`, `peer`, `store`; or `unknown`,
     /// `store_unreachable` or `timed_out`.
     pub stream_lookups: Family<ReasonLabel, Counter>,
+    /// Upstreams whose entries were removed: `delisted_at_once`, `missing` while they are kept, and then `listed_again` or
+    /// `delisted_late`.
+    pub removed_upstreams: Family<ReasonLabel, Counter>,
     /// Checks of paths to upstreams, by verdict: `sound`, `lost` or `upstream_down`.
     pub path_checks: Family<ReasonLabel, Counter>,
     /// Upstreams whose direct paths are lost.
@@ -117,6 +120,7 @@
             limit_changes: Family::default(),
             permit_asks: Family::default(),
             stream_lookups: Family::default(),
+            removed_upstreams: Family::default(),
             path_checks: Family::default(),
             paths_lost: Gauge::default(),
             relayed_attempts: Family::default(),
@@ -143,6 +147,11 @@
             "Resumed streams by source of their origin",
             metrics.stream_lookups.clone(),
         );
+        registry.register(
+            "removed_upstreams",
+            "Upstreams by what their removal led to",
+            metrics.removed_upstreams.clone(),
+        );
         registry.register("path_checks", "Checks of paths to upstreams by verdict", metrics.path_checks.clone());
         registry.register("paths_lost", "Upstreams without a direct path", metrics.paths_lost.clone());
         registry.register(
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -1,7 +1,8 @@
 //! Keeps the table of upstreams up to date with the upstreams listed in the store.
 
-use super::PrefixHandler;
+use super::{PrefixHandler, PrefixLog};
 use crate::{
+    edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
     peer_client::PeerClient,
     suspect::{upstream_delisted, upstream_listed},
@@ -34,7 +35,10 @@
     /// Applies the entry of an upstream that is in the snapshot or was written after it.
     fn entry_written(&mut self, store_entry: &StoreEntry) {
         let Some(id) = upstream_id(&store_entry.key) else { return };
-        self.missing.remove(id);
+        if self.missing.remove(id).is_some() {
+            count_missing("listed_again");
+            LogLine::new("upstream_listed_again").field("upstream", id).field("revision", store_entry.revision).info();
+        }
         match decode_upstream_record(id, &store_entry.value) {
             Ok(record) => {
                 upstream_listed(&self.state, &record);
@@ -73,18 +77,32 @@
 
     /// Removes an upstream whose entry was removed from the store. Around an outage of the store, that is postponed
     /// until the end of the grace period.
-    fn entry_removed(&mut self, id: &str, now: TimePoint) {
+    fn entry_removed(&mut self, id: &str, revision: u64, now: TimePoint) {
         let keep_until = self.relist_deadline(now);
         if now < keep_until {
             self.missing.insert(id.into(), keep_until);
+            count_missing("missing");
+            self.removal_line("upstream_missing", id, revision, now)
+                .field("kept_ms", keep_until.since_ms(now))
+                .field("direct_path", self.state.path_selector().is_direct_available())
+                .info();
             return;
         }
-        LogLine::new("upstream_delisted").field("upstream", id).info();
+        count_missing("delisted_at_once");
+        self.removal_line("upstream_delisted", id, revision, now).info();
         self.remove(id);
     }
-}
 
-impl UpstreamKeys {
+    /// A line on the removal of an entry, which was read at `now`: the revision of the removal, and how old the list of this
+    /// daemon may be.
+    fn removal_line(&self, event: &'static str, id: &str, revision: u64, now: TimePoint) -> LogLine {
+        let current_as_of = self.state.change_log(Self::PREFIX).map_or(TimePoint(0), PrefixLog::current_as_of);
+        LogLine::new(event)
+            .field("upstream", id)
+            .field("revision", revision)
+            .field("list_age_ms", now.since_ms(current_as_of))
+    }
+
     /// Removes an upstream that is not listed any more.
     fn remove(&self, id: &str) {
         let removed = self.state.upstreams().remove(id);
@@ -103,6 +121,11 @@
     }
 }
 
+/// Counts a change of an upstream whose entry was removed.
+fn count_missing(reason: &'static str) {
+    EdgeMetrics::increment(&EdgeMetrics::global().removed_upstreams, reason);
+}
+
 impl PrefixHandler for UpstreamKeys {
     const PREFIX: &'static str = UPSTREAM_PREFIX;
     const BATCH_DELAY_MS: u64 = 100;
@@ -115,7 +138,7 @@
         let delisted: Vec<SharedName> =
             self.state.upstreams().records().map(|record| record.id.clone()).filter(|id| !is_listed(id)).collect();
         for id in delisted {
-            self.entry_removed(&id, now);
+            self.entry_removed(&id, page.revision, now);
         }
         self.state.job_changed.notify_waiters();
         self.state.upstreams_changed.notify_waiters();
@@ -124,9 +147,9 @@
     fn apply_change(&mut self, change: StoreChange, now: TimePoint) {
         match change {
             StoreChange::Written(store_entry) => self.entry_written(&store_entry),
-            StoreChange::Removed { key, .. } => {
+            StoreChange::Removed { key, revision } => {
                 if let Some(id) = upstream_id(&key) {
-                    self.entry_removed(id, now);
+                    self.entry_removed(id, revision, now);
                 }
             }
         }
@@ -139,6 +162,7 @@
             self.missing.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
         for id in expired {
             self.missing.remove(&id);
+            count_missing("delisted_late");
             LogLine::new("upstream_delisted")
                 .field("upstream", &id)
                 .field("reason", "not listed again after an outage of the store")
