--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -13,6 +13,7 @@
 mod platform_breaks;
 mod platform_bytes;
 mod platform_crasher;
+mod platform_departures;
 mod platform_duties;
 mod platform_jobs;
 mod platform_leaving;
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -212,13 +212,18 @@
 
     /// Ends the upstream: it closes its connections, and its entry is removed from the store.
     pub async fn stop(&self) {
-        self.inner.store.contents().remove(&format!("servers/{}", self.inner.settings.id));
+        self.inner.unregister();
         let server = self.inner.state().server.take();
         if let Some(server) = server {
             server.stop(false).await;
         }
     }
 
+    /// Removes the entry of the upstream, which continues to serve.
+    pub fn leave_list(&self) {
+        self.inner.unregister();
+    }
+
     /// Writes the entry of the upstream again.
     pub fn list_again(&self) {
         self.inner.register("ready");
@@ -235,6 +240,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Removes the entry of the upstream from the store.
+    fn unregister(&self) {
+        self.store.contents().remove(&format!("servers/{}", self.settings.id));
+    }
+
     /// Writes the entry of the upstream to the store, with `status` as its state.
     fn register(&self, status: &str) {
         let (address, versions) = {
