Take a removed entry for a lapsed one only if the store was away for all daemons

What callers saw: requests up to 2.5 s after their upstream had left the list (bound 2.0 s), from VMs that had lost their own path to the store a moment before.

Cause: a daemon kept an upstream whose entry was removed for 2.3 s after its own direct path came back, and for 2.3 s after each removal that it read while that path was lost, although it read the list through a peer: it took the loss of its own path for an outage of the store, in which entries lapse.

Change: OutageJudge. An entry may return only if it was removed between the last revision read before an outage and the first one read after it. An outage is a time of two heartbeats or more in which neither this daemon nor any that it asks has read the store; answers with changes carry the last outage that their sender knows, so that followers need not ask. The deadline is counted from the return that the first daemon saw.

--- a/crates/cli/tests/processes/platform_departures.rs
+++ b/crates/cli/tests/processes/platform_departures.rs
@@ -51,13 +51,13 @@
     for rule in [RelayRule::Refuse, RelayRule::Stall] {
         for departure in [Departure::WithoutPath, Departure::AfterReturn] {
             let (site, relays) = start_relayed_site(3).await;
-            for edge in 0..3 {
+            for (edge, relay) in relays.iter().enumerate() {
                 let case = format!("{rule:?} {departure:?} edge {edge}");
-                relays[edge].set_rule(rule);
+                relay.set_rule(rule);
                 let log = wait_for_line(&site, edge, &["event=store_path_lost"], 0).await;
                 let removals = count_lines(&log, &[MISSING, DELISTED]);
                 if departure == Departure::AfterReturn {
-                    relays[edge].set_rule(RelayRule::Pass);
+                    relay.set_rule(RelayRule::Pass);
                     wait_for_line(&site, edge, &["event=store_path_regained"], 0).await;
                 }
                 site.desks[0].leave_list();
@@ -68,7 +68,7 @@
                     assert_eq!(site.send_quote(edge, &format!("{edge}-{number}")).await.status, 200, "{case}");
                 }
                 assert_eq!(site.desks[0].arrivals().len(), received, "{case}");
-                relays[edge].set_rule(RelayRule::Pass);
+                relay.set_rule(RelayRule::Pass);
                 site.desks[0].list_again();
                 for other in 0..3 {
                     let listed = "event=upstream_listed upstream=desk-1 ";
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -65,6 +65,8 @@
     /// Streams that callers resume, by where their origin was found: `known`, `sole_version`, `peer`, `store`; or `unknown`,
     /// `store_unreachable` or `timed_out`.
     pub stream_lookups: Family<ReasonLabel, Counter>,
+    /// Times in which no changes of the store were read, by what they are taken for: `store_away` or `store_served`.
+    pub read_gaps: Family<ReasonLabel, Counter>,
     /// Upstreams whose entries were removed: `delisted_at_once`, `missing` while they are kept, and then `listed_again` or
     /// `delisted_late`.
     pub removed_upstreams: Family<ReasonLabel, Counter>,
@@ -120,6 +122,7 @@
             limit_changes: Family::default(),
             permit_asks: Family::default(),
             stream_lookups: Family::default(),
+            read_gaps: Family::default(),
             removed_upstreams: Family::default(),
             path_checks: Family::default(),
             paths_lost: Gauge::default(),
@@ -147,6 +150,7 @@
             "Resumed streams by source of their origin",
             metrics.stream_lookups.clone(),
         );
+        registry.register("read_gaps", "Times without a read of the store by cause", metrics.read_gaps.clone());
         registry.register(
             "removed_upstreams",
             "Upstreams by what their removal led to",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -36,8 +36,9 @@
 /// their writes are conditional; crash marks must be known sooner where the platform's settings say so.
 const COORDINATION_APPLY_MS_MAX: u64 = 4_000;
 
-/// Key prefixes that every daemon follows.
-const FOLLOWED_PREFIXES: [&str; 3] = [OPERATOR_PREFIX, UPSTREAM_PREFIX, KeyLayout::WATCHED_PREFIX];
+/// An upstream's entry lapses after three intervals without a heartbeat, the first of which began up to one interval before an
+/// outage of the store.
+const LAPSE_HEARTBEATS_MIN: u64 = 2;
 
 /// State shared between the HTTP listeners and the background tasks. Each lock is held only while a decision is made,
 /// never across an `await`.
@@ -156,6 +157,14 @@
     COORDINATION_APPLY_MS_MAX.min(settings.undisturbed_ms)
 }
 
+/// Logs of the prefixes that every daemon follows. Outages of the store are judged by the list of upstreams.
+fn change_logs(settings: &ProcessSettings) -> BTreeMap<&'static str, PrefixLog> {
+    const UNJUDGED: u64 = u64::MAX;
+    let lapse_ms = settings.upstream_heartbeat_ms.saturating_mul(LAPSE_HEARTBEATS_MIN);
+    let logs = [(OPERATOR_PREFIX, UNJUDGED), (UPSTREAM_PREFIX, lapse_ms), (KeyLayout::WATCHED_PREFIX, UNJUDGED)];
+    logs.into_iter().map(|(prefix, outage_ms_min)| (prefix, PrefixLog::new(outage_ms_min))).collect()
+}
+
 /// Locks `mutex`, even if a thread panicked while holding it.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -185,7 +194,7 @@
             streams_started: Notify::new(),
             buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
             stream_lookup_turn: tokio::sync::Mutex::new(TimePoint(0)),
-            change_logs: FOLLOWED_PREFIXES.into_iter().map(|prefix| (prefix, PrefixLog::default())).collect(),
+            change_logs: change_logs(&settings),
             steady_time: SteadyTime::new(&clock),
             active_requests: AtomicUsize::new(0),
             config: RwLock::new(None),
--- a/crates/edge/src/store/change_feed.rs
+++ b/crates/edge/src/store/change_feed.rs
@@ -2,19 +2,29 @@
 
 use super::StoreAccess;
 use crate::{
+    edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
     peer_client::{PeerClient, PeerError},
+    suspect::distant_peers,
 };
 use bytes::Bytes;
-use pimentoslip_kernel::{TimePoint, WatchCall, WatchSelector, WatchSource, WatchTarget, WatchTiming};
+use futures_util::future::join_all;
+use pimentoslip_kernel::{
+    OutageWitness, ReadGap, StoreRead, TimePoint, WatchCall, WatchSelector, WatchSource, WatchTarget, WatchTiming,
+};
 use pimentoslip_platform::{RangePage, Result, StoreChange, StoreEntry, StoreError};
 use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody};
+use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody, OutageBody};
 use std::sync::Arc;
 
 /// Path of the control listener at which peers request store changes.
 pub const CHANGES_PATH: &str = "/peer/news";
 
+/// Daemons that are asked whether the store served while this one read nothing.
+const WITNESSES_MAX: usize = 4;
+/// Longest wait for their responses. Round trips take milliseconds.
+const WITNESS_TIMEOUT_MS: u64 = 200;
+
 /// Source of the changes of one prefix. Received changes are also kept in the prefix's log, from which this daemon serves
 /// others.
 #[derive(Debug)]
@@ -32,10 +42,21 @@
 /// Changes received from a peer or from the store.
 struct ReceivedBatch {
     changes: Vec<Arc<ChangeBody>>,
-    /// Revision up to which all changes have been received.
-    revision: u64,
-    /// All changes written before this time have been received.
+    read: StoreRead,
+    /// What the peer knows of outages; `None` from the store.
+    witness: Option<OutageWitness>,
+    is_from_store: bool,
+}
+
+/// What a peer responds, for the request that was sent at `sent_at`, of outages of the store.
+fn outage_witness(
+    outages: Option<OutageBody>,
     current_as_of: TimePoint,
+    sent_at: TimePoint,
+    now: TimePoint,
+) -> Option<OutageWitness> {
+    let window = outages?.window.map(|window| window.into_window(sent_at, now));
+    Some(OutageWitness { current_as_of, window })
 }
 
 impl ChangeFeed {
@@ -56,10 +77,12 @@
     pub async fn read_snapshot(&mut self) -> Result<RangePage> {
         let sent_at = self.state.now();
         let page = self.store.range(self.prefix).await?;
+        let read = StoreRead { revision: page.revision, current_as_of: sent_at, served_at: self.state.now() };
+        let witnesses = self.ask_witnesses(&read).await;
         self.revision = page.revision;
         self.selector = WatchSelector::new(self.timing, sent_at);
         if let Some(log) = self.state.change_log(self.prefix) {
-            log.restart(page.revision, sent_at);
+            log.restart(&read, &witnesses).into_iter().for_each(|gap| self.log_gap(gap));
         }
         Ok(page)
     }
@@ -77,15 +100,56 @@
                 WatchTarget::Peer(source) => self.request_from_peer(source, &call).await,
                 WatchTarget::Store => Some(self.watch_store(&call).await?),
             };
-            let Some(batch) = received else { continue };
-            self.revision = self.revision.max(batch.revision);
+            let Some(ReceivedBatch { changes, read, witness, is_from_store }) = received else { continue };
+            let witnesses = if is_from_store { self.ask_witnesses(&read).await } else { witness.into_iter().collect() };
+            self.revision = self.revision.max(read.revision);
             if let Some(log) = self.state.change_log(self.prefix) {
-                log.append(&batch.changes, batch.revision, batch.current_as_of);
+                log.append(&changes, &read, &witnesses).into_iter().for_each(|gap| self.log_gap(gap));
             }
-            return Ok(batch.changes.iter().map(|change| store_change(change)).collect());
+            return Ok(changes.iter().map(|change| store_change(change)).collect());
         }
     }
 
+    /// What other daemons know of the time in which this one read nothing; nobody is asked if that is too short to matter.
+    async fn ask_witnesses(&self, read: &StoreRead) -> Vec<OutageWitness> {
+        let gap_ms = self.state.change_log(self.prefix).and_then(|log| log.gap_ms(read.served_at));
+        if gap_ms.is_none() {
+            return Vec::new();
+        }
+        let request = &ChangesRequest { prefix: self.prefix.to_owned(), revision: self.revision, wait_ms: 0 };
+        let peers = distant_peers(&self.state, &self.state.settings.vm, WITNESSES_MAX);
+        let asked = peers.iter().map(|address| async move {
+            let sent_at = self.state.now();
+            let response = self.peer_client.call(address, CHANGES_PATH, request, WITNESS_TIMEOUT_MS).await;
+            match response {
+                Ok(ChangesResponse::Changes { current_after_ms, outages, .. }) => {
+                    let now = self.state.now();
+                    let current_as_of = sent_at.plus_signed_ms(current_after_ms).min(now);
+                    outage_witness(outages, current_as_of, sent_at, now)
+                }
+                Ok(ChangesResponse::Incomplete) => None,
+                Err(error) => {
+                    LogLine::new("witness_unresponsive").field("peer", address).field("reason", &error).warn();
+                    None
+                }
+            }
+        });
+        join_all(asked).await.into_iter().flatten().collect()
+    }
+
+    /// Logs a time in which nothing was read, and what it is taken for.
+    fn log_gap(&self, gap: ReadGap) {
+        let verdict = if gap.outage.is_some() { "store_away" } else { "store_served" };
+        EdgeMetrics::increment(&EdgeMetrics::global().read_gaps, verdict);
+        LogLine::new("read_gap")
+            .field("prefix", self.prefix)
+            .field("gap_ms", gap.gap_ms)
+            .field("verdict", verdict)
+            .field("after", gap.outage.map_or(0, |window| window.after))
+            .field("through", gap.outage.map_or(0, |window| window.through))
+            .info();
+    }
+
     /// Requests changes from a peer. `None` if it does not have them; another source is selected then.
     async fn request_from_peer(&mut self, source: &WatchSource, call: &WatchCall) -> Option<ReceivedBatch> {
         let sent_at = self.state.now();
@@ -94,10 +158,12 @@
         let response = self.peer_client.call(&source.control_address, CHANGES_PATH, &request, timeout_ms).await;
         let now = self.state.now();
         match response {
-            Ok(ChangesResponse::Changes { changes, revision, current_after_ms }) => {
-                let current_as_of = TimePoint(sent_at.0.saturating_add_signed(current_after_ms)).min(now);
+            Ok(ChangesResponse::Changes { changes, revision, current_after_ms, outages }) => {
+                let current_as_of = sent_at.plus_signed_ms(current_after_ms).min(now);
                 self.selector.peer_answered(&source.daemon, current_as_of, now);
-                Some(ReceivedBatch { changes, revision, current_as_of })
+                let read = StoreRead { revision, current_as_of, served_at: current_as_of };
+                let witness = outage_witness(outages, current_as_of, sent_at, now);
+                Some(ReceivedBatch { changes, read, witness, is_from_store: false })
             }
             Ok(ChangesResponse::Incomplete) => {
                 LogLine::new("change_source_incomplete")
@@ -132,7 +198,8 @@
             Ok((batch, current_as_of)) => {
                 self.selector.proved_current(current_as_of);
                 let changes = batch.changes.iter().map(|change| Arc::new(change_message(change))).collect();
-                Ok(ReceivedBatch { changes, revision: batch.revision, current_as_of })
+                let read = StoreRead { revision: batch.revision, current_as_of, served_at: self.state.now() };
+                Ok(ReceivedBatch { changes, read, witness: None, is_from_store: true })
             }
             Err(error) => {
                 self.selector.store_failed(self.state.now());
--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -1,49 +1,88 @@
 //! The recent changes of one followed prefix, shared between the task that follows the prefix and the listener that
 //! serves the changes to other daemons.
 
-use pimentoslip_kernel::{ChangeLog, LogRead, TimePoint};
-use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse};
+use pimentoslip_kernel::{ChangeLog, LogRead, OutageJudge, OutageWitness, ReadGap, StoreRead, TimePoint};
+use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, LapseBody, OutageBody};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::sync::Notify;
 
+/// Changes and outages of one prefix.
+#[derive(Debug)]
+struct PrefixState {
+    log: ChangeLog<Arc<ChangeBody>>,
+    judge: OutageJudge,
+}
+
 /// Recent changes of one prefix.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PrefixLog {
-    log: Mutex<ChangeLog<Arc<ChangeBody>>>,
+    state: Mutex<PrefixState>,
     /// Wakes the requests that wait for a change.
     changed: Notify,
 }
 
 impl PrefixLog {
-    fn lock(&self) -> MutexGuard<'_, ChangeLog<Arc<ChangeBody>>> {
-        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Creates the log of a prefix whose entries lapse only if nobody renews them for `outage_ms_min`.
+    #[must_use]
+    pub fn new(outage_ms_min: u64) -> Self {
+        let state = PrefixState { log: ChangeLog::default(), judge: OutageJudge::new(outage_ms_min) };
+        Self { state: Mutex::new(state), changed: Notify::new() }
     }
 
-    /// Starts again after a snapshot of the prefix, which was read at `revision`.
-    pub fn restart(&self, revision: u64, current_as_of: TimePoint) {
-        self.lock().restart(revision, current_as_of);
+    fn lock(&self) -> MutexGuard<'_, PrefixState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts again after a snapshot of the prefix. Returns the gap before it; see [`OutageJudge::record`].
+    pub fn restart(&self, read: &StoreRead, witnesses: &[OutageWitness]) -> Option<ReadGap> {
+        let gap = {
+            let mut state = self.lock();
+            state.log.restart(read.revision, read.current_as_of);
+            state.judge.record(read, witnesses)
+        };
         self.changed.notify_waiters();
+        gap
     }
 
-    /// Adds changes up to `revision`. All changes written before `current_as_of` are then in the log.
-    pub fn append(&self, changes: &[Arc<ChangeBody>], revision: u64, current_as_of: TimePoint) {
-        {
-            let mut log = self.lock();
-            log.append(changes.iter().map(|change| (change.revision, change_bytes(change), change.clone())), revision);
-            log.proved_current(current_as_of);
-        }
+    /// Adds changes that were read. Returns the gap before them; see [`OutageJudge::record`].
+    pub fn append(
+        &self,
+        changes: &[Arc<ChangeBody>],
+        read: &StoreRead,
+        witnesses: &[OutageWitness],
+    ) -> Option<ReadGap> {
+        let gap = {
+            let mut state = self.lock();
+            let entries = changes.iter().map(|change| (change.revision, change_bytes(change), change.clone()));
+            state.log.append(entries, read.revision);
+            state.log.proved_current(read.current_as_of);
+            state.judge.record(read, witnesses)
+        };
         if !changes.is_empty() {
             self.changed.notify_waiters();
         }
+        gap
     }
 
     /// All changes written before this time are in the log.
     #[must_use]
     pub fn current_as_of(&self) -> TimePoint {
-        self.lock().current_as_of()
+        self.lock().log.current_as_of()
+    }
+
+    /// See [`OutageJudge::gap_ms`].
+    #[must_use]
+    pub fn gap_ms(&self, served_at: TimePoint) -> Option<u64> {
+        self.lock().judge.gap_ms(served_at)
+    }
+
+    /// See [`OutageJudge::relist_deadline`].
+    #[must_use]
+    pub fn relist_deadline(&self, revision: u64, now: TimePoint) -> Option<TimePoint> {
+        self.lock().judge.relist_deadline(revision, now)
     }
 
     /// The response to another daemon's request: changes as soon as there are any, or none once the requested wait has
@@ -53,15 +92,17 @@
         let wait_until = arrived_at.plus_ms(request.wait_ms);
         loop {
             let changed = self.changed.notified();
-            let (read, current_as_of) = {
-                let log = self.lock();
-                (log.read(request.revision), log.current_as_of())
+            let (read, current_as_of, window) = {
+                let state = self.lock();
+                (state.log.read(request.revision), state.log.current_as_of(), state.judge.window())
             };
             let LogRead::Changes { changes, revision } = read else { return ChangesResponse::Incomplete };
             let left_ms = wait_until.since_ms(now());
             if !changes.is_empty() || left_ms == 0 {
-                let current_after_ms = signed_ms(arrived_at, current_as_of);
-                return ChangesResponse::Changes { changes, revision, current_after_ms };
+                let current_after_ms = current_as_of.signed_since_ms(arrived_at);
+                let window = window.map(|window| LapseBody::from_window(&window, arrived_at));
+                let outages = Some(OutageBody { window });
+                return ChangesResponse::Changes { changes, revision, current_after_ms, outages };
             }
             // Either a change or the end of the wait is found by the next read.
             let _ = actix_rt::time::timeout(Duration::from_millis(left_ms), changed).await;
@@ -69,13 +110,6 @@
     }
 }
 
-/// Milliseconds from `from` to `to`; negative if `to` is earlier.
-fn signed_ms(from: TimePoint, to: TimePoint) -> i64 {
-    let later = i64::try_from(to.since_ms(from)).unwrap_or(i64::MAX);
-    let earlier = i64::try_from(from.since_ms(to)).unwrap_or(i64::MAX);
-    later - earlier
-}
-
 /// Approximate memory that a kept change takes.
 fn change_bytes(change: &ChangeBody) -> usize {
     size_of::<ChangeBody>() + change.key.len() + change.written.as_ref().map_or(0, |entry| entry.value.len())
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -12,10 +12,6 @@
 use pimentoslip_telemetry::LogLine;
 use std::{collections::BTreeMap, sync::Arc};
 
-/// Time after an outage of the store for which a missing entry does not prove that its upstream has stopped: entries
-/// that expired during the outage are written again within two seconds of its end.
-const RELIST_GRACE_MS: u64 = 2_300;
-
 /// Handler for the keys at which the running upstreams are listed.
 #[derive(Debug)]
 pub struct UpstreamKeys {
@@ -75,17 +71,17 @@
         }
     }
 
-    /// Removes an upstream whose entry was removed from the store. Around an outage of the store, that is postponed
-    /// until the end of the grace period.
+    /// Removes an upstream whose entry was removed from the store. One whose entry may have lapsed in an outage of the store is
+    /// kept until the entry is overdue.
     fn entry_removed(&mut self, id: &str, revision: u64, now: TimePoint) {
-        let keep_until = self.relist_deadline(now);
-        if now < keep_until {
-            self.missing.insert(id.into(), keep_until);
+        if self.missing.contains_key(id) {
+            return;
+        }
+        let relist_deadline = self.state.change_log(Self::PREFIX).and_then(|log| log.relist_deadline(revision, now));
+        if let Some(deadline) = relist_deadline {
+            self.missing.insert(id.into(), deadline);
             count_missing("missing");
-            self.removal_line("upstream_missing", id, revision, now)
-                .field("kept_ms", keep_until.since_ms(now))
-                .field("direct_path", self.state.path_selector().is_direct_available())
-                .info();
+            self.removal_line("upstream_missing", id, revision, now).field("kept_ms", deadline.since_ms(now)).info();
             return;
         }
         count_missing("delisted_at_once");
@@ -111,14 +107,6 @@
         }
         upstream_delisted(&self.state, &self.peer_client, id);
     }
-
-    /// Time until which an entry that is missing now may be written again because of an outage of the store.
-    fn relist_deadline(&self, now: TimePoint) -> TimePoint {
-        if !self.state.path_selector().is_direct_available() {
-            return now.plus_ms(RELIST_GRACE_MS);
-        }
-        self.state.store_reconnected_at().map_or(TimePoint(0), |at| at.plus_ms(RELIST_GRACE_MS))
-    }
 }
 
 /// Counts a change of an upstream whose entry was removed.
--- a/crates/edge/src/suspect/crash_task.rs
+++ b/crates/edge/src/suspect/crash_task.rs
@@ -29,7 +29,9 @@
 /// Delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Longest wait for a peer that keeps marks while the store is unreachable.
+/// Peers that keep marks while the store is unreachable.
+const PEERS_MAX: usize = 2;
+/// Longest wait for each of them.
 const PEER_TIMEOUT_MS: u64 = 300;
 
 /// Writes queued marks for as long as the process runs. Marks that cannot be written are sent to peers, which write them as
@@ -78,7 +80,7 @@
     if push.marks.is_empty() {
         return;
     }
-    for address in distant_peers(state, &state.settings.vm) {
+    for address in distant_peers(state, &state.settings.vm, PEERS_MAX) {
         match peer_client.call::<bool>(&address, CRASHES_PATH, &push, PEER_TIMEOUT_MS).await {
             Ok(_) => pushed.extend(unpushed.iter().cloned()),
             Err(error) => LogLine::new("crashes_not_pushed").field("peer", address).field("reason", error).warn(),
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -90,9 +90,9 @@
     Some(Vec::new())
 }
 
-/// Addresses of up to two peers; see [`ranked_peers`].
-pub fn distant_peers(state: &EdgeState, key: &str) -> Vec<SharedName> {
-    ranked_peers(state, key).into_iter().take(PEERS_MAX).map(|(_, address)| address).collect()
+/// Addresses of up to `count_max` peers; see [`ranked_peers`].
+pub fn distant_peers(state: &EdgeState, key: &str, count_max: usize) -> Vec<SharedName> {
+    ranked_peers(state, key).into_iter().take(count_max).map(|(_, address)| address).collect()
 }
 
 /// Names and addresses of the peers by their rank for `key`: first those of other failure domains than this daemon's, since
--- a/crates/kernel/src/time_point.rs
+++ b/crates/kernel/src/time_point.rs
@@ -24,4 +24,18 @@
     pub fn since_ms(self, earlier: Self) -> u64 {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// The point `ms` milliseconds later, or earlier if `ms` is negative.
+    #[must_use]
+    pub fn plus_signed_ms(self, ms: i64) -> Self {
+        Self(self.0.saturating_add_signed(ms))
+    }
+
+    /// Milliseconds from `other` to this point; negative if `other` is later.
+    #[must_use]
+    pub fn signed_since_ms(self, other: Self) -> i64 {
+        let later = i64::try_from(self.since_ms(other)).unwrap_or(i64::MAX);
+        let earlier = i64::try_from(other.since_ms(self)).unwrap_or(i64::MAX);
+        later - earlier
+    }
 }
--- /dev/null
+++ b/crates/kernel/src/watch/lapse_window.rs
@@ -0,0 +1,34 @@
+//! Entries that lapsed in an outage of the store.
+
+use crate::TimePoint;
+
+/// Time from the return of the store until all entries that lapsed in an outage are written again: about two seconds, and the
+/// time of a change to reach this daemon.
+const RELIST_MS: u64 = 2_300;
+
+/// Revisions in which entries may have been removed because nobody could renew them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LapseWindow {
+    /// Last revision that was read before the outage.
+    pub after: u64,
+    /// First revision that was read after it.
+    pub through: u64,
+    /// When the store was known to serve again.
+    pub returned_at: TimePoint,
+    /// When an entry that has not been written again belongs to nobody.
+    pub ends_at: TimePoint,
+}
+
+impl LapseWindow {
+    /// The window of an outage that lies between reads of the revisions `after` and `through`.
+    #[must_use]
+    pub fn new(after: u64, through: u64, returned_at: TimePoint) -> Self {
+        Self { after, through, returned_at, ends_at: returned_at.plus_ms(RELIST_MS) }
+    }
+
+    /// Whether an entry that was removed at `revision` may be written again.
+    #[must_use]
+    pub fn covers(&self, revision: u64, now: TimePoint) -> bool {
+        self.after < revision && revision <= self.through && now < self.ends_at
+    }
+}
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -7,6 +7,7 @@
 mod batches;
 mod claims;
 mod configuration;
+mod departures;
 mod duties;
 mod fairness;
 mod fleet_machines;
--- a/crates/wire/src/peer/changes.rs
+++ b/crates/wire/src/peer/changes.rs
@@ -1,5 +1,6 @@
 //! Changes of entries in the platform's store, which a daemon that watches the store sends to daemons that do not.
 
+use pimentoslip_kernel::{LapseWindow, TimePoint};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -37,6 +38,40 @@
     pub written: Option<EntryBody>,
 }
 
+/// What a daemon knows of outages of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutageBody {
+    /// The last outage; `None` if there was none.
+    pub window: Option<LapseBody>,
+}
+
+/// Revisions in which entries may have lapsed in an outage of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LapseBody {
+    /// Last revision that was read before the outage.
+    pub after: u64,
+    /// First revision that was read after it.
+    pub through: u64,
+    /// When the store served again, in milliseconds after the request arrived; negative if before.
+    pub returned_after_ms: i64,
+}
+
+impl LapseBody {
+    /// The message for `window`, to a request that arrived at `arrived_at`.
+    #[must_use]
+    pub fn from_window(window: &LapseWindow, arrived_at: TimePoint) -> Self {
+        let LapseWindow { after, through, returned_at, .. } = *window;
+        Self { after, through, returned_after_ms: returned_at.signed_since_ms(arrived_at) }
+    }
+
+    /// The window, for the daemon that sent the request at `sent_at`, read at `now`.
+    #[must_use]
+    pub fn into_window(self, sent_at: TimePoint, now: TimePoint) -> LapseWindow {
+        let returned_at = sent_at.plus_signed_ms(self.returned_after_ms).min(now);
+        LapseWindow::new(self.after, self.through, returned_at)
+    }
+}
+
 /// Changes that the watching daemon has received.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ChangesResponse {
@@ -49,6 +84,9 @@
         /// The response contains all changes that were written up to this many milliseconds after the request arrived;
         /// negative if the daemon knows only those of an earlier time.
         current_after_ms: i64,
+        /// What the daemon knows of outages; `None` from an earlier release, which does not tell.
+        #[serde(default)]
+        outages: Option<OutageBody>,
     },
     /// The watching daemon does not know all changes since the requested revision.
     Incomplete,
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -15,7 +15,7 @@
 mod usage_push;
 mod usage_totals;
 
-pub use changes::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody};
+pub use changes::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody, LapseBody, OutageBody};
 pub use claim::{ClaimRequest, ClaimResponse, SettleRequest, SettleState, StoredResponse};
 pub use crash_mark::{CrashMarkBody, CrashPush};
 pub use exchange::{ExchangeRequest, ExchangeResponse, MemberBody};
