Use an upstream whose entry may have lapsed only if no listed one can take the request, and not after its deadline

Cause: the table of upstreams knew nothing of the doubt; the handler of the list kept a deadline beside it and removed the upstream when it was next called.

Change: the deadline is stored in the table and checked where an upstream is selected, also for requests that are relayed for a peer; an upstream in doubt is selected only if no listed one can take the request. While the list cannot be read, the deadline is postponed, as no entry returns before the store; daemons learn this from the ones that they follow. Of several daemons that tell of an outage, only removals count that may be lapses for all of them.

--- a/crates/edge/src/http/request_target.rs
+++ b/crates/edge/src/http/request_target.rs
@@ -45,7 +45,7 @@
         let is_target = rule.targets.iter().any(|target| target.service == stream.service);
         let target = Self { service: stream.service, software: Some(stream.software), ..Self::any() };
         let query = target.query(parts, "", &[], PermitNeed::NONE);
-        if !is_target || !parts.state.upstreams().is_served(&query) {
+        if !is_target || !parts.state.upstreams().is_served(&query, parts.state.now()) {
             return Err(ApiRefusal::SoftwareGone);
         }
         Ok(target)
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -356,7 +356,7 @@
 fn defer_item(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) {
     let model = item_model(job, assignment.item_index);
     let query = item_query(job, rule, assignment, model.as_deref());
-    let is_served = query.is_some_and(|query| job.state.upstreams().is_served(&query));
+    let is_served = query.is_some_and(|query| job.state.upstreams().is_served(&query, now));
     job.ledger.borrow_mut().defer_run(assignment.item_index, is_served, now);
 }
 
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -68,8 +68,9 @@
     /// the process that started at `started_unix_ms`, and accepts new requests.
     #[must_use]
     pub fn adopt(state: &Arc<EdgeState>, id: &str, started_unix_ms: u64) -> Option<Self> {
-        let record = state.upstreams().adopt(id, started_unix_ms)?;
-        Some(Self::new(state, record, state.now()))
+        let now = state.now();
+        let record = state.upstreams().adopt(id, started_unix_ms, now)?;
+        Some(Self::new(state, record, now))
     }
 
     fn new(state: &Arc<EdgeState>, record: SamplerRecord, picked_at: TimePoint) -> Self {
--- a/crates/edge/src/store/change_feed.rs
+++ b/crates/edge/src/store/change_feed.rs
@@ -46,6 +46,8 @@
     /// What the peer knows of outages; `None` from the store.
     witness: Option<OutageWitness>,
     is_from_store: bool,
+    /// Whether the peer cannot read the store now.
+    is_unread: bool,
 }
 
 /// What a peer responds, for the request that was sent at `sent_at`, of outages of the store.
@@ -83,6 +85,7 @@
         self.selector = WatchSelector::new(self.timing, sent_at);
         if let Some(log) = self.state.change_log(self.prefix) {
             log.restart(&read, &witnesses).into_iter().for_each(|gap| self.log_gap(gap));
+            log.set_unread(false);
         }
         Ok(page)
     }
@@ -90,6 +93,16 @@
     /// The changes after those that were returned before. Waits a limited time for the first one, so there may be none.
     /// Fails with `HistoryCompacted` if the store no longer has these changes.
     pub async fn next_changes(&mut self) -> Result<Vec<StoreChange>> {
+        let received = self.receive_changes().await;
+        if let Err(StoreError::NotApplied { .. } | StoreError::OutcomeUnknown { .. }) = &received
+            && let Some(log) = self.state.change_log(self.prefix)
+        {
+            log.set_unread(true);
+        }
+        received
+    }
+
+    async fn receive_changes(&mut self) -> Result<Vec<StoreChange>> {
         loop {
             let sources = {
                 let settings = &self.state.settings;
@@ -100,11 +113,12 @@
                 WatchTarget::Peer(source) => self.request_from_peer(source, &call).await,
                 WatchTarget::Store => Some(self.watch_store(&call).await?),
             };
-            let Some(ReceivedBatch { changes, read, witness, is_from_store }) = received else { continue };
+            let Some(ReceivedBatch { changes, read, witness, is_from_store, is_unread }) = received else { continue };
             let witnesses = if is_from_store { self.ask_witnesses(&read).await } else { witness.into_iter().collect() };
             self.revision = self.revision.max(read.revision);
             if let Some(log) = self.state.change_log(self.prefix) {
                 log.append(&changes, &read, &witnesses).into_iter().for_each(|gap| self.log_gap(gap));
+                log.set_unread(is_unread);
             }
             return Ok(changes.iter().map(|change| store_change(change)).collect());
         }
@@ -162,8 +176,9 @@
                 let current_as_of = sent_at.plus_signed_ms(current_after_ms).min(now);
                 self.selector.peer_answered(&source.daemon, current_as_of, now);
                 let read = StoreRead { revision, current_as_of, served_at: current_as_of };
+                let is_unread = outages.is_some_and(|outages| outages.is_unread);
                 let witness = outage_witness(outages, current_as_of, sent_at, now);
-                Some(ReceivedBatch { changes, read, witness, is_from_store: false })
+                Some(ReceivedBatch { changes, read, witness, is_from_store: false, is_unread })
             }
             Ok(ChangesResponse::Incomplete) => {
                 LogLine::new("change_source_incomplete")
@@ -199,7 +214,7 @@
                 self.selector.proved_current(current_as_of);
                 let changes = batch.changes.iter().map(|change| Arc::new(change_message(change))).collect();
                 let read = StoreRead { revision: batch.revision, current_as_of, served_at: self.state.now() };
-                Ok(ReceivedBatch { changes, read, witness: None, is_from_store: true })
+                Ok(ReceivedBatch { changes, read, witness: None, is_from_store: true, is_unread: false })
             }
             Err(error) => {
                 self.selector.store_failed(self.state.now());
--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -14,6 +14,8 @@
 struct PrefixState {
     log: ChangeLog<Arc<ChangeBody>>,
     judge: OutageJudge,
+    /// Whether the last attempt to read the store has failed.
+    is_unread: bool,
 }
 
 /// Recent changes of one prefix.
@@ -28,7 +30,7 @@
     /// Creates the log of a prefix whose entries lapse only if nobody renews them for `outage_ms_min`.
     #[must_use]
     pub fn new(outage_ms_min: u64) -> Self {
-        let state = PrefixState { log: ChangeLog::default(), judge: OutageJudge::new(outage_ms_min) };
+        let state = PrefixState { log: ChangeLog::default(), judge: OutageJudge::new(outage_ms_min), is_unread: false };
         Self { state: Mutex::new(state), changed: Notify::new() }
     }
 
@@ -73,6 +75,17 @@
         self.lock().log.current_as_of()
     }
 
+    /// Whether the store could not be read lately, here or at the daemon that this one follows.
+    #[must_use]
+    pub fn is_unread(&self) -> bool {
+        self.lock().is_unread
+    }
+
+    /// Records whether the store could be read.
+    pub fn set_unread(&self, is_unread: bool) {
+        self.lock().is_unread = is_unread;
+    }
+
     /// See [`OutageJudge::gap_ms`].
     #[must_use]
     pub fn gap_ms(&self, served_at: TimePoint) -> Option<u64> {
@@ -81,8 +94,8 @@
 
     /// See [`OutageJudge::relist_deadline`].
     #[must_use]
-    pub fn relist_deadline(&self, revision: u64, now: TimePoint) -> Option<TimePoint> {
-        self.lock().judge.relist_deadline(revision, now)
+    pub fn relist_deadline(&self, revision: u64) -> Option<TimePoint> {
+        self.lock().judge.relist_deadline(revision)
     }
 
     /// The response to another daemon's request: changes as soon as there are any, or none once the requested wait has
@@ -92,16 +105,17 @@
         let wait_until = arrived_at.plus_ms(request.wait_ms);
         loop {
             let changed = self.changed.notified();
-            let (read, current_as_of, window) = {
+            let (read, current_as_of, window, is_unread) = {
                 let state = self.lock();
-                (state.log.read(request.revision), state.log.current_as_of(), state.judge.window())
+                let window = state.judge.window();
+                (state.log.read(request.revision), state.log.current_as_of(), window, state.is_unread)
             };
             let LogRead::Changes { changes, revision } = read else { return ChangesResponse::Incomplete };
             let left_ms = wait_until.since_ms(now());
             if !changes.is_empty() || left_ms == 0 {
                 let current_after_ms = current_as_of.signed_since_ms(arrived_at);
                 let window = window.map(|window| LapseBody::from_window(&window, arrived_at));
-                let outages = Some(OutageBody { window });
+                let outages = Some(OutageBody { window, is_unread });
                 return ChangesResponse::Changes { changes, revision, current_after_ms, outages };
             }
             // Either a change or the end of the wait is found by the next read.
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -7,31 +7,29 @@
     peer_client::PeerClient,
     suspect::{upstream_delisted, upstream_listed},
 };
-use pimentoslip_kernel::{SharedName, TimePoint};
+use pimentoslip_kernel::{LapseWindow, SharedName, TimePoint};
 use pimentoslip_platform::{RangePage, StoreChange, StoreEntry, UPSTREAM_PREFIX, decode_upstream_record, upstream_id};
 use pimentoslip_telemetry::LogLine;
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 /// Handler for the keys at which the running upstreams are listed.
 #[derive(Debug)]
 pub struct UpstreamKeys {
     state: Arc<EdgeState>,
     peer_client: PeerClient,
-    /// Upstreams whose entries went missing around an outage of the store, and until when they stay in the table.
-    missing: BTreeMap<SharedName, TimePoint>,
 }
 
 impl UpstreamKeys {
     /// Creates a handler that updates `state`.
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
-        Self { state, peer_client: PeerClient::default(), missing: BTreeMap::new() }
+        Self { state, peer_client: PeerClient::default() }
     }
 
     /// Applies the entry of an upstream that is in the snapshot or was written after it.
-    fn entry_written(&mut self, store_entry: &StoreEntry) {
+    fn entry_written(&self, store_entry: &StoreEntry) {
         let Some(id) = upstream_id(&store_entry.key) else { return };
-        if self.missing.remove(id).is_some() {
+        if self.state.upstreams().is_missing(id) {
             count_missing("listed_again");
             LogLine::new("upstream_listed_again").field("upstream", id).field("revision", store_entry.revision).info();
         }
@@ -73,13 +71,13 @@
 
     /// Removes an upstream whose entry was removed from the store. One whose entry may have lapsed in an outage of the store is
     /// kept until the entry is overdue.
-    fn entry_removed(&mut self, id: &str, revision: u64, now: TimePoint) {
-        if self.missing.contains_key(id) {
+    fn entry_removed(&self, id: &str, revision: u64, now: TimePoint) {
+        if self.state.upstreams().is_missing(id) {
             return;
         }
-        let relist_deadline = self.state.change_log(Self::PREFIX).and_then(|log| log.relist_deadline(revision, now));
+        let relist_deadline = self.state.change_log(Self::PREFIX).and_then(|log| log.relist_deadline(revision));
         if let Some(deadline) = relist_deadline {
-            self.missing.insert(id.into(), deadline);
+            self.state.upstreams().entry_missing(id, deadline);
             count_missing("missing");
             self.removal_line("upstream_missing", id, revision, now).field("kept_ms", deadline.since_ms(now)).info();
             return;
@@ -146,10 +144,12 @@
     }
 
     fn after_poll(&mut self, now: TimePoint) {
-        let expired: Vec<SharedName> =
-            self.missing.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
-        for id in expired {
-            self.missing.remove(&id);
+        if self.state.change_log(Self::PREFIX).is_some_and(PrefixLog::is_unread) {
+            // No entry returns before the store.
+            self.state.upstreams().keep_missing(LapseWindow::relist_deadline(now));
+        }
+        let overdue = self.state.upstreams().overdue(now);
+        for id in overdue {
             count_missing("delisted_late");
             LogLine::new("upstream_delisted")
                 .field("upstream", &id)
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct SamplerEntry {
     pub(super) record: SamplerRecord,
+    /// When the upstream gets no more requests, as its entry is missing from the list; `None` while it is listed.
+    pub(super) missing_until: Option<TimePoint>,
     /// Number of requests of this daemon in progress.
     pub(super) inflight: u64,
     /// Number of requests of other daemons, as last reported.
@@ -46,6 +48,7 @@
     pub(super) fn new(record: SamplerRecord) -> Self {
         Self {
             record,
+            missing_until: None,
             inflight: 0,
             others_load: 0,
             others_load_until: TimePoint(0),
@@ -115,14 +118,18 @@
         self.pool.as_ref().is_some_and(|pool| now.since_ms(pool.seen_at()) >= LIMIT_RECHECK_MS)
     }
 
-    /// Whether the upstream accepts new requests for the service, and has an acceptable version of the model and the
-    /// software.
-    pub(super) fn serves(&self, query: &SamplerQuery<'_>) -> bool {
+    /// Whether the upstream may get requests: it accepts new ones, and its entry is not overdue.
+    pub(super) fn is_usable(&self, now: TimePoint) -> bool {
+        self.record.state == SamplerState::Ready && self.missing_until.is_none_or(|until| now < until)
+    }
+
+    /// Whether the upstream may get requests for the service, and has an acceptable version of the model and the software.
+    pub(super) fn serves(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
         let record = &self.record;
         let has_model = query
             .model
             .is_none_or(|(model, oldest)| record.versions.get(model).is_some_and(|version| *version >= oldest));
         let has_software = query.software.is_none_or(|software| *record.software == *software);
-        record.state == SamplerState::Ready && *record.service == *query.service && has_model && has_software
+        self.is_usable(now) && *record.service == *query.service && has_model && has_software
     }
 }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -108,7 +108,10 @@
             record.state = SamplerState::Leaving;
         }
         match self.entries.get_mut(&record.id) {
-            Some(entry) if entry.record.is_same_process(&record) => entry.record = record,
+            Some(entry) if entry.record.is_same_process(&record) => {
+                entry.record = record;
+                entry.missing_until = None;
+            }
             _ => {
                 self.entries.insert(record.id.clone(), SamplerEntry::new(record));
             }
@@ -120,6 +123,34 @@
         self.entries.remove(id).map(|entry| entry.record)
     }
 
+    /// Handles the removal of an entry that may have lapsed: until `until`, its upstream gets those requests that no listed one
+    /// can take.
+    pub fn entry_missing(&mut self, id: &str, until: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.missing_until.get_or_insert(until);
+        }
+    }
+
+    /// Whether the entry of the upstream `id` is missing from the list.
+    #[must_use]
+    pub fn is_missing(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.missing_until.is_some())
+    }
+
+    /// Handles a time in which the list cannot be read: entries that are missing cannot return before `until`.
+    pub fn keep_missing(&mut self, until: TimePoint) {
+        for missing_until in self.entries.values_mut().filter_map(|entry| entry.missing_until.as_mut()) {
+            *missing_until = until.max(*missing_until);
+        }
+    }
+
+    /// Upstreams whose entries should have been written again by `now`.
+    #[must_use]
+    pub fn overdue(&self, now: TimePoint) -> Vec<SharedName> {
+        let overdue = self.entries.iter().filter(|(_, entry)| entry.missing_until.is_some_and(|until| until <= now));
+        overdue.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Replaces the complete list; see [`Self::upsert`] for upstreams that were listed before.
     pub fn replace_all(&mut self, records: Vec<SamplerRecord>) {
         self.entries.retain(|id, _| records.iter().any(|record| record.id == *id));
@@ -173,8 +204,8 @@
 
     /// Whether an upstream serves the query, even if it has no capacity or backs off.
     #[must_use]
-    pub fn is_served(&self, query: &SamplerQuery<'_>) -> bool {
-        self.entries.values().any(|entry| entry.serves(query))
+    pub fn is_served(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
+        self.entries.values().any(|entry| entry.serves(query, now))
     }
 
     /// Whether [`Self::pick`] would select an upstream.
@@ -186,7 +217,7 @@
     /// Number of upstreams that serve the query and do not back off, whatever their load.
     #[must_use]
     pub fn available_count(&self, query: &SamplerQuery<'_>, now: TimePoint) -> usize {
-        self.entries.values().filter(|entry| entry.serves(query) && entry.is_available(query, now)).count()
+        self.entries.values().filter(|entry| entry.serves(query, now) && entry.is_available(query, now)).count()
     }
 
     /// Selects the upstream with the shortest expected wait, and the upstreams at their limit that would be preferred
@@ -194,7 +225,7 @@
     fn select(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Selection {
         let mut fastest_ms = u64::MAX;
         let mut candidates: Vec<&SamplerEntry> = Vec::new();
-        for entry in self.entries.values().filter(|entry| entry.serves(query)) {
+        for entry in self.entries.values().filter(|entry| entry.serves(query, now)) {
             fastest_ms = fastest_ms.min(entry.latency_ms.unwrap_or(u64::MAX));
             let is_candidate = entry.is_available(query, now)
                 && query.capacity.is_met(entry.load(now), entry.record.slots)
@@ -203,6 +234,9 @@
                 candidates.push(entry);
             }
         }
+        if candidates.iter().any(|entry| entry.missing_until.is_none()) {
+            candidates.retain(|entry| entry.missing_until.is_none());
+        }
         let fastest_ms = if fastest_ms == u64::MAX { 1 } else { fastest_ms.max(1) };
         let cost = |entry: &SamplerEntry| {
             let is_other_domain = *entry.record.failure_domain != *query.failure_domain;
@@ -237,7 +271,8 @@
     /// one of them needs no permit or none serves it; `now` if nothing is known against a permit.
     #[must_use]
     pub fn permit_time(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<TimePoint> {
-        let available = self.entries.values().filter(|entry| entry.serves(query) && entry.is_available(query, now));
+        let available =
+            self.entries.values().filter(|entry| entry.serves(query, now) && entry.is_available(query, now));
         let mut earliest = None;
         for entry in available {
             let chance = entry.pool.as_ref()?.next_chance(query.permits.urgency, now);
@@ -310,8 +345,8 @@
     fn compare_latencies(&self, query: &SamplerQuery<'_>, now: TimePoint) -> FastestEntry {
         let free = self.entries.values().filter(|entry| {
             // Moving a run costs a request, which an upstream with a limit may not have room for.
-            let is_free = entry.load(now) < entry.record.slots && entry.pool.is_none();
-            entry.serves(query) && entry.is_available(query, now) && is_free
+            let is_free = entry.load(now) < entry.record.slots && entry.pool.is_none() && entry.missing_until.is_none();
+            entry.serves(query, now) && entry.is_available(query, now) && is_free
         });
         let mut fastest: Vec<(u64, SharedName)> = Vec::new();
         for entry in free {
@@ -409,10 +444,10 @@
 
     /// Counts a request that this daemon sends to the upstream `id` for a peer, which has selected it. The caller must
     /// report its end with [`Self::request_ended`]. `None` unless the upstream is listed as the process that started at
-    /// `started_unix_ms`, and accepts new requests.
-    pub fn adopt(&mut self, id: &str, started_unix_ms: u64) -> Option<SamplerRecord> {
+    /// `started_unix_ms`, and may get requests.
+    pub fn adopt(&mut self, id: &str, started_unix_ms: u64, now: TimePoint) -> Option<SamplerRecord> {
         let entry = self.entries.get_mut(id).filter(|entry| entry.record.started_unix_ms == started_unix_ms)?;
-        if entry.record.state != SamplerState::Ready {
+        if !entry.is_usable(now) {
             return None;
         }
         entry.inflight += 1;
--- a/crates/kernel/src/watch/lapse_window.rs
+++ b/crates/kernel/src/watch/lapse_window.rs
@@ -23,12 +23,25 @@
     /// The window of an outage that lies between reads of the revisions `after` and `through`.
     #[must_use]
     pub fn new(after: u64, through: u64, returned_at: TimePoint) -> Self {
-        Self { after, through, returned_at, ends_at: returned_at.plus_ms(RELIST_MS) }
+        Self { after, through, returned_at, ends_at: Self::relist_deadline(returned_at) }
     }
 
-    /// Whether an entry that was removed at `revision` may be written again.
+    /// The revisions in both windows, with the earlier return.
     #[must_use]
-    pub fn covers(&self, revision: u64, now: TimePoint) -> bool {
-        self.after < revision && revision <= self.through && now < self.ends_at
+    pub fn intersection(self, other: Self) -> Self {
+        let returned_at = self.returned_at.min(other.returned_at);
+        Self::new(self.after.max(other.after), self.through.min(other.through), returned_at)
+    }
+
+    /// When entries that lapsed are written again at the latest, if the store returns at `returned_at`.
+    #[must_use]
+    pub fn relist_deadline(returned_at: TimePoint) -> TimePoint {
+        returned_at.plus_ms(RELIST_MS)
+    }
+
+    /// Whether an entry that was removed at `revision` may be written again after `as_of`, until when it is known to be missing.
+    #[must_use]
+    pub fn covers(&self, revision: u64, as_of: TimePoint) -> bool {
+        self.after < revision && revision <= self.through && as_of < self.ends_at
     }
 }
--- a/crates/kernel/src/watch/outage_judge.rs
+++ b/crates/kernel/src/watch/outage_judge.rs
@@ -88,15 +88,16 @@
         if windows.is_empty() {
             return Some(LapseWindow::new(self.revision, read.revision, read.current_as_of));
         }
-        // The one that has found the store first knows best when it returned.
+        // An entry has lapsed only if that is possible for all of them.
         let all: Option<Vec<LapseWindow>> = windows.into_iter().collect();
-        all?.into_iter().min_by_key(|window| window.returned_at)
+        all?.into_iter().reduce(LapseWindow::intersection)
     }
 
     /// Until when the entry that was removed at `revision` may be written again, as it lapsed in an outage; `None` if it was
     /// removed while the store served, or is overdue.
     #[must_use]
-    pub fn relist_deadline(&self, revision: u64, now: TimePoint) -> Option<TimePoint> {
-        self.window.filter(|window| window.covers(revision, now)).map(|window| window.ends_at)
+    pub fn relist_deadline(&self, revision: u64) -> Option<TimePoint> {
+        let as_of = self.current_as_of?;
+        self.window.filter(|window| window.covers(revision, as_of)).map(|window| window.ends_at)
     }
 }
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// A ready upstream with two slots and one model of the given version.
-fn record(id: &str, domain: &str, version: u64) -> SamplerRecord {
+pub fn record(id: &str, domain: &str, version: u64) -> SamplerRecord {
     SamplerRecord {
         id: id.into(),
         service: "s".into(),
@@ -23,7 +23,7 @@
 }
 
 /// A query from failure domain `a` for a free slot with version 2 or newer of the model.
-fn query<'a>(excluded: &'a [SharedName]) -> SamplerQuery<'a> {
+pub fn query<'a>(excluded: &'a [SharedName]) -> SamplerQuery<'a> {
     SamplerQuery {
         service: "s",
         model: Some(("m", 2)),
@@ -73,7 +73,7 @@
             }
         }
         let current = table.get("u").map_or(1, |record| record.started_unix_ms);
-        assert_eq!(table.adopt("u", current).is_some(), is_picked, "{events:?}");
+        assert_eq!(table.adopt("u", current, TimePoint(10)).is_some(), is_picked, "{events:?}");
         assert_eq!(pick(&mut table, 10).is_some(), is_picked, "{events:?}");
     }
 }
--- a/crates/wire/src/peer/changes.rs
+++ b/crates/wire/src/peer/changes.rs
@@ -43,6 +43,9 @@
 pub struct OutageBody {
     /// The last outage; `None` if there was none.
     pub window: Option<LapseBody>,
+    /// Whether the daemon cannot read the store now, nor through another daemon.
+    #[serde(default)]
+    pub is_unread: bool,
 }
 
 /// Revisions in which entries may have lapsed in an outage of the store.
