Ask the table of upstreams again when a request is sent

What callers would see: a request that was selected for an upstream and is sent seconds later, after the upstream has left: its first path opened no connection, or the first peer did not, and the next peer does not know of the departure.

Change: send_direct and send_relayed check that the process for which the request was selected is still listed, ready and not overdue; if not, nothing is sent (departed) and another upstream is selected. Orders for weights check the same after the report. A peer that relays checks once more when it sends.

Ruled out: the check in awc's connector, as the library sends the head as soon as a connection is open; up to 300 ms for a connection remain, which the sum of the delays counts.

--- a/crates/cli/tests/processes/platform_departures.rs
+++ b/crates/cli/tests/processes/platform_departures.rs
@@ -1,7 +1,8 @@
 //! Tests of upstreams whose entries are removed from the list: because they left it, or because the entries lapsed in an outage
 //! of the store.
 
-use crate::support::{EdgeSite, wait_for};
+use crate::support::{EdgeOptions, EdgeSite, PathMatrix, wait_for};
+use futures_util::future::join;
 use pimentoslip_standin::{RelayRule, StoreFault, TcpRelay};
 use std::time::Duration;
 
@@ -133,3 +134,50 @@
     }
     assert_eq!(site.desks[0].arrivals().len(), received);
 }
+
+/// Guards against a request that is sent to an upstream which has left since it was selected: the first peer that is asked to relay
+/// it opens no connection, and the next one does not know of the departure.
+#[actix_rt::test]
+async fn a_request_is_not_sent_to_an_upstream_that_has_left_since_it_was_selected() {
+    let mut site = EdgeSite::without_edges();
+    site.write_default_config();
+    let mut matrix = PathMatrix::default();
+    let mut relays = Vec::new();
+    // The last edge reads the store by itself. Peers of the same failure domain relay first.
+    for (edge, failure_domain) in ["north", "north", "south"].into_iter().enumerate() {
+        let relay = TcpRelay::start(matrix.add_edge(&site).await).await.expect("start a relay");
+        let (failure_domain, region) = (failure_domain.to_owned(), format!("land-{edge}"));
+        site.start_edge_with(&EdgeOptions { store_address: relay.address, failure_domain, region });
+        relays.push(relay);
+    }
+    site.wait_ready().await;
+    matrix.set_all(0, RelayRule::Silence);
+    wait_for("all paths of the first edge are lost", || async {
+        site.send_quote(0, "early").await;
+        site.edges[0].process.log().contains("event=all_paths_lost").then_some(())
+    })
+    .await;
+    site.desks[1].leave_list();
+    for edge in 0..3 {
+        wait_for_line(&site, edge, &["event=upstream_delisted upstream=desk-2 "], 0).await;
+    }
+    for rule in [RelayRule::Refuse, RelayRule::Silence] {
+        matrix.set(1, site.desks[0].address, rule);
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    relays[2].set_rule(RelayRule::Stall);
+    let received = site.desks[0].arrivals().len();
+    let departure = async {
+        actix_rt::time::sleep(Duration::from_millis(60)).await;
+        site.desks[0].leave_list();
+        wait_for_line(&site, 0, &[DELISTED], 0).await;
+        // A request that was sent just before arrives meanwhile.
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        site.desks[0].arrivals().len()
+    };
+    let (reply, received_until) = join(site.send_quote(0, "late"), departure).await;
+    assert_eq!(site.desks[0].arrivals().len(), received_until, "{reply:?} {}", site.edges[0].process.log());
+    // A request that was sent before the edge knew of the departure is allowed.
+    let expected = if received_until == received { (503, "no_upstream") } else { (200, "answer to late") };
+    assert_eq!((reply.status, reply.body.as_str()), expected);
+}
--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -152,6 +152,9 @@
     let Some(active_term) = term.borrow().filter(|term| term.may_act(now, ORDER_TIMEOUT_MS)) else {
         return (LoadOutcome::Conflict, "duty_lost".to_owned());
     };
+    if listed_record(state, order).is_none_or(|record| !state.upstreams().may_send(&record, now)) {
+        return (LoadOutcome::Conflict, "departed".to_owned());
+    }
     let _call_guard = state.track_duty_call();
     let message = VersionOrder {
         model: &order.model,
@@ -197,10 +200,14 @@
     }
 }
 
+/// The upstream of an order, if it is still listed at the order's address.
+fn listed_record(state: &EdgeState, order: &LoadOrder) -> Option<SamplerRecord> {
+    state.upstreams().get(&order.upstream).filter(|record| record.address == order.address).cloned()
+}
+
 /// Records what a response of the upstream of an order says of it.
 fn observe_upstream<S>(state: &EdgeState, order: &LoadOrder, response: &ClientResponse<S>) {
-    let record = state.upstreams().get(&order.upstream).filter(|record| record.address == order.address).cloned();
-    if let Some(record) = record {
+    if let Some(record) = listed_record(state, order) {
         observe_leaving(state, &record, response.status(), response.headers());
     }
 }
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -52,10 +52,16 @@
         Self { outcome, reason: failure.as_str(), upstream_outcome, failure: Some(failure) }
     }
 
-    /// Whether the next run should rather be at another upstream. A missing or lost path says nothing of this one.
+    /// Whether the next run should rather be at another upstream. A missing or lost path says nothing of this one, and one that
+    /// has left is not selected again.
     fn is_failed(&self) -> bool {
         match self.failure {
-            Some(AttemptFailure::NotSent | AttemptFailure::PathLost | AttemptFailure::Unacknowledged) => false,
+            Some(
+                AttemptFailure::NotSent
+                | AttemptFailure::Departed
+                | AttemptFailure::PathLost
+                | AttemptFailure::Unacknowledged,
+            ) => false,
             Some(_) => true,
             None => self.outcome == RunOutcome::Failed,
         }
@@ -112,7 +118,7 @@
         _ => {}
     }
     if run.outcome == RunOutcome::NotRun
-        && run.failure != Some(AttemptFailure::PathLost)
+        && !matches!(run.failure, Some(AttemptFailure::Departed | AttemptFailure::PathLost))
         && let Some(model) = item_model(&job, assignment.item_index)
     {
         state.upstreams().model_refused(&guard.record.id, &model, state.now());
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -19,6 +19,8 @@
 pub enum AttemptFailure {
     /// The deadline had passed, so nothing was sent.
     NotSent,
+    /// Nothing was sent, as the upstream has left the list, or leaves, since it was selected.
+    Departed,
     /// Nothing was sent, as neither this daemon nor a peer has a path to the upstream. Says nothing of the upstream.
     PathLost,
     /// No connection could be opened.
@@ -41,8 +43,9 @@
 
 impl AttemptFailure {
     /// All failures.
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::NotSent,
+        Self::Departed,
         Self::PathLost,
         Self::Unreachable,
         Self::Refused,
@@ -59,6 +62,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::Departed => "departed",
             Self::PathLost => "path_lost",
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
@@ -80,7 +84,12 @@
     /// Whether the upstream may have run the request.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotSent | Self::PathLost | Self::Unreachable | Self::Refused | Self::Misdirected)
+        match self {
+            Self::NotSent | Self::Departed | Self::PathLost | Self::Unreachable | Self::Refused | Self::Misdirected => {
+                false
+            }
+            Self::Lost | Self::Unacknowledged | Self::TimedOut | Self::Mismatch | Self::Malformed => true,
+        }
     }
 
     /// Whether the upstream may have crashed while it ran the request.
@@ -93,7 +102,7 @@
     #[must_use]
     pub fn upstream_outcome(self) -> SamplerOutcome {
         match self {
-            Self::NotSent | Self::PathLost | Self::Unacknowledged => SamplerOutcome::Abandoned,
+            Self::NotSent | Self::Departed | Self::PathLost | Self::Unacknowledged => SamplerOutcome::Abandoned,
             Self::Refused => SamplerOutcome::Refused,
             Self::Unreachable | Self::Misdirected | Self::Lost | Self::TimedOut => SamplerOutcome::Failed,
             Self::Mismatch | Self::Malformed => SamplerOutcome::Answered(None),
--- a/crates/edge/src/relay/direct_attempt.rs
+++ b/crates/edge/src/relay/direct_attempt.rs
@@ -17,6 +17,9 @@
     if left_ms == 0 {
         return Err(AttemptFailure::NotSent.into());
     }
+    if !guard.may_send() {
+        return Err(AttemptFailure::Departed.into());
+    }
     let url = format!("http://{}{}", guard.record.address, call.path);
     let mut request = client
         .request(call.method.clone(), url)
--- a/crates/edge/src/relay/relayed_attempt.rs
+++ b/crates/edge/src/relay/relayed_attempt.rs
@@ -38,6 +38,9 @@
     if left_ms == 0 {
         return Err(AttemptFailure::NotSent.into());
     }
+    if !guard.may_send() {
+        return Err(AttemptFailure::Departed.into());
+    }
     let Some(control_address) = guard.peer_address(peer) else {
         guard.relay_failed(peer, RelayFailure::Peer);
         return Err(AttemptFailure::PathLost.into());
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -222,6 +222,12 @@
         self.outcome = outcome;
     }
 
+    /// Whether the request may be sent now: the upstream has not left since it was picked.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        self.state.upstreams().may_send(&self.record, self.now())
+    }
+
     /// Whether the list names another process under the upstream's id by now, or one with other software.
     #[must_use]
     pub fn is_replaced(&self) -> bool {
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -442,6 +442,13 @@
         }
     }
 
+    /// Whether a request for which `picked` was selected may be sent there now: the same process is listed and accepts requests.
+    #[must_use]
+    pub fn may_send(&self, picked: &SamplerRecord, now: TimePoint) -> bool {
+        let entry = self.entries.get(&picked.id).filter(|entry| entry.record.is_same_process(picked));
+        entry.is_some_and(|entry| entry.is_usable(now))
+    }
+
     /// Counts a request that this daemon sends to the upstream `id` for a peer, which has selected it. The caller must
     /// report its end with [`Self::request_ended`]. `None` unless the upstream is listed as the process that started at
     /// `started_unix_ms`, and may get requests.
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -78,6 +78,33 @@
     }
 }
 
+/// Guards against a request that was selected for a process which has left before the request is sent.
+#[test]
+fn a_request_is_sent_only_while_the_process_that_it_was_selected_for_is_listed() {
+    let upstream = record("u", "a", 2);
+    let leaving = SamplerRecord { state: SamplerState::Leaving, ..upstream.clone() };
+    let next = SamplerRecord { started_unix_ms: 2, ..upstream.clone() };
+    let moved = SamplerRecord { address: "elsewhere:1".into(), ..upstream.clone() };
+    type Change<'a> = &'a dyn Fn(&mut SamplerTable);
+    // What happens between the selection and the sending at 10, and whether the request is sent.
+    let cases: [(&str, Change<'_>, bool); 8] = [
+        ("nothing", &|_| {}, true),
+        ("removed", &|table| drop(table.remove("u")), false),
+        ("leaving", &|table| table.upsert(leaving.clone()), false),
+        ("says that it leaves", &|table| assert!(table.process_leaving(&upstream, TimePoint(5))), false),
+        ("replaced", &|table| table.upsert(next.clone()), false),
+        ("at another address", &|table| table.upsert(moved.clone()), false),
+        ("missing", &|table| table.entry_missing("u", TimePoint(11)), true),
+        ("overdue", &|table| table.entry_missing("u", TimePoint(10)), false),
+    ];
+    for (case, change, is_sent) in cases {
+        let mut table = table(std::slice::from_ref(&upstream));
+        let picked = table.pick(&query(&[]), TimePoint(0)).expect("the only upstream");
+        change(&mut table);
+        assert_eq!(table.may_send(&picked, TimePoint(10)), is_sent, "{case}");
+    }
+}
+
 #[test]
 fn upstreams_that_are_leaving_outdated_full_or_of_another_service_are_not_picked() {
     let leaving = SamplerRecord { state: SamplerState::Leaving, ..record("leaving", "a", 5) };
