Derive waits after an outage of the store from an outage, not from this daemon's own path

Two more readers took the loss of their own path for an outage: claims of jobs waited 1.3 s instead of 0.3 s for an owner that was gone, if the daemon had found its own path again shortly before; and a daemon without paths to the upstreams counted its wait for the duty from its own return to the store. Both mean an outage for all daemons, which OutageJudge knows now. The others need this daemon's own path and have it. No test of its own: due_claims and acquire_time are given the time, as before (machines::ownership).

--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -76,7 +76,7 @@
     let spread_ms = fingerprint(&[state.settings.vm.as_bytes()]) % ACQUIRE_SPREAD_MS;
     if state.paths().is_cut() {
         // The others could not acquire it either during an outage of the store.
-        let since = state.store_reconnected_at().map_or(vacant_since, |at| at.max(vacant_since));
+        let since = state.store_returned_at().map_or(vacant_since, |at| at.max(vacant_since));
         return since.plus_ms(CUT_ACQUIRE_DELAY_MS + spread_ms);
     }
     vacant_since.plus_ms(match &state.lease_view().last_holder {
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -104,7 +104,6 @@
     usage: Mutex<UsageTally>,
     lease_view: Mutex<LeaseView>,
     path_selector: Mutex<PathSelector>,
-    store_reconnected_at: Mutex<Option<TimePoint>>,
     usage_write_count: AtomicU64,
     run_reports: Mutex<RunReports>,
     pending_duty_calls: AtomicUsize,
@@ -217,7 +216,6 @@
             usage: Mutex::new(UsageTally::new(settings.usage_window_ms)),
             lease_view: Mutex::default(),
             path_selector: Mutex::new(PathSelector::new(fingerprint(&[settings.vm.as_bytes()]))),
-            store_reconnected_at: Mutex::default(),
             usage_write_count: AtomicU64::new(0),
             run_reports: Mutex::default(),
             pending_duty_calls: AtomicUsize::new(0),
@@ -404,15 +402,11 @@
         lock(&self.path_selector)
     }
 
-    /// Records that the direct path to the store works again since `at`.
-    pub fn store_reconnected(&self, at: TimePoint) {
-        *lock(&self.store_reconnected_at) = Some(at);
-    }
-
-    /// When the direct path to the store worked again after its last failure; `None` if it has not failed.
+    /// When the store returned after its last outage; `None` if it has served all the time. The loss of this daemon's own path is
+    /// no outage.
     #[must_use]
-    pub fn store_reconnected_at(&self) -> Option<TimePoint> {
-        *lock(&self.store_reconnected_at)
+    pub fn store_returned_at(&self) -> Option<TimePoint> {
+        self.change_log(UPSTREAM_PREFIX)?.outage().map(|outage| outage.returned_at)
     }
 
     /// Locks the latest report of each daemon: the number of its requests in progress at each upstream that serves
--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -20,11 +20,11 @@
         let has_running_jobs = state.jobs().running_count() > 0;
         state.path_selector().set_urgent(has_running_jobs);
         let claims = {
-            let reconnected_at = state.store_reconnected_at();
+            let returned_at = state.store_returned_at();
             let jobs = state.jobs();
             let key =
                 |job: &SharedName| jobs.get(job).map_or_else(|| job.clone(), |view| placement_key(&state, &view.entry));
-            state.ownership().due_claims(now, reconnected_at, |job| jobs.has_state(job), key)
+            state.ownership().due_claims(now, returned_at, |job| jobs.has_state(job), key)
         };
         let lease = state.lease_view().lease;
         if let Some(lease) = lease {
--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -1,7 +1,7 @@
 //! The recent changes of one followed prefix, shared between the task that follows the prefix and the listener that
 //! serves the changes to other daemons.
 
-use pimentoslip_kernel::{ChangeLog, LogRead, OutageJudge, OutageWitness, ReadGap, StoreRead, TimePoint};
+use pimentoslip_kernel::{ChangeLog, LapseWindow, LogRead, OutageJudge, OutageWitness, ReadGap, StoreRead, TimePoint};
 use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, LapseBody, OutageBody};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -92,6 +92,12 @@
         self.lock().judge.gap_ms(served_at)
     }
 
+    /// The last outage of the store.
+    #[must_use]
+    pub fn outage(&self) -> Option<LapseWindow> {
+        self.lock().judge.window()
+    }
+
     /// See [`OutageJudge::relist_deadline`].
     #[must_use]
     pub fn relist_deadline(&self, revision: u64) -> Option<TimePoint> {
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -87,8 +87,6 @@
             }
             _ => {
                 if selector.call_succeeded(path, now) {
-                    drop(selector);
-                    self.state.store_reconnected(now);
                     LogLine::new("store_path_regained").field("path", path).info();
                 }
             }
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -255,19 +255,18 @@
         self.owner(job).is_some() && !self.is_owned_here(job)
     }
 
-    /// Jobs that this process should claim now. `reconnected_at` is when the store was reachable again after the last
-    /// outage, if there was one; `is_held` returns whether this process has a job's state in memory, `placement_key` the
+    /// Jobs that this process should claim now. `returned_at` is when the store returned after its last outage, if
+    /// there was one; `is_held` returns whether this process has a job's state in memory, `placement_key` the
     /// key for [`Self::preferred_daemon`].
     #[must_use]
     pub fn due_claims(
         &self,
         now: TimePoint,
-        reconnected_at: Option<TimePoint>,
+        returned_at: Option<TimePoint>,
         is_held: impl Fn(&str) -> bool,
         placement_key: impl Fn(&SharedName) -> SharedName,
     ) -> Vec<DueClaim> {
-        let is_after_outage =
-            |since: TimePoint| reconnected_at.is_some_and(|at| since.since_ms(at) < OUTAGE_RECLAIM_MS);
+        let is_after_outage = |since: TimePoint| returned_at.is_some_and(|at| since.since_ms(at) < OUTAGE_RECLAIM_MS);
         let open_jobs = self.entries.iter().filter(|(_, entry)| entry.accepted && !entry.closed);
         let due = open_jobs.filter_map(|(job, entry)| {
             let claim = |replaced_revision| Some(DueClaim { job: job.clone(), replaced_revision });
