--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -4,6 +4,7 @@
 use pimentoslip_kernel::{ChangeLog, LapseWindow, LogRead, OutageJudge, OutageWitness, ReadGap, StoreRead, TimePoint};
 use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, LapseBody, OutageBody};
 use std::{
+    ops::RangeInclusive,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -100,8 +101,8 @@
 
     /// See [`OutageJudge::relist_deadline`].
     #[must_use]
-    pub fn relist_deadline(&self, revision: u64) -> Option<TimePoint> {
-        self.lock().judge.relist_deadline(revision)
+    pub fn relist_deadline(&self, revisions: &RangeInclusive<u64>) -> Option<TimePoint> {
+        self.lock().judge.relist_deadline(revisions)
     }
 
     /// The response to another daemon's request: changes as soon as there are any, or none once the requested wait has
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -10,20 +10,22 @@
 use pimentoslip_kernel::{LapseWindow, SharedName, TimePoint};
 use pimentoslip_platform::{RangePage, StoreChange, StoreEntry, UPSTREAM_PREFIX, decode_upstream_record, upstream_id};
 use pimentoslip_telemetry::LogLine;
-use std::sync::Arc;
+use std::{ops::RangeInclusive, sync::Arc};
 
 /// Handler for the keys at which the running upstreams are listed.
 #[derive(Debug)]
 pub struct UpstreamKeys {
     state: Arc<EdgeState>,
     peer_client: PeerClient,
+    /// Revision up to which changes have been applied.
+    revision: u64,
 }
 
 impl UpstreamKeys {
     /// Creates a handler that updates `state`.
     #[must_use]
     pub fn new(state: Arc<EdgeState>) -> Self {
-        Self { state, peer_client: PeerClient::default() }
+        Self { state, peer_client: PeerClient::default(), revision: 0 }
     }
 
     /// Applies the entry of an upstream that is in the snapshot or was written after it.
@@ -69,21 +71,23 @@
         }
     }
 
-    /// Removes an upstream whose entry was removed from the store. One whose entry may have lapsed in an outage of the store is
+    /// Removes an upstream whose entry was removed from the store at one of `revisions`. One whose entry may have lapsed in an outage of the store is
     /// kept until the entry is overdue.
-    fn entry_removed(&self, id: &str, revision: u64, now: TimePoint) {
+    fn entry_removed(&self, id: &str, revisions: &RangeInclusive<u64>, now: TimePoint) {
         if self.state.upstreams().is_missing(id) {
             return;
         }
-        let relist_deadline = self.state.change_log(Self::PREFIX).and_then(|log| log.relist_deadline(revision));
+        let relist_deadline = self.state.change_log(Self::PREFIX).and_then(|log| log.relist_deadline(revisions));
         if let Some(deadline) = relist_deadline {
             self.state.upstreams().entry_missing(id, deadline);
             count_missing("missing");
-            self.removal_line("upstream_missing", id, revision, now).field("kept_ms", deadline.since_ms(now)).info();
+            self.removal_line("upstream_missing", id, *revisions.end(), now)
+                .field("kept_ms", deadline.since_ms(now))
+                .info();
             return;
         }
         count_missing("delisted_at_once");
-        self.removal_line("upstream_delisted", id, revision, now).info();
+        self.removal_line("upstream_delisted", id, *revisions.end(), now).info();
         self.remove(id);
     }
 
@@ -123,20 +127,26 @@
         let is_listed = |id: &str| page.entries.iter().any(|store_entry| upstream_id(&store_entry.key) == Some(id));
         let delisted: Vec<SharedName> =
             self.state.upstreams().records().map(|record| record.id.clone()).filter(|id| !is_listed(id)).collect();
+        let revisions = self.revision + 1..=page.revision;
         for id in delisted {
-            self.entry_removed(&id, page.revision, now);
+            self.entry_removed(&id, &revisions, now);
         }
+        self.revision = page.revision;
         self.state.job_changed.notify_waiters();
         self.state.upstreams_changed.notify_waiters();
     }
 
     fn apply_change(&mut self, change: StoreChange, now: TimePoint) {
         match change {
-            StoreChange::Written(store_entry) => self.entry_written(&store_entry),
+            StoreChange::Written(store_entry) => {
+                self.entry_written(&store_entry);
+                self.revision = self.revision.max(store_entry.revision);
+            }
             StoreChange::Removed { key, revision } => {
                 if let Some(id) = upstream_id(&key) {
-                    self.entry_removed(id, revision, now);
+                    self.entry_removed(id, &(revision..=revision), now);
                 }
+                self.revision = self.revision.max(revision);
             }
         }
         self.state.job_changed.notify_waiters();
--- a/crates/kernel/src/watch/lapse_window.rs
+++ b/crates/kernel/src/watch/lapse_window.rs
@@ -1,6 +1,7 @@
 //! Entries that lapsed in an outage of the store.
 
 use crate::TimePoint;
+use std::ops::RangeInclusive;
 
 /// Time from the return of the store until all entries that lapsed in an outage are written again: about two seconds, and the
 /// time of a change to reach this daemon.
@@ -39,9 +40,10 @@
         returned_at.plus_ms(RELIST_MS)
     }
 
-    /// Whether an entry that was removed at `revision` may be written again after `as_of`, until when it is known to be missing.
+    /// Whether an entry that was removed at one of `revisions` may be written again after `as_of`, until when it is known to be
+    /// missing.
     #[must_use]
-    pub fn covers(&self, revision: u64, as_of: TimePoint) -> bool {
-        self.after < revision && revision <= self.through && as_of < self.ends_at
+    pub fn covers(&self, revisions: &RangeInclusive<u64>, as_of: TimePoint) -> bool {
+        self.after < *revisions.end() && *revisions.start() <= self.through && as_of < self.ends_at
     }
 }
--- a/crates/kernel/src/watch/outage_judge.rs
+++ b/crates/kernel/src/watch/outage_judge.rs
@@ -2,6 +2,7 @@
 
 use super::LapseWindow;
 use crate::TimePoint;
+use std::ops::RangeInclusive;
 
 /// A read of the store's changes, directly or from another daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,11 +94,11 @@
         all?.into_iter().reduce(LapseWindow::intersection)
     }
 
-    /// Until when the entry that was removed at `revision` may be written again, as it lapsed in an outage; `None` if it was
-    /// removed while the store served, or is overdue.
+    /// Until when the entry that was removed at one of `revisions` may be written again, as it lapsed in an outage; `None` if it
+    /// was removed while the store served, or is overdue. A snapshot shows only between which revisions an entry was removed.
     #[must_use]
-    pub fn relist_deadline(&self, revision: u64) -> Option<TimePoint> {
+    pub fn relist_deadline(&self, revisions: &RangeInclusive<u64>) -> Option<TimePoint> {
         let as_of = self.current_as_of?;
-        self.window.filter(|window| window.covers(revision, as_of)).map(|window| window.ends_at)
+        self.window.filter(|window| window.covers(revisions, as_of)).map(|window| window.ends_at)
     }
 }
--- a/crates/kernel/tests/machines/departures.rs
+++ b/crates/kernel/tests/machines/departures.rs
@@ -10,7 +10,7 @@
     StoreRead, TimePoint,
 };
 use quickcheck::{Arbitrary, Gen};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, ops::RangeInclusive};
 
 /// Shortest outage in which entries lapse: two heartbeats.
 const OUTAGE_MS_MIN: u64 = 2_400;
@@ -20,9 +20,9 @@
     StoreRead { revision, current_as_of: TimePoint(ms), served_at: TimePoint(ms) }
 }
 
-/// A name; the time of the next read after one of revision 20 at 5,000; what others say then; the revision of a removal; and until
-/// when its entry may return.
-type Case<'a> = (&'a str, u64, &'a [OutageWitness], u64, Option<u64>);
+/// A name; the time of the next read after one of revision 20 at 5,000; what others say then; the revisions of a
+/// removal; and until when its entry may return.
+type Case<'a> = (&'a str, u64, &'a [OutageWitness], RangeInclusive<u64>, Option<u64>);
 
 /// Guards against an upstream that left the list but is kept, as this daemon takes the loss of its own path for an outage of the
 /// store, and against one that is dropped although its entry lapsed in an outage.
@@ -34,29 +34,44 @@
     let earlier = LapseWindow::new(3, 7, TimePoint(2_000));
     let late = OutageWitness { current_as_of: TimePoint(12_400), window: Some(outage) };
     let later = LapseWindow::new(24, 30, TimePoint(9_700));
-    let cases: [Case<'_>; 12] = [
-        ("no gap", 7_399, &[], 25, None),
-        ("nobody read meanwhile", 10_000, &[], 25, Some(12_300)),
-        ("a witness that has read nothing either", 10_000, &[outdated], 25, Some(12_300)),
-        ("removed before the outage", 10_000, &[], 20, None),
-        ("removed after the return", 10_000, &[], 41, None),
-        ("the store served others", 10_000, &[informed(None)], 25, None),
-        ("the store served one of two", 10_000, &[informed(Some(outage)), informed(None)], 25, None),
-        ("another daemon found the store first", 10_000, &[informed(Some(outage))], 25, Some(11_800)),
-        ("one of two had read the removal before", 10_000, &[informed(Some(outage)), informed(Some(later))], 22, None),
-        ("removed after the other one's first read", 10_000, &[informed(Some(outage))], 31, None),
-        ("the last outage of the witness is an earlier one", 10_000, &[informed(Some(earlier))], 25, None),
-        ("a read long after the return", 12_500, &[late], 25, None),
+    let cases: [Case<'_>; 15] = [
+        ("no gap", 7_399, &[], 25..=25, None),
+        ("nobody read meanwhile", 10_000, &[], 25..=25, Some(12_300)),
+        ("a witness that has read nothing either", 10_000, &[outdated], 25..=25, Some(12_300)),
+        ("removed before the outage", 10_000, &[], 20..=20, None),
+        ("removed after the return", 10_000, &[], 41..=41, None),
+        ("the store served others", 10_000, &[informed(None)], 25..=25, None),
+        ("the store served one of two", 10_000, &[informed(Some(outage)), informed(None)], 25..=25, None),
+        ("another daemon found the store first", 10_000, &[informed(Some(outage))], 25..=25, Some(11_800)),
+        (
+            "one of two had read the removal before",
+            10_000,
+            &[informed(Some(outage)), informed(Some(later))],
+            22..=22,
+            None,
+        ),
+        ("removed after the other one's first read", 10_000, &[informed(Some(outage))], 31..=31, None),
+        ("the last outage of the witness is an earlier one", 10_000, &[informed(Some(earlier))], 25..=25, None),
+        ("a read long after the return", 12_500, &[late], 25..=25, None),
+        ("missing from a snapshot after an outage", 10_000, &[], 21..=40, Some(12_300)),
+        (
+            "missing from a snapshot that includes later removals",
+            10_000,
+            &[informed(Some(outage))],
+            21..=40,
+            Some(11_800),
+        ),
+        ("missing from a snapshot while the store served", 10_000, &[informed(None)], 21..=40, None),
     ];
     for (case, served_at, witnesses, removed, deadline) in cases {
         let mut judge = OutageJudge::new(OUTAGE_MS_MIN);
         assert_eq!(judge.record(&read(20, 5_000), &[]), None, "{case}: a first read follows no gap");
         let gap = judge.record(&read(40, served_at), witnesses);
         assert_eq!(gap.is_some(), served_at >= 7_400, "{case}");
-        assert_eq!(judge.relist_deadline(removed), deadline.map(TimePoint), "{case}");
+        assert_eq!(judge.relist_deadline(&removed), deadline.map(TimePoint), "{case}");
         if let Some(deadline) = deadline {
             judge.record(&read(40, deadline), &[]);
-            assert_eq!(judge.relist_deadline(removed), None, "{case}: overdue");
+            assert_eq!(judge.relist_deadline(&removed), None, "{case}: overdue");
         }
     }
 }
@@ -299,13 +314,13 @@
         }
         let knows_departure = |witness: &OutageWitness, number: u64| {
             let is_current = self.now.since_ms(witness.current_as_of) <= READ_STEPS * STEP_MS;
-            is_current && witness.window.is_none_or(|window| !window.covers(number, witness.current_as_of))
+            is_current && witness.window.is_none_or(|window| !window.covers(&(number..=number), witness.current_as_of))
         };
         judge.record(&read, &witnesses);
         start.get_or_insert(read.revision);
         for number in *revision..read.revision {
             let Change { upstream, listed, is_departure } = self.changes[number as usize];
-            let deadline = judge.relist_deadline(number + 1);
+            let deadline = judge.relist_deadline(&(number + 1..=number + 1));
             let is_known = witnesses.iter().any(|witness| knows_departure(witness, number + 1));
             if is_departure && is_known && deadline.is_some() {
                 return Err(format!("{:?}: u{upstream} has left, and is kept at {daemon}", self.now));
