--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -19,6 +19,7 @@
 mod platform_leaving;
 mod platform_limits;
 mod platform_malformed;
+mod platform_outdated;
 mod platform_path;
 mod platform_paths;
 mod platform_relays;
--- a/crates/cli/tests/processes/platform_departures.rs
+++ b/crates/cli/tests/processes/platform_departures.rs
@@ -15,20 +15,6 @@
     AfterReturn,
 }
 
-/// Starts a site of edges that reach the store through a relay each.
-async fn start_relayed_site(edges: usize) -> (EdgeSite, Vec<TcpRelay>) {
-    let mut site = EdgeSite::without_edges();
-    site.write_default_config();
-    let mut relays = Vec::new();
-    for _ in 0..edges {
-        let relay = TcpRelay::start(site.store.address).await.expect("start a relay");
-        site.start_edge(relay.address);
-        relays.push(relay);
-    }
-    site.wait_ready().await;
-    (site, relays)
-}
-
 /// Waits until the log of an edge contains one of `texts` more often than `before` times, and returns the log.
 async fn wait_for_line(site: &EdgeSite, edge: usize, texts: &[&str], before: usize) -> String {
     wait_for(&format!("edge {edge} logs one of {texts:?}"), || async {
@@ -51,7 +37,7 @@
 async fn an_upstream_that_leaves_the_list_gets_no_request_from_an_edge_that_lost_its_path_to_the_store() {
     for rule in [RelayRule::Refuse, RelayRule::Stall] {
         for departure in [Departure::WithoutPath, Departure::AfterReturn] {
-            let (site, relays) = start_relayed_site(3).await;
+            let (site, relays) = EdgeSite::start_with_relays(3).await;
             for (edge, relay) in relays.iter().enumerate() {
                 let case = format!("{rule:?} {departure:?} edge {edge}");
                 relay.set_rule(rule);
--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -219,15 +219,8 @@
 /// is lost, or no longer receives anything from the store. Edges are lost in the order in which they become the watcher.
 #[actix_rt::test]
 async fn changes_reach_the_remaining_edges_after_each_watcher_is_lost() {
-    let mut site = EdgeSite::without_edges();
-    site.write_config(2, &[("rose", crate::support::ROSE_KEY)]);
-    let mut relays = Vec::new();
-    for _ in 0..4 {
-        let relay = TcpRelay::start(site.store.address).await.expect("start a relay");
-        site.start_edge(relay.address);
-        relays.push(relay);
-    }
-    site.wait_ready().await;
+    let (mut site, relays) = EdgeSite::start_with_relays(4).await;
+    site.write_config(3, &[("rose", ROSE_KEY)]);
     let names: Vec<String> = site.edges.iter().map(|edge| edge.vm.clone()).collect();
     let watchers: Vec<usize> = pimentoslip_kernel::rank("watch", &names)
         .into_iter()
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -3,7 +3,7 @@
 
 use super::{ChildProcess, Workdir, wait_for};
 use awc::{Client, ClientResponse, error::SendRequestError, http::Method};
-use pimentoslip_standin::{PlatformProvider, PlatformStore, PlatformUpstream, UpstreamSettings};
+use pimentoslip_standin::{PlatformProvider, PlatformStore, PlatformUpstream, TcpRelay, UpstreamSettings};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
 
@@ -121,6 +121,20 @@
         site
     }
 
+    /// Starts a site like [`Self::start`], whose edges reach the store through a relay each.
+    pub async fn start_with_relays(edges: usize) -> (Self, Vec<TcpRelay>) {
+        let mut site = Self::without_edges();
+        site.write_default_config();
+        let mut relays = Vec::new();
+        for _ in 0..edges {
+            let relay = TcpRelay::start(site.store.address).await.expect("start a relay");
+            site.start_edge(relay.address);
+            relays.push(relay);
+        }
+        site.wait_ready().await;
+        (site, relays)
+    }
+
     /// Starts the stand-ins, without any edge and without a configuration.
     pub fn without_edges() -> Self {
         let store = PlatformStore::start().expect("start the store");
