Let daemons of the streams' machine be cut off, and lose power right after a stream has begun

The machine did not contain the order of events of the report: a copy of it in which a daemon trusts its own record of the versions, and does not read the store, passed all tests. Streams that are begun and lost with their daemon before they are stored, and daemons that reach neither store nor peers, or one of them, are drawn now; that copy fails, as does one that trusts its record while the store is out of reach.

--- a/crates/kernel/tests/machines/streams.rs
+++ b/crates/kernel/tests/machines/streams.rs
@@ -21,12 +21,16 @@
 enum Command {
     /// A caller starts a stream at a daemon.
     Start { daemon: usize, pick: usize },
+    /// A caller starts a stream at a daemon, which loses power before it has stored it.
+    StartAndLose { daemon: usize, pick: usize },
     /// The caller of a stream resumes it at a daemon.
     Resume { stream: u8, daemon: usize },
     /// Upstreams with a version start, or leave.
     Toggle { version: usize },
     /// A daemon freezes; it has not received any change when it wakes.
     Freeze { daemon: usize, ms: u16 },
+    /// A daemon reaches neither the store nor others; or only one of them, through which it receives all changes.
+    CutOff { daemon: usize, from_store: bool, from_peers: bool, ms: u16 },
     /// Daemons lose power at once and start again.
     PowerLoss { daemons: u8 },
     /// The store is away.
@@ -39,8 +43,15 @@
     fn arbitrary(rng: &mut Gen) -> Self {
         let (daemon, pick) = (usize::arbitrary(rng) % DAEMONS, usize::arbitrary(rng));
         let ms = u16::arbitrary(rng) % 9_000;
-        match u8::arbitrary(rng) % 16 {
+        match u8::arbitrary(rng) % 20 {
             0..=4 => Self::Start { daemon, pick },
+            16 | 17 => Self::StartAndLose { daemon, pick },
+            18 | 19 => Self::CutOff {
+                daemon,
+                from_store: pick & 3 != 1,
+                from_peers: pick & 3 != 2,
+                ms: u16::arbitrary(rng) % 9_000,
+            },
             5..=9 => Self::Resume { stream: u8::arbitrary(rng), daemon },
             10..=11 => Self::Toggle { version: pick % VERSIONS.len() },
             12 => Self::Freeze { daemon, ms },
@@ -72,6 +83,21 @@
     /// When changes were last received; 0 after a start.
     current_as_of: u64,
     frozen_until: u64,
+    cut_until: u64,
+    is_cut_from_store: bool,
+    is_cut_from_peers: bool,
+}
+
+impl Daemon {
+    /// Whether the daemon reaches the store, directly or through others.
+    fn reaches_store(&self, now: u64) -> bool {
+        !(self.cut_until > now && self.is_cut_from_store && self.is_cut_from_peers)
+    }
+
+    /// Whether others reach the daemon, and it them.
+    fn reaches_peers(&self, now: u64) -> bool {
+        self.frozen_until <= now && !(self.cut_until > now && self.is_cut_from_peers)
+    }
 }
 
 /// A stream with the versions that generated its events.
@@ -108,6 +134,15 @@
     fn apply(&mut self, command: &Command) -> Result<(), String> {
         match *command {
             Command::Start { daemon, pick } => self.start(daemon, pick),
+            Command::StartAndLose { daemon, pick } => {
+                self.start(daemon, pick);
+                self.lose_power(daemon);
+            }
+            Command::CutOff { daemon, from_store, from_peers, ms } => {
+                let daemon = &mut self.daemons[daemon];
+                daemon.cut_until = self.now + u64::from(ms);
+                (daemon.is_cut_from_store, daemon.is_cut_from_peers) = (from_store, from_peers);
+            }
             Command::Resume { stream, daemon } => return self.resume(usize::from(stream), daemon),
             Command::Toggle { version } => {
                 let version: SharedName = VERSIONS[version].into();
@@ -117,9 +152,7 @@
             }
             Command::Freeze { daemon, ms } => self.daemons[daemon].frozen_until = self.now + u64::from(ms),
             Command::PowerLoss { daemons } => {
-                for daemon in (0..DAEMONS).filter(|daemon| daemons >> daemon & 1 == 1) {
-                    self.daemons[daemon] = Daemon { frozen_until: self.now + 500, ..Daemon::default() };
-                }
+                (0..DAEMONS).filter(|daemon| daemons >> daemon & 1 == 1).for_each(|daemon| self.lose_power(daemon));
             }
             Command::StoreAway { ms } => self.store.away_until = self.now + u64::from(ms),
             Command::Wait { ms } => self.run(u64::from(ms)),
@@ -127,6 +160,10 @@
         Ok(())
     }
 
+    fn lose_power(&mut self, daemon: usize) {
+        self.daemons[daemon] = Daemon { frozen_until: self.now + 500, ..Daemon::default() };
+    }
+
     fn is_store_up(&self) -> bool {
         self.store.away_until <= self.now
     }
@@ -145,7 +182,7 @@
     fn step(&mut self, number: usize) {
         let (now, unix_ms) = (self.now, UNIX_OFFSET_MS + self.now);
         let daemon = &mut self.daemons[number];
-        if daemon.frozen_until > now {
+        if daemon.frozen_until > now || !daemon.reaches_store(now) {
             return;
         }
         let is_behind = now / STEP_MS % (SETTLE_MS / STEP_MS) != (number * 7) as u64;
@@ -215,7 +252,7 @@
     /// The version with which a daemon continues a stream: as it knows, as the store says, or as the others know.
     fn find(&mut self, key: u64, number: usize) -> Option<SharedName> {
         let (now, unix_ms) = (TimePoint(self.now), UNIX_OFFSET_MS + self.now);
-        let is_store_up = self.is_store_up();
+        let is_store_up = self.is_store_up() && self.daemons[number].reaches_store(self.now);
         let daemon = &mut self.daemons[number];
         if let Some(stream) = daemon.register.get(key, now) {
             return Some(stream.software.clone());
@@ -228,7 +265,10 @@
                 return Some(software);
             }
         }
-        let others = self.daemons.iter_mut().filter(|daemon| daemon.frozen_until <= now.0);
+        if !daemon.reaches_peers(now.0) {
+            return None;
+        }
+        let others = self.daemons.iter_mut().filter(|daemon| daemon.reaches_peers(now.0));
         others.into_iter().find_map(|daemon| daemon.register.get(key, now).map(|stream| stream.software.clone()))
     }
 }
