Start and resume streams only while the list of upstreams is as new as that of any daemon

What callers would see: a stream whose events are of two software versions, at an edge that reads the list neither from the store nor through others.

Cause: the software of a process is taken from the list, however old that is. Another process may have taken its place under the same id and address, which the upstream does not check.

Change: the list has an age that decides. Otherwise streams that callers may resume are refused at once as not run (list_outdated), texts of items are not continued, and what a run has added to a text is discarded unless the run generated all of it.

Ruled out: refusing whenever the store is away, since then no stream could be resumed in any outage; reading the upstream's entry for each response: the entry may be as old as the list.

--- a/crates/cli/tests/processes/platform_path.rs
+++ b/crates/cli/tests/processes/platform_path.rs
@@ -2,7 +2,7 @@
 //! and API keys that grant access to their own organisation only.
 
 use crate::support::{EdgeSite, HOST, HttpClient, ROSE_KEY, TRAY_KEY, wait_for};
-use pimentoslip_standin::{RelayRule, StoreFault, TcpRelay, UpstreamFault};
+use pimentoslip_standin::{RelayRule, StoreFault, UpstreamFault};
 use std::time::Duration;
 
 #[actix_rt::test]
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -260,6 +260,14 @@
         self.now().since_ms(current_as_of) <= self.settings.config_apply_ms
     }
 
+    /// Whether the list names the processes and the software of upstreams as any daemon knows them: it was read within the time in
+    /// which a change of it must be in force, or other daemons could not read it either.
+    #[must_use]
+    pub fn is_list_confirmed(&self) -> bool {
+        let confirmed_at = self.change_log(UPSTREAM_PREFIX).map_or(TimePoint(0), PrefixLog::confirmed_at);
+        self.now().since_ms(confirmed_at) <= self.settings.upstream_drain_ms
+    }
+
     /// The recent changes below `prefix`; `None` if it is not followed.
     #[must_use]
     pub fn change_log(&self, prefix: &str) -> Option<&PrefixLog> {
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -44,6 +44,9 @@
     },
     /// It is not certain which software started the stream that the request resumes; the request did not run.
     StreamUnknown,
+    /// The list of upstreams is too old to name their software, which must be known to start or resume a stream that callers may
+    /// resume; the request did not run.
+    ListOutdated,
     /// No upstream has the software that started the stream that the request resumes; the request did not run.
     SoftwareGone,
     /// The deadline has passed; the request did not run.
@@ -82,6 +85,7 @@
             Self::Isolated => "isolated",
             Self::RateLimited { .. } => "rate_limited",
             Self::StreamUnknown => "stream_unknown",
+            Self::ListOutdated => "list_outdated",
             Self::SoftwareGone => "software_gone",
             Self::DeadlinePassed => "deadline_passed",
             Self::ResponseTimeout => "answer_late",
@@ -111,6 +115,7 @@
             | Self::Isolated
             | Self::RateLimited { .. }
             | Self::StreamUnknown
+            | Self::ListOutdated
             | Self::SoftwareGone
             | Self::DeadlinePassed
             | Self::MemoryUsedUp
@@ -128,7 +133,7 @@
             Self::ConfigNotLoaded | Self::ConfigStale | Self::StoreUnreachable | Self::StreamUnknown => {
                 Some("0.5".into())
             }
-            Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp => Some("0.1".into()),
+            Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp | Self::ListOutdated => Some("0.1".into()),
             // Crashed upstreams are replaced within seconds.
             Self::Isolated => Some("1".into()),
             Self::Quarantined { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_SECOND).to_string().into()),
--- a/crates/edge/src/http/request_target.rs
+++ b/crates/edge/src/http/request_target.rs
@@ -19,7 +19,7 @@
 
 impl RequestTarget {
     /// Selects the target of `call`, which was sent with `headers`. Fails if the call continues a stream whose software
-    /// is not known for certain or has no upstream.
+    /// is not known for certain or has no upstream, or if the software of the upstreams is not known.
     pub async fn select(
         parts: &WorkerParts,
         headers: &HeaderMap,
@@ -30,6 +30,9 @@
             return Ok(Self { service: drawn_service(rule, &call.id)?, ..Self::any() });
         }
         let is_resumable = rule.kind == RouteKind::Idempotent;
+        if is_resumable && !parts.state.is_list_confirmed() {
+            return Err(ApiRefusal::ListOutdated);
+        }
         if !headers.contains_key(header::LAST_EVENT_ID) {
             let service = drawn_service(rule, &call.id)?;
             let new_stream_key = is_resumable.then(|| stream_key(&call.id, call));
@@ -71,6 +74,12 @@
         }
     }
 
+    /// Whether the software of the upstream decides what may be done with its response.
+    #[must_use]
+    pub fn needs_software(&self) -> bool {
+        self.software.is_some() || self.new_stream_key.is_some()
+    }
+
     fn any() -> Self {
         Self { service: "".into(), software: None, new_stream_key: None }
     }
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -212,14 +212,13 @@
 }
 
 /// Fails if the response may be that of a process with other software than the target's, which was started under the
-/// upstream's id meanwhile.
+/// upstream's id and is not known here.
 fn check_software<R>(
     response: R,
     target: &RequestTarget,
     guard: &UpstreamGuard,
 ) -> std::result::Result<R, AttemptFailure> {
-    let needs_software = target.software.is_some() || target.new_stream_key.is_some();
-    if needs_software && guard.is_replaced() { Err(AttemptFailure::Mismatch) } else { Ok(response) }
+    if target.needs_software() && !guard.is_software_known() { Err(AttemptFailure::Mismatch) } else { Ok(response) }
 }
 
 /// Handles a run that got no complete response: logs it with what identifies repeats of the request at any daemon, and finds
@@ -287,7 +286,7 @@
 }
 
 /// Picks an upstream of `target` other than those in `tried`. `None` if none has capacity. A resumable stream starts
-/// only at a software version that is stored.
+/// only at a software version that is stored, and none is selected by its software while the list is outdated.
 fn pick_upstream(
     parts: &WorkerParts,
     target: &RequestTarget,
@@ -295,6 +294,9 @@
     tried: &[SharedName],
     permits: PermitNeed,
 ) -> Option<UpstreamGuard> {
+    if target.needs_software() && !parts.state.is_list_confirmed() {
+        return None;
+    }
     let unrecorded = match target.new_stream_key {
         Some(_) => unrecorded_upstreams(&parts.state, &target.service),
         None => Vec::new(),
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -80,9 +80,13 @@
     let state = job.state.clone();
     let started_at = state.now();
     let mut monitor = RunMonitor::new(started_at);
+    let count_before = job.ledger.borrow().event_count(assignment.item_index);
     let mut run = stream_item(&job, &assignment, &guard, priority, retention_ends_at, &mut monitor).await;
-    if guard.is_replaced() {
-        // The response may be that of the new process, whose software may be another version.
+    // A text that one run has generated alone is of one software, whichever that is.
+    let is_of_one_run = assignment.resume_after.is_none() && run.outcome == RunOutcome::Completed;
+    let has_events = job.ledger.borrow().event_count(assignment.item_index) > count_before;
+    if guard.is_replaced() || (has_events && !is_of_one_run && !guard.is_software_known()) {
+        // The response may be that of a new process, whose software may be another version.
         job.ledger.borrow_mut().discard_text(assignment.item_index);
         run = FinishedRun::from_failure(AttemptFailure::Mismatch);
     }
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -291,6 +291,10 @@
         let next_run = job.ledger.borrow_mut().start_next_run(now);
         let Some(assignment) = next_run else { break };
         start_count += 1;
+        if assignment.software.is_some() && !job.state.is_list_confirmed() {
+            job.ledger.borrow_mut().requeue_run(assignment.item_index);
+            break;
+        }
         match (select_upstream(job, &rule, &assignment), &assignment.software) {
             (Some(guard), _) => {
                 runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -234,6 +234,12 @@
         self.state.upstreams().get(&self.record.id).is_some_and(|record| !record.is_same_process(&self.record))
     }
 
+    /// Whether the process that responds has the software that the list named when it was picked.
+    #[must_use]
+    pub fn is_software_known(&self) -> bool {
+        self.state.is_list_confirmed() && !self.is_replaced()
+    }
+
     /// Whether the upstream has responded to a request of this daemon since it was picked.
     #[must_use]
     pub fn has_responded_since(&self) -> bool {
--- a/crates/edge/src/store/change_feed.rs
+++ b/crates/edge/src/store/change_feed.rs
@@ -12,7 +12,7 @@
 use pimentoslip_kernel::{
     OutageWitness, ReadGap, StoreRead, TimePoint, WatchCall, WatchSelector, WatchSource, WatchTarget, WatchTiming,
 };
-use pimentoslip_platform::{RangePage, Result, StoreChange, StoreEntry, StoreError};
+use pimentoslip_platform::{RangePage, Result, StoreChange, StoreEntry, StoreError, UPSTREAM_PREFIX};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::{ChangeBody, ChangesRequest, ChangesResponse, EntryBody, OutageBody};
 use std::sync::Arc;
@@ -24,6 +24,8 @@
 const WITNESSES_MAX: usize = 4;
 /// Longest wait for their responses. Round trips take milliseconds.
 const WITNESS_TIMEOUT_MS: u64 = 200;
+/// Time for which the agreement of others that the store cannot be read is not asked for again.
+const AGREEMENT_AGE_MS: u64 = 1_000;
 
 /// Source of the changes of one prefix. Received changes are also kept in the prefix's log, from which this daemon serves
 /// others.
@@ -43,22 +45,28 @@
 struct ReceivedBatch {
     changes: Vec<Arc<ChangeBody>>,
     read: StoreRead,
-    /// What the peer knows of outages; `None` from the store.
-    witness: Option<OutageWitness>,
+    /// What the peer says of the store; `None` from the store, or if it does not tell.
+    view: Option<PeerView>,
     is_from_store: bool,
-    /// Whether the peer cannot read the store now.
+}
+
+/// What another daemon says of the store.
+struct PeerView {
+    witness: OutageWitness,
+    /// Whether it cannot read the store now.
     is_unread: bool,
 }
 
-/// What a peer responds, for the request that was sent at `sent_at`, of outages of the store.
-fn outage_witness(
+/// What a peer responds, to the request that was sent at `sent_at`, of the store.
+fn peer_view(
     outages: Option<OutageBody>,
     current_as_of: TimePoint,
     sent_at: TimePoint,
     now: TimePoint,
-) -> Option<OutageWitness> {
-    let window = outages?.window.map(|window| window.into_window(sent_at, now));
-    Some(OutageWitness { current_as_of, window })
+) -> Option<PeerView> {
+    let OutageBody { window, is_unread } = outages?;
+    let window = window.map(|window| window.into_window(sent_at, now));
+    Some(PeerView { witness: OutageWitness { current_as_of, window }, is_unread })
 }
 
 impl ChangeFeed {
@@ -94,31 +102,55 @@
     /// Fails with `HistoryCompacted` if the store no longer has these changes.
     pub async fn next_changes(&mut self) -> Result<Vec<StoreChange>> {
         let received = self.receive_changes().await;
-        if let Err(StoreError::NotApplied { .. } | StoreError::OutcomeUnknown { .. }) = &received
-            && let Some(log) = self.state.change_log(self.prefix)
-        {
-            log.set_unread(true);
+        if let Err(StoreError::NotApplied { .. } | StoreError::OutcomeUnknown { .. }) = &received {
+            self.read_failed().await;
         }
         received
     }
 
+    /// Handles a failure to read the store: asks others whether they can, from time to time.
+    async fn read_failed(&self) {
+        let Some(log) = self.state.change_log(self.prefix) else { return };
+        log.set_unread(true);
+        let asked_at = self.state.now();
+        if self.prefix != UPSTREAM_PREFIX || asked_at.since_ms(log.confirmed_at()) < AGREEMENT_AGE_MS {
+            return;
+        }
+        let is_alone =
+            self.state.ownership().possible_daemons(asked_at).all(|(name, _)| *name == self.state.settings.vm);
+        let views = self.ask_peers().await;
+        let reads_store = |view: &PeerView| !view.is_unread && view.witness.current_as_of > log.current_as_of();
+        if is_alone || (!views.is_empty() && !views.iter().any(reads_store)) {
+            log.set_agreed(asked_at);
+        }
+    }
+
     async fn receive_changes(&mut self) -> Result<Vec<StoreChange>> {
         loop {
             let sources = {
                 let settings = &self.state.settings;
                 self.state.ownership().watch_sources(&settings.failure_domain, &settings.region)
             };
-            let call = self.selector.next_call(&sources, self.state.now()).ok_or_else(unreachable_error)?;
+            let asked_at = self.state.now();
+            let call = self.selector.next_call(&sources, asked_at).ok_or_else(unreachable_error)?;
             let received = match &call.target {
                 WatchTarget::Peer(source) => self.request_from_peer(source, &call).await,
                 WatchTarget::Store => Some(self.watch_store(&call).await?),
             };
-            let Some(ReceivedBatch { changes, read, witness, is_from_store, is_unread }) = received else { continue };
-            let witnesses = if is_from_store { self.ask_witnesses(&read).await } else { witness.into_iter().collect() };
+            let Some(ReceivedBatch { changes, read, view, is_from_store }) = received else { continue };
+            let is_unread = view.as_ref().is_some_and(|view| view.is_unread);
+            let witnesses = if is_from_store {
+                self.ask_witnesses(&read).await
+            } else {
+                view.into_iter().map(|view| view.witness).collect()
+            };
             self.revision = self.revision.max(read.revision);
             if let Some(log) = self.state.change_log(self.prefix) {
                 log.append(&changes, &read, &witnesses).into_iter().for_each(|gap| self.log_gap(gap));
                 log.set_unread(is_unread);
+                if is_unread {
+                    log.set_agreed(asked_at);
+                }
             }
             return Ok(changes.iter().map(|change| store_change(change)).collect());
         }
@@ -130,6 +162,11 @@
         if gap_ms.is_none() {
             return Vec::new();
         }
+        self.ask_peers().await.into_iter().map(|view| view.witness).collect()
+    }
+
+    /// What a few other daemons say of the store.
+    async fn ask_peers(&self) -> Vec<PeerView> {
         let request = &ChangesRequest { prefix: self.prefix.to_owned(), revision: self.revision, wait_ms: 0 };
         let peers = distant_peers(&self.state, &self.state.settings.vm, WITNESSES_MAX);
         let asked = peers.iter().map(|address| async move {
@@ -139,7 +176,7 @@
                 Ok(ChangesResponse::Changes { current_after_ms, outages, .. }) => {
                     let now = self.state.now();
                     let current_as_of = sent_at.plus_signed_ms(current_after_ms).min(now);
-                    outage_witness(outages, current_as_of, sent_at, now)
+                    peer_view(outages, current_as_of, sent_at, now)
                 }
                 Ok(ChangesResponse::Incomplete) => None,
                 Err(error) => {
@@ -176,9 +213,8 @@
                 let current_as_of = sent_at.plus_signed_ms(current_after_ms).min(now);
                 self.selector.peer_answered(&source.daemon, current_as_of, now);
                 let read = StoreRead { revision, current_as_of, served_at: current_as_of };
-                let is_unread = outages.is_some_and(|outages| outages.is_unread);
-                let witness = outage_witness(outages, current_as_of, sent_at, now);
-                Some(ReceivedBatch { changes, read, witness, is_from_store: false, is_unread })
+                let view = peer_view(outages, current_as_of, sent_at, now);
+                Some(ReceivedBatch { changes, read, view, is_from_store: false })
             }
             Ok(ChangesResponse::Incomplete) => {
                 LogLine::new("change_source_incomplete")
@@ -214,7 +250,7 @@
                 self.selector.proved_current(current_as_of);
                 let changes = batch.changes.iter().map(|change| Arc::new(change_message(change))).collect();
                 let read = StoreRead { revision: batch.revision, current_as_of, served_at: self.state.now() };
-                Ok(ReceivedBatch { changes, read, witness: None, is_from_store: true, is_unread: false })
+                Ok(ReceivedBatch { changes, read, view: None, is_from_store: true })
             }
             Err(error) => {
                 self.selector.store_failed(self.state.now());
--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -17,6 +17,8 @@
     judge: OutageJudge,
     /// Whether the last attempt to read the store has failed.
     is_unread: bool,
+    /// When another daemon last said that it cannot read the store either.
+    agreed_at: TimePoint,
 }
 
 /// Recent changes of one prefix.
@@ -31,7 +33,12 @@
     /// Creates the log of a prefix whose entries lapse only if nobody renews them for `outage_ms_min`.
     #[must_use]
     pub fn new(outage_ms_min: u64) -> Self {
-        let state = PrefixState { log: ChangeLog::default(), judge: OutageJudge::new(outage_ms_min), is_unread: false };
+        let state = PrefixState {
+            log: ChangeLog::default(),
+            judge: OutageJudge::new(outage_ms_min),
+            is_unread: false,
+            agreed_at: TimePoint(0),
+        };
         Self { state: Mutex::new(state), changed: Notify::new() }
     }
 
@@ -82,6 +89,20 @@
         self.lock().is_unread
     }
 
+    /// When the entries were last known to be as new as those of any other daemon: they were read, or others could not read them
+    /// either.
+    #[must_use]
+    pub fn confirmed_at(&self) -> TimePoint {
+        let state = self.lock();
+        state.log.current_as_of().max(state.agreed_at)
+    }
+
+    /// Records that another daemon cannot read the store either, by its answer to a request that was sent at `agreed_at`.
+    pub fn set_agreed(&self, agreed_at: TimePoint) {
+        let mut state = self.lock();
+        state.agreed_at = state.agreed_at.max(agreed_at);
+    }
+
     /// Records whether the store could be read.
     pub fn set_unread(&self, is_unread: bool) {
         self.lock().is_unread = is_unread;
