--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -10,6 +10,7 @@
 mod sampler;
 mod site;
 mod store;
+mod stuck_duty;
 
 use record::Record;
 use std::{path::Path, process::exit, sync::Arc, thread, time::Duration};
@@ -34,6 +35,7 @@
     let record = Arc::new(Record::create(Path::new(path)));
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let play = match case.as_str() {
+        "stuck-duty" => stuck_duty::play,
         "deadly-item" => deadly_item::play,
         _ => {
             eprintln!("no such case: {case}");
