--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,6 +6,7 @@
 mod deadly_item;
 mod http;
 mod json;
+mod new_route;
 mod record;
 mod sampler;
 mod site;
@@ -36,6 +37,7 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let play = match case.as_str() {
         "stuck-duty" => stuck_duty::play,
+        "new-route" => new_route::play,
         "deadly-item" => deadly_item::play,
         _ => {
             eprintln!("no such case: {case}");
