Review case 4: a continued stream lacks the events that came with malformed bytes

The case shows that events which arrive in one piece with bytes that are no event are counted as passed on, but are not.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,6 +6,7 @@
 mod deadly_item;
 mod http;
 mod json;
+mod lost_events;
 mod new_route;
 mod record;
 mod sampler;
@@ -38,6 +39,7 @@
     let play = match case.as_str() {
         "stuck-duty" => stuck_duty::play,
         "new-route" => new_route::play,
+        "lost-events" => lost_events::play,
         "deadly-item" => deadly_item::play,
         _ => {
             eprintln!("no such case: {case}");
