Review case 5: an endless answer to a request for a stream uses up the memory of a daemon

The case shows that line feeds without end, as the body of a stream of events, are kept without a limit.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 //! broken, 2 if the case could not run.
 
 mod deadly_item;
+mod endless;
 mod http;
 mod json;
 mod lost_events;
@@ -41,6 +42,7 @@
         "new-route" => new_route::play,
         "lost-events" => lost_events::play,
         "deadly-item" => deadly_item::play,
+        "endless" => endless::play,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -39,9 +39,10 @@
 
     /// Resident memory of the process in bytes.
     pub fn memory(&self) -> usize {
-        const PAGE_BYTES: usize = 4_096;
-        let statm = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id())).unwrap_or_default();
-        statm.split_whitespace().nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0) * PAGE_BYTES
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = resident.and_then(|text| text.split_whitespace().next()?.parse::<usize>().ok());
+        kilobytes.unwrap_or(0) << 10
     }
 
     pub fn is_ready(&self) -> bool {
