--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod lost_events;
 mod new_route;
+mod no_config;
 mod record;
 mod sampler;
 mod site;
@@ -40,6 +41,7 @@
     let play = match case.as_str() {
         "stuck-duty" => stuck_duty::play,
         "new-route" => new_route::play,
+        "no-config" => no_config::play,
         "lost-events" => lost_events::play,
         "deadly-item" => deadly_item::play,
         "endless" => endless::play,
