Let the owner of a job wait for the configuration under which the job was accepted

Cause: a daemon that owns a job terminates it when its own configuration lacks the route. That means "removed" only if the configuration is at least as new as the one under which another daemon accepted the job; nothing stored or compared that. For the same reason the options of a job were frozen from a missing configuration.

Evidence: `job_route_gone` in the log of the suspended daemon before it applies the configuration. The kernel test simulates the operators, the accepting daemon and the owner.

Change: the version of the configuration is stored with the job; the owner opens the job only with that version or a newer one, and logs both versions while it waits. For an entry of an earlier release the owner waits until it has applied all configurations that were written before it learned of the job. What is known to be applied is recorded after it is applied, as jobs run on another thread. The retention is that of the ledger alone. Orders for upstreams wait for the configurations written before the duty was acquired.

Ruled out: a timer, as nothing bounds how long a daemon is suspended; terminating later after a second look, as the second look has the same doubt.

--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -28,6 +28,7 @@
         model: Some("verse".into()),
         oldest_version: u64::MAX,
         expected_tokens: u64::MAX,
+        config_version: Some(u64::MAX),
         submitted_unix_ms: u64::MAX,
     }
 }
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -185,6 +185,12 @@
 
     /// Stores a configuration with the version `version` and the organisations in `keys` (name, API key).
     pub fn write_config(&self, version: u64, keys: &[(&str, &str)]) {
+        self.write_config_with(version, keys, &[]);
+    }
+
+    /// Stores a configuration like [`Self::write_config`], with one more batch route for each name in `batch_routes`, whose
+    /// prefix is the name.
+    pub fn write_config_with(&self, version: u64, keys: &[(&str, &str)], batch_routes: &[String]) {
         let tenants: Vec<Value> =
             keys.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "priority": 1 })).collect();
         let route = |name: &str, prefix: &str, route_type: &str, service: &str| {
@@ -195,7 +201,7 @@
                 "runTargetMs": 7_500, "retentionS": 60, "resumable": name == "talk",
             })
         };
-        let config = json!({
+        let mut config = json!({
             "version": version,
             "routes": [
                 route("quote", "/quote/", "safe", "desk"), route("score", "/score/", "safe", "desk"),
@@ -214,6 +220,8 @@
                 "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
             "tenants": tenants,
         });
+        let routes = config["routes"].as_array_mut().expect("a list of routes");
+        routes.extend(batch_routes.iter().map(|name| route(name, &format!("/{name}/"), "rollout", "engine")));
         self.store.put("op/config", &config);
     }
 
@@ -368,9 +376,14 @@
 
     /// Submits the batch job `job`, as `rose`.
     pub async fn submit_job(&self, edge: usize, job: &str, body: &Value) -> EdgeReply {
+        self.submit_job_on(edge, "cards", job, body).await
+    }
+
+    /// Submits the batch job `job` on the batch route whose prefix is `route`, as `rose`.
+    pub async fn submit_job_on(&self, edge: usize, route: &str, job: &str, body: &Value) -> EdgeReply {
         let bearer = format!("Bearer {ROSE_KEY}");
         let headers = [("request-id", job), ("authorization", bearer.as_str()), ("deadline-ms", "5000")];
-        self.send(edge, "POST", &format!("/cards/{job}"), &headers, &body.to_string()).await
+        self.send(edge, "POST", &format!("/{route}/{job}"), &headers, &body.to_string()).await
     }
 
     /// Sends a request to the batch job API, as `rose`.
--- a/crates/edge/src/duty/scaling_duty.rs
+++ b/crates/edge/src/duty/scaling_duty.rs
@@ -46,6 +46,11 @@
     /// Plans the number of upstreams of all services with a scaling rule, and sends the due orders.
     pub async fn tick(&mut self) {
         let (Some(provider), Some(config)) = (self.provider.clone(), self.state.config()) else { return };
+        // The previous holder may have ordered by a configuration that this daemon did not know when it acquired the duty.
+        let acquired_at = self.term.borrow().map(|term| term.acquired_at());
+        if acquired_at.is_none_or(|acquired_at| self.state.config_current_as_of() < acquired_at) {
+            return;
+        }
         for service in config.services.values() {
             let Some(rule) = &service.scaling else { continue };
             let upstreams = self.upstreams(&service.name);
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -51,6 +51,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Ended runs of batch items, by result.
     pub item_runs: Family<ReasonLabel, Counter>,
+    /// Owned batch jobs that wait before they are run, by reason: `config_older` than the one under which the job was accepted.
+    pub job_waits: Family<ReasonLabel, Counter>,
     /// Calls of scorers, by result.
     pub score_calls: Family<ReasonLabel, Counter>,
     /// Panics of background tasks, by task.
@@ -116,6 +118,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             item_runs: Family::default(),
+            job_waits: Family::default(),
             score_calls: Family::default(),
             task_failures: Family::default(),
             upstream_crashes: Counter::default(),
@@ -140,6 +143,7 @@
         registry.register("refusals", "Refused requests by reason", metrics.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", metrics.retries.clone());
         registry.register("item_runs", "Runs of batch items by end", metrics.item_runs.clone());
+        registry.register("job_waits", "Owned jobs that wait by reason", metrics.job_waits.clone());
         registry.register("item_scores", "Calls of scorers by end", metrics.score_calls.clone());
         registry.register("task_failures", "Panics of background tasks", metrics.task_failures.clone());
         registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -256,8 +256,13 @@
     /// Whether every configuration is known that was written before the time within which one must be in force.
     #[must_use]
     pub fn is_config_current(&self) -> bool {
-        let current_as_of = self.change_log(OPERATOR_PREFIX).map_or(TimePoint(0), PrefixLog::current_as_of);
-        self.now().since_ms(current_as_of) <= self.settings.config_apply_ms
+        self.now().since_ms(self.config_current_as_of()) <= self.settings.config_apply_ms
+    }
+
+    /// Every configuration that was written before this time has been applied.
+    #[must_use]
+    pub fn config_current_as_of(&self) -> TimePoint {
+        self.change_log(OPERATOR_PREFIX).map_or(TimePoint(0), PrefixLog::applied_as_of)
     }
 
     /// Whether the list names the processes and the software of upstreams as any daemon knows them: it was read within the time in
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -55,6 +55,7 @@
         model: submission.model.clone(),
         oldest_version: submission.oldest_version,
         expected_tokens: expected_tokens(&submission),
+        config_version: Some(context.config.version),
         submitted_unix_ms: parts.state.unix_ms(),
     };
     let (step, items) = (submission.step, submission.items.len());
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -15,8 +15,8 @@
 };
 use awc::Client;
 use pimentoslip_kernel::{
-    BatchLedger, BatchOptions, CapacityNeed, ItemSpec, JobCheckpoint, RequestUrgency, RouteRule, RunAssignment,
-    SamplerQuery, SharedName, TimePoint,
+    AcceptanceBound, BatchLedger, BatchOptions, CapacityNeed, ItemSpec, JobCheckpoint, RequestUrgency, RouteRule,
+    RunAssignment, SamplerQuery, SharedName, TimePoint,
 };
 use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError};
 use pimentoslip_telemetry::LogLine;
@@ -95,6 +95,7 @@
     store: StoreAccess,
     id: &SharedName,
 ) -> Option<OwnedJob> {
+    wait_for_config(state, id).await?;
     let pending = state.jobs().take_pending(id);
     loop {
         if should_stop(state, id) {
@@ -110,6 +111,42 @@
     }
 }
 
+/// Waits until the configuration is at least as new as the one under which the job was accepted. With an older one, a route
+/// that this daemon does not know yet would count as removed. `None` if this process must stop running the job meanwhile.
+async fn wait_for_config(state: &EdgeState, id: &SharedName) -> Option<()> {
+    let config_version = state.jobs().get(id)?.entry.config_version;
+    let bound = AcceptanceBound { config_version, learned_at: state.now() };
+    let mut is_logged = false;
+    while !is_bound_met(state, &bound) {
+        if should_stop(state, id) {
+            return None;
+        }
+        if !is_logged {
+            is_logged = true;
+            EdgeMetrics::increment(&EdgeMetrics::global().job_waits, "config_older");
+            LogLine::new("job_waits_for_config")
+                .field("job", id)
+                .field("accepted_version", version_text(config_version))
+                .field("own_version", version_text(state.config().map(|config| config.version)))
+                .warn();
+        }
+        actix_rt::time::sleep(PASS_PERIOD).await;
+    }
+    Some(())
+}
+
+/// Whether this daemon's configuration meets `bound`.
+fn is_bound_met(state: &EdgeState, bound: &AcceptanceBound) -> bool {
+    // Read first, as another thread applies configurations.
+    let current_as_of = state.config_current_as_of();
+    state.config().is_some_and(|config| bound.is_met(config.version, current_as_of))
+}
+
+/// A version in log lines.
+fn version_text(version: Option<u64>) -> String {
+    version.map_or_else(|| "unknown".to_owned(), |version| version.to_string())
+}
+
 /// Reads the inputs that are not part of the pending job from the store; all of them if there is no pending job.
 async fn read_inputs(
     state: &EdgeState,
@@ -190,7 +227,8 @@
     })
 }
 
-/// Options of the job, from its submission and its route. Without a route, a failed item is not tried again.
+/// Options of the job, from its submission and its route. They stay as they are while this process runs the job. Without a
+/// route, which has been removed then, a failed item is not tried again.
 fn batch_options(rule: Option<&RouteRule>, submission: &BatchSubmission, submitted_at: TimePoint) -> BatchOptions {
     let batch_rule = rule.and_then(RouteRule::batch_rule);
     BatchOptions {
@@ -278,9 +316,14 @@
         }
         return false;
     };
-    let Some(batch_rule) = rule.batch_rule() else { return false };
-    job.ledger.borrow_mut().expire_items(now);
-    let retention_ends_at = job.submitted_at.plus_ms(batch_rule.retention_ms);
+    if rule.batch_rule().is_none() {
+        return false;
+    }
+    let retention_ends_at = {
+        let mut ledger = job.ledger.borrow_mut();
+        ledger.expire_items(now);
+        ledger.retention_ends_at()
+    };
     let has_waiting = job.ledger.borrow().waiting_count() > 0;
     update_waiting(job, &rule, has_waiting);
     let mut start_count = 0;
--- a/crates/edge/src/store/change_feed.rs
+++ b/crates/edge/src/store/change_feed.rs
@@ -108,6 +108,13 @@
         received
     }
 
+    /// Records that the changes which were returned have been applied.
+    pub fn mark_applied(&self) {
+        if let Some(log) = self.state.change_log(self.prefix) {
+            log.mark_applied();
+        }
+    }
+
     /// Handles a failure to read the store: asks others whether they can, from time to time.
     async fn read_failed(&self) {
         let Some(log) = self.state.change_log(self.prefix) else { return };
--- a/crates/edge/src/store/prefix_handler.rs
+++ b/crates/edge/src/store/prefix_handler.rs
@@ -36,6 +36,7 @@
             Ok(page) => {
                 log_store_reconnected::<H>(&state, &mut lost_since);
                 handler.apply_snapshot(page, state.now());
+                feed.mark_applied();
             }
             Err(error) => {
                 log_store_lost::<H>(&state, &mut lost_since, &error);
@@ -52,6 +53,7 @@
                     for change in changes {
                         handler.apply_change(change, now);
                     }
+                    feed.mark_applied();
                     handler.after_poll(now);
                     if has_changes && H::BATCH_DELAY_MS > 0 {
                         actix_rt::time::sleep(Duration::from_millis(H::BATCH_DELAY_MS)).await;
--- a/crates/edge/src/store/prefix_log.rs
+++ b/crates/edge/src/store/prefix_log.rs
@@ -19,6 +19,8 @@
     is_unread: bool,
     /// When another daemon last said that it cannot read the store either.
     agreed_at: TimePoint,
+    /// All changes written before this time have been applied by this daemon.
+    applied_as_of: TimePoint,
 }
 
 /// Recent changes of one prefix.
@@ -38,6 +40,7 @@
             judge: OutageJudge::new(outage_ms_min),
             is_unread: false,
             agreed_at: TimePoint(0),
+            applied_as_of: TimePoint(0),
         };
         Self { state: Mutex::new(state), changed: Notify::new() }
     }
@@ -83,6 +86,18 @@
         self.lock().log.current_as_of()
     }
 
+    /// Records that the changes in the log have been applied.
+    pub fn mark_applied(&self) {
+        let mut state = self.lock();
+        state.applied_as_of = state.log.current_as_of();
+    }
+
+    /// All changes written before this time have been applied by this daemon.
+    #[must_use]
+    pub fn applied_as_of(&self) -> TimePoint {
+        self.lock().applied_as_of
+    }
+
     /// Whether the store could not be read lately, here or at the daemon that this one follows.
     #[must_use]
     pub fn is_unread(&self) -> bool {
@@ -94,7 +109,7 @@
     #[must_use]
     pub fn confirmed_at(&self) -> TimePoint {
         let state = self.lock();
-        state.log.current_as_of().max(state.agreed_at)
+        state.applied_as_of.max(state.agreed_at)
     }
 
     /// Records that another daemon cannot read the store either, by its answer to a request that was sent at `agreed_at`.
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -398,6 +398,12 @@
         self.score_queue.insert(item_index);
     }
 
+    /// When unfinished items are terminated.
+    #[must_use]
+    pub fn retention_ends_at(&self) -> TimePoint {
+        self.options.retention_ends_at
+    }
+
     /// Terminates all unfinished items once the retention time is over. The caller must cancel the runs of those that
     /// were running.
     pub fn expire_items(&mut self, now: TimePoint) {
--- a/crates/kernel/src/batch/mod.rs
+++ b/crates/kernel/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! Batch jobs: scheduling of items, partial texts and results.
 
+mod acceptance_bound;
 mod batch_ledger;
 mod batch_options;
 mod item_result;
@@ -9,6 +10,7 @@
 mod sample_text;
 mod write_schedule;
 
+pub use acceptance_bound::AcceptanceBound;
 pub use batch_ledger::BatchLedger;
 pub use batch_options::{BatchOptions, EventOutcome, ItemSpec, RunAssignment, RunOutcome, ScoreOutcome};
 pub use item_result::{ItemResult, ItemState};
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -4,6 +4,7 @@
 mod scaling;
 mod sequence;
 
+mod acceptance;
 mod batches;
 mod claims;
 mod configuration;
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -158,6 +158,9 @@
     if state.is_down() {
         return unavailable();
     }
+    while view.is_held(parameter(&query, "pathPrefix")) {
+        actix_rt::time::sleep(WATCH_POLL_INTERVAL).await;
+    }
     let contents = state.contents();
     let items = contents.range(parameter(&query, "pathPrefix"), parameter(&query, "after"));
     let items: Vec<Value> = items.into_iter().map(|item| view.translated(item)).collect();
--- a/crates/standin/src/platform/store_view.rs
+++ b/crates/standin/src/platform/store_view.rs
@@ -17,11 +17,13 @@
     pub(super) state: Arc<StoreState>,
     /// Listed addresses, by the upstreams' own.
     addresses: Mutex<HashMap<String, String>>,
+    /// Prefix whose ranges are not answered.
+    held_prefix: Mutex<Option<&'static str>>,
 }
 
 impl StoreView {
     pub(super) fn new(state: Arc<StoreState>) -> Self {
-        Self { state, addresses: Mutex::default() }
+        Self { state, addresses: Mutex::default(), held_prefix: Mutex::default() }
     }
 
     /// Lists the upstream at `own` with the address `listed` from now on.
@@ -30,6 +32,16 @@
         addresses.insert(own.to_string(), listed.to_string());
     }
 
+    /// Answers no read of the entries below `prefix` from now on; all reads for `None`.
+    pub fn hold_range(&self, prefix: Option<&'static str>) {
+        *self.held_prefix.lock().unwrap_or_else(PoisonError::into_inner) = prefix;
+    }
+
+    /// Whether reads of the entries below `prefix` are not answered now.
+    pub(super) fn is_held(&self, prefix: &str) -> bool {
+        self.held_prefix.lock().unwrap_or_else(PoisonError::into_inner).is_some_and(|held| held == prefix)
+    }
+
     /// `item` as this view lists it.
     pub(super) fn translated(&self, mut item: Value) -> Value {
         let is_upstream = item["key"].as_str().is_some_and(|key| key.starts_with(UPSTREAM_PREFIX));
--- a/crates/wire/src/stored/job_entry.rs
+++ b/crates/wire/src/stored/job_entry.rs
@@ -26,6 +26,10 @@
     #[serde(default)]
     #[serde(rename = "tokens")]
     pub expected_tokens: u64,
+    /// Version of the configuration under which the job was accepted; `None` in entries of earlier releases.
+    #[serde(default)]
+    #[serde(rename = "config")]
+    pub config_version: Option<u64>,
     /// Time of the first submission in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
 }
