Replace an entry of the duty that names this process although it holds no term

Cause: the next holder's write was carried out, its answer was lost. The feed then showed the entry with this very process, and only an entry of an earlier process counted as replaceable, so the process waited for itself. The same after a panic of the duty's task.

Evidence: `duty_not_taken` after `duty_holder` with the own name.

Change: a process without a term may replace any entry of its own daemon. Its revision is the new fencing token, above all earlier ones; calls of an earlier term end first, and a term ends with its task. A daemon that acquires the duty twice in a row waits as if it had acquired it once. A listed holder that may not act logs `duty_idle` and shows it in a gauge.

Ruled out: adopting the entry without a write, as a removal of that very entry may still be carried out late.

--- a/crates/cli/tests/processes/platform_duties.rs
+++ b/crates/cli/tests/processes/platform_duties.rs
@@ -2,7 +2,11 @@
 //! stops: each duty has one holder at a time, and its actions are not repeated with another outcome.
 
 use crate::support::{EdgeSite, job_item, job_submission, wait_for};
-use std::collections::BTreeMap;
+use pimentoslip_standin::{PlatformUpstream, StoreFault};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Key of the entry that names the holder.
+const DUTY_KEY: &str = "p/w/duty";
 
 /// Guards against engines that are not ordered to load a version or are ordered twice, and against two edges that order
 /// loads at the same time.
@@ -10,14 +14,7 @@
 async fn each_weight_version_is_ordered_once_at_every_engine_by_a_single_holder() {
     let site = EdgeSite::start(3).await;
     for version in 2..=3 {
-        site.store.put("op/version/verse", &serde_json::json!({ "model": "verse", "version": version }));
-        wait_for("every engine was ordered to load the version", || async {
-            let is_loaded = |engine: &pimentoslip_standin::PlatformUpstream| {
-                engine.weight_orders().last().is_some_and(|order| order["version"] == version)
-            };
-            site.engines.iter().all(is_loaded).then_some(())
-        })
-        .await;
+        name_version(&site, version).await;
     }
     let orders: Vec<_> = site.engines.iter().flat_map(|engine| engine.weight_orders()).collect();
     assert_eq!(orders.len(), 4, "each engine is ordered once to load each version: {orders:?}");
@@ -119,3 +116,46 @@
     wait_for("the edge is ready again", || async { (site.readiness_status(0).await == 200).then_some(()) }).await;
     assert_eq!(site.send_quote(0, "after").await.status, 200);
 }
+
+/// Guards against a duty that nobody performs after the answer to the write of its next holder was lost.
+#[actix_rt::test]
+async fn orders_go_on_after_the_answer_to_the_write_of_a_new_holder_is_lost() {
+    // Time after which feeds have shown every write, which is also longer than a call to the store waits.
+    const LATE_TIME: Duration = Duration::from_millis(3_000);
+    let lost = |count| StoreFault { lost_writes: Some((DUTY_KEY, count)), ..StoreFault::default() };
+    let late = StoreFault { late_key: Some(DUTY_KEY), ..StoreFault::default() };
+    // Each case: faults of the store; whether the holder before is killed rather than stopped as planned.
+    let cases = [(lost(1), false), (lost(1), true), (lost(3), false), (late, false), (late, true)];
+    for (fault, is_killed) in cases {
+        let mut site = EdgeSite::start(3).await;
+        name_version(&site, 2).await;
+        let first_holder = site.engines[0].weight_orders()[0]["holder"].clone();
+        let holder =
+            site.edges.iter().position(|edge| first_holder == edge.vm.as_str()).expect("the holder is an edge");
+        site.store.set_fault(fault);
+        if is_killed {
+            site.edges[holder].process.kill();
+        } else {
+            site.edges[holder].process.terminate();
+        }
+        actix_rt::time::sleep(LATE_TIME).await;
+        name_version(&site, 3).await;
+        let orders: Vec<_> = site.engines.iter().flat_map(PlatformUpstream::weight_orders).collect();
+        let last_token = |version: u64| {
+            let of_version = orders.iter().filter(|order| order["version"] == version);
+            of_version.filter_map(|order| order["fencingToken"].as_u64()).max()
+        };
+        assert!(last_token(3) > last_token(2), "{fault:?}, killed: {is_killed}: {orders:?}");
+    }
+}
+
+/// Names a version of the model, and waits until every engine was ordered to load it.
+async fn name_version(site: &EdgeSite, version: u64) {
+    site.store.put("op/version/verse", &serde_json::json!({ "model": "verse", "version": version }));
+    wait_for("every engine was ordered to load the version", || async {
+        let is_ordered =
+            |engine: &PlatformUpstream| engine.weight_orders().last().is_some_and(|order| order["version"] == version);
+        site.engines.iter().all(is_ordered).then_some(())
+    })
+    .await;
+}
--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -186,25 +186,30 @@
 /// Guards against items that run again from their first event when the owner of their job stops as planned.
 #[actix_rt::test]
 async fn a_stopping_owner_hands_its_job_over_with_the_partial_texts() {
-    let site = EdgeSite::start(3).await;
-    let items: Vec<Value> = (0..4).map(|number| job_item(&format!("i{number}"), 200, true)).collect();
-    assert_eq!(site.submit_job(0, "job", &job_submission(1, &items)).await.status, 202);
-    let owner = wait_for("the job has an owner", || async { job_owner(&site, "job") }).await;
-    wait_for("every item runs", || async {
-        (0..4).all(|number| !site.engine_calls(&format!("i{number}")).is_empty()).then_some(())
-    })
-    .await;
-    actix_rt::time::sleep(Duration::from_millis(400)).await;
-    site.edges[owner].process.terminate();
-    let results = site.all_results((owner + 1) % 3, "job").await;
-    for number in 0..4 {
-        let id = format!("i{number}");
-        assert_eq!(result_of(&results, &id)["text"], expected_text(&id, 200));
-        let runs = site.engine_calls(&id);
-        assert!(
-            runs[1..].iter().all(|run| run.last_event_id.is_some()),
-            "{id} started again from its first event: {runs:?}"
-        );
+    // Answers to the write of the new owner that are lost.
+    for lost_count in [0, 1] {
+        let site = EdgeSite::start(3).await;
+        let items: Vec<Value> = (0..4).map(|number| job_item(&format!("i{number}"), 200, true)).collect();
+        assert_eq!(site.submit_job(0, "job", &job_submission(1, &items)).await.status, 202);
+        let owner = wait_for("the job has an owner", || async { job_owner(&site, "job") }).await;
+        wait_for("every item runs", || async {
+            (0..4).all(|number| !site.engine_calls(&format!("i{number}")).is_empty()).then_some(())
+        })
+        .await;
+        actix_rt::time::sleep(Duration::from_millis(400)).await;
+        let lost_writes = Some(("p/w/own/job", lost_count));
+        site.store.set_fault(StoreFault { lost_writes, ..StoreFault::default() });
+        site.edges[owner].process.terminate();
+        let results = site.all_results((owner + 1) % 3, "job").await;
+        for number in 0..4 {
+            let id = format!("i{number}");
+            assert_eq!(result_of(&results, &id)["text"], expected_text(&id, 200));
+            let runs = site.engine_calls(&id);
+            assert!(
+                runs[1..].iter().all(|run| run.last_event_id.is_some()),
+                "{id} started again from its first event: {runs:?}"
+            );
+        }
     }
 }
 
--- a/crates/edge/src/duty/duty_task.rs
+++ b/crates/edge/src/duty/duty_task.rs
@@ -3,7 +3,7 @@
 use super::{load_duty::LoadDuty, retire_duty::RetireDuty, scaling_duty::ScalingDuty, usage_duty::UsageDuty};
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
-use pimentoslip_kernel::{DutyHistory, DutyTerm, LeaseStatus, TimePoint, fingerprint};
+use pimentoslip_kernel::{DutyClaim, DutyHistory, DutyTerm, LeaseStatus, TimePoint, fingerprint};
 use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreEntry};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -31,18 +31,33 @@
 /// duty.
 pub type SharedTerm = Rc<RefCell<Option<DutyTerm>>>;
 
+/// Ends the term when the duty's task ends, also by a panic, so that no call is begun under it any more.
+struct TermEnd(SharedTerm);
+
+impl Drop for TermEnd {
+    fn drop(&mut self) {
+        *self.0.borrow_mut() = None;
+        EdgeMetrics::global().duty_held.set(0);
+        EdgeMetrics::global().duty_idle.set(0);
+    }
+}
+
 /// Acquires the duty and performs its work until the daemon drains.
 pub async fn hold_duty(state: Arc<EdgeState>, upstream_client: Client, store: StoreAccess) {
     let term: SharedTerm = Rc::default();
+    let _term_end = TermEnd(term.clone());
     let mut load_duty = LoadDuty::new(state.clone(), upstream_client, term.clone());
     let mut usage_duty = UsageDuty::new(state.clone(), store.clone(), term.clone());
     let mut scaling_duty = ScalingDuty::new(state.clone(), store.clone(), term.clone());
     let mut retire_duty = RetireDuty::new(state.clone(), store.clone());
     let mut vacant_since: Option<TimePoint> = None;
+    let mut is_idle = false;
     while !state.is_draining() {
         let _ = actix_rt::time::timeout(PASS_PERIOD, state.upstreams_changed.notified()).await;
         let now = state.now();
-        if refresh_term(&state, &term) {
+        let holds_duty = refresh_term(&state, &term);
+        is_idle = report_idle(&state, &term, is_idle);
+        if holds_duty {
             vacant_since = None;
             if is_cut_off(&state, &term) {
                 term.borrow_mut().iter_mut().for_each(DutyTerm::end);
@@ -57,18 +72,16 @@
             retire_duty.tick().await;
             continue;
         }
-        let Some(replaced_revision) = replaceable_revision(&state) else {
+        let Some(claim) = due_claim(&state) else {
             vacant_since = None;
             continue;
         };
         let since = *vacant_since.get_or_insert(now);
-        if replaced_revision > 0 || now >= acquire_time(&state, since) {
-            acquire_duty(&state, &store, &term, replaced_revision).await;
+        if claim.replaced_revision > 0 || now >= acquire_time(&state, since) {
+            acquire_duty(&state, &store, &term, claim).await;
             vacant_since = None;
         }
     }
-    *term.borrow_mut() = None;
-    EdgeMetrics::global().duty_held.set(0);
 }
 
 /// When this daemon may acquire the duty, which has been vacant since `vacant_since`.
@@ -107,6 +120,7 @@
         Ok(_) => {
             LogLine::new("duty_given_up").field("fencing_token", token).field("reason", "all_paths_lost").warn();
             *term.borrow_mut() = None;
+            state.lease_view().duty_removed(token);
             EdgeMetrics::global().duty_held.set(0);
         }
         Err(error) => LogLine::new("duty_not_given_up").field("reason", error).warn(),
@@ -117,7 +131,7 @@
 fn refresh_term(state: &EdgeState, term: &SharedTerm) -> bool {
     let status = {
         let view = state.lease_view();
-        let observed_revision = view.duty.as_ref().map(|(revision, _)| *revision);
+        let observed_revision = view.duty.as_ref().map(|entry| entry.revision);
         LeaseStatus { lease: view.lease, expires_at: view.ends_at, duty_revision: observed_revision }
     };
     let mut term = term.borrow_mut();
@@ -131,24 +145,38 @@
     false
 }
 
-/// Revision of the duty entry that this process may replace: 0 if there is no entry, or the revision of the entry that
-/// an earlier process of this daemon left. `None` if another process may hold the duty, or there is no configuration
-/// yet.
-fn replaceable_revision(state: &EdgeState) -> Option<u64> {
+/// The claim of this process, which holds no term. `None` if another daemon may hold the duty, if calls of an earlier term of
+/// this process have not ended, or if there is no configuration yet.
+fn due_claim(state: &EdgeState) -> Option<DutyClaim> {
     state.config()?;
-    let view = state.lease_view();
-    match &view.duty {
-        None => Some(0),
-        Some((revision, holder)) => {
-            let is_own_previous = holder.daemon == state.settings.vm && holder.incarnation < state.incarnation;
-            is_own_previous.then_some(*revision)
-        }
+    if state.pending_duty_calls() > 0 {
+        return None;
+    }
+    DutyClaim::of(state.lease_view().duty.as_ref(), &state.settings.vm, state.incarnation)
+}
+
+/// Whether the store names this daemon as the holder although it may not act: between terms, before the first action of a
+/// term, or without a renewed lease.
+fn is_idle_holder(state: &EdgeState, term: &SharedTerm) -> bool {
+    let is_listed = state.lease_view().duty.as_ref().is_some_and(|entry| entry.daemon == state.settings.vm);
+    let now = state.now();
+    is_listed && !term.borrow().is_some_and(|term| term.may_act(now, 0))
+}
+
+/// Shows in the metrics whether this daemon is an idle holder, and logs when it becomes one.
+fn report_idle(state: &EdgeState, term: &SharedTerm, was_idle: bool) -> bool {
+    let is_idle = is_idle_holder(state, term);
+    EdgeMetrics::global().duty_idle.set(i64::from(is_idle));
+    if is_idle && !was_idle {
+        let reason = if term.borrow().is_some() { "may_not_act_yet" } else { "no_term" };
+        LogLine::new("duty_idle").field("reason", reason).warn();
     }
+    is_idle
 }
 
-/// Commits this process as the holder, under its lease and in place of the entry with the revision `replaced_revision`
-/// (0 for none), and starts a term.
-async fn acquire_duty(state: &EdgeState, store: &StoreAccess, term: &SharedTerm, replaced_revision: u64) {
+/// Commits this process as the holder, under its lease and in place of the entry that `claim` names, and starts a term. If no
+/// response arrives, the entry may be stored; the next claim replaces it then.
+async fn acquire_duty(state: &EdgeState, store: &StoreAccess, term: &SharedTerm, claim: DutyClaim) {
     let (lease, ends_at) = {
         let view = state.lease_view();
         (view.lease, view.ends_at)
@@ -173,7 +201,7 @@
             }
         };
     let commit = StoreCommit::default()
-        .expect(KeyLayout::DUTY_HOLDER_KEY, replaced_revision)
+        .expect(KeyLayout::DUTY_HOLDER_KEY, claim.replaced_revision)
         .put(KeyLayout::DUTY_HOLDER_KEY, entry, lease)
         .put(KeyLayout::DUTY_HISTORY_KEY, history_entry, 0);
     let revision = match store.commit(&commit).await {
--- a/crates/edge/src/duty/run_report_task.rs
+++ b/crates/edge/src/duty/run_report_task.rs
@@ -34,6 +34,6 @@
 
 /// Control address of the duty's holder, if the holder is present.
 fn holder_control_address(state: &EdgeState) -> Option<SharedName> {
-    let holder = state.lease_view().duty.as_ref().map(|(_, holder)| holder.daemon.clone())?;
+    let holder = state.lease_view().duty.as_ref().map(|holder| holder.daemon.clone())?;
     Some(state.ownership().daemon(&holder)?.control_address.clone())
 }
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -94,6 +94,8 @@
     pub jobs_owned: Gauge,
     /// 1 while this daemon holds the duty, otherwise 0.
     pub duty_held: Gauge,
+    /// 1 while the store names this daemon as the holder of the duty although it may not act, otherwise 0.
+    pub duty_idle: Gauge,
 }
 
 impl fmt::Debug for EdgeMetrics {
@@ -137,6 +139,7 @@
             config_version: Gauge::default(),
             jobs_owned: Gauge::default(),
             duty_held: Gauge::default(),
+            duty_idle: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("answers", "Answers to requests by outcome", metrics.answers.clone());
@@ -173,6 +176,7 @@
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
         registry.register("config_version", "Configuration version in force", metrics.config_version.clone());
         registry.register("jobs_owned", "Batch jobs owned", metrics.jobs_owned.clone());
+        registry.register("duty_idle", "1 while a listed holder may not act", metrics.duty_idle.clone());
         registry.register("duty_held", "1 while the duty is held", metrics.duty_held.clone());
         metrics
     }
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -6,9 +6,9 @@
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
-    CoordinatorTable, GrantTable, LossTable, OwnershipTable, PathGain, PathSelector, PathTable, ReplayWindow,
-    RunReports, SamplerRecord, SamplerTable, SharedName, SoftwareHistory, StreamRegister, SuspectTable, TimePoint,
-    TrafficConfig, UsageTally, fingerprint,
+    CoordinatorTable, GrantTable, LossTable, OwnerRecord, OwnershipTable, PathGain, PathSelector, PathTable,
+    ReplayWindow, RunReports, SamplerRecord, SamplerTable, SharedName, SoftwareHistory, StreamRegister, SuspectTable,
+    TimePoint, TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
 use pimentoslip_telemetry::LogLine;
@@ -126,8 +126,8 @@
     pub lease: Option<u64>,
     /// When the lease expires unless it is renewed.
     pub ends_at: TimePoint,
-    /// Revision and value of the duty's entry in the store; `None` while nobody holds the duty.
-    pub duty: Option<(u64, DaemonEntry)>,
+    /// The duty's entry in the store; `None` while nobody holds the duty.
+    pub duty: Option<OwnerRecord>,
     /// Name of the daemon that held the duty last, as observed by this process.
     pub last_holder: Option<SharedName>,
 }
@@ -136,7 +136,14 @@
     /// Records that `holder` was written as the duty's holder at `revision`.
     pub fn duty_observed(&mut self, revision: u64, holder: DaemonEntry) {
         self.last_holder = Some(holder.daemon.clone());
-        self.duty = Some((revision, holder));
+        self.duty = Some(holder.into_owner(revision));
+    }
+
+    /// Records that the duty's entry was removed at `revision`, or that the one written at `revision` was.
+    pub fn duty_removed(&mut self, revision: u64) {
+        if self.duty.as_ref().is_some_and(|entry| entry.revision <= revision) {
+            self.duty = None;
+        }
     }
 }
 
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -5,7 +5,7 @@
 use awc::Client;
 use bytes::Bytes;
 use pimentoslip_kernel::{DaemonPresence, LedgerState, OwnerRecord, SharedName, TimePoint};
-use pimentoslip_platform::{BatchSubmission, CommitOutcome, StoreCommit, StoreEntry, StoreError};
+use pimentoslip_platform::{BatchSubmission, CommitOutcome, Result, StoreCommit, StoreEntry, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -204,19 +204,42 @@
 pub async fn hand_over_job(parts: &WorkerParts, job: &SubmittedJob, revision: u64, ledger: LedgerState) {
     let own_vm = parts.state.settings.vm.clone();
     let Some(owner) = choose_owner(&parts.state, &job.placement_key, Some(&own_vm)) else { return };
-    let Ok(value) = encode(&owner.daemon_entry) else { return };
-    let key = KeyLayout::owner_key(&job.id);
-    let commit = StoreCommit::default().expect(key.clone(), revision).put(key, value, owner.presence.lease);
-    match parts.store.commit(&commit).await {
-        Ok(CommitOutcome::Committed(revision)) => {
+    let not_handed_over = |reason: &dyn std::fmt::Display| {
+        LogLine::new("job_not_handed_over").field("job", &job.id).field("reason", reason).warn();
+    };
+    match store_owner(parts, &job.id, &owner, revision).await {
+        Ok(Some(revision)) => {
             let push = job.push_message(&owner, revision, Some(ledger));
             push_job(parts.upstream_client.clone(), owner.presence.control_address, push).await;
         }
-        Ok(CommitOutcome::Conflict(_)) => LogLine::new("job_not_handed_over")
-            .field("job", &job.id)
-            .field("reason", "another daemon has become the owner")
-            .info(),
-        Err(error) => LogLine::new("job_not_handed_over").field("job", &job.id).field("reason", error).warn(),
+        Ok(None) => not_handed_over(&"another daemon has become the owner"),
+        Err(error) => not_handed_over(&error),
+    }
+}
+
+/// Stores `owner` in place of the ownership entry that was written at `replaced_revision`. Returns the revision of the new
+/// entry, also if the response to the write was lost; `None` if another daemon has become the owner.
+async fn store_owner(
+    parts: &WorkerParts,
+    job: &str,
+    owner: &ChosenOwner,
+    replaced_revision: u64,
+) -> Result<Option<u64>> {
+    let value = encode(&owner.daemon_entry).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
+    let key = KeyLayout::owner_key(job);
+    let commit = StoreCommit::default().expect(key.clone(), replaced_revision).put(
+        key.clone(),
+        value.clone(),
+        owner.presence.lease,
+    );
+    match parts.store.commit(&commit).await {
+        Ok(CommitOutcome::Committed(revision)) => Ok(Some(revision)),
+        Ok(CommitOutcome::Conflict(_)) => Ok(None),
+        Err(error) => {
+            LogLine::new("job_handover_unanswered").field("job", job).field("reason", &error).warn();
+            let stored = parts.store.get(&key).await?;
+            stored.filter(|entry| entry.value == value).map(|entry| Some(entry.revision)).ok_or(error)
+        }
     }
 }
 
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -113,10 +113,7 @@
             self.state.jobs().job_deleted(job);
             self.state.ownership().job_deleted(job);
         } else if key == KeyLayout::DUTY_HOLDER_KEY {
-            let mut view = self.state.lease_view();
-            if view.duty.as_ref().is_some_and(|(written_revision, _)| *written_revision <= revision) {
-                view.duty = None;
-            }
+            self.state.lease_view().duty_removed(revision);
         }
     }
 }
--- a/crates/kernel/src/duty/duty_history.rs
+++ b/crates/kernel/src/duty/duty_history.rs
@@ -34,12 +34,15 @@
     ///
     /// A holder acts only under its lease, and the next daemon acquires the duty only after that lease has ended. So
     /// two daemons can alternate within `handover_ms` only if `daemon` itself lost the duty less than `handover_ms`
-    /// ago. `unix_ms` is the current time by the wall clock of `daemon`; the stored times are from other clocks, so a
+    /// ago. Its own latest acquisitions in a row count as one: the duty was not elsewhere in between. `unix_ms` is the current time by the wall clock of `daemon`; the stored times are from other clocks, so a
     /// clock error is added.
     #[must_use]
     pub fn handover_wait_ms(&self, daemon: &str, unix_ms: u64, handover_ms: u64) -> u64 {
-        let own_position = self.acquisitions.iter().rposition(|acquisition| *acquisition.daemon == *daemon);
-        let Some(successor) = own_position.and_then(|position| self.acquisitions.get(position + 1)) else { return 0 };
+        let is_other = |acquisition: &DutyAcquisition| *acquisition.daemon != *daemon;
+        let earlier_count = self.acquisitions.iter().rposition(is_other).map_or(0, |position| position + 1);
+        let earlier = &self.acquisitions[..earlier_count];
+        let own_position = earlier.iter().rposition(|acquisition| !is_other(acquisition));
+        let Some(successor) = own_position.and_then(|position| earlier.get(position + 1)) else { return 0 };
         let since_ms = unix_ms.checked_sub(successor.acquired_unix_ms);
         if since_ms.is_some_and(|ms| ms > handover_ms + CLOCK_ERROR_MS) { 0 } else { handover_ms }
     }
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -1,5 +1,6 @@
 //! Duties that one daemon holds at a time: terms of the holder, and planning of weights, upstreams and usage reports.
 
+mod duty_claim;
 mod duty_history;
 mod duty_term;
 mod run_reports;
@@ -7,6 +8,7 @@
 mod usage_tally;
 mod version_planner;
 
+pub use duty_claim::DutyClaim;
 pub use duty_history::{DutyAcquisition, DutyHistory};
 pub use duty_term::{DutyTerm, LeaseStatus};
 pub use run_reports::RunReports;
--- a/crates/kernel/tests/machines/terms.rs
+++ b/crates/kernel/tests/machines/terms.rs
@@ -1,8 +1,8 @@
-//! Terms of a duty: two holders never alternate within the handover time, and the fencing token of their actions never
-//! decreases.
+//! Terms of a duty: two holders never alternate within the handover time, the fencing token of their actions never decreases,
+//! and with a sound store some daemon acts.
 
 use crate::sequence;
-use pimentoslip_kernel::{DutyHistory, DutyTerm, LeaseStatus, SharedName, TimePoint};
+use pimentoslip_kernel::{DutyClaim, DutyHistory, DutyTerm, LeaseStatus, OwnerRecord, SharedName, TimePoint};
 use quickcheck::{Arbitrary, Gen};
 
 const DAEMONS: usize = 3;
@@ -12,6 +12,11 @@
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 /// Longest duration of an action of the holder.
 const CALL_MS: u64 = 800;
+/// Time within which some daemon acts once the store and all daemons are sound: an unrenewed lease ends, the duty is acquired, the
+/// new holder waits, and the daemons take turns in between.
+const RECOVERY_MS: u64 = LEASE_MS + HANDOVER_MS + 4 * TURN_MS;
+/// Time between two turns of the daemons.
+const TURN_MS: u64 = 500;
 
 /// Input to the simulation of a duty.
 #[derive(Clone, Debug)]
@@ -22,8 +27,10 @@
     GrantLease { daemon: u8 },
     /// A daemon observes the duty's entry in the store.
     ObserveEntry { daemon: u8 },
-    /// A daemon acquires the duty if the store has no entry for it.
-    AcquireDuty { daemon: u8 },
+    /// A daemon acquires the duty if it may by what it has observed; the answer may be lost.
+    AcquireDuty { daemon: u8, answer_lost: bool },
+    /// The duty's task of a daemon panics, or its process is replaced by another one.
+    Restart { daemon: u8, whole_process: bool },
     /// A holder gives up the duty; the answer may be lost.
     GiveUp { daemon: u8, answer_lost: bool },
     /// A daemon acts if its term allows it. Unless `refreshed`, it was delayed after the last refresh of its term.
@@ -35,11 +42,12 @@
 impl Arbitrary for Command {
     fn arbitrary(rng: &mut Gen) -> Self {
         let (first, second) = (u8::arbitrary(rng), u8::arbitrary(rng));
-        match u8::arbitrary(rng) % 17 {
+        match u8::arbitrary(rng) % 18 {
             0..=3 => Self::RenewLease { daemon: first, answer_lost: second % 4 == 0 },
             4..=5 => Self::GrantLease { daemon: first },
             6..=7 => Self::ObserveEntry { daemon: first },
-            8..=9 => Self::AcquireDuty { daemon: first },
+            8..=9 => Self::AcquireDuty { daemon: first, answer_lost: second % 3 == 0 },
+            17 => Self::Restart { daemon: first, whole_process: second % 2 == 0 },
             16 => Self::GiveUp { daemon: first, answer_lost: second % 4 == 0 },
             10..=12 => Self::Act { daemon: first, refreshed: second % 3 > 0 },
             _ => Self::Wait { ms: u16::arbitrary(rng) % 1_500 },
@@ -50,10 +58,11 @@
 /// State of a daemon, which may lag behind the store.
 #[derive(Default)]
 struct Daemon {
+    incarnation: u64,
     lease: Option<u64>,
     lease_ends_at: TimePoint,
-    /// Revision of the duty's entry, as last observed.
-    duty_revision: Option<u64>,
+    /// The duty's entry, as last observed.
+    observed: Option<OwnerRecord>,
     term: Option<DutyTerm>,
 }
 
@@ -65,8 +74,8 @@
     revision: u64,
     /// Leases in the store with their ends.
     leases: Vec<(u64, TimePoint)>,
-    /// Fencing token and lease of the duty's entry in the store.
-    duty_entry: Option<(u64, u64)>,
+    /// The duty's entry in the store, and its lease.
+    duty_entry: Option<(OwnerRecord, u64)>,
     history: DutyHistory,
     /// Milliseconds by which the wall clock of each VM is ahead.
     clock_offsets_ms: [u64; DAEMONS],
@@ -87,7 +96,7 @@
 
     /// Deletes the duty's entry if its lease has ended.
     fn expire_entry(&mut self) {
-        if self.duty_entry.is_some_and(|(_, lease)| self.lease_end(lease).is_none()) {
+        if self.duty_entry.as_ref().is_some_and(|(_, lease)| self.lease_end(*lease).is_none()) {
             self.duty_entry = None;
         }
     }
@@ -96,8 +105,8 @@
     fn act(&mut self, position: usize, refreshed: bool) -> Result<(), String> {
         let now = self.now;
         let daemon = &mut self.daemons[position];
-        let status =
-            LeaseStatus { lease: daemon.lease, expires_at: daemon.lease_ends_at, duty_revision: daemon.duty_revision };
+        let duty_revision = daemon.observed.as_ref().map(|entry| entry.revision);
+        let status = LeaseStatus { lease: daemon.lease, expires_at: daemon.lease_ends_at, duty_revision };
         if refreshed && daemon.term.as_mut().is_some_and(|term| !term.refresh(status)) {
             daemon.term = None;
         }
@@ -120,6 +129,54 @@
         Ok(())
     }
 
+    /// Lets a daemon acquire the duty if it may by what it has observed. The write may have another result than it learns.
+    fn acquire(&mut self, position: usize, answer_lost: bool) {
+        let daemon = &self.daemons[position];
+        let claim = DutyClaim::of(daemon.observed.as_ref(), &daemon_name(position), daemon.incarnation);
+        let lease = daemon.lease.filter(|lease| self.lease_end(*lease).is_some());
+        let (Some(claim), Some(lease), None) = (claim, lease, daemon.term) else { return };
+        let stored_revision = self.duty_entry.as_ref().map_or(0, |(entry, _)| entry.revision);
+        let unix_ms = START_UNIX_MS + self.now.0 + self.clock_offsets_ms[position];
+        let wait_ms = self.history.handover_wait_ms(&daemon_name(position), unix_ms, HANDOVER_MS);
+        if stored_revision == claim.replaced_revision {
+            self.revision += 1;
+            let (daemon, incarnation) = (daemon_name(position), daemon.incarnation);
+            self.duty_entry = Some((OwnerRecord { daemon, incarnation, revision: self.revision }, lease));
+            self.history = std::mem::take(&mut self.history).with_acquisition(daemon_name(position), unix_ms);
+        }
+        let daemon = &mut self.daemons[position];
+        let is_own =
+            |entry: &OwnerRecord| entry.daemon == daemon_name(position) && entry.incarnation == daemon.incarnation;
+        let own_entry =
+            self.duty_entry.as_ref().filter(|(entry, stored_lease)| is_own(entry) && *stored_lease == lease);
+        let (Some((entry, _)), false) = (own_entry, answer_lost) else { return };
+        daemon.term = Some(DutyTerm::start(entry.revision, lease, self.now, daemon.lease_ends_at, wait_ms));
+        daemon.observed = Some(entry.clone());
+    }
+
+    /// Lets all daemons take turns without any fault, and checks that one of them acts in time.
+    fn recover(&mut self) -> Result<(), String> {
+        let (action_count, fault_ended_at) = (self.actions.len(), self.now);
+        while self.now.since_ms(fault_ended_at) <= RECOVERY_MS {
+            for daemon in 0..DAEMONS as u8 {
+                let is_ending = self.daemons[usize::from(daemon)].term.is_some_and(|term| term.is_ending());
+                if is_ending {
+                    self.apply(&Command::GiveUp { daemon, answer_lost: false })?;
+                }
+                self.apply(&Command::RenewLease { daemon, answer_lost: false })?;
+                self.apply(&Command::GrantLease { daemon })?;
+                self.apply(&Command::ObserveEntry { daemon })?;
+                self.apply(&Command::Act { daemon, refreshed: true })?;
+                self.apply(&Command::AcquireDuty { daemon, answer_lost: false })?;
+            }
+            self.apply(&Command::Wait { ms: TURN_MS as u16 })?;
+        }
+        if self.actions.len() == action_count {
+            return Err(format!("nobody acts; the store's entry is {:?}", self.duty_entry));
+        }
+        Ok(())
+    }
+
     fn apply(&mut self, command: &Command) -> Result<(), String> {
         self.expire_entry();
         match *command {
@@ -151,31 +208,26 @@
                 }
             }
             Command::ObserveEntry { daemon } => {
-                self.daemons[usize::from(daemon) % DAEMONS].duty_revision = self.duty_entry.map(|(token, _)| token);
+                let observed = self.duty_entry.as_ref().map(|(entry, _)| entry.clone());
+                self.daemons[usize::from(daemon) % DAEMONS].observed = observed;
             }
-            Command::AcquireDuty { daemon } => {
-                let position = usize::from(daemon) % DAEMONS;
-                let Some(lease) = self.daemons[position].lease.filter(|lease| self.lease_end(*lease).is_some()) else {
-                    return Ok(());
-                };
-                if self.duty_entry.is_none() {
-                    self.revision += 1;
-                    self.duty_entry = Some((self.revision, lease));
-                    let unix_ms = START_UNIX_MS + self.now.0 + self.clock_offsets_ms[position];
-                    let wait_ms = self.history.handover_wait_ms(&daemon_name(position), unix_ms, HANDOVER_MS);
-                    self.history = std::mem::take(&mut self.history).with_acquisition(daemon_name(position), unix_ms);
-                    let daemon = &mut self.daemons[position];
-                    daemon.duty_revision = Some(self.revision);
-                    daemon.term = Some(DutyTerm::start(self.revision, lease, self.now, daemon.lease_ends_at, wait_ms));
+            Command::AcquireDuty { daemon, answer_lost } => self.acquire(usize::from(daemon) % DAEMONS, answer_lost),
+            Command::Restart { daemon, whole_process } => {
+                let daemon = &mut self.daemons[usize::from(daemon) % DAEMONS];
+                daemon.term = None;
+                if whole_process {
+                    *daemon = Daemon { incarnation: daemon.incarnation + 1, ..Daemon::default() };
                 }
             }
             Command::GiveUp { daemon, answer_lost } => {
                 let daemon = &mut self.daemons[usize::from(daemon) % DAEMONS];
                 let Some(term) = &mut daemon.term else { return Ok(()) };
+                let token = term.fencing_token;
                 term.end();
-                self.duty_entry = self.duty_entry.filter(|(token, _)| *token != term.fencing_token);
+                self.duty_entry = self.duty_entry.take().filter(|(entry, _)| entry.revision != token);
                 if !answer_lost {
                     daemon.term = None;
+                    daemon.observed = daemon.observed.take().filter(|entry| entry.revision > token);
                 }
             }
             Command::Act { daemon, refreshed } => self.act(usize::from(daemon) % DAEMONS, refreshed)?,
@@ -185,16 +237,32 @@
     }
 }
 
+impl Simulation {
+    fn new() -> Self {
+        let daemons = (0..DAEMONS).map(|_| Daemon::default()).collect();
+        let clock_offsets_ms = [0, 4_000, 9_000];
+        Self { now: TimePoint(10_000), daemons, clock_offsets_ms, ..Self::default() }
+    }
+}
+
 #[test]
 fn holders_never_alternate_and_fencing_tokens_never_decrease() {
     sequence::check(0x7e31, 80, |commands: Vec<Command>| {
-        let daemons = (0..DAEMONS).map(|_| Daemon::default()).collect();
-        let clock_offsets_ms = [0, 4_000, 9_000];
-        let mut simulation = Simulation { now: TimePoint(10_000), daemons, clock_offsets_ms, ..Simulation::default() };
+        let mut simulation = Simulation::new();
         commands.iter().try_for_each(|command| simulation.apply(command))
     });
 }
 
+/// Guards against a duty that nobody performs although the store is sound, after answers of the store were lost.
+#[test]
+fn some_daemon_acts_after_lost_answers_once_the_store_is_sound() {
+    sequence::check(0x105e, 40, |commands: Vec<Command>| {
+        let mut simulation = Simulation::new();
+        commands.iter().try_for_each(|command| simulation.apply(command))?;
+        simulation.recover()
+    });
+}
+
 #[test]
 fn a_term_ends_when_its_process_obtains_a_new_lease() {
     let mut term = DutyTerm::start(5, 1, TimePoint(0), TimePoint(3_000), 0);
@@ -221,7 +289,7 @@
     // Previous holders with the second of their acquisition, the daemon that acquires the duty at second 100, and its
     // wait in milliseconds.
     type Holders = &'static [(&'static str, u64)];
-    let cases: [(Holders, &str, u64); 7] = [
+    let cases: [(Holders, &str, u64); 9] = [
         (&[], "a", 0),
         (&[("b", 99)], "a", 0),
         (&[("a", 99)], "a", 0),
@@ -229,6 +297,8 @@
         (&[("a", 10), ("b", 50)], "a", 0),
         (&[("a", 10), ("b", 50), ("a", 60), ("c", 95)], "a", HANDOVER_MS),
         (&[("a", 10), ("b", 104)], "a", HANDOVER_MS),
+        (&[("a", 90), ("b", 95), ("a", 99)], "a", HANDOVER_MS),
+        (&[("a", 98), ("a", 99)], "a", 0),
     ];
     for (holders, daemon, wait_ms) in cases {
         let seconds = |second: u64| START_UNIX_MS + second * 1_000;
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -22,6 +22,8 @@
     pub down: bool,
     /// Number of upcoming commits that take effect but are answered with status 504.
     pub lose_commits: u32,
+    /// Key whose next writes, so many, take effect but are answered with status 504.
+    pub lost_writes: Option<(&'static str, u32)>,
     /// Key whose next write is answered with status 504, and takes effect only after [`LATE_COMMIT_DELAY`].
     pub late_key: Option<&'static str>,
 }
@@ -115,8 +117,15 @@
     }
 
     /// Whether the response to the current commit is to be lost; decrements the number of responses to lose.
-    fn take_lost_commit(&self) -> bool {
+    fn take_lost_commit(&self, commit: &Value) -> bool {
         let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((key, count)) = &mut fault.lost_writes
+            && *count > 0
+            && writes(commit, key)
+        {
+            *count -= 1;
+            return true;
+        }
         let is_lost = fault.lose_commits > 0;
         fault.lose_commits = fault.lose_commits.saturating_sub(1);
         is_lost
@@ -213,7 +222,7 @@
         }
         contents.commit(&body)
     };
-    if state.take_lost_commit() {
+    if state.take_lost_commit(&body) {
         return HttpResponse::GatewayTimeout().finish();
     }
     match result {
