Continue a stream at another upstream than those that failed it

Callers saw: a stream on a route that may be resumed broke off although a sound upstream was free, when the upstream that had spoilt it was asked to continue it and spoilt it again (maxAttempts 2).

Cause: the attempts to continue a stream start with no upstream excluded, and the choice prefers the one that the request's id hashes to, which is the one that has just failed.

Ruled out: counting the upstream as unavailable after spoilt bytes, as one bad answer in thirty would then take it from all callers.

--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -93,6 +93,7 @@
         config_version: context.config.version,
         permits: caller_permit(priority, context.arrived_at, refused_at),
         earlier_runs: 0,
+        failed_upstreams: Vec::new(),
     };
     // Requests that may run only once are finished when the caller disconnects, because the caller may request the
     // outcome later. Streams are of no use to anybody else.
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -244,12 +244,13 @@
     }
 
     /// Records how the run at an upstream ended.
-    fn run_ended(&self, end: RelayEnd, guard: &mut UpstreamGuard, event_interval_ms: Option<u64>) -> RelayEnd {
+    fn run_ended(&mut self, end: RelayEnd, guard: &mut UpstreamGuard, event_interval_ms: Option<u64>) -> RelayEnd {
         match &end {
             RelayEnd::Complete => guard.set_outcome(SamplerOutcome::Answered(event_interval_ms)),
             RelayEnd::ClientLeft | RelayEnd::Stopping => guard.set_outcome(SamplerOutcome::Abandoned),
             RelayEnd::Failed(failure) => {
                 guard.set_outcome(failure.upstream_outcome());
+                self.plan.failed_upstreams.push(guard.record.id.clone());
                 EdgeMetrics::increment(&EdgeMetrics::global().retries, failure.as_str());
                 let fingerprint = self.plan.call.repeat_fingerprint();
                 run_unfinished(&self.parts, &self.plan.call.id, fingerprint, guard, *failure);
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -80,6 +80,8 @@
     pub permits: PermitNeed,
     /// Number of runs that the request had before, in the same answer.
     pub earlier_runs: u32,
+    /// Upstreams that failed the request before, in the same answer; others are preferred.
+    pub failed_upstreams: Vec<SharedName>,
 }
 
 /// Response of an attempt that may be passed to the caller.
@@ -124,7 +126,8 @@
     // The body is hashed only while some request is marked, or after an attempt without a response.
     let repeat_fingerprint = LazyCell::new(|| call.repeat_fingerprint());
     let is_marked = || !state.suspects().is_empty();
-    let mut history = AttemptHistory { runs: plan.earlier_runs, ..AttemptHistory::default() };
+    let tried = plan.failed_upstreams.clone();
+    let mut history = AttemptHistory { runs: plan.earlier_runs, tried, ..AttemptHistory::default() };
     while history.runs < rule.attempts_max
         && history.refusals <= REFUSALS_MAX
         && history.path_failures <= PATH_FAILURES_MAX
