Hand on the events before a defect, and take the position from what was handed on

Cause: the position moved with each event that was read, and the bytes were returned only if the whole piece was sound; the stream was then continued after events that the caller never got.

Evidence: the new process test fails before (1, 2, 3, 6 to 12).

Change: a reader that returns the events before a defect, with the number of the last one, and the defect on the next call. The daemon's own position moves when a portion was passed to the caller.

Ruled out: moving the position back on a failure, as the sound events would then be generated again.

--- a/crates/cli/tests/processes/platform_streams.rs
+++ b/crates/cli/tests/processes/platform_streams.rs
@@ -1,6 +1,6 @@
 //! Tests of streams that an edge passes on to its callers as they arrive.
 
-use crate::support::{EdgeSite, event_numbers, wait_for};
+use crate::support::{EdgeSite, RawAnswer, RawEnding, RawServer, event_numbers, wait_for};
 use futures_util::StreamExt;
 use pimentoslip_standin::UpstreamFault;
 use std::time::Duration;
@@ -58,6 +58,53 @@
     }
 }
 
+/// A chunk of a chunked body.
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Guards against events that are lost from a stream that looks complete, because they came in one piece with a defect.
+#[actix_rt::test]
+async fn events_in_one_piece_with_a_defect_reach_the_caller() {
+    const EVENTS: u64 = 12;
+    let events = |numbers: std::ops::RangeInclusive<u64>| -> String {
+        numbers.map(|number| format!("id: {number}\ndata: a:{number}\n\n")).collect()
+    };
+    let good = events(4..=5);
+    // Each case: name; bytes after the chunk with the events 1 to 3; whether the connection is closed after them.
+    let cases = [
+        ("no event", chunk(&format!("{good}<<no event>>\n")), false),
+        ("gap", chunk(&format!("{good}{}", events(9..=9))), false),
+        ("repeated number", chunk(&format!("{good}{}", events(5..=5))), false),
+        ("unreadable number", chunk(&format!("{good}id: five\ndata: a\n\n")), false),
+        ("half an event", chunk(&format!("{good}id: 6\nda")), true),
+        ("broken chunk coding", format!("{}zz\r\n", chunk(&good)), false),
+        ("event too large", chunk(&format!("{good}id: 6\ndata: {}", "a".repeat(2 << 20))), false),
+    ];
+    let site = EdgeSite::start(1).await;
+    for (number, (case, spoilt, is_closed)) in cases.into_iter().enumerate() {
+        let head = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-signature: signed-raw\r\nweight-versions: 1\r\n\
+                    content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+        let first = format!("{head}{}{spoilt}", chunk(&events(1..=3)));
+        let ending = is_closed.then_some(RawEnding::Closed);
+        let server = RawServer::start(RawAnswer { first, ending, ..RawAnswer::default() }).await;
+        let upstream = format!("engine-raw-{number}");
+        site.register(&upstream, "engine", server.address, "ready", 1);
+        actix_rt::time::sleep(LIST_DELAY).await;
+        for request in 0..30 {
+            let reply = site.send_talk(0, &format!("talk-{number}-{request}"), EVENTS, &[]).await;
+            assert_eq!(reply.status, 200, "{case}: a sound engine continues the stream");
+            assert_eq!(event_numbers(&reply.body), (1..=EVENTS).collect::<Vec<_>>(), "{case}");
+            if server.requests().len() >= 3 {
+                break;
+            }
+        }
+        assert!(!server.requests().is_empty(), "{case}: the server received no request");
+        site.store.contents().remove(&format!("servers/{upstream}"));
+        actix_rt::time::sleep(LIST_DELAY).await;
+    }
+}
+
 /// Guards against an answer joined from two software versions, or one that looks complete although its stream broke off.
 #[actix_rt::test]
 async fn a_stream_that_breaks_off_is_incomplete_when_its_software_has_left() {
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -75,7 +75,8 @@
         response.append_header((name.clone(), value.clone()));
     }
     let (sender, receiver) = mpsc::channel(PORTIONS_MAX);
-    let relay = StreamRelay { parts: parts.clone(), plan, runs, sender, portion_count: 0 };
+    let last_event = plan.call.last_event_id;
+    let relay = StreamRelay { parts: parts.clone(), plan, runs, sender, last_event, portion_count: 0 };
     actix_rt::spawn(relay.run(open, guard, client_watch));
     let portions = stream::unfold(receiver, |mut receiver| async move {
         let portion: Option<io::Result<Bytes>> = receiver.recv().await;
@@ -133,6 +134,8 @@
     /// Number of attempts in which the request may have run.
     runs: u32,
     sender: mpsc::Sender<io::Result<Bytes>>,
+    /// Number of the last event that was passed on, or that the caller had before; `None` if there is none.
+    last_event: Option<u64>,
     /// Number of portions passed on.
     portion_count: u64,
 }
@@ -159,14 +162,12 @@
         let _request_guard = self.parts.state.track_request();
         let started_at = self.parts.state.now();
         let end = self.pass_on(&mut open, &guard, &client_watch).await;
-        let mut last_event = open.last_event();
         let mut end = self.run_ended(end, &mut guard, open.monitor.event_interval_ms());
         drop((open, guard));
         while let RelayEnd::Failed(_) = end
-            && let Some((mut open, mut guard)) = self.continue_stream(last_event).await
+            && let Some((mut open, mut guard)) = self.continue_stream().await
         {
             end = self.pass_on(&mut open, &guard, &client_watch).await;
-            last_event = open.last_event();
             end = self.run_ended(end, &mut guard, open.monitor.event_interval_ms());
         }
         self.finish(end, started_at).await;
@@ -226,20 +227,23 @@
                 () = &mut client_left => return RelayEnd::ClientLeft,
                 () = &mut stopping => return RelayEnd::Stopping,
             };
-            let events = match portion {
-                Ok(StreamPortion::Events(events)) => events,
+            let portion = match portion {
+                Ok(StreamPortion::Events(portion)) => portion,
                 Ok(StreamPortion::End) => return RelayEnd::Complete,
                 Err(failure) => return RelayEnd::Failed(failure),
             };
-            open.monitor.events_received(1, state.now());
+            if portion.last_event.is_some() {
+                open.monitor.events_received(1, state.now());
+            }
             self.portion_count += 1;
             let sent = tokio::select! {
-                sent = self.sender.send(Ok(events)) => sent,
+                sent = self.sender.send(Ok(portion.bytes)) => sent,
                 () = &mut client_left => return RelayEnd::ClientLeft,
             };
             if sent.is_err() {
                 return RelayEnd::ClientLeft;
             }
+            self.last_event = portion.last_event.or(self.last_event);
         }
     }
 
@@ -265,16 +269,16 @@
         rule.kind == RouteKind::Idempotent && self.runs < rule.attempts_max && self.parts.state.now() < call.deadline
     }
 
-    /// Lets another upstream with the same software continue the stream after `last_event`. `None` if there is none.
+    /// Lets another upstream with the same software continue the stream after the last event that was passed on. `None` if
+    /// there is none.
     async fn continue_stream(
         &mut self,
-        last_event: Option<u64>,
     ) -> Option<(Box<OpenStream<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + use<>>>, UpstreamGuard)> {
         if !self.is_movable() {
             return None;
         }
         let refused_at = self.parts.state.now().plus_ms(CONTINUE_WAIT_MS);
-        self.plan.call.last_event_id = last_event;
+        self.plan.call.last_event_id = self.last_event;
         self.plan.permits.useful_until = refused_at.min(self.plan.call.deadline);
         self.plan.earlier_runs = self.runs;
         match try_stream(&self.parts, &self.plan).await {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod task_supervisor;
 mod worker_parts;
 
+pub use relay::{AttemptFailure, EventPortion, PortionReader};
 pub use run_edge::{Result, run_edge};
 pub use run_storage::run_storage;
 pub use task_supervisor::supervise;
--- a/crates/edge/src/relay/open_stream.rs
+++ b/crates/edge/src/relay/open_stream.rs
@@ -1,18 +1,17 @@
 //! A stream of events from an upstream, from its first event on.
 
 use super::{
-    AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard, is_clean_close, is_delimited_by_close,
-    read_response, start_attempt,
+    AttemptFailure, CompleteResponse, EventPortion, PortionReader, UpstreamCall, UpstreamGuard, is_clean_close,
+    is_delimited_by_close, read_response, start_attempt,
 };
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_TYPE, HeaderMap},
 };
 use awc::{Client, ClientResponse, error::PayloadError};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::{RunMonitor, TimePoint};
-use pimentoslip_platform::EventReader;
 use pimentoslip_wire::peer::RELAY_UNMEASURED_HEADER;
 use std::time::Duration;
 
@@ -27,8 +26,8 @@
 /// Portion of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamPortion {
-    /// Bytes of complete events.
-    Events(Bytes),
+    /// Complete events.
+    Events(EventPortion),
     /// The stream has ended after its last event.
     End,
 }
@@ -36,13 +35,9 @@
 /// A stream of which at least one event was received, or the end.
 pub struct OpenStream<S> {
     response: ClientResponse<S>,
-    reader: EventReader,
-    /// Bytes of complete events that were received before the caller got any.
-    first_events: Bytes,
-    /// Bytes of an event that is not complete yet.
-    partial_event: BytesMut,
-    /// Number of the last complete event; the last one that the caller has before the first.
-    last_event: Option<u64>,
+    reader: PortionReader,
+    /// Events that were received before the caller got any.
+    first_portion: Option<EventPortion>,
     /// Whether the stream may end before its next event.
     may_be_empty: bool,
     is_ended: bool,
@@ -80,16 +75,14 @@
         let is_measured = !is_delimited_by_close(headers) && !headers.contains_key(RELAY_UNMEASURED_HEADER);
         let mut stream = OpenStream {
             response,
-            reader: EventReader::default(),
-            first_events: Bytes::new(),
-            partial_event: BytesMut::new(),
-            last_event: call.last_event_id,
+            reader: PortionReader::new(call.last_event_id),
+            first_portion: None,
             may_be_empty: call.last_event_id.is_none() || is_measured,
             is_ended: false,
             monitor: RunMonitor::new(sent_at),
         };
         match stream.receive().await? {
-            StreamPortion::Events(events) => stream.first_events = events,
+            StreamPortion::Events(portion) => stream.first_portion = Some(portion),
             StreamPortion::End => stream.is_ended = true,
         }
         Ok(StreamAttempt::Open(Box::new(stream)))
@@ -112,23 +105,20 @@
         self.response.headers()
     }
 
-    /// Number of the last event that was returned by [`Self::next`], or that the caller had before; `None` if there is none.
-    pub fn last_event(&self) -> Option<u64> {
-        self.last_event
-    }
-
     /// The next portion of the stream. Fails if the stream breaks off, also within an event, or does not continue after the
     /// last event. The caller of this function bounds the wait.
     pub async fn next(&mut self) -> std::result::Result<StreamPortion, AttemptFailure> {
-        let first_events = std::mem::take(&mut self.first_events);
-        if !first_events.is_empty() {
-            return Ok(StreamPortion::Events(first_events));
+        if let Some(portion) = self.first_portion.take() {
+            return Ok(StreamPortion::Events(portion));
         }
         if self.is_ended { Ok(StreamPortion::End) } else { self.receive().await }
     }
 
     async fn receive(&mut self) -> std::result::Result<StreamPortion, AttemptFailure> {
         loop {
+            if let Some(failure) = self.reader.defect() {
+                return Err(failure);
+            }
             let chunk = match self.response.next().await {
                 Some(Ok(chunk)) => chunk,
                 None => return self.end(),
@@ -137,21 +127,9 @@
                 }
                 Some(Err(_)) => return Err(AttemptFailure::Lost),
             };
-            let received_before = self.partial_event.len();
-            self.partial_event.extend_from_slice(&chunk);
-            let (events, bound) = self.reader.feed_bounded(&chunk);
-            for event in &events {
-                if self.last_event.is_some_and(|last| event.number != last.saturating_add(1)) {
-                    return Err(AttemptFailure::Mismatch);
-                }
-                self.last_event = Some(event.number);
-                self.may_be_empty = true;
-            }
-            if self.reader.is_malformed() {
-                return Err(AttemptFailure::Malformed);
-            }
-            if let (Some(bound), false) = (bound, events.is_empty()) {
-                return Ok(StreamPortion::Events(self.partial_event.split_to(received_before + bound).freeze()));
+            if let Some(portion) = self.reader.add(&chunk) {
+                self.may_be_empty |= portion.last_event.is_some();
+                return Ok(StreamPortion::Events(portion));
             }
         }
     }
