Close streams that never have another event, and count what they keep in the budget for bodies

Cause: an empty line, a comment or an unknown field ends a block without an event; the reader's count started anew with each, and the bytes were kept until the next event, outside of the budget for bodies.

Change: the bytes up to the next event are bounded, with comments and empty lines; what is over that bound, or that of a head, is a failure of its own for which the upstream gets no requests for a while. What a stream keeps, and what waits for its caller, is taken from the budget. Only events are progress. Bodies are kept in blocks that are never moved, and their memory is returned after they were sent. A text of an item is bounded by a page of results; interim responses count towards the bound of the head.

Ruled out: counting an upstream as failed for too large a body of a plain answer, as a request for it would take it from all callers; dropping blocks without an event, as the body would not be the upstream's.

--- a/crates/cli/tests/processes/platform_bytes.rs
+++ b/crates/cli/tests/processes/platform_bytes.rs
@@ -1,7 +1,10 @@
 //! Tests of upstreams on the users' platform that send bytes which are no answer, more than one answer, or bytes without
 //! end: no caller gets bytes that are not its own, the connection is closed, memory is bounded and other requests go on.
 
-use crate::support::{EdgeSite, RawAnswer, RawEnding, RawServer, job_item, job_submission, wait_for};
+use crate::support::{
+    EdgeSite, PathMatrix, ROSE_KEY, RawAnswer, RawEnding, RawServer, event_numbers, job_item, job_submission, wait_for,
+};
+use pimentoslip_standin::RelayRule;
 use std::time::Duration;
 
 /// Memory that an edge may use at most in these tests; its settings name no limit, so that the smallest VMs' limit of
@@ -152,7 +155,9 @@
         ("line feeds at full speed", endless(stream_head.clone(), "\n")),
         ("comments at full speed", endless(stream_head.clone(), ": still here\n\n")),
         ("head byte by byte", RawAnswer { pause: Duration::from_millis(100), ..endless(HEAD, "x") }),
-        ("unknown fields at full speed", endless(stream_head, "retry: 1\n\n")),
+        ("unknown fields at full speed", endless(stream_head.clone(), "retry: 1\n\n")),
+        ("lines of one event", endless(format!("{stream_head}id: 1\n"), "data: a\n")),
+        ("text too large", endless(format!("{stream_head}id: 1\ndata: {}\n\n", "a".repeat(950_000)), ": wait\n\n")),
     ]
 }
 
@@ -205,3 +210,162 @@
     let used_bytes = site.edges[0].process.peak_memory_bytes();
     assert!(used_bytes < EDGE_BYTES_MAX, "the edge used {used_bytes} bytes");
 }
+
+/// Bodies of streams that never have another event.
+fn endless_streams() -> Vec<(&'static str, RawAnswer)> {
+    let head = format!("{HEAD}weight-versions: 1\r\ncontent-type: text/event-stream\r\n\r\n");
+    let after_event = format!("{head}id: 1\ndata: a\n\n");
+    vec![
+        ("line feeds", endless(head.clone(), "\n")),
+        ("comments", endless(head.clone(), ": still here\n\n")),
+        ("unknown fields", endless(head.clone(), "retry: 1\n\n")),
+        ("one line", endless(format!("{head}data: "), "a")),
+        ("lines of one event", endless(format!("{head}id: 1\n"), "data: a\n")),
+        ("carriage returns", endless(head, "\r\n")),
+        ("line feeds after an event", endless(after_event.clone(), "\n")),
+        ("comments after an event", endless(after_event, ": still here\n\n")),
+    ]
+}
+
+/// Sends 30 requests for streams at a time on a route that may be resumed, or not, and checks that each answer that looks
+/// complete is.
+async fn send_streams(site: &EdgeSite, case: &str, path: &str) {
+    const EVENTS: u64 = 6;
+    let (bearer, length) = (format!("Bearer {ROSE_KEY}"), EVENTS.to_string());
+    let ids: Vec<String> = (0..30).map(|number| format!("{}{path}-{number}", case.replace(' ', "-"))).collect();
+    let replies = ids.iter().map(|id| {
+        let headers = [
+            ("request-id", id.as_str()),
+            ("deadline-ms", "8000"),
+            ("model", "verse"),
+            ("length-hint", length.as_str()),
+            ("authorization", bearer.as_str()),
+        ];
+        async move { site.send(0, "POST", path, &headers, "how sad").await }
+    });
+    for reply in futures_util::future::join_all(replies).await {
+        let is_failure = matches!(reply.status, 0 | 429 | 502..=504);
+        let is_complete = reply.status == 200 && event_numbers(&reply.body) == (1..=EVENTS).collect::<Vec<_>>();
+        assert!(is_failure || is_complete, "{case} {path}: {} {:?}", reply.status, event_numbers(&reply.body));
+    }
+}
+
+/// Registers an upstream with `answer`, sends streams on the route of `path` until it gets one, and checks that the edges
+/// close its connections within their memory.
+async fn check_endless(
+    site: &EdgeSite,
+    matrix: &mut PathMatrix,
+    answer: RawAnswer,
+    case: &str,
+    path: &str,
+    peer: bool,
+) {
+    // Far below what an upstream sends until the deadline, and above what the buffers on the way hold.
+    const REQUEST_BYTES_MAX: usize = 64 << 20;
+    // Rounds of requests until one of them is sent to the server, which other upstreams may be preferred to.
+    const ROUNDS_MAX: usize = 10;
+    let server = RawServer::start(answer).await;
+    let upstream = format!("engine-{}{}", case.replace(' ', "-"), path.replace('/', "-"));
+    matrix.add_address(server.address).await;
+    if peer {
+        matrix.set(0, server.address, RelayRule::Refuse);
+    }
+    site.register(&upstream, "engine", server.address, "ready", 1);
+    wait_for("the edge lists the server", || async {
+        site.edges[0].process.log().contains(&format!("event=upstream_listed upstream={upstream} ")).then_some(())
+    })
+    .await;
+    for _ in 0..ROUNDS_MAX {
+        send_streams(site, case, path).await;
+        if !server.requests().is_empty() {
+            break;
+        }
+    }
+    assert!(!server.requests().is_empty(), "{case}, through a peer: {peer}: {path} is not sent there");
+    site.store.contents().remove(&format!("servers/{upstream}"));
+    wait_for("the connections are closed", || async { (server.open_connections() == 0).then_some(()) }).await;
+    let bytes_max = REQUEST_BYTES_MAX * server.requests().len();
+    assert!(server.repeated_bytes() < bytes_max, "{case}: {} bytes were sent", server.repeated_bytes());
+    for edge in &site.edges {
+        let used_bytes = edge.process.peak_memory_bytes();
+        assert!(used_bytes < EDGE_BYTES_MAX, "{case}, through a peer: {peer}: {used_bytes} bytes are used");
+    }
+}
+
+/// Guards against a process that ends because it keeps the bytes of streams which never have another event, and against
+/// reading such streams until their deadline.
+#[actix_rt::test]
+async fn endless_streams_are_closed_within_the_memory_of_the_vm() {
+    let (site, mut matrix) = PathMatrix::start_site(&["north", "south"]).await;
+    for (case, answer) in endless_streams() {
+        for path in ["/talk/verse", "/slow-talk/verse"] {
+            check_endless(&site, &mut matrix, answer.clone(), case, path, false).await;
+        }
+    }
+}
+
+/// Guards against the same for answers to requests for streams that are no stream of events.
+#[actix_rt::test]
+async fn endless_answers_to_requests_for_streams_stay_within_the_memory_of_the_vm() {
+    let (site, mut matrix) = PathMatrix::start_site(&["north", "south"]).await;
+    for (case, answer) in endless_answers().into_iter().filter(|(case, _)| !SOUND_CASES.contains(case)) {
+        check_endless(&site, &mut matrix, answer, case, "/talk/verse", false).await;
+    }
+}
+
+/// Guards against the same at a peer that relays the stream, and at the edge that it relays it for.
+#[actix_rt::test]
+async fn endless_streams_through_a_peer_are_closed_within_the_memory_of_both_vms() {
+    let (site, mut matrix) = PathMatrix::start_site(&["north", "south"]).await;
+    for (case, answer) in endless_streams() {
+        check_endless(&site, &mut matrix, answer, case, "/talk/verse", true).await;
+    }
+}
+
+/// Guards against items and scorer calls that wait for ever for an answer without end, or use up the memory, directly and through
+/// a peer.
+#[actix_rt::test]
+async fn items_and_scorer_calls_complete_beside_endless_answers_directly_and_through_a_peer() {
+    // Jobs until one of their requests is sent to the server.
+    const JOBS_MAX: usize = 10;
+    let is_chosen = |(case, _): &(&str, RawAnswer)| ["header line", "body without a length", "chunks"].contains(case);
+    for peer in [false, true] {
+        let (site, mut matrix) = PathMatrix::start_site(&["north", "south"]).await;
+        assert_eq!(site.submit_job(0, "first", &job_submission(1, &[job_item("first", 1, false)])).await.status, 202);
+        site.all_results(0, "first").await;
+        let is_owner = |edge: &usize| site.edges[*edge].process.log().contains("event=job_begun job=first ");
+        let owner = wait_for("the owner has logged it", || async { (0..2).find(is_owner) }).await;
+        for (number, (case, answer)) in endless_answers().into_iter().filter(is_chosen).enumerate() {
+            for service in ["engine", "desk"] {
+                let server = RawServer::start(answer.clone()).await;
+                let upstream = format!("raw-{service}-{number}");
+                matrix.add_address(server.address).await;
+                if peer {
+                    matrix.set(owner, server.address, RelayRule::Refuse);
+                }
+                site.register(&upstream, service, server.address, "ready", 1);
+                for job in 0..JOBS_MAX {
+                    let job = format!("job-{service}-{number}-{job}");
+                    let items: Vec<_> = (0..16).map(|item| job_item(&format!("{job}-{item}"), 2, true)).collect();
+                    assert_eq!(site.submit_job(0, &job, &job_submission(1, &items)).await.status, 202);
+                    for result in site.all_results(0, &job).await {
+                        let id = result["id"].as_str().unwrap_or_default();
+                        assert_eq!(result["text"], format!("{id}:1\n{id}:2"), "{service}, {case}");
+                        assert_eq!(result["score"], format!("signed score-{id}"), "{service}, {case}");
+                    }
+                    if !server.requests().is_empty() {
+                        break;
+                    }
+                }
+                assert!(!server.requests().is_empty(), "{service}, {case}, through a peer: {peer}: it got no request");
+                site.store.contents().remove(&format!("servers/{upstream}"));
+                wait_for("the connections are closed", || async { (server.open_connections() == 0).then_some(()) })
+                    .await;
+                for edge in &site.edges {
+                    let used_bytes = edge.process.peak_memory_bytes();
+                    assert!(used_bytes < EDGE_BYTES_MAX, "{service}, {case}: {used_bytes} bytes are used");
+                }
+            }
+        }
+    }
+}
--- a/crates/cli/tests/processes/support/raw_server.rs
+++ b/crates/cli/tests/processes/support/raw_server.rs
@@ -46,6 +46,7 @@
 struct Observed {
     requests: Vec<String>,
     open_connections: usize,
+    repeated_bytes: usize,
 }
 
 /// A running server.
@@ -101,6 +102,11 @@
         lock(&self.observed).requests.clone()
     }
 
+    /// Number of bytes sent by repetitions.
+    pub fn repeated_bytes(&self) -> usize {
+        lock(&self.observed).repeated_bytes
+    }
+
     /// Number of connections on which an answer is being sent or a request is awaited.
     pub fn open_connections(&self) -> usize {
         lock(&self.observed).open_connections
@@ -133,6 +139,7 @@
             if stream.write_all(block.as_bytes()).await.is_err() {
                 return;
             }
+            lock(observed).repeated_bytes += block.len();
             if answer.is_finite {
                 break;
             }
--- a/crates/client/src/response_head.rs
+++ b/crates/client/src/response_head.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Buf, BytesMut};
 
-/// Largest head that is collected. The HTTP library refuses larger ones.
+/// Largest head that is collected, together with the interim responses before it. The HTTP library refuses larger ones.
 const HEAD_BYTES_MAX: usize = 128 << 10;
 /// End of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -20,6 +20,8 @@
     received: BytesMut,
     /// Length of the received bytes that contain no end of a head.
     searched: usize,
+    /// Length of the interim responses that were dropped.
+    dropped: usize,
 }
 
 impl ResponseHead {
@@ -29,9 +31,10 @@
         self.received.extend_from_slice(bytes);
         loop {
             let Some(end) = self.head_end() else {
-                return (self.received.len() >= HEAD_BYTES_MAX).then(|| self.take());
+                return (self.dropped + self.received.len() >= HEAD_BYTES_MAX).then(|| self.take());
             };
-            if !self.is_interim() {
+            // An upstream that sends nothing but interim responses is refused with the last one of them.
+            if !self.is_interim() || self.dropped >= HEAD_BYTES_MAX {
                 if !self.has_length(end) {
                     // Responses of HTTP/1.0 end with the connection.
                     self.received[MINOR_VERSION_INDEX] = b'0';
@@ -39,6 +42,7 @@
                 return Some(self.take());
             }
             self.received.advance(end);
+            self.dropped += end;
             self.searched = 0;
         }
     }
--- a/crates/edge/src/buffer_budget.rs
+++ b/crates/edge/src/buffer_budget.rs
@@ -45,6 +45,18 @@
         self.bytes += bytes;
         true
     }
+
+    /// Takes or returns bytes, so that the share is of `bytes` bytes. Returns false, and changes nothing, if the budget is used
+    /// up.
+    #[must_use]
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes {
+            return self.grow(bytes - self.bytes);
+        }
+        self.budget.used_bytes.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        self.bytes = bytes;
+        true
+    }
 }
 
 impl Drop for BufferShare {
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -7,6 +7,7 @@
     upstream_attempts::{AnsweredAttempt, AttemptPlan, AttemptResponse, run_unfinished, try_upstreams},
 };
 use crate::{
+    buffer_budget::BufferShare,
     client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     relay::{
@@ -32,6 +33,8 @@
 const STALL_MS: u64 = 1_500;
 /// The same in latency objectives of the route, if that is longer.
 const STALL_OBJECTIVES: u64 = 3;
+/// Interval at which a portion that waits for memory is tried again.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest wait for an upstream that can continue a stream.
 const CONTINUE_WAIT_MS: u64 = 500;
 
@@ -74,13 +77,14 @@
     for (name, value) in &forwarded_response_headers(open.headers()) {
         response.append_header((name.clone(), value.clone()));
     }
-    let (sender, receiver) = mpsc::channel(PORTIONS_MAX);
+    let (sender, receiver) = mpsc::channel::<io::Result<QueuedPortion>>(PORTIONS_MAX);
     let last_event = plan.call.last_event_id;
-    let relay = StreamRelay { parts: parts.clone(), plan, runs, sender, last_event, portion_count: 0 };
+    let progress_at = parts.state.now();
+    let relay = StreamRelay { parts: parts.clone(), plan, runs, sender, last_event, progress_at, portion_count: 0 };
     actix_rt::spawn(relay.run(open, guard, client_watch));
     let portions = stream::unfold(receiver, |mut receiver| async move {
-        let portion: Option<io::Result<Bytes>> = receiver.recv().await;
-        Some((portion?, receiver))
+        let portion = receiver.recv().await?;
+        Some((portion.map(|portion| portion.bytes), receiver))
     });
     Ok(response.streaming(portions))
 }
@@ -127,15 +131,24 @@
     state.streams_started.notify_one();
 }
 
+/// Bytes of a stream that wait for its caller.
+struct QueuedPortion {
+    bytes: Bytes,
+    /// Memory of the bytes.
+    _share: BufferShare,
+}
+
 /// Passes a stream on to its caller.
 struct StreamRelay {
     parts: WorkerParts,
     plan: AttemptPlan,
     /// Number of attempts in which the request may have run.
     runs: u32,
-    sender: mpsc::Sender<io::Result<Bytes>>,
+    sender: mpsc::Sender<io::Result<QueuedPortion>>,
     /// Number of the last event that was passed on, or that the caller had before; `None` if there is none.
     last_event: Option<u64>,
+    /// When the last event was passed on, or the stream was begun at an upstream.
+    progress_at: TimePoint,
     /// Number of portions passed on.
     portion_count: u64,
 }
@@ -173,7 +186,8 @@
         self.finish(end, started_at).await;
     }
 
-    /// Waits for the next portion until the deadline. Fails earlier if the stream stalls while another upstream has room.
+    /// Waits for the next portion until the deadline. Fails earlier if the stream stalls while another upstream has room. Bytes
+    /// that are no event do not count as progress.
     async fn next_portion<S>(
         &self,
         open: &mut OpenStream<S>,
@@ -184,9 +198,9 @@
     {
         let state = &self.parts.state;
         let waiting_since = state.now();
+        let mut checked_at = self.progress_at.plus_ms(stall_ms(&self.plan));
         loop {
-            let left_ms = self.plan.call.deadline.since_ms(state.now());
-            let wait = Duration::from_millis(left_ms.min(stall_ms(&self.plan)));
+            let wait = Duration::from_millis(self.plan.call.deadline.min(checked_at).since_ms(state.now()));
             let portion = tokio::select! {
                 portion = actix_rt::time::timeout(wait, open.next()) => portion,
                 () = guard.path_lost(waiting_since), if self.is_movable() => return Err(AttemptFailure::Unacknowledged),
@@ -194,6 +208,7 @@
             if let Ok(portion) = portion {
                 return portion;
             }
+            checked_at = state.now().plus_ms(stall_ms(&self.plan));
             let is_over = state.now() >= self.plan.call.deadline;
             if is_over || (self.is_movable() && has_room_elsewhere(&self.parts, &self.plan, guard)) {
                 return Err(AttemptFailure::TimedOut);
@@ -237,14 +252,27 @@
             }
             self.portion_count += 1;
             let sent = tokio::select! {
-                sent = self.sender.send(Ok(portion.bytes)) => sent,
+                sent = self.queue(portion.bytes) => sent,
                 () = &mut client_left => return RelayEnd::ClientLeft,
             };
-            if sent.is_err() {
+            if !sent {
                 return RelayEnd::ClientLeft;
             }
-            self.last_event = portion.last_event.or(self.last_event);
+            if portion.last_event.is_some() {
+                // The time for which the caller did not read is not the upstream's.
+                self.progress_at = state.now();
+                self.last_event = portion.last_event;
+            }
+        }
+    }
+
+    /// Queues bytes for the caller once there is room and memory for them. Returns false if the caller has left.
+    async fn queue(&self, bytes: Bytes) -> bool {
+        let mut share = self.parts.state.buffers.share();
+        while !share.grow(bytes.len()) {
+            actix_rt::time::sleep(MEMORY_CHECK_INTERVAL).await;
         }
+        self.sender.send(Ok(QueuedPortion { bytes, _share: share })).await.is_ok()
     }
 
     /// Records how the run at an upstream ended.
@@ -284,6 +312,7 @@
         match try_stream(&self.parts, &self.plan).await {
             Ok(AnsweredAttempt { response: StreamAttempt::Open(open), guard, runs }) => {
                 self.runs = runs;
+                self.progress_at = self.parts.state.now();
                 Some((open, guard))
             }
             Ok(AnsweredAttempt { response: StreamAttempt::Whole(_), .. }) | Err(_) => None,
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -23,6 +23,9 @@
 /// Longest run; after this, the item resumes in a new run, for which an upstream is selected again.
 const RUN_MS_MAX: u64 = 30_000;
 
+/// Largest text of an item; a larger one fits into no page of results. The item starts again at another upstream then.
+const TEXT_BYTES_MAX: usize = 900_000;
+
 /// Outcome of a finished run.
 struct FinishedRun {
     /// Outcome for the ledger.
@@ -203,6 +206,7 @@
     let mut version: Option<u64> = version;
     let headers = response.headers().clone();
     let mut reader = EventReader::default();
+    let mut share = guard.buffer_share();
     loop {
         let other_interval_ms = fastest_other_interval_ms(job, assignment.item_index, guard);
         if other_interval_ms.is_some_and(|ms| monitor.is_slower_than(ms)) {
@@ -240,6 +244,10 @@
                 &event.data,
             );
             match outcome {
+                EventOutcome::Accepted if job.ledger.borrow().text_bytes(assignment.item_index) > TEXT_BYTES_MAX => {
+                    job.ledger.borrow_mut().discard_text(assignment.item_index);
+                    return FinishedRun::from_failure(AttemptFailure::Malformed);
+                }
                 EventOutcome::Accepted => {}
                 EventOutcome::Restart => {
                     return FinishedRun {
@@ -250,7 +258,10 @@
                 EventOutcome::Mismatch => return FinishedRun::from_failure(AttemptFailure::Mismatch),
             }
         }
-        if reader.is_malformed() {
+        if reader.is_oversized() {
+            return FinishedRun::from_failure(AttemptFailure::Oversized);
+        }
+        if reader.is_malformed() || !share.resize(reader.kept_bytes()) {
             return FinishedRun::from_failure(AttemptFailure::Malformed);
         }
     }
--- a/crates/edge/src/path/relay_api.rs
+++ b/crates/edge/src/path/relay_api.rs
@@ -207,7 +207,12 @@
 fn failure_response(mut relayed: RelayedRequest, failure: AttemptFailure) -> HttpResponse {
     relayed.guard.set_outcome(failure.upstream_outcome());
     // The peer tells a path of this daemon from an upstream that nobody reaches.
-    let failure = if failure == AttemptFailure::PathLost { AttemptFailure::Unreachable } else { failure };
+    let failure = match failure {
+        AttemptFailure::PathLost => AttemptFailure::Unreachable,
+        // Peers of earlier releases do not know the name, and would take the request for one that was not sent.
+        AttemptFailure::Oversized => AttemptFailure::Malformed,
+        failure => failure,
+    };
     refusal_response(failure.as_str())
 }
 
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -37,13 +37,16 @@
     TimedOut,
     /// The response has no request id or that of another request, or its events do not continue the text.
     Mismatch,
-    /// The response was truncated, malformed or too large, or had a content encoding or an unexpected status.
+    /// The response was truncated or malformed, had a content encoding or an unexpected status, or its body was too large.
     Malformed,
+    /// The upstream sent more bytes than the head of a response, or the next event of a stream, may have. Other requests would get
+    /// the same from it, unlike one with too large a body.
+    Oversized,
 }
 
 impl AttemptFailure {
     /// All failures.
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 12] = [
         Self::NotSent,
         Self::Departed,
         Self::PathLost,
@@ -55,6 +58,7 @@
         Self::TimedOut,
         Self::Mismatch,
         Self::Malformed,
+        Self::Oversized,
     ];
 
     /// Name of the reason in metrics and logs, and between daemons.
@@ -72,6 +76,7 @@
             Self::TimedOut => "timed_out",
             Self::Mismatch => "mismatch",
             Self::Malformed => "spoilt",
+            Self::Oversized => "oversized",
         }
     }
 
@@ -88,7 +93,9 @@
             Self::NotSent | Self::Departed | Self::PathLost | Self::Unreachable | Self::Refused | Self::Misdirected => {
                 false
             }
-            Self::Lost | Self::Unacknowledged | Self::TimedOut | Self::Mismatch | Self::Malformed => true,
+            Self::Lost | Self::Unacknowledged | Self::TimedOut | Self::Mismatch | Self::Malformed | Self::Oversized => {
+                true
+            }
         }
     }
 
@@ -104,7 +111,9 @@
         match self {
             Self::NotSent | Self::Departed | Self::PathLost | Self::Unacknowledged => SamplerOutcome::Abandoned,
             Self::Refused => SamplerOutcome::Refused,
-            Self::Unreachable | Self::Misdirected | Self::Lost | Self::TimedOut => SamplerOutcome::Failed,
+            Self::Unreachable | Self::Misdirected | Self::Lost | Self::TimedOut | Self::Oversized => {
+                SamplerOutcome::Failed
+            }
             Self::Mismatch | Self::Malformed => SamplerOutcome::Answered(None),
         }
     }
--- a/crates/edge/src/relay/complete_response.rs
+++ b/crates/edge/src/relay/complete_response.rs
@@ -1,13 +1,13 @@
 //! Reads a complete response of an upstream into memory.
 
-use super::{AttemptFailure, Result, UpstreamCall, UpstreamGuard, start_attempt};
+use super::{AttemptFailure, BodyBlocks, Result, UpstreamCall, UpstreamGuard, start_attempt};
 use crate::buffer_budget::BufferShare;
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
 };
 use awc::{Client, ClientResponse, error::PayloadError};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::TimePoint;
 use std::{io::ErrorKind, time::Duration};
@@ -20,9 +20,7 @@
     /// Response headers, unfiltered.
     pub headers: HeaderMap,
     /// Complete response body.
-    pub body: Bytes,
-    /// Memory of the body, returned to the budget with the response.
-    _share: BufferShare,
+    pub body: BodyBlocks,
 }
 
 /// Reads the body of a response; one larger than `bytes_max` is rejected. The body is complete when it ends according
@@ -30,24 +28,22 @@
 pub async fn read_response<S>(
     mut response: ClientResponse<S>,
     bytes_max: usize,
-    mut share: BufferShare,
+    share: BufferShare,
 ) -> Result<CompleteResponse>
 where
     S: Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin,
 {
     let (status, headers) = (response.status(), response.headers().clone());
-    let mut body = BytesMut::new();
+    let mut body = BodyBlocks::new(share);
     while let Some(chunk) = response.next().await {
         match chunk {
-            Ok(chunk) if body.len() + chunk.len() <= bytes_max && share.grow(chunk.len()) => {
-                body.extend_from_slice(&chunk);
-            }
+            Ok(chunk) if body.len() + chunk.len() <= bytes_max && body.append(&chunk) => {}
             Ok(_) => return Err(AttemptFailure::Malformed.into()),
             Err(error) if is_delimited_by_close(&headers) && is_clean_close(&error) => break,
             Err(_) => return Err(AttemptFailure::Lost.into()),
         }
     }
-    Ok(CompleteResponse { status, headers, body: body.freeze(), _share: share })
+    Ok(CompleteResponse { status, headers, body })
 }
 
 /// Whether the end of the body is marked only by the close of the connection.
--- a/crates/edge/src/relay/direct_attempt.rs
+++ b/crates/edge/src/relay/direct_attempt.rs
@@ -65,6 +65,7 @@
         SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete) => {
             ("connection_lost", AttemptFailure::Lost)
         }
+        SendRequestError::Response(ParseError::TooLarge) => ("response_unreadable", AttemptFailure::Oversized),
         SendRequestError::Response(_) => ("response_unreadable", AttemptFailure::Malformed),
         _ => ("connection_lost", AttemptFailure::Lost),
     };
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Sends requests to upstreams and reads their responses.
 
 mod attempt;
+mod body_blocks;
 mod complete_response;
 mod direct_attempt;
 mod header_filter;
@@ -13,6 +14,7 @@
 mod upstream_guard;
 
 pub use attempt::{AttemptFailure, Result, observe_upstream, start_attempt};
+pub use body_blocks::BodyBlocks;
 pub use complete_response::{CompleteResponse, fetch_complete, is_clean_close, is_delimited_by_close, read_response};
 pub use direct_attempt::send_direct;
 pub use header_filter::{forwarded_request_headers, forwarded_response_headers};
--- a/crates/edge/src/relay/open_stream.rs
+++ b/crates/edge/src/relay/open_stream.rs
@@ -4,6 +4,7 @@
     AttemptFailure, CompleteResponse, EventPortion, PortionReader, UpstreamCall, UpstreamGuard, is_clean_close,
     is_delimited_by_close, read_response, start_attempt,
 };
+use crate::buffer_budget::BufferShare;
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_TYPE, HeaderMap},
@@ -36,6 +37,8 @@
 pub struct OpenStream<S> {
     response: ClientResponse<S>,
     reader: PortionReader,
+    /// Memory of what the reader keeps.
+    share: BufferShare,
     /// Events that were received before the caller got any.
     first_portion: Option<EventPortion>,
     /// Whether the stream may end before its next event.
@@ -76,6 +79,7 @@
         let mut stream = OpenStream {
             response,
             reader: PortionReader::new(call.last_event_id),
+            share: guard.buffer_share(),
             first_portion: None,
             may_be_empty: call.last_event_id.is_none() || is_measured,
             is_ended: false,
@@ -119,6 +123,9 @@
             if let Some(failure) = self.reader.defect() {
                 return Err(failure);
             }
+            if !self.share.resize(self.reader.kept_bytes()) {
+                return Err(AttemptFailure::Malformed);
+            }
             let chunk = match self.response.next().await {
                 Some(Ok(chunk)) => chunk,
                 None => return self.end(),
--- a/crates/edge/src/relay/portion_reader.rs
+++ b/crates/edge/src/relay/portion_reader.rs
@@ -57,7 +57,8 @@
             }
         }
         if self.defect.is_none() && self.reader.is_malformed() {
-            self.defect = Some(AttemptFailure::Malformed);
+            let is_oversized = self.reader.is_oversized();
+            self.defect = Some(if is_oversized { AttemptFailure::Oversized } else { AttemptFailure::Malformed });
         }
         (end > 0).then(|| EventPortion { bytes: self.kept.split_to(end).freeze(), last_event })
     }
@@ -68,6 +69,12 @@
         self.defect
     }
 
+    /// Number of received bytes that are kept in memory.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        self.kept.len() + self.reader.kept_bytes()
+    }
+
     /// Whether all received bytes belong to complete events.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -471,6 +471,12 @@
         self.items.get(item_index).map_or(0, |item| item.text.event_count())
     }
 
+    /// Length of an item's text, in bytes; 0 once the item is finished.
+    #[must_use]
+    pub fn text_bytes(&self, item_index: usize) -> usize {
+        self.items.get(item_index).map_or(0, |item| item.text.byte_count())
+    }
+
     /// Puts an item that [`Self::start_next_run`] returned back into the queue, because no upstream has capacity for
     /// it.
     pub fn requeue_run(&mut self, item_index: usize) {
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -46,6 +46,12 @@
         self.last_event.map_or(0, |last| last.saturating_sub(FIRST_EVENT_NUMBER - 1))
     }
 
+    /// Length of the text, in bytes.
+    #[must_use]
+    pub fn byte_count(&self) -> usize {
+        self.text.len()
+    }
+
     /// Number of events that are in no checkpoint.
     #[must_use]
     pub fn unsaved_count(&self) -> u64 {
