--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -127,6 +127,12 @@
 /// Sends a request to the server as the only upstream `id`, until it has received it.
 async fn lose_request(site: &EdgeSite, id: &str, server: &RawServer) {
     site.register(id, "desk", server.address, "ready", unix_ms());
+    // A peer that does not list the upstream yet tries the address that the asking edge knows, which may be that of a relay.
+    let is_listed = format!("event=upstream_listed upstream={id} ");
+    wait_for("every edge lists the server", || async {
+        site.edges.iter().all(|edge| edge.process.log().contains(&is_listed)).then_some(())
+    })
+    .await;
     wait_for("the server gets the request", || async {
         let reply = site.send_quote_for(0, id, "boom").await;
         (!server.requests().is_empty()).then(|| assert!(matches!(reply.status, 502 | 504), "{id}: {reply:?}"))
