--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -1,7 +1,7 @@
 //! Tests of malformed calls between edges and malformed entries in the store on the users' platform: they are refused or
 //! ignored, and end neither a process nor one of its tasks.
 
-use crate::support::{EdgeSite, job_item, job_submission, wait_for};
+use crate::support::{EdgeSite, RawAnswer, RawServer, job_item, job_submission, wait_for};
 use awc::Client;
 use pimentoslip_kernel::{FailureCount, JobCheckpoint, LedgerState, SampleText, TextPart, UnfinishedItem};
 use pimentoslip_wire::{
@@ -181,3 +181,55 @@
     assert_eq!(site.all_results(other, "later").await.len(), 1);
     check_running(&site, other).await;
 }
+
+/// Entries of another writer among those of the upstreams, with the address of `server`.
+fn odd_upstream_entries(server: &RawServer) -> Vec<(&'static str, Vec<u8>)> {
+    let address = server.address;
+    let entry = |fields: &str| {
+        format!(r#"{{"service":"desk","address":"{address}","zone":"north","slots":8,"state":"ready",{fields}}}"#)
+    };
+    let nested = "[".repeat(NESTING_DEPTH);
+    let replaced = |field: &str, value: &str| entry(r#""born":1"#).replacen(field, value, 1).into_bytes();
+    vec![
+        ("no text", vec![0xff, 0xfe, 0x00]),
+        ("empty", Vec::new()),
+        ("nested", nested.clone().into_bytes()),
+        ("nested in a field", entry(&format!(r#""models":{nested}"#)).into_bytes()),
+        ("nested in an unknown field", entry(&format!(r#""later":{nested}"#)).into_bytes()),
+        ("many slots", replaced(r#""slots":8"#, r#""slots":18446744073709551615"#)),
+        ("slots beyond numbers", replaced(r#""slots":8"#, r#""slots":1e300"#)),
+        ("negative slots", replaced(r#""slots":8"#, r#""slots":-1"#)),
+        ("start beyond numbers", entry(r#""born":36893488147419103232"#).into_bytes()),
+        ("port too large", replaced(&address.to_string(), "127.0.0.1:65536")),
+        ("port 0", replaced(&address.to_string(), "127.0.0.1:0")),
+        ("host name", replaced(&address.to_string(), "localhost:80")),
+        ("unknown state", replaced(r#""state":"ready""#, r#""state":"asleep""#)),
+        ("unknown service", replaced(r#""service":"desk""#, r#""service":"nobody""#)),
+    ]
+}
+
+/// Guards against an odd entry among those of the upstreams that ends a process, draws requests, or ends the following of the
+/// list.
+#[actix_rt::test]
+async fn odd_entries_of_upstreams_get_no_requests_and_the_list_is_followed_afterwards() {
+    let mut site = EdgeSite::start(2).await;
+    let server = RawServer::start(RawAnswer::default()).await;
+    for (case, value) in odd_upstream_entries(&server) {
+        for key in [format!("servers/odd-{}", case.replace(' ', "-")), "servers/".to_owned()] {
+            site.store.contents().put(&key, value.clone(), 0);
+        }
+    }
+    site.start_desk("desk-late");
+    for edge in 0..2 {
+        wait_for("the list is followed", || async {
+            site.edges[edge].process.log().contains("event=upstream_listed upstream=desk-late ").then_some(())
+        })
+        .await;
+        for number in 0..20 {
+            let reply = site.send_quote(edge, &format!("quote-{edge}-{number}")).await;
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+        check_running(&site, edge).await;
+    }
+    assert_eq!(server.requests(), Vec::<String>::new());
+}
--- a/crates/edge/src/store/prefix_handler.rs
+++ b/crates/edge/src/store/prefix_handler.rs
@@ -61,6 +61,9 @@
                 }
                 Err(error @ (StoreError::HistoryCompacted | StoreError::Malformed { .. })) => {
                     LogLine::new("store_reread").field("prefix", H::PREFIX).field("reason", &error).warn();
+                    if matches!(error, StoreError::Malformed { .. }) {
+                        actix_rt::time::sleep(RETRY_DELAY).await;
+                    }
                     break;
                 }
                 Err(error) => {
