Soak: suspend an edge while routes are added, lose answers to the write of the duty, spoil streams in one piece and without end

The upstreams of the stand-in learn two faults: two sound events and a line that is no event in one piece, and line feeds without end. Jobs are submitted on the added routes as well. An item that is terminated fails the soak now, as no upstream answers 500 and no route is removed; before, such a result was passed over.

--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -1,7 +1,7 @@
 //! Soak on the users' platform: edges as separate processes are killed, frozen, stopped and restarted, the store and the
 //! connections to it and to the upstreams fail, upstreams misbehave, leave and are replaced by others with another software
-//! version, all at random and overlapping, while callers send requests, jobs and requests for streams, and one upstream names a limit. What callers
-//! and upstreams see is compared with the promises.
+//! version, configurations add routes, all at random and overlapping, while callers send requests, jobs and requests for streams, and one
+//! upstream names a limit. What callers and upstreams see is compared with the promises.
 //!
 //! `PIMENTOSLIP_SOAK_SEEDS=100..120` plays other seeds.
 
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
@@ -45,6 +45,11 @@
 /// Most requests that a leaving upstream may get after that: a few of each process that has not received a response of it.
 const LEAVING_MAX: usize = 2 * EDGES;
 
+/// Organisations and keys of all configurations.
+const KEYS: [(&str, &str); 1] = [("rose", ROSE_KEY)];
+/// Key of the entry that names the holder of the duty.
+const DUTY_KEY: &str = "p/w/duty";
+
 /// Time after which a caller gives up, for example on a frozen edge.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -65,6 +70,8 @@
     edges: Vec<String>,
     /// Whether the faults are over.
     is_calm: Cell<bool>,
+    /// Batch routes that were added, besides the first one.
+    routes: RefCell<Vec<String>>,
 }
 
 impl Callers {
@@ -162,10 +169,17 @@
             let items: Vec<Value> =
                 (0..ITEMS).map(|item| job_item(&format!("{job}-{item}"), EVENTS, item % 2 == 0)).collect();
             let submission = job_submission(1, &items);
+            let route = {
+                let routes = self.routes.borrow();
+                routes.get(rng.random_range(0..=routes.len())).cloned().unwrap_or_else(|| "cards".to_owned())
+            };
             loop {
-                let path = format!("/cards/{job}");
+                let path = format!("/{route}/{job}");
                 let answer = self.send(rng.random_range(0..EDGES), "POST", &path, &job, &submission).await;
-                assert!(matches!(answer.status, 0 | 202 | 502..=504), "seed {seed}: {job} got {answer:?}");
+                // An edge answers 404 until it must know a new route.
+                let is_allowed =
+                    matches!(answer.status, 0 | 202 | 502..=504) || (answer.status == 404 && route != "cards");
+                assert!(is_allowed, "seed {seed}: {job} got {answer:?}");
                 if answer.status == 202 {
                     break;
                 }
@@ -183,6 +197,7 @@
     site: &mut EdgeSite,
     relays: &[TcpRelay],
     matrix: &mut PathMatrix,
+    routes: &RefCell<Vec<String>>,
     seed: u64,
 ) -> Vec<LeavingDesk> {
     let mut leaving = Vec::new();
@@ -191,7 +206,7 @@
     for _ in 0..FAULTS {
         let edge = rng.random_range(0..EDGES);
         let is_stopped = site.edges[edge].process.exit_status().is_some();
-        match rng.random_range(0..16) {
+        match rng.random_range(0..20) {
             0 | 1 if !is_stopped => {
                 site.edges[edge].process.kill();
                 frozen[edge] = false;
@@ -223,6 +238,26 @@
                 desk.announce_leaving(true);
                 leaving.push(LeavingDesk { desk, announced_at: Instant::now() });
             }
+            16 if !is_stopped => {
+                site.edges[edge].process.freeze();
+                frozen[edge] = true;
+                let mut routes = routes.borrow_mut();
+                let name = format!("new-{}", routes.len());
+                routes.push(name);
+                site.write_config_with(2 + routes.len() as u64, &KEYS, &routes);
+            }
+            17 => {
+                let lost_writes = Some((DUTY_KEY, rng.random_range(1..4)));
+                site.store.set_fault(StoreFault { lost_writes, ..StoreFault::default() });
+            }
+            18 => {
+                let engine = rng.random_range(0..site.engines.len());
+                site.engines[engine].set_faults([UpstreamFault::SpoilAfter(2), UpstreamFault::SpoilAfter(9)]);
+            }
+            19 => {
+                let engine = rng.random_range(0..site.engines.len());
+                site.engines[engine].set_faults([UpstreamFault::EndlessAfter(1), UpstreamFault::EndlessAfter(0)]);
+            }
             10 => {
                 let engine = rng.random_range(0..site.engines.len());
                 site.engines[engine].set_faults([UpstreamFault::CutAfter(3), UpstreamFault::CutAfter(12)]);
@@ -270,7 +305,7 @@
 /// Plays one seed and compares what callers and upstreams saw with the promises.
 async fn play(seed: u64) {
     let mut site = EdgeSite::without_edges();
-    site.write_config(2, &[("rose", ROSE_KEY)]);
+    site.write_config(2, &KEYS);
     site.start_desk("desk-3");
     site.start_engine_with("engine-3", SOFTWARE[1]);
     site.start_engine_with("engine-4", SOFTWARE[1]);
@@ -284,9 +319,9 @@
     }
     site.wait_ready().await;
     let edges = (0..EDGES).map(|edge| site.url(edge, "")).collect();
-    let callers = Callers { http: HttpClient::new(), edges, is_calm: Cell::new(false) };
+    let callers = Callers { http: HttpClient::new(), edges, is_calm: Cell::new(false), routes: RefCell::default() };
     let faults = async {
-        let leaving = inject_faults(&mut site, &relays, &mut matrix, seed).await;
+        let leaving = inject_faults(&mut site, &relays, &mut matrix, &callers.routes, seed).await;
         callers.is_calm.set(true);
         leaving
     };
@@ -373,7 +408,8 @@
     assert!(calls.iter().all(|call| !call.has_key), "seed {seed}: a key reached an upstream");
 }
 
-/// Each item of an accepted job is listed once with its whole text, at the same position at every edge.
+/// Each item of an accepted job is listed once with its whole text, at the same position at every edge. None is terminated: no
+/// upstream answers 500, and no route is removed.
 async fn check_job(site: &EdgeSite, job: &str, seed: u64) {
     let results = site.all_results(0, job).await;
     assert_eq!(results.len(), ITEMS, "seed {seed}: {job}");
@@ -384,17 +420,12 @@
         let id = format!("{job}-{item}");
         let listed: Vec<&Value> = results.iter().filter(|result| result["id"] == id).collect();
         assert_eq!(listed.len(), 1, "seed {seed}: {id}");
-        if listed[0]["state"] == "completed" {
-            let text_of = |software: &str| {
-                let suffix = if software == SOFTWARE[0] { String::new() } else { format!("@{software}") };
-                (1..=EVENTS).map(|number| format!("{id}:{number}{suffix}")).collect::<Vec<_>>().join("\n")
-            };
-            assert!(
-                SOFTWARE.iter().any(|software| listed[0]["text"] == text_of(software)),
-                "seed {seed}: {}",
-                listed[0]
-            );
-        }
+        assert_eq!(listed[0]["state"], "completed", "seed {seed}: {}", listed[0]);
+        let text_of = |software: &str| {
+            let suffix = if software == SOFTWARE[0] { String::new() } else { format!("@{software}") };
+            (1..=EVENTS).map(|number| format!("{id}:{number}{suffix}")).collect::<Vec<_>>().join("\n")
+        };
+        assert!(SOFTWARE.iter().any(|software| listed[0]["text"] == text_of(software)), "seed {seed}: {}", listed[0]);
     }
 }
 
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -14,6 +14,8 @@
     time::{Duration, Instant},
 };
 
+/// Size of the blocks of a response without end.
+const ENDLESS_BLOCK_BYTES: usize = 16 << 10;
 /// Number of the first event of a streamed answer.
 const FIRST_EVENT: u64 = 1;
 
@@ -34,6 +36,10 @@
     LoseAnswer,
     /// Closes the connection after this number of events, in the middle of the next one. Ignored by a plain service.
     CutAfter(u64),
+    /// Sends this many events, and then in one piece two more and a line that is no event.
+    SpoilAfter(u64),
+    /// Sends this many events, and then line feeds until the connection is closed.
+    EndlessAfter(u64),
     /// Closes the connection after the last event, without ending the stream. Ignored by a plain service.
     CutAtEnd,
     /// Answers with the id of another request.
@@ -399,12 +405,19 @@
     response.insert_header(("weight-versions", version.to_string()));
     // Number of the first event that is not sent in full.
     let stop = match fault {
-        Some(UpstreamFault::CutAfter(events)) => (first_event + events).min(end),
+        Some(
+            UpstreamFault::CutAfter(events) | UpstreamFault::SpoilAfter(events) | UpstreamFault::EndlessAfter(events),
+        ) => (first_event + events).min(end),
         _ => end,
     };
     let (upstream, id) = (upstream.clone(), id.to_owned());
+    let event_text = {
+        let (id, suffix) = (id.clone(), upstream.settings.event_suffix());
+        move |number: u64| format!("id: {number}\ndata: {id}:{number}{suffix}\n\n")
+    };
+    let spoilt: String = (stop..end.min(stop + 2)).map(&event_text).chain(["<<no event>>\n".to_owned()]).collect();
     let events = stream::unfold((first_event, version, guard), move |(number, last_version, guard)| {
-        let (upstream, model, id) = (upstream.clone(), model.clone(), id.clone());
+        let (upstream, model, event) = (upstream.clone(), model.clone(), event_text(number));
         async move {
             if number >= stop {
                 return None;
@@ -413,9 +426,7 @@
             let version = upstream.state().versions.get(&model).copied().unwrap_or(0);
             let version_line =
                 if version == last_version { String::new() } else { format!("weight-versions: {version}\n") };
-            let suffix = upstream.settings.event_suffix();
-            let event = format!("{version_line}id: {number}\ndata: {id}:{number}{suffix}\n\n");
-            Some((Ok(Bytes::from(event)), (number + 1, version, guard)))
+            Some((Ok(Bytes::from(version_line + &event)), (number + 1, version, guard)))
         }
     })
     .boxed_local();
@@ -424,6 +435,11 @@
             let partial_event = stream::iter([Ok(Bytes::from(format!("id: {stop}\ndata: to")))]).boxed_local();
             response.streaming(events.chain(partial_event).chain(connection_reset()))
         }
+        Some(UpstreamFault::SpoilAfter(_)) => response.streaming(events.chain(stream::iter([Ok(Bytes::from(spoilt))]))),
+        Some(UpstreamFault::EndlessAfter(_)) => {
+            let line_feeds = stream::repeat_with(|| Ok(Bytes::from_static(&[b'\n'; ENDLESS_BLOCK_BYTES])));
+            response.streaming(events.chain(line_feeds))
+        }
         Some(UpstreamFault::CutAtEnd) => response.streaming(events.chain(connection_reset())),
         _ => response.streaming(events),
     }
