--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -12,7 +12,7 @@
     peer::JobPush,
     stored::{DaemonEntry, JobEntry, KeyLayout},
 };
-use std::{sync::Arc, time::Duration};
+use std::{fmt::Display, sync::Arc, time::Duration};
 
 /// Largest stored part of a submission; below the platform's limit on the size of a value.
 const PART_BYTES_MAX: usize = 700_000;
@@ -204,19 +204,20 @@
 pub async fn hand_over_job(parts: &WorkerParts, job: &SubmittedJob, revision: u64, ledger: LedgerState) {
     let own_vm = parts.state.settings.vm.clone();
     let Some(owner) = choose_owner(&parts.state, &job.placement_key, Some(&own_vm)) else { return };
-    let not_handed_over = |reason: &dyn std::fmt::Display| {
-        LogLine::new("job_not_handed_over").field("job", &job.id).field("reason", reason).warn();
-    };
     match store_owner(parts, &job.id, &owner, revision).await {
         Ok(Some(revision)) => {
             let push = job.push_message(&owner, revision, Some(ledger));
             push_job(parts.upstream_client.clone(), owner.presence.control_address, push).await;
         }
-        Ok(None) => not_handed_over(&"another daemon has become the owner"),
-        Err(error) => not_handed_over(&error),
+        Ok(None) => log_not_handed_over(&job.id, "another daemon has become the owner"),
+        Err(error) => log_not_handed_over(&job.id, error),
     }
 }
 
+fn log_not_handed_over(job: &str, reason: impl Display) {
+    LogLine::new("job_not_handed_over").field("job", job).field("reason", reason).warn();
+}
+
 /// Stores `owner` in place of the ownership entry that was written at `replaced_revision`. Returns the revision of the new
 /// entry, also if the response to the write was lost; `None` if another daemon has become the owner.
 async fn store_owner(
