--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -53,6 +53,8 @@
     pub item_runs: Family<ReasonLabel, Counter>,
     /// Owned batch jobs that wait before they are run, by reason: `config_older` than the one under which the job was accepted.
     pub job_waits: Family<ReasonLabel, Counter>,
+    /// Reads of results of batch jobs, by the source of the answer: `own_memory`, `owner_peer`, `store` or `remembered_end`.
+    pub result_reads: Family<ReasonLabel, Counter>,
     /// Calls of scorers, by result.
     pub score_calls: Family<ReasonLabel, Counter>,
     /// Panics of background tasks, by task.
@@ -121,6 +123,7 @@
             retries: Family::default(),
             item_runs: Family::default(),
             job_waits: Family::default(),
+            result_reads: Family::default(),
             score_calls: Family::default(),
             task_failures: Family::default(),
             upstream_crashes: Counter::default(),
@@ -147,6 +150,7 @@
         registry.register("retries", "Repeated attempts by reason", metrics.retries.clone());
         registry.register("item_runs", "Runs of batch items by end", metrics.item_runs.clone());
         registry.register("job_waits", "Owned jobs that wait by reason", metrics.job_waits.clone());
+        registry.register("result_reads", "Reads of results by source", metrics.result_reads.clone());
         registry.register("item_scores", "Calls of scorers by end", metrics.score_calls.clone());
         registry.register("task_failures", "Panics of background tasks", metrics.task_failures.clone());
         registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -3,8 +3,9 @@
 use super::{
     JobView,
     owner_read::{item_from_owner, results_from_owner},
+    read_source::ReadSource,
 };
-use crate::{edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
+use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
 use bytes::{Bytes, BytesMut};
 use pimentoslip_kernel::{JobCheckpoint, SharedName, TimePoint};
 use pimentoslip_platform::{BatchSubmission, RangePage, StoreChange, StoreEntry, StoreError, decode_submission};
@@ -36,6 +37,8 @@
     results: Vec<Arc<ResultEntry>>,
     /// Revision of the store at the read, from which a watch can continue.
     revision: u64,
+    /// Whether the store was read or watched for these results.
+    source: ReadSource,
 }
 
 /// Returns the job from this process's index, or else from the store. `None` if the store has no such job.
@@ -59,10 +62,35 @@
     job: &SharedName,
     query: &ResultsQuery,
 ) -> Result<Vec<Arc<ResultEntry>>> {
-    match results_from_owner(state, peer_client, job, query).await {
-        Some(results) => Ok(results),
-        None => Ok(read_from_store(state, store, job, query).await?.results),
+    let (results, source, revision) = match results_from_owner(state, peer_client, job, query).await {
+        Some((results, source)) => (results, source, None),
+        None => {
+            let StoredResults { results, revision, source } = read_from_store(state, store, job, query).await?;
+            (results, source, Some(revision))
+        }
+    };
+    EdgeMetrics::increment(&EdgeMetrics::global().result_reads, source.name());
+    if results.is_empty() {
+        log_empty_read(state, job, query.position, source, revision);
+    }
+    Ok(results)
+}
+
+/// Logs a read that returns nothing, unless `position` is after the last item.
+fn log_empty_read(state: &EdgeState, job: &str, position: usize, source: ReadSource, revision: Option<u64>) {
+    let view = state.jobs().get(job).cloned();
+    if view.as_ref().is_some_and(|view| position >= view.entry.item_count) {
+        return;
     }
+    let known_end = view.as_ref().and_then(|view| view.results_end);
+    LogLine::new("results_empty")
+        .field("job", job)
+        .field("position", position)
+        .field("source", source.name())
+        .field("revision", revision.map_or_else(|| "none".to_owned(), |revision| revision.to_string()))
+        .field("known_end", known_end.map_or_else(|| "none".to_owned(), |(count, at)| format!("{count}@{at}")))
+        .field("ended", view.is_some_and(|view| view.ended))
+        .info();
 }
 
 /// Reads results from the store, and watches the store for new chunks while there is none.
@@ -76,7 +104,9 @@
     let stored_end = state.jobs().get(job).and_then(|view| view.results_end).filter(|(count, _)| *count == position);
     let mut stored = match stored_end {
         // No result was stored at the position at that revision, so a watch from there returns every later result.
-        Some((_, revision)) if wait_until > state.now() => StoredResults { results: Vec::new(), revision },
+        Some((_, revision)) if wait_until > state.now() => {
+            StoredResults { results: Vec::new(), revision, source: ReadSource::RememberedEnd }
+        }
         _ => read_chunks(state, store, job, position, bytes_max).await?,
     };
     while stored.results.is_empty() {
@@ -94,6 +124,7 @@
             }
         };
         stored.revision = batch.revision;
+        stored.source = ReadSource::Store;
         let written_entries = batch.changes.into_iter().filter_map(|change| match change {
             StoreChange::Written(store_entry) => Some(store_entry),
             StoreChange::Removed { .. } => None,
@@ -132,7 +163,7 @@
             state.jobs().results_end_observed(job, position + results.len(), page.revision);
         }
         if !has_more || bytes >= bytes_max {
-            return Ok(StoredResults { results, revision: page.revision });
+            return Ok(StoredResults { results, revision: page.revision, source: ReadSource::Store });
         }
     }
 }
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -9,6 +9,7 @@
 mod ledger_writer;
 mod owned_job;
 mod owner_read;
+mod read_source;
 mod result_cache;
 mod run_failures;
 mod score_run;
--- a/crates/edge/src/job/owner_read.rs
+++ b/crates/edge/src/job/owner_read.rs
@@ -1,6 +1,6 @@
 //! Reads from a job's owner, which holds the stored results in memory and is the first to see new ones.
 
-use super::job_reader::ResultsQuery;
+use super::{job_reader::ResultsQuery, read_source::ReadSource};
 use crate::{edge_state::EdgeState, peer_client::PeerClient};
 use bytes::Bytes;
 use pimentoslip_kernel::SharedName;
@@ -43,22 +43,22 @@
     }
 }
 
-/// Reads results from the job's owner, which may be this process. `None` if they must be read from the store.
+/// Reads results from the job's owner, which may be this process, and tells which. `None` if they must be read from the store.
 pub async fn results_from_owner(
     state: &EdgeState,
     peer_client: &PeerClient,
     job: &SharedName,
     query: &ResultsQuery,
-) -> Option<Vec<Arc<ResultEntry>>> {
+) -> Option<(Vec<Arc<ResultEntry>>, ReadSource)> {
     if let ResultsResponse::Listed(results) = local_results(state, job, query).await {
-        return Some(results);
+        return Some((results, ReadSource::OwnMemory));
     }
     let control_address = owner_control_address(state, job)?;
     let wait_ms = query.wait_until.since_ms(state.now());
     let ResultsQuery { position, bytes_max, .. } = *query;
     let request = ResultsRequest { job: job.clone(), position, bytes_max, wait_ms };
     match peer_client.call(&control_address, RESULTS_PATH, &request, wait_ms + CALL_SLACK_MS).await {
-        Ok(ResultsResponse::Listed(results)) => Some(results),
+        Ok(ResultsResponse::Listed(results)) => Some((results, ReadSource::OwnerPeer)),
         Ok(ResultsResponse::Unavailable) => None,
         Err(error) => {
             LogLine::new("owner_read_failed")
