--- /dev/null
+++ b/crates/kernel/src/read/listing_record.rs
@@ -0,0 +1,95 @@
+//! What the owner of a job knows of the job's stored results.
+
+use super::AbsenceProof;
+use crate::TimePoint;
+
+/// How long a process may rely on its ownership of a job.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerStanding {
+    /// Revision of the ownership entry that names this process; `None` if none does.
+    pub owner_revision: Option<u64>,
+    /// Revision at which the daemon's presence was stored under its current lease; `None` without a lease. Ownership entries that
+    /// are bound to an earlier lease have lower revisions.
+    pub presence_revision: Option<u64>,
+    /// Time before which the lease cannot expire.
+    pub lease_ends_at: TimePoint,
+}
+
+impl OwnerStanding {
+    /// The revision of the ownership entry, if the store cannot have removed it before `now`.
+    fn valid_revision(&self, now: TimePoint) -> Option<u64> {
+        let (owner_revision, presence_revision) = (self.owner_revision?, self.presence_revision?);
+        (owner_revision > presence_revision && now < self.lease_ends_at).then_some(owner_revision)
+    }
+}
+
+/// What the owner can say of a position at which it holds no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerView {
+    /// No result is stored there.
+    Absent(AbsenceProof),
+    /// A write of results is in progress, and its outcome will be known within the timeout of the call.
+    WriteInProgress,
+    /// Results may be stored that this process does not hold; the store must be read.
+    Unsure,
+}
+
+/// Whether the results that an owner holds in memory are all that are stored.
+#[derive(Clone, Debug, Default)]
+pub struct ListingRecord {
+    /// Revision of the ownership entry under which the results in memory were complete. Under that entry, only this process writes
+    /// results.
+    complete_under: Option<u64>,
+    /// Whether a write has been sent and not answered yet.
+    is_writing: bool,
+    /// Whether a write without an answer may have stored results, or may still store them.
+    is_outcome_unknown: bool,
+}
+
+impl ListingRecord {
+    /// Creates the record of a job whose stored results were all read, or could not exist yet, while the ownership entry of
+    /// `owner_revision` named this process.
+    #[must_use]
+    pub fn new(owner_revision: u64) -> Self {
+        Self { complete_under: Some(owner_revision), ..Self::default() }
+    }
+
+    /// Records that a write of the next results is sent.
+    pub fn write_sent(&mut self) {
+        self.is_writing = true;
+    }
+
+    /// Records that the results of the write are stored, and in memory, under the ownership entry of `owner_revision`. An earlier
+    /// write of the same position is then without effect.
+    pub fn write_stored(&mut self, owner_revision: u64) {
+        *self = Self::new(owner_revision);
+    }
+
+    /// Records that the write was not carried out and will not be; an earlier one without an answer still may.
+    pub fn write_refused(&mut self) {
+        self.is_writing = false;
+    }
+
+    /// Records that the write has no answer.
+    pub fn write_unanswered(&mut self) {
+        self.is_writing = false;
+        self.is_outcome_unknown = true;
+    }
+
+    /// Records that the write failed because another process has written to the job.
+    pub fn write_superseded(&mut self) {
+        self.is_writing = false;
+        self.complete_under = None;
+    }
+
+    /// What the owner can say at `now` of a position at which it holds no result.
+    #[must_use]
+    pub fn view(&self, standing: &OwnerStanding, now: TimePoint) -> OwnerView {
+        let is_complete = standing.valid_revision(now).is_some_and(|revision| self.complete_under == Some(revision));
+        match (is_complete && !self.is_outcome_unknown, self.is_writing) {
+            (false, _) => OwnerView::Unsure,
+            (true, true) => OwnerView::WriteInProgress,
+            (true, false) => OwnerView::Absent(AbsenceProof::from_own_memory()),
+        }
+    }
+}
