Test reads of an end of the results that was remembered without an owner

The test reads the end of the results at an edge while the job's owner stands still, or after a restart of all edges at the first one that runs, lets the owner list the next result, reads it at another edge, ends the job and reads again 1.2 s later, with and without a wait, at position 0 and at the last listed one.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -23,6 +23,7 @@
 mod platform_outdated;
 mod platform_path;
 mod platform_paths;
+mod platform_reads;
 mod platform_relays;
 mod platform_software;
 mod platform_stops;
--- /dev/null
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -0,0 +1,227 @@
+//! Tests of reads of a job's results: a result that was read at one edge is there at every edge, after each failure.
+
+use crate::support::{EdgeSite, ROSE_KEY, job_item, job_submission, wait_for};
+use pimentoslip_standin::PlatformUpstream;
+use serde_json::Value;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Time after which a result that was read at one edge must be there at every other.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which a read that was answered 503 or 504 is repeated.
+const RETRY_TIME: Duration = Duration::from_secs(10);
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time within which an edge that runs applies a change of the list of upstreams.
+const APPLY_TIME: Duration = Duration::from_millis(700);
+/// Time that a read waits for a result.
+const WAIT_MS: &str = "300";
+const JOB: &str = "job";
+
+/// Page of results.
+#[derive(Clone, Debug)]
+struct ResultsPage {
+    results: Vec<Value>,
+    received_at: Instant,
+}
+
+/// Sends one read of the job's results to `edge`. The error is the status of a refusal.
+async fn read_page(site: &EdgeSite, edge: usize, position: usize, waits: bool) -> Result<ResultsPage, u16> {
+    let bearer = format!("Bearer {ROSE_KEY}");
+    let mut headers = vec![("request-id", "read"), ("authorization", bearer.as_str())];
+    if waits {
+        headers.push(("wait-ms", WAIT_MS));
+    }
+    let path = format!("/pimentoslip/lots/{JOB}?after={position}");
+    let reply = site.send(edge, "GET", &path, &headers, "").await;
+    let received_at = Instant::now();
+    if reply.status != 200 {
+        return Err(reply.status);
+    }
+    let page = reply.json();
+    let results = page["results"].as_array().cloned().unwrap_or_default();
+    assert_eq!(page["next"].as_u64(), Some((position + results.len()) as u64), "{page}");
+    Ok(ResultsPage { results, received_at })
+}
+
+/// Results that callers were given, each with the time of the first response that had it, by position; and the reads that
+/// contradict them.
+#[derive(Debug, Default)]
+struct ListedResults {
+    results: BTreeMap<usize, (Value, Instant)>,
+    failures: Vec<String>,
+}
+
+impl ListedResults {
+    /// Records the results of a page, and compares them with those that were given at the same positions before.
+    fn record(&mut self, position: usize, page: ResultsPage, case: &str) {
+        for (position, result) in (position..).zip(page.results) {
+            let (first, _) = self.results.entry(position).or_insert_with(|| (result.clone(), page.received_at));
+            if *first != result {
+                self.failures.push(format!("{case}: {result} instead of {first} at position {position}"));
+            }
+        }
+    }
+
+    /// Whether the result at `position` must be at every edge by `sent_at`.
+    fn is_settled(&self, position: usize, sent_at: Instant) -> bool {
+        self.results.get(&position).is_some_and(|(_, read_at)| sent_at.duration_since(*read_at) > SETTLE_TIME)
+    }
+
+    /// Position of the last result that was read.
+    fn last_position(&self) -> usize {
+        self.results.keys().next_back().copied().expect("a result was read")
+    }
+
+    /// Reads `position` at `edge` until it answers, for a limited time, and checks the answer.
+    async fn check_read(&mut self, site: &EdgeSite, edge: usize, position: usize, waits: bool, case: &str) {
+        let case = format!("{case}: edge {edge}, position {position}, waits: {waits}");
+        let retry_until = Instant::now() + RETRY_TIME;
+        loop {
+            let sent_at = Instant::now();
+            match read_page(site, edge, position, waits).await {
+                Ok(page) if page.results.is_empty() && self.is_settled(position, sent_at) => {
+                    let log = last_empty_read(site, edge);
+                    return self.failures.push(format!("{case}: nothing, by {log}"));
+                }
+                Ok(page) => return self.record(position, page, &case),
+                Err(503 | 504) if sent_at < retry_until => {}
+                Err(status) => return self.failures.push(format!("{case}: status {status}")),
+            }
+            actix_rt::time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    /// Reads the first and the last position that were read before at `edge`, with and without a wait.
+    async fn check_edge(&mut self, site: &EdgeSite, edge: usize, case: &str) {
+        let positions = BTreeSet::from([0, self.last_position()]);
+        for waits in [true, false] {
+            for position in positions.iter().rev().copied() {
+                self.check_read(site, edge, position, waits, case).await;
+            }
+        }
+    }
+}
+
+/// Last line of the edge's log about a read that returned nothing.
+fn last_empty_read(site: &EdgeSite, edge: usize) -> String {
+    let log = site.edges[edge].process.log();
+    log.lines().rfind(|line| line.contains("event=results_empty")).unwrap_or_default().to_owned()
+}
+
+/// Starts a site whose plain upstreams take no request, so that no scored item is finished before
+/// [`release_scored_items`].
+async fn site_with_held_scores(edges: usize) -> EdgeSite {
+    let site = EdgeSite::start(edges).await;
+    hold_scored_items(&site).await;
+    site
+}
+
+async fn hold_scored_items(site: &EdgeSite) {
+    site.desks.iter().for_each(PlatformUpstream::start_draining);
+    actix_rt::time::sleep(APPLY_TIME).await;
+}
+
+fn release_scored_items(site: &EdgeSite) {
+    site.desks.iter().for_each(PlatformUpstream::list_again);
+}
+
+/// Submits a job of `plain` items, `scored` ones, and one that takes longer than a test.
+async fn submit_job(site: &EdgeSite, plain: usize, scored: usize) {
+    let plain_items = (0..plain).map(|number| job_item(&format!("plain-{number}"), 2, false));
+    let scored_items = (0..scored).map(|number| job_item(&format!("scored-{number}"), 2, true));
+    let items: Vec<Value> = plain_items.chain(scored_items).chain([job_item("long", 10_000, false)]).collect();
+    assert_eq!(site.submit_job(0, JOB, &job_submission(1, &items)).await.status, 202);
+}
+
+/// Waits until the job runs, and returns its owner and the other edges.
+async fn owner_and_others(site: &EdgeSite) -> (usize, Vec<usize>) {
+    let begun = format!("event=job_begun job={JOB} ");
+    let is_owner = |edge: &usize| site.edges[*edge].process.log().contains(&begun);
+    let owner = wait_for("the job has an owner", || async { (0..site.edges.len()).find(is_owner) }).await;
+    (owner, (0..site.edges.len()).filter(|edge| *edge != owner).collect())
+}
+
+/// Reads at `edge` until it has returned the result at `position`, and returns all results that it has.
+async fn read_until_listed(site: &EdgeSite, edge: usize, position: usize) -> ListedResults {
+    let mut listed = ListedResults::default();
+    wait_for("the result is listed", || async {
+        let page = read_page(site, edge, position, true).await.ok()?;
+        (!page.results.is_empty()).then_some(())
+    })
+    .await;
+    let page = read_page(site, edge, 0, true).await.expect("a page");
+    listed.record(0, page, "first read");
+    listed
+}
+
+/// Reads `position`, where nothing is listed yet, at `edge` until it says so.
+async fn read_nothing(site: &EdgeSite, edge: usize, position: usize) {
+    let page = wait_for("the edge answers", || async { read_page(site, edge, position, true).await.ok() }).await;
+    assert!(page.results.is_empty(), "{page:?}");
+}
+
+/// Ends the job at `edge`.
+async fn end_job(site: &EdgeSite, edge: usize) {
+    wait_for("the job is ended", || async {
+        (site.send_job_request(edge, "DELETE", &format!("/pimentoslip/lots/{JOB}")).await.status == 200).then_some(())
+    })
+    .await;
+}
+
+/// Time for which an edge has no reachable owner of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnerAbsence {
+    /// The owner stands still, and goes on.
+    Suspended,
+    /// All edges are killed, and the reading one is the first to be started again.
+    AllRestarted,
+}
+
+/// Guards against an edge that read the end of a job's results while the job had no reachable owner, and still takes it for
+/// the end once the job has ended.
+#[actix_rt::test]
+async fn an_end_of_the_results_read_without_an_owner_hides_no_result_of_an_ended_job() {
+    let mut failures = Vec::new();
+    for absence in [OwnerAbsence::Suspended, OwnerAbsence::AllRestarted] {
+        for listed_before in [0, 1] {
+            failures.extend(read_an_early_end_of_an_ended_job(absence, listed_before).await);
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Reads the end of the results after `listed_before` of them at an edge during `absence`, and again after the end of the job.
+/// Returns the reads that failed then.
+async fn read_an_early_end_of_an_ended_job(absence: OwnerAbsence, listed_before: usize) -> Vec<String> {
+    let mut site = site_with_held_scores(3).await;
+    submit_job(&site, listed_before, 1).await;
+    let (owner, others) = owner_and_others(&site).await;
+    let (early_reader, late_reader) = (others[0], others[1]);
+    if listed_before > 0 {
+        read_until_listed(&site, late_reader, listed_before - 1).await;
+    }
+    match absence {
+        OwnerAbsence::Suspended => {
+            site.edges[owner].process.freeze();
+            read_nothing(&site, early_reader, listed_before).await;
+            site.edges[owner].process.resume();
+        }
+        OwnerAbsence::AllRestarted => {
+            site.edges.iter_mut().for_each(|edge| edge.process.kill());
+            site.restart_edge(early_reader);
+            read_nothing(&site, early_reader, listed_before).await;
+            site.restart_edge(late_reader);
+            site.restart_edge(owner);
+            site.wait_ready().await;
+        }
+    }
+    release_scored_items(&site);
+    let mut listed = read_until_listed(&site, late_reader, listed_before).await;
+    end_job(&site, late_reader).await;
+    actix_rt::time::sleep(SETTLE_TIME + Duration::from_millis(200)).await;
+    let case = format!("{absence:?} after {listed_before} results");
+    listed.check_edge(&site, early_reader, &case).await;
+    listed.failures
+}
