Test reads at an owner whose write of results was not answered

The store carries out the owner's write of a chunk and answers it and its repetitions with 504; an edge that does not reach the suspended owner reads the chunk. 1.2 s later every edge is asked, and again once the store answers.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -1,7 +1,7 @@
 //! Tests of reads of a job's results: a result that was read at one edge is there at every edge, after each failure.
 
 use crate::support::{EdgeSite, ROSE_KEY, job_item, job_submission, wait_for};
-use pimentoslip_standin::PlatformUpstream;
+use pimentoslip_standin::{PlatformUpstream, StoreFault};
 use serde_json::Value;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,6 +18,9 @@
 /// Time that a read waits for a result.
 const WAIT_MS: &str = "300";
 const JOB: &str = "job";
+/// Keys of the chunks of the job's results that begin at the positions 0 and 1.
+const FIRST_CHUNK_KEY: &str = "p/d/job/chunk/00000000";
+const SECOND_CHUNK_KEY: &str = "p/d/job/chunk/00000001";
 
 /// Page of results.
 #[derive(Clone, Debug)]
@@ -74,31 +77,45 @@
         self.results.keys().next_back().copied().expect("a result was read")
     }
 
-    /// Reads `position` at `edge` until it answers, for a limited time, and checks the answer.
-    async fn check_read(&mut self, site: &EdgeSite, edge: usize, position: usize, waits: bool, case: &str) {
+    /// Reads `position` at `edge` once and checks the answer. Returns whether the read was served, or failed.
+    async fn try_read(&mut self, site: &EdgeSite, edge: usize, position: usize, waits: bool, case: &str) -> bool {
         let case = format!("{case}: edge {edge}, position {position}, waits: {waits}");
-        let retry_until = Instant::now() + RETRY_TIME;
-        loop {
-            let sent_at = Instant::now();
-            match read_page(site, edge, position, waits).await {
-                Ok(page) if page.results.is_empty() && self.is_settled(position, sent_at) => {
-                    let log = last_empty_read(site, edge);
-                    return self.failures.push(format!("{case}: nothing, by {log}"));
-                }
-                Ok(page) => return self.record(position, page, &case),
-                Err(503 | 504) if sent_at < retry_until => {}
-                Err(status) => return self.failures.push(format!("{case}: status {status}")),
+        let sent_at = Instant::now();
+        match read_page(site, edge, position, waits).await {
+            Ok(page) if page.results.is_empty() && self.is_settled(position, sent_at) => {
+                self.failures.push(format!("{case}: nothing, by {}", last_empty_read(site, edge)));
             }
-            actix_rt::time::sleep(RETRY_INTERVAL).await;
+            Ok(page) => self.record(position, page, &case),
+            Err(503 | 504) => return false,
+            Err(status) => self.failures.push(format!("{case}: status {status}")),
         }
+        true
     }
 
-    /// Reads the first and the last position that were read before at `edge`, with and without a wait.
-    async fn check_edge(&mut self, site: &EdgeSite, edge: usize, case: &str) {
+    /// The reads of the first and the last position that were read before, with and without a wait.
+    fn reads(&self) -> Vec<(usize, bool)> {
         let positions = BTreeSet::from([0, self.last_position()]);
-        for waits in [true, false] {
-            for position in positions.iter().rev().copied() {
-                self.check_read(site, edge, position, waits, case).await;
+        let with_wait = |waits| positions.iter().rev().map(move |position| (*position, waits));
+        with_wait(true).chain(with_wait(false)).collect()
+    }
+
+    /// Checks one answer to each read at `edge`, which may refuse it.
+    async fn probe_edge(&mut self, site: &EdgeSite, edge: usize, case: &str) {
+        for (position, waits) in self.reads() {
+            self.try_read(site, edge, position, waits, case).await;
+        }
+    }
+
+    /// Checks each read at `edge`, which must serve it within [`RETRY_TIME`].
+    async fn check_edge(&mut self, site: &EdgeSite, edge: usize, case: &str) {
+        for (position, waits) in self.reads() {
+            let retry_until = Instant::now() + RETRY_TIME;
+            while !self.try_read(site, edge, position, waits, case).await {
+                if Instant::now() > retry_until {
+                    self.failures.push(format!("{case}: edge {edge}, position {position}: refused for {RETRY_TIME:?}"));
+                    break;
+                }
+                actix_rt::time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
@@ -162,6 +179,11 @@
     assert!(page.results.is_empty(), "{page:?}");
 }
 
+/// Waits until what was read must be at every edge.
+async fn settle() {
+    actix_rt::time::sleep(SETTLE_TIME + Duration::from_millis(200)).await;
+}
+
 /// Ends the job at `edge`.
 async fn end_job(site: &EdgeSite, edge: usize) {
     wait_for("the job is ended", || async {
@@ -220,8 +242,42 @@
     release_scored_items(&site);
     let mut listed = read_until_listed(&site, late_reader, listed_before).await;
     end_job(&site, late_reader).await;
-    actix_rt::time::sleep(SETTLE_TIME + Duration::from_millis(200)).await;
+    settle().await;
     let case = format!("{absence:?} after {listed_before} results");
     listed.check_edge(&site, early_reader, &case).await;
     listed.failures
 }
+
+/// Guards against an owner that says there is nothing where the store has the chunk that it wrote, because the response to
+/// the write was lost.
+#[actix_rt::test]
+async fn an_owner_whose_write_was_not_answered_denies_no_result_that_the_store_has() {
+    let mut failures = Vec::new();
+    for (listed_before, next_chunk) in [(0, FIRST_CHUNK_KEY), (1, SECOND_CHUNK_KEY)] {
+        let site = site_with_held_scores(3).await;
+        submit_job(&site, listed_before, 1).await;
+        let (owner, others) = owner_and_others(&site).await;
+        if listed_before > 0 {
+            read_until_listed(&site, others[1], listed_before - 1).await;
+        }
+        let lost_writes = Some((next_chunk, u32::MAX));
+        site.store.set_fault(StoreFault { lost_writes, ..StoreFault::default() });
+        release_scored_items(&site);
+        wait_for("the chunk is stored", || async { site.store.contents().value(next_chunk).map(drop) }).await;
+        // An edge that does not reach the owner reads the store.
+        site.edges[owner].process.freeze();
+        let mut listed = read_until_listed(&site, others[0], listed_before).await;
+        site.edges[owner].process.resume();
+        settle().await;
+        let case = format!("after {listed_before} results");
+        for edge in 0..3 {
+            listed.probe_edge(&site, edge, &format!("{case}, no answer to the write")).await;
+        }
+        site.store.set_fault(StoreFault::default());
+        for edge in 0..3 {
+            listed.check_edge(&site, edge, &case).await;
+        }
+        failures.extend(listed.failures);
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
