Test reads whose watch of the store fails

An edge reads the end while the owner stands still, another edge reads the next result, the owner is killed, and the first edge reads with a wait while the store refuses calls, or while its connections are cut during the wait.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -1,7 +1,8 @@
 //! Tests of reads of a job's results: a result that was read at one edge is there at every edge, after each failure.
 
 use crate::support::{EdgeSite, ROSE_KEY, job_item, job_submission, wait_for};
-use pimentoslip_standin::{PlatformUpstream, StoreFault};
+use futures_util::future;
+use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault};
 use serde_json::Value;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -83,7 +84,7 @@
         let sent_at = Instant::now();
         match read_page(site, edge, position, waits).await {
             Ok(page) if page.results.is_empty() && self.is_settled(position, sent_at) => {
-                self.failures.push(format!("{case}: nothing, by {}", last_empty_read(site, edge)));
+                self.failures.push(format!("{case}: nothing"));
             }
             Ok(page) => self.record(position, page, &case),
             Err(503 | 504) => return false,
@@ -119,12 +120,22 @@
             }
         }
     }
-}
 
-/// Last line of the edge's log about a read that returned nothing.
-fn last_empty_read(site: &EdgeSite, edge: usize) -> String {
-    let log = site.edges[edge].process.log();
-    log.lines().rfind(|line| line.contains("event=results_empty")).unwrap_or_default().to_owned()
+    /// The reads that failed, and what the edges' logs say of reads that returned nothing.
+    async fn into_failures(self, site: &EdgeSite) -> Vec<String> {
+        let mut failures = self.failures;
+        if failures.is_empty() {
+            return failures;
+        }
+        // Lines are written with a delay.
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        for edge in &site.edges {
+            let log = edge.process.log();
+            let lines = log.lines().filter(|line| line.contains("event=results_empty"));
+            failures.extend(lines.map(|line| format!("{}: {line}", edge.vm)));
+        }
+        failures
+    }
 }
 
 /// Starts a site whose plain upstreams take no request, so that no scored item is finished before
@@ -245,7 +256,7 @@
     settle().await;
     let case = format!("{absence:?} after {listed_before} results");
     listed.check_edge(&site, early_reader, &case).await;
-    listed.failures
+    listed.into_failures(&site).await
 }
 
 /// Guards against an owner that says there is nothing where the store has the chunk that it wrote, because the response to
@@ -277,7 +288,69 @@
         for edge in 0..3 {
             listed.check_edge(&site, edge, &case).await;
         }
-        failures.extend(listed.failures);
+        failures.extend(listed.into_failures(&site).await);
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Failure of the store while an edge waits for results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WatchFailure {
+    /// The store refuses each call.
+    Refused,
+    /// The edge's connections to the store are cut during the wait, and the store refuses the calls through peers.
+    Cut,
+}
+
+/// Guards against a read that waits and returns nothing, from an end of the results read long before, because its watch of the
+/// store fails.
+#[actix_rt::test]
+async fn a_failed_watch_of_the_store_hides_no_result_behind_an_end_read_before() {
+    let mut failures = Vec::new();
+    for failure in [WatchFailure::Refused, WatchFailure::Cut] {
+        for listed_before in [0, 1] {
+            failures.extend(read_with_a_failed_watch(failure, listed_before).await);
+        }
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Reads the end of the results after `listed_before` of them at an edge, and again with `failure` once another edge has
+/// read the next one. Returns the reads that failed.
+async fn read_with_a_failed_watch(failure: WatchFailure, listed_before: usize) -> Vec<String> {
+    let (mut site, relays) = EdgeSite::start_with_relays(3).await;
+    hold_scored_items(&site).await;
+    submit_job(&site, listed_before, 1).await;
+    let (owner, others) = owner_and_others(&site).await;
+    let (early_reader, late_reader) = (others[0], others[1]);
+    if listed_before > 0 {
+        read_until_listed(&site, late_reader, listed_before - 1).await;
+    }
+    site.edges[owner].process.freeze();
+    read_nothing(&site, early_reader, listed_before).await;
+    site.edges[owner].process.resume();
+    release_scored_items(&site);
+    let mut listed = read_until_listed(&site, late_reader, listed_before).await;
+    settle().await;
+    site.edges[owner].process.kill();
+    let case = format!("{failure:?} after {listed_before} results");
+    let down = StoreFault { down: true, ..StoreFault::default() };
+    if failure == WatchFailure::Refused {
+        site.store.set_fault(down);
+        listed.try_read(&site, early_reader, listed_before, true, &case).await;
+    } else {
+        relays[early_reader].set_rule(RelayRule::Stall);
+        let cut = async {
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+            site.store.set_fault(down);
+            relays[early_reader].set_rule(RelayRule::Cut);
+        };
+        future::join(listed.try_read(&site, early_reader, listed_before, true, &case), cut).await;
+    }
+    site.store.set_fault(StoreFault::default());
+    relays[early_reader].set_rule(RelayRule::Pass);
+    for edge in others {
+        listed.check_edge(&site, edge, &format!("{case}, once the store serves")).await;
+    }
+    listed.into_failures(&site).await
+}
