Answer a read without results only after the store or the owner was asked for it

Cause: a read that waits starts from the remembered end of the results, in place of a read of the store, and was meant to watch the store from there. The loop left before the watch if the job had ended, and a watch that failed ended the read as well. Both answered with the remembered emptiness, which may be older than results that others had read.

Change: what is remembered is a WatchStart, which gives a revision to watch from and nothing else. An answer without results is built from an AbsenceProof, whose constructors ask for the time of the call and of the read; a reader without one is not sure, and its caller gets 503. A position after the last item needs no call.

Ruled out: not to remember anything. Each read that waits would read the store before its watch, two calls in place of one.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -53,7 +53,7 @@
     pub item_runs: Family<ReasonLabel, Counter>,
     /// Owned batch jobs that wait before they are run, by reason: `config_older` than the one under which the job was accepted.
     pub job_waits: Family<ReasonLabel, Counter>,
-    /// Reads of results of batch jobs, by the source of the answer: `own_memory`, `owner_peer`, `store` or `remembered_end`.
+    /// Reads of results of batch jobs, by the source of the answer: `own_memory`, `owner_peer` or `store`.
     pub result_reads: Family<ReasonLabel, Counter>,
     /// Calls of scorers, by result.
     pub score_calls: Family<ReasonLabel, Counter>,
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -11,7 +11,7 @@
 };
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
 use form_urlencoded::parse;
-use pimentoslip_kernel::RouteRule;
+use pimentoslip_kernel::{AbsenceProof, ReadAnswer, RouteRule};
 use pimentoslip_platform::{
     BatchItem, BatchSubmission, ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission,
     encode_page, header,
@@ -121,15 +121,18 @@
     let position = position.map_err(|_| ApiRefusal::Malformed)?;
     let wait_ms =
         header_text(request.headers(), header::WAIT_MS).and_then(|text| text.trim().parse().ok()).unwrap_or(0);
-    let wait_ms = if position >= view.entry.item_count { 0 } else { READ_WAIT_MS_MAX.min(wait_ms) };
-    let wait_until = context.arrived_at.plus_ms(wait_ms).min(context.deadline);
-    let query = ResultsQuery { position, bytes_max: PAGE_BYTES_MAX, wait_until };
-    let results = job::read_results(&parts.state, &parts.store, &parts.peer_client, &id.into(), &query).await;
-    let results = results.map_err(|error| {
+    let arrived_at = context.arrived_at;
+    let wait_until = arrived_at.plus_ms(READ_WAIT_MS_MAX.min(wait_ms)).min(context.deadline);
+    let query = ResultsQuery { position, bytes_max: PAGE_BYTES_MAX, arrived_at, wait_until };
+    let answer = match AbsenceProof::from_job_size(position, view.entry.item_count) {
+        Some(proof) => Ok(ReadAnswer::absent(proof)),
+        None => job::read_results(&parts.state, &parts.store, &parts.peer_client, &id.into(), &query).await,
+    };
+    let answer = answer.map_err(|error| {
         LogLine::new("results_read_failed").field("job", id).field("position", position).field("reason", error).warn();
         ApiRefusal::StoreUnreachable
     })?;
-    let results: Vec<ListedResult<'_>> = results.iter().map(|result| listed_result(result)).collect();
+    let results: Vec<ListedResult<'_>> = answer.results().iter().map(|result| listed_result(result)).collect();
     let page = ResultPage { item_count: view.entry.item_count, next_position: position + results.len(), results };
     let body = encode_page(&page).map_err(|_| ApiRefusal::StoreUnreachable)?;
     Ok(HttpResponse::Ok().content_type("application/json").body(body))
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -63,8 +63,9 @@
         Ok(request) => request,
         Err(error) => return malformed_response(&error),
     };
-    let wait_until = parts.state.now().plus_ms(request.wait_ms);
-    let query = ResultsQuery { position: request.position, bytes_max: request.bytes_max, wait_until };
+    let arrived_at = parts.state.now();
+    let wait_until = arrived_at.plus_ms(request.wait_ms);
+    let query = ResultsQuery { position: request.position, bytes_max: request.bytes_max, arrived_at, wait_until };
     message_response(&local_results(&parts.state, &request.job, &query).await)
 }
 
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -2,7 +2,7 @@
 
 use super::result_cache::ResultCache;
 use bytes::Bytes;
-use pimentoslip_kernel::{LedgerState, SharedName, TimePoint};
+use pimentoslip_kernel::{LedgerState, SharedName, TimePoint, WatchStart};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
 use std::{
@@ -22,8 +22,8 @@
     /// Stored chunks of results that have been read: the position after the last result of a chunk, by the position of
     /// its first.
     pub chunk_ends: BTreeMap<usize, usize>,
-    /// Number of stored results, and the revision of the store at which there were no more.
-    pub results_end: Option<(usize, u64)>,
+    /// Where a watch for further results can start.
+    pub watch_start: WatchStart,
 }
 
 /// A job that was submitted or handed over to this process, which does not run it yet.
@@ -76,7 +76,7 @@
             ended,
             settled: false,
             chunk_ends: BTreeMap::new(),
-            results_end: None,
+            watch_start: WatchStart::default(),
         });
     }
 
@@ -128,13 +128,10 @@
         }
     }
 
-    /// Records that exactly `count` results of `job` were stored at `revision` of the store. An observation at an older
-    /// revision than the last one is ignored.
-    pub fn results_end_observed(&mut self, job: &str, count: usize, revision: u64) {
-        if let Some(view) = self.jobs.get_mut(job)
-            && view.results_end.is_none_or(|(_, observed)| observed < revision)
-        {
-            view.results_end = Some((count, revision));
+    /// Records that no result of `job` was stored at `position` as of `revision` of the store.
+    pub fn absence_observed(&mut self, job: &str, position: usize, revision: u64) {
+        if let Some(view) = self.jobs.get_mut(job) {
+            view.watch_start.absence_observed(position, revision);
         }
     }
 
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -7,7 +7,7 @@
 };
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
 use bytes::{Bytes, BytesMut};
-use pimentoslip_kernel::{JobCheckpoint, SharedName, TimePoint};
+use pimentoslip_kernel::{AbsenceProof, JobCheckpoint, ProofBasis, ReadAnswer, SharedName, TimePoint, WatchStart};
 use pimentoslip_platform::{BatchSubmission, RangePage, StoreChange, StoreEntry, StoreError, decode_submission};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -26,19 +26,24 @@
     pub position: usize,
     /// Limit on the total size of the returned texts, in bytes; one result is returned even if it is larger.
     pub bytes_max: usize,
+    /// When the request arrived.
+    pub arrived_at: TimePoint,
     /// Until when the read waits if no result at the position is stored yet.
     pub wait_until: TimePoint,
 }
 
+/// Answer to a read of results, and where it comes from.
+pub type SourcedAnswer = (ReadAnswer<Arc<ResultEntry>>, ReadSource);
+
 /// Results read from the store.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct StoredResults {
     /// Results from the requested position on, without a gap.
     results: Vec<Arc<ResultEntry>>,
-    /// Revision of the store at the read, from which a watch can continue.
+    /// Revision of the store, from which a watch can continue.
     revision: u64,
-    /// Whether the store was read or watched for these results.
-    source: ReadSource,
+    /// The proof that none is stored if there are no results; `None` if the store has not answered a call for this read yet.
+    absence: Option<AbsenceProof>,
 }
 
 /// Returns the job from this process's index, or else from the store. `None` if the store has no such job.
@@ -50,46 +55,41 @@
     let entry =
         decode::<JobEntry>(&store_entry.value).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
     let ended = store.get(&KeyLayout::end_key(job)).await?.is_some();
-    Ok(Some(JobView { entry, ended, settled: false, chunk_ends: BTreeMap::new(), results_end: None }))
+    Ok(Some(JobView { entry, ended, settled: false, chunk_ends: BTreeMap::new(), watch_start: WatchStart::default() }))
 }
 
 /// Reads results from the job's owner, or else from the store. Waits until at least one is stored or the query's wait
-/// is over; the returned list is empty in the latter case.
+/// is over. Fails if there is none and neither can tell that none is stored.
 pub async fn read_results(
     state: &EdgeState,
     store: &StoreAccess,
     peer_client: &PeerClient,
     job: &SharedName,
     query: &ResultsQuery,
-) -> Result<Vec<Arc<ResultEntry>>> {
-    let (results, source, revision) = match results_from_owner(state, peer_client, job, query).await {
-        Some((results, source)) => (results, source, None),
-        None => {
-            let StoredResults { results, revision, source } = read_from_store(state, store, job, query).await?;
-            (results, source, Some(revision))
-        }
+) -> Result<ReadAnswer<Arc<ResultEntry>>> {
+    let (answer, source) = match results_from_owner(state, peer_client, job, query).await {
+        Some(sourced_answer) => sourced_answer,
+        None => (read_from_store(state, store, job, query).await?, ReadSource::Store),
     };
     EdgeMetrics::increment(&EdgeMetrics::global().result_reads, source.name());
-    if results.is_empty() {
-        log_empty_read(state, job, query.position, source, revision);
+    if let Some(proof) = answer.absence() {
+        log_empty_read(state, job, query.position, source, proof);
     }
-    Ok(results)
+    Ok(answer)
 }
 
-/// Logs a read that returns nothing, unless `position` is after the last item.
-fn log_empty_read(state: &EdgeState, job: &str, position: usize, source: ReadSource, revision: Option<u64>) {
-    let view = state.jobs().get(job).cloned();
-    if view.as_ref().is_some_and(|view| position >= view.entry.item_count) {
-        return;
-    }
-    let known_end = view.as_ref().and_then(|view| view.results_end);
+/// Logs a read that returns nothing.
+fn log_empty_read(state: &EdgeState, job: &str, position: usize, source: ReadSource, proof: &AbsenceProof) {
+    let revision = match proof.basis() {
+        ProofBasis::StoreCall { revision } => revision.to_string(),
+        ProofBasis::JobSize | ProofBasis::OwnMemory | ProofBasis::OwnerCall => "none".to_owned(),
+    };
     LogLine::new("results_empty")
         .field("job", job)
         .field("position", position)
         .field("source", source.name())
-        .field("revision", revision.map_or_else(|| "none".to_owned(), |revision| revision.to_string()))
-        .field("known_end", known_end.map_or_else(|| "none".to_owned(), |(count, at)| format!("{count}@{at}")))
-        .field("ended", view.is_some_and(|view| view.ended))
+        .field("revision", revision)
+        .field("ended", state.jobs().is_ended(job))
         .info();
 }
 
@@ -99,53 +99,76 @@
     store: &StoreAccess,
     job: &str,
     query: &ResultsQuery,
-) -> Result<StoredResults> {
-    let ResultsQuery { position, bytes_max, wait_until } = *query;
-    let stored_end = state.jobs().get(job).and_then(|view| view.results_end).filter(|(count, _)| *count == position);
-    let mut stored = match stored_end {
-        // No result was stored at the position at that revision, so a watch from there returns every later result.
-        Some((_, revision)) if wait_until > state.now() => {
-            StoredResults { results: Vec::new(), revision, source: ReadSource::RememberedEnd }
+) -> Result<ReadAnswer<Arc<ResultEntry>>> {
+    let watch_start = state.jobs().get(job).and_then(|view| view.watch_start.revision_for(query.position));
+    let mut stored = match watch_start {
+        Some(revision) if watch_ms(state, job, query) > 0 => {
+            StoredResults { results: Vec::new(), revision, absence: None }
         }
-        _ => read_chunks(state, store, job, position, bytes_max).await?,
+        _ => read_chunks(state, store, job, query).await?,
     };
-    while stored.results.is_empty() {
-        let left_ms = wait_until.since_ms(state.now());
-        if left_ms == 0 || state.jobs().is_ended(job) {
+    loop {
+        let left_ms = watch_ms(state, job, query);
+        if left_ms == 0 || !stored.results.is_empty() {
             break;
         }
-        let (batch, _) = match store.watch(&KeyLayout::results_prefix(job), stored.revision, left_ms).await {
-            Ok(batch) => batch,
-            Err(StoreError::HistoryCompacted) => return read_chunks(state, store, job, position, bytes_max).await,
-            // The results read before the watch are still valid.
+        match watch_chunks(state, store, job, query, stored.revision, left_ms).await {
+            Ok(watched) => stored = watched,
+            Err(StoreError::HistoryCompacted) => {
+                stored = read_chunks(state, store, job, query).await?;
+                break;
+            }
+            Err(error) if stored.absence.is_none() => return Err(error),
             Err(error) => {
                 LogLine::new("result_watch_failed").field("job", job).field("reason", error).warn();
                 break;
             }
-        };
-        stored.revision = batch.revision;
-        stored.source = ReadSource::Store;
-        let written_entries = batch.changes.into_iter().filter_map(|change| match change {
-            StoreChange::Written(store_entry) => Some(store_entry),
-            StoreChange::Removed { .. } => None,
-        });
-        append_consecutive(state, job, written_entries, position, bytes_max, &mut stored.results)?;
-        if total_text_bytes(&stored.results) < bytes_max {
-            state.jobs().results_end_observed(job, position + stored.results.len(), stored.revision);
         }
     }
-    Ok(stored)
+    if stored.results.is_empty() && stored.absence.is_none() {
+        stored = read_chunks(state, store, job, query).await?;
+    }
+    ReadAnswer::new(stored.results, stored.absence).ok_or_else(unproven_error)
+}
+
+/// The error of a read that found no result before the store was asked.
+fn unproven_error() -> StoreError {
+    StoreError::NotApplied { problem: "no call to the store has shown that no result is stored".to_owned() }
 }
 
-/// Reads the chunks in the store that hold the results from `position` on, page by page, up to `bytes_max` bytes.
-async fn read_chunks(
+/// Time for which a read may watch the store now, in milliseconds. Nothing is listed after the end of a job is stored.
+fn watch_ms(state: &EdgeState, job: &str, query: &ResultsQuery) -> u64 {
+    if state.jobs().is_ended(job) { 0 } else { query.wait_until.since_ms(state.now()) }
+}
+
+/// Watches the store for chunks that are stored after `revision`, and returns those of their results that are requested.
+async fn watch_chunks(
     state: &EdgeState,
     store: &StoreAccess,
     job: &str,
-    position: usize,
-    bytes_max: usize,
+    query: &ResultsQuery,
+    revision: u64,
+    wait_ms: u64,
 ) -> Result<StoredResults> {
+    let sent_at = state.now();
+    let (batch, _) = store.watch(&KeyLayout::results_prefix(job), revision, wait_ms).await?;
+    let written_entries = batch.changes.into_iter().filter_map(|change| match change {
+        StoreChange::Written(store_entry) => Some(store_entry),
+        StoreChange::Removed { .. } => None,
+    });
+    let mut results = Vec::new();
+    append_consecutive(state, job, written_entries, query, &mut results)?;
+    if total_text_bytes(&results) < query.bytes_max {
+        state.jobs().absence_observed(job, query.position + results.len(), batch.revision);
+    }
+    let absence = AbsenceProof::from_store_call(query.arrived_at, sent_at, batch.revision);
+    Ok(StoredResults { results, revision: batch.revision, absence })
+}
+
+/// Reads the chunks in the store that hold the requested results, page by page.
+async fn read_chunks(state: &EdgeState, store: &StoreAccess, job: &str, query: &ResultsQuery) -> Result<StoredResults> {
     let prefix = KeyLayout::results_prefix(job);
+    let position = query.position;
     // Starts at the chunk that holds the position, or else after the last chunk before it that has been read.
     let first_chunk = state.jobs().get(job).map_or(0, |view| {
         let nearest_chunk = view.chunk_ends.range(..=position).next_back();
@@ -153,18 +176,21 @@
     });
     let mut after = KeyLayout::key_before_results(job, first_chunk);
     let mut results = Vec::new();
+    let sent_at = state.now();
     loop {
         let page: RangePage = store.page(&prefix, after.as_deref()).await?;
         after = page.entries.last().map(|store_entry| store_entry.key.clone()).or(after);
         let has_more = page.has_more && !page.entries.is_empty();
-        append_consecutive(state, job, page.entries.into_iter(), position, bytes_max, &mut results)?;
-        let bytes = total_text_bytes(&results);
-        if !has_more && bytes < bytes_max {
-            state.jobs().results_end_observed(job, position + results.len(), page.revision);
+        append_consecutive(state, job, page.entries.into_iter(), query, &mut results)?;
+        let is_full = total_text_bytes(&results) >= query.bytes_max;
+        if has_more && !is_full {
+            continue;
         }
-        if !has_more || bytes >= bytes_max {
-            return Ok(StoredResults { results, revision: page.revision, source: ReadSource::Store });
+        if !is_full {
+            state.jobs().absence_observed(job, position + results.len(), page.revision);
         }
+        let absence = AbsenceProof::from_store_call(query.arrived_at, sent_at, page.revision);
+        return Ok(StoredResults { results, revision: page.revision, absence });
     }
 }
 
@@ -173,14 +199,13 @@
     results.iter().map(|result| result.text.len()).sum()
 }
 
-/// Decodes the chunks in `store_entries`, and appends those results that continue `results`, whose first one is at
-/// `position`. Stops before a result with which the texts would exceed `bytes_max` bytes.
+/// Decodes the chunks in `store_entries`, and appends those results that continue `results`, the first of which is at the
+/// query's position.
 fn append_consecutive(
     state: &EdgeState,
     job: &str,
     store_entries: impl Iterator<Item = StoreEntry>,
-    position: usize,
-    bytes_max: usize,
+    query: &ResultsQuery,
     results: &mut Vec<Arc<ResultEntry>>,
 ) -> Result<()> {
     let mut bytes = total_text_bytes(results);
@@ -189,11 +214,11 @@
             decode(&store_entry.value).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
         state.jobs().chunk_stored(job, entry.first_position, entry.next_position());
         for (result_position, result) in (entry.first_position..).zip(entry.results) {
-            if result_position != position + results.len() {
+            if result_position != query.position + results.len() {
                 continue;
             }
             bytes += result.text.len();
-            if bytes > bytes_max && !results.is_empty() {
+            if bytes > query.bytes_max && !results.is_empty() {
                 return Ok(());
             }
             results.push(Arc::new(result));
@@ -239,7 +264,9 @@
 pub async fn read_all_results(state: &EdgeState, store: &StoreAccess, job: &str) -> Result<Vec<ResultEntry>> {
     let page = store.range(&KeyLayout::results_prefix(job)).await?;
     let mut results = Vec::new();
-    append_consecutive(state, job, page.entries.into_iter(), 0, usize::MAX, &mut results)?;
+    let now = state.now();
+    let query = ResultsQuery { position: 0, bytes_max: usize::MAX, arrived_at: now, wait_until: now };
+    append_consecutive(state, job, page.entries.into_iter(), &query, &mut results)?;
     Ok(results.into_iter().map(Arc::unwrap_or_clone).collect())
 }
 
--- a/crates/edge/src/job/owner_read.rs
+++ b/crates/edge/src/job/owner_read.rs
@@ -1,15 +1,15 @@
 //! Reads from a job's owner, which holds the stored results in memory and is the first to see new ones.
 
-use super::{job_reader::ResultsQuery, read_source::ReadSource};
+use super::{
+    job_reader::{ResultsQuery, SourcedAnswer},
+    read_source::ReadSource,
+};
 use crate::{edge_state::EdgeState, peer_client::PeerClient};
 use bytes::Bytes;
-use pimentoslip_kernel::SharedName;
+use pimentoslip_kernel::{AbsenceProof, ReadAnswer, SharedName};
 use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::{
-    peer::{ItemRequest, ItemResponse, ResultsRequest, ResultsResponse},
-    stored::ResultEntry,
-};
-use std::{sync::Arc, time::Duration};
+use pimentoslip_wire::peer::{ItemRequest, ItemResponse, ResultsRequest, ResultsResponse};
+use std::time::Duration;
 
 /// Path of the peer interface at which daemons read the results of an owned job.
 pub const RESULTS_PATH: &str = "/peer/results";
@@ -49,16 +49,18 @@
     peer_client: &PeerClient,
     job: &SharedName,
     query: &ResultsQuery,
-) -> Option<(Vec<Arc<ResultEntry>>, ReadSource)> {
+) -> Option<SourcedAnswer> {
+    let ResultsQuery { position, bytes_max, arrived_at, .. } = *query;
+    let answer = |results, sent_at| ReadAnswer::new(results, AbsenceProof::from_owner_call(arrived_at, sent_at));
     if let ResultsResponse::Listed(results) = local_results(state, job, query).await {
-        return Some((results, ReadSource::OwnMemory));
+        return answer(results, state.now()).map(|answer| (answer, ReadSource::OwnMemory));
     }
     let control_address = owner_control_address(state, job)?;
-    let wait_ms = query.wait_until.since_ms(state.now());
-    let ResultsQuery { position, bytes_max, .. } = *query;
+    let sent_at = state.now();
+    let wait_ms = query.wait_until.since_ms(sent_at);
     let request = ResultsRequest { job: job.clone(), position, bytes_max, wait_ms };
     match peer_client.call(&control_address, RESULTS_PATH, &request, wait_ms + CALL_SLACK_MS).await {
-        Ok(ResultsResponse::Listed(results)) => Some((results, ReadSource::OwnerPeer)),
+        Ok(ResultsResponse::Listed(results)) => answer(results, sent_at).map(|answer| (answer, ReadSource::OwnerPeer)),
         Ok(ResultsResponse::Unavailable) => None,
         Err(error) => {
             LogLine::new("owner_read_failed")
--- a/crates/edge/src/job/read_source.rs
+++ b/crates/edge/src/job/read_source.rs
@@ -9,8 +9,6 @@
     OwnerPeer,
     /// A read of the store, or a watch that followed it.
     Store,
-    /// The remembered end of the results, without a read.
-    RememberedEnd,
 }
 
 impl ReadSource {
@@ -21,7 +19,6 @@
             Self::OwnMemory => "own_memory",
             Self::OwnerPeer => "owner_peer",
             Self::Store => "store",
-            Self::RememberedEnd => "remembered_end",
         }
     }
 }
