Let the owner of a job prove that a position has no result

Cause: the owner answered from its memory as long as its lease was valid. The store may hold a chunk that is not in that memory: a write without an answer was carried out; the ownership entry was bound to a lease that has ended, and another daemon owned the job meanwhile, which this process has not read yet.

Change: a ListingRecord for each opened job says under which ownership entry the results in memory are complete, and whether a write is in progress or has no answer. An OwnerStanding says whether that entry holds: it names this process, its revision is higher than that of the daemon's presence, so that it is bound to the current lease, and the lease is valid. Only both together give an AbsenceProof; else the reader asks the store. A reader that waits at the owner goes on to wait while a write is in progress.

Peers say so with a response of its own, Absent. An empty list of a daemon of an earlier release is no proof; a daemon of an earlier release, which does not know Absent, still gets an empty list.

Ruled out: to let the owner read the store before each such answer. That is a read of the store for each read that waits, where the owner's memory serves nearly all.

--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -48,7 +48,13 @@
 /// Well-formed calls with extreme numbers, by path.
 fn extreme_calls() -> Vec<(&'static str, Vec<u8>)> {
     let changes = ChangesRequest { prefix: "p/w/".to_owned(), revision: u64::MAX, wait_ms: 0 };
-    let results = ResultsRequest { job: "job".into(), position: usize::MAX, bytes_max: usize::MAX, wait_ms: 0 };
+    let results = ResultsRequest {
+        job: "job".into(),
+        position: usize::MAX,
+        bytes_max: usize::MAX,
+        wait_ms: 0,
+        knows_absent: true,
+    };
     let runs = RunReport { daemon: "x".into(), runs: BTreeMap::from([("engine-1".into(), u64::MAX)]) };
     let batch = UsageBatchEntry {
         daemon: "x".into(),
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -6,9 +6,9 @@
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
-    CoordinatorTable, GrantTable, LossTable, OwnerRecord, OwnershipTable, PathGain, PathSelector, PathTable,
-    ReplayWindow, RunReports, SamplerRecord, SamplerTable, SharedName, SoftwareHistory, StreamRegister, SuspectTable,
-    TimePoint, TrafficConfig, UsageTally, fingerprint,
+    CoordinatorTable, GrantTable, LossTable, OwnerRecord, OwnerStanding, OwnershipTable, PathGain, PathSelector,
+    PathTable, ReplayWindow, RunReports, SamplerRecord, SamplerTable, SharedName, SoftwareHistory, StreamRegister,
+    SuspectTable, TimePoint, TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
 use pimentoslip_telemetry::LogLine;
@@ -126,6 +126,8 @@
     pub lease: Option<u64>,
     /// When the lease expires unless it is renewed.
     pub ends_at: TimePoint,
+    /// Revision at which the daemon's presence was stored under the lease; `None` without a lease.
+    pub presence_revision: Option<u64>,
     /// The duty's entry in the store; `None` while nobody holds the duty.
     pub duty: Option<OwnerRecord>,
     /// Name of the daemon that held the duty last, as observed by this process.
@@ -454,11 +456,13 @@
         self.usage_write_count.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Whether this daemon's lease cannot have expired yet, so that no other daemon can own what depends on it. False
-    /// while draining.
+    /// How long this process may rely on its ownership of `job`: not at all while draining.
     #[must_use]
-    pub fn is_lease_valid(&self) -> bool {
-        !self.is_draining() && self.lease_view().ends_at > self.now()
+    pub fn owner_standing(&self, job: &str) -> OwnerStanding {
+        let owner_revision = self.ownership().own_revision(job);
+        let view = self.lease_view();
+        let presence_revision = view.presence_revision.filter(|_| !self.is_draining());
+        OwnerStanding { owner_revision, presence_revision, lease_ends_at: view.ends_at }
     }
 
     /// Whether this daemon is draining before it stops.
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -16,7 +16,7 @@
     CodecError, decode, encode,
     peer::{
         ChangesRequest, ChangesResponse, CrashPush, ItemRequest, JobPush, PermitRequest, ReachRequest, ResultsRequest,
-        RunReport, StreamsRequest, UsagePush,
+        ResultsResponse, RunReport, StreamsRequest, UsagePush,
     },
 };
 use serde::Serialize;
@@ -66,7 +66,8 @@
     let arrived_at = parts.state.now();
     let wait_until = arrived_at.plus_ms(request.wait_ms);
     let query = ResultsQuery { position: request.position, bytes_max: request.bytes_max, arrived_at, wait_until };
-    message_response(&local_results(&parts.state, &request.job, &query).await)
+    let answer = local_results(&parts.state, &request.job, &query).await;
+    message_response(&ResultsResponse::new(answer, request.knows_absent))
 }
 
 /// Responds to a peer with the body of an item of a job that this daemon owns.
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -2,7 +2,7 @@
 
 use super::result_cache::ResultCache;
 use bytes::Bytes;
-use pimentoslip_kernel::{LedgerState, SharedName, TimePoint, WatchStart};
+use pimentoslip_kernel::{LedgerState, ListingRecord, OwnerStanding, OwnerView, SharedName, TimePoint, WatchStart};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
 use std::{
@@ -37,6 +37,13 @@
     pub ledger: Option<LedgerState>,
 }
 
+/// A running job whose submission and stored results have been read.
+#[derive(Debug)]
+struct OpenedJob {
+    submission: Arc<BatchSubmission>,
+    listing: ListingRecord,
+}
+
 /// Batch jobs by id, with the submissions and results that this process holds in memory.
 #[derive(Debug)]
 pub struct JobIndex {
@@ -46,8 +53,10 @@
     ended: HashSet<SharedName>,
     /// Jobs that were submitted or handed over to this process and are not running yet.
     pending: HashMap<SharedName, PendingJob>,
-    /// Jobs that this process runs, each with its submission once that has been read.
-    running: HashMap<SharedName, Option<Arc<BatchSubmission>>>,
+    /// Jobs that this process runs; `None` until they are opened.
+    running: HashMap<SharedName, Option<OpenedJob>>,
+    /// Jobs that this process stopped to run before the outcome of its last write of results was known.
+    unresolved: HashSet<SharedName>,
     /// Results of jobs that this process runs or ran, readable without the store.
     results: ResultCache,
     /// Submission times of the running jobs that have waiting items, by route and job.
@@ -63,6 +72,7 @@
             ended: HashSet::new(),
             pending: HashMap::new(),
             running: HashMap::new(),
+            unresolved: HashSet::new(),
             results: ResultCache::new(results_bytes_max),
             waiting: BTreeMap::new(),
         }
@@ -101,6 +111,7 @@
         self.jobs.remove(job);
         self.ended.remove(job);
         self.pending.remove(job);
+        self.unresolved.remove(job);
         self.results.remove(job);
     }
 
@@ -160,15 +171,43 @@
         true
     }
 
-    /// Sets the submission of a running job, and caches its stored `results`.
-    pub fn job_opened(&mut self, job: &SharedName, submission: Arc<BatchSubmission>, results: Vec<ResultEntry>) {
-        self.running.insert(job.clone(), Some(submission));
+    /// Sets the submission of a running job, and caches its stored `results`, which were complete under the ownership entry of
+    /// `owner_revision`.
+    pub fn job_opened(
+        &mut self,
+        job: &SharedName,
+        submission: Arc<BatchSubmission>,
+        results: Vec<ResultEntry>,
+        owner_revision: u64,
+    ) {
+        let is_unresolved = self.unresolved.remove(job);
+        let listing = if is_unresolved { ListingRecord::default() } else { ListingRecord::new(owner_revision) };
+        self.running.insert(job.clone(), Some(OpenedJob { submission, listing }));
         self.results.insert(job.clone(), results);
     }
 
-    /// Caches further `results` of a running job, which were stored from position `first` on.
-    pub fn append_results(&mut self, job: &str, first: usize, results: &[ResultEntry]) {
+    /// What this process knows of the stored results of a job that it runs; `None` if it does not run the job.
+    pub fn listing_mut(&mut self, job: &str) -> Option<&mut ListingRecord> {
+        self.running.get_mut(job)?.as_mut().map(|opened| &mut opened.listing)
+    }
+
+    /// Caches further `results` of a running job, which are stored from position `first` on. They are complete under the
+    /// ownership entry of `owner_revision`; with `None`, another process may have stored more.
+    pub fn results_stored(&mut self, job: &str, first: usize, results: &[ResultEntry], owner_revision: Option<u64>) {
+        self.chunk_stored(job, first, first + results.len());
         self.results.append(job, first, results);
+        let Some(listing) = self.listing_mut(job) else { return };
+        match owner_revision {
+            Some(owner_revision) => listing.write_stored(owner_revision),
+            None => listing.write_superseded(),
+        }
+    }
+
+    /// What this process can say, with `standing`, of a position of `job` at which it holds no result.
+    #[must_use]
+    pub fn owner_view(&self, job: &str, standing: &OwnerStanding, now: TimePoint) -> OwnerView {
+        let opened = self.running.get(job).and_then(Option::as_ref);
+        opened.map_or(OwnerView::Unsure, |opened| opened.listing.view(standing, now))
     }
 
     /// Cached results of `job` from `position` on, up to `bytes_max` bytes, but at least one if there is any. `None` if
@@ -181,12 +220,15 @@
     /// The submission of `job`, if this process runs the job and has read it.
     #[must_use]
     pub fn running_submission(&self, job: &str) -> Option<Arc<BatchSubmission>> {
-        self.running.get(job).cloned().flatten()
+        self.running.get(job)?.as_ref().map(|opened| opened.submission.clone())
     }
 
     /// Removes `job`, which this process no longer runs, from the running and the waiting jobs.
     pub fn job_released(&mut self, job: &str) {
-        self.running.remove(job);
+        let opened = self.running.remove(job).flatten();
+        if opened.is_some_and(|opened| opened.listing.is_unresolved()) && !self.is_ended(job) {
+            self.unresolved.insert(job.into());
+        }
         self.waiting.retain(|(_, waiting_job), _| **waiting_job != *job);
     }
 
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -80,6 +80,8 @@
 
 /// Data from which the owner of a job starts to run it.
 struct JobInputs {
+    /// Revision of the ownership entry, which this process knew before the results were read.
+    owner_revision: u64,
     /// Submission, and the progress that the previous owner handed over.
     pending: PendingJob,
     /// Stored results, in order of their positions.
@@ -101,7 +103,8 @@
         if should_stop(state, id) {
             return None;
         }
-        match read_inputs(state, &store, id, pending.clone()).await {
+        let owner_revision = state.ownership().own_revision(id)?;
+        match read_inputs(state, &store, id, pending.clone(), owner_revision).await {
             Ok(inputs) => return build_job(state, upstream_client, store, id, inputs),
             Err(error) => {
                 LogLine::new("job_read_failed").field("job", id).field("reason", error).warn();
@@ -153,14 +156,16 @@
     store: &StoreAccess,
     id: &SharedName,
     pending: Option<PendingJob>,
+    owner_revision: u64,
 ) -> Result<JobInputs, StoreError> {
     match pending {
         // A job that has not run before has no stored results or checkpoints.
         Some(pending) if pending.ledger.is_none() => {
-            Ok(JobInputs { pending, results: Vec::new(), checkpoints: Vec::new() })
+            Ok(JobInputs { owner_revision, pending, results: Vec::new(), checkpoints: Vec::new() })
         }
         Some(pending) => {
-            Ok(JobInputs { pending, results: read_all_results(state, store, id).await?, checkpoints: Vec::new() })
+            let results = read_all_results(state, store, id).await?;
+            Ok(JobInputs { owner_revision, pending, results, checkpoints: Vec::new() })
         }
         None => {
             let ((submission, body), results, checkpoints) = futures_util::try_join!(
@@ -169,7 +174,7 @@
                 read_checkpoints(store, id)
             )?;
             let pending = PendingJob { submission: Arc::new(submission), body, ledger: None };
-            Ok(JobInputs { pending, results, checkpoints })
+            Ok(JobInputs { owner_revision, pending, results, checkpoints })
         }
     }
 }
@@ -183,7 +188,8 @@
     id: &SharedName,
     inputs: JobInputs,
 ) -> Option<OwnedJob> {
-    let JobInputs { pending: PendingJob { submission, body, ledger: previous_ledger }, results, checkpoints } = inputs;
+    let JobInputs { owner_revision, pending, results, checkpoints } = inputs;
+    let PendingJob { submission, body, ledger: previous_ledger } = pending;
     let entry = state.jobs().get(id)?.entry.clone();
     let revision = state.ownership().owner(id)?.revision;
     let age_ms = state.unix_ms().saturating_sub(entry.submitted_unix_ms);
@@ -209,7 +215,7 @@
         .field("age_ms", age_ms)
         .field("revision", revision)
         .info();
-    state.jobs().job_opened(id, submission.clone(), results);
+    state.jobs().job_opened(id, submission.clone(), results, owner_revision);
     Some(OwnedJob {
         state: state.clone(),
         upstream_client,
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -2,8 +2,8 @@
 
 use super::owned_job::OwnedJob;
 use bytes::Bytes;
-use pimentoslip_kernel::{TimePoint, WriteSchedule};
-use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreEntry};
+use pimentoslip_kernel::{ListingRecord, TimePoint, WriteSchedule};
+use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreEntry, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     CodecResult, encode,
@@ -122,14 +122,23 @@
     for (key, value) in results_put.into_iter().chain(checkpoint_put) {
         commit = commit.expect(key.clone(), 0).put(key.clone(), value.clone(), 0);
     }
+    if results.is_some() {
+        update_listing(job, ListingRecord::write_sent);
+    }
     match job.store.commit(&commit).await {
         Ok(CommitOutcome::Committed(revision)) => {
-            results.into_iter().for_each(|results| results_stored(job, &results.entry, revision));
+            let owner_revision = Some(job.owner_revision.get());
+            results.into_iter().for_each(|results| results_stored(job, &results.entry, revision, owner_revision));
             checkpoint.into_iter().for_each(|checkpoint| checkpoint_stored(job, checkpoint, revision));
             WriteOutcome::Continue
         }
         Ok(CommitOutcome::Conflict(store_entries)) => resolve_conflict(job, results, checkpoint, &store_entries),
         Err(error) => {
+            if results.is_some() {
+                let is_refused = matches!(error, StoreError::NotApplied { .. } | StoreError::Rejected { .. });
+                let record = if is_refused { ListingRecord::write_refused } else { ListingRecord::write_unanswered };
+                write_failed(job, record);
+            }
             LogLine::new("ledger_not_written")
                 .field("job", &job.id)
                 .field("first", results.map_or(0, |results| results.entry.first_position))
@@ -141,6 +150,19 @@
     }
 }
 
+/// Updates what this process knows of the stored results of the job.
+fn update_listing(job: &OwnedJob, update: impl FnOnce(&mut ListingRecord)) {
+    if let Some(listing) = job.state.jobs().listing_mut(&job.id) {
+        update(listing);
+    }
+}
+
+/// Records that a write of results has failed, and wakes the readers that wait for its end.
+fn write_failed(job: &OwnedJob, update: impl FnOnce(&mut ListingRecord)) {
+    update_listing(job, update);
+    job.state.results_listed.notify_waiters();
+}
+
 /// Resolves a conflict by comparing `store_entries`, which the store holds, with the values to be written. An earlier
 /// write may have succeeded without a response; equal values count as stored. If the ownership entry has changed
 /// instead, the next pass over the job checks whether this daemon is still the owner.
@@ -161,22 +183,28 @@
             job.ledger.borrow_mut().checkpoint_conflicted(checkpoint.number);
         }
     }
+    let owner_revision = stored_entry(&KeyLayout::owner_key(&job.id))
+        .map(|store_entry| store_entry.revision)
+        .filter(|revision| *revision == job.owner_revision.get());
     let Some(results) = results else { return WriteOutcome::Continue };
     match stored_entry(&results.key) {
         Some(store_entry) if store_entry.value == results.value => {
-            results_stored(job, &results.entry, store_entry.revision)
+            results_stored(job, &results.entry, store_entry.revision, owner_revision);
         }
         Some(_) => {
             LogLine::new("results_conflict").field("job", &job.id).field("first", results.entry.first_position).warn();
+            write_failed(job, ListingRecord::write_superseded);
             return WriteOutcome::Superseded;
         }
-        None => {}
+        None if owner_revision.is_some() => write_failed(job, ListingRecord::write_refused),
+        None => write_failed(job, ListingRecord::write_superseded),
     }
     WriteOutcome::Continue
 }
 
-/// Removes stored results from the ledger, and publishes them to readers.
-fn results_stored(job: &OwnedJob, entry: &ResultsEntry, revision: u64) {
+/// Removes stored results from the ledger, and publishes them to readers. `owner_revision` is that of the ownership entry, if the
+/// store still held it then.
+fn results_stored(job: &OwnedJob, entry: &ResultsEntry, revision: u64, owner_revision: Option<u64>) {
     LogLine::new("results_listed")
         .field("job", &job.id)
         .field("first", entry.first_position)
@@ -184,11 +212,7 @@
         .field("revision", revision)
         .info();
     job.ledger.borrow_mut().chunk_stored(entry.first_position);
-    {
-        let mut jobs = job.state.jobs();
-        jobs.chunk_stored(&job.id, entry.first_position, entry.next_position());
-        jobs.append_results(&job.id, entry.first_position, &entry.results);
-    }
+    job.state.jobs().results_stored(&job.id, entry.first_position, &entry.results, owner_revision);
     job.state.results_listed.notify_waiters();
 }
 
--- a/crates/edge/src/job/owner_read.rs
+++ b/crates/edge/src/job/owner_read.rs
@@ -6,10 +6,13 @@
 };
 use crate::{edge_state::EdgeState, peer_client::PeerClient};
 use bytes::Bytes;
-use pimentoslip_kernel::{AbsenceProof, ReadAnswer, SharedName};
+use pimentoslip_kernel::{AbsenceProof, OwnerView, ReadAnswer, SharedName};
 use pimentoslip_telemetry::LogLine;
-use pimentoslip_wire::peer::{ItemRequest, ItemResponse, ResultsRequest, ResultsResponse};
-use std::time::Duration;
+use pimentoslip_wire::{
+    peer::{ItemRequest, ItemResponse, ResultsRequest, ResultsResponse},
+    stored::ResultEntry,
+};
+use std::{sync::Arc, time::Duration};
 
 /// Path of the peer interface at which daemons read the results of an owned job.
 pub const RESULTS_PATH: &str = "/peer/results";
@@ -18,49 +21,51 @@
 /// Timeout of a call, in addition to the time for which the owner may delay its response until there is a result.
 const CALL_SLACK_MS: u64 = 500;
 
-/// Reads results from the memory of this process, and waits for the first one if this process owns the job. Returns
-/// `Unavailable` if the job's results are not cached, or if there is none and this process does not own the job.
-pub async fn local_results(state: &EdgeState, job: &str, query: &ResultsQuery) -> ResultsResponse {
+/// Reads results from the memory of this process, and waits for the first one if this process owns the job. `None` if the job's
+/// results are not cached, or if there is none and this process cannot be sure that none is stored.
+pub async fn local_results(state: &EdgeState, job: &str, query: &ResultsQuery) -> Option<ReadAnswer<Arc<ResultEntry>>> {
     loop {
         let notification = state.results_listed.notified();
-        let Some(results) = state.jobs().cached_results(job, query.position, query.bytes_max) else {
-            return ResultsResponse::Unavailable;
+        let now = state.now();
+        let left_ms = query.wait_until.since_ms(now);
+        // Taken before the results: the memory may gain results after it, but not lose any.
+        let standing = state.owner_standing(job);
+        let (results, view, is_ended) = {
+            let jobs = state.jobs();
+            let results = jobs.cached_results(job, query.position, query.bytes_max)?;
+            (results, jobs.owner_view(job, &standing, now), jobs.is_ended(job))
         };
-        if !results.is_empty() {
-            return ResultsResponse::Listed(results);
-        }
-        // Only the owner can be sure that no further result is stored.
-        let is_owner = state.ownership().is_owned_here(job) && state.jobs().has_state(job) && state.is_lease_valid();
-        if !is_owner {
-            return ResultsResponse::Unavailable;
-        }
-        let left_ms = query.wait_until.since_ms(state.now());
-        if left_ms == 0 || state.jobs().is_ended(job) {
-            return ResultsResponse::Listed(results);
+        let is_last_look = left_ms == 0 || is_ended;
+        match view {
+            _ if !results.is_empty() => return ReadAnswer::new(results, None),
+            OwnerView::Unsure => return None,
+            OwnerView::Absent(proof) if is_last_look => return Some(ReadAnswer::absent(proof)),
+            OwnerView::WriteInProgress if is_last_look => return None,
+            OwnerView::Absent(_) | OwnerView::WriteInProgress => {}
         }
         // The next iteration checks for results, whether notified or timed out.
         let _ = actix_rt::time::timeout(Duration::from_millis(left_ms), notification).await;
     }
 }
 
-/// Reads results from the job's owner, which may be this process, and tells which. `None` if they must be read from the store.
+/// Reads results from the job's owner, which may be this process. `None` if they must be read from the store.
 pub async fn results_from_owner(
     state: &EdgeState,
     peer_client: &PeerClient,
     job: &SharedName,
     query: &ResultsQuery,
 ) -> Option<SourcedAnswer> {
-    let ResultsQuery { position, bytes_max, arrived_at, .. } = *query;
-    let answer = |results, sent_at| ReadAnswer::new(results, AbsenceProof::from_owner_call(arrived_at, sent_at));
-    if let ResultsResponse::Listed(results) = local_results(state, job, query).await {
-        return answer(results, state.now()).map(|answer| (answer, ReadSource::OwnMemory));
+    if let Some(answer) = local_results(state, job, query).await {
+        return Some((answer, ReadSource::OwnMemory));
     }
     let control_address = owner_control_address(state, job)?;
     let sent_at = state.now();
     let wait_ms = query.wait_until.since_ms(sent_at);
-    let request = ResultsRequest { job: job.clone(), position, bytes_max, wait_ms };
-    match peer_client.call(&control_address, RESULTS_PATH, &request, wait_ms + CALL_SLACK_MS).await {
-        Ok(ResultsResponse::Listed(results)) => answer(results, sent_at).map(|answer| (answer, ReadSource::OwnerPeer)),
+    let ResultsQuery { position, bytes_max, arrived_at, .. } = *query;
+    let request = ResultsRequest { job: job.clone(), position, bytes_max, wait_ms, knows_absent: true };
+    let answer = match peer_client.call(&control_address, RESULTS_PATH, &request, wait_ms + CALL_SLACK_MS).await {
+        Ok(ResultsResponse::Listed(results)) => ReadAnswer::new(results, None),
+        Ok(ResultsResponse::Absent) => AbsenceProof::from_owner_call(arrived_at, sent_at).map(ReadAnswer::absent),
         Ok(ResultsResponse::Unavailable) => None,
         Err(error) => {
             LogLine::new("owner_read_failed")
@@ -70,7 +75,8 @@
                 .warn();
             None
         }
-    }
+    };
+    answer.map(|answer| (answer, ReadSource::OwnerPeer))
 }
 
 /// Reads the body of an item from the job's owner, which may be this process. The outer `None` means that it must be
--- a/crates/edge/src/lease_task.rs
+++ b/crates/edge/src/lease_task.rs
@@ -2,7 +2,7 @@
 
 use crate::{edge_state::EdgeState, store::StoreAccess};
 use pimentoslip_kernel::TimePoint;
-use pimentoslip_platform::{StoreCommit, StoreError};
+use pimentoslip_platform::{CommitOutcome, StoreCommit, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     encode,
@@ -67,6 +67,7 @@
     let mut view = state.lease_view();
     view.lease = None;
     view.ends_at = TimePoint(0);
+    view.presence_revision = None;
 }
 
 /// Requests a lease, stores the daemon's presence under it, and returns the delay before the next call. A write without a
@@ -109,25 +110,31 @@
         }
     };
     let commit = StoreCommit::default().put(KeyLayout::presence_key(&state.settings.vm), entry, lease);
-    if let Err(error) = store.commit(&commit).await {
-        if matches!(error, StoreError::LeaseNotFound) {
-            *granted_lease = None;
+    let presence_revision = match store.commit(&commit).await {
+        Ok(CommitOutcome::Committed(revision)) => Some(revision),
+        // The commit has no conditions. Without a revision, this daemon proves nothing from its memory.
+        Ok(CommitOutcome::Conflict(_)) => None,
+        Err(error) => {
+            if matches!(error, StoreError::LeaseNotFound) {
+                *granted_lease = None;
+            }
+            LogLine::new("presence_not_recorded").field("lease", lease).field("reason", error).warn();
+            return RETRY_DELAY;
         }
-        LogLine::new("presence_not_recorded").field("lease", lease).field("reason", error).warn();
-        return RETRY_DELAY;
-    }
+    };
     *granted_lease = None;
     LogLine::new("lease_granted").field("lease", lease).info();
     let mut view = state.lease_view();
     view.lease = Some(lease);
     view.ends_at = ends_at;
+    view.presence_revision = presence_revision;
     RENEW_INTERVAL.min(Duration::from_millis(ends_at.since_ms(state.now()) / 2))
 }
 
 /// Revokes the lease, so that other daemons can take over at once.
 pub async fn revoke_lease(state: &EdgeState, store: &StoreAccess) {
     let current_lease = state.lease_view().lease.take();
-    state.lease_view().ends_at = TimePoint(0);
+    lease_lost(state);
     let Some(lease) = current_lease else { return };
     match store.revoke_lease(lease).await {
         Ok(()) => LogLine::new("lease_ended").field("lease", lease).info(),
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -184,10 +184,17 @@
         self.entries.get(job)?.owner.as_ref()
     }
 
+    /// Revision of the cached ownership record of `job`, if it names this process.
+    #[must_use]
+    pub fn own_revision(&self, job: &str) -> Option<u64> {
+        let owner = self.owner(job)?;
+        (owner.daemon == self.daemon && owner.incarnation == self.incarnation).then_some(owner.revision)
+    }
+
     /// Whether this process owns `job`.
     #[must_use]
     pub fn is_owned_here(&self, job: &str) -> bool {
-        self.owner(job).is_some_and(|owner| owner.daemon == self.daemon && owner.incarnation == self.incarnation)
+        self.own_revision(job).is_some()
     }
 
     /// Whether this process owns `job` and should start to work on it. Without the submission in memory (`has_state`)
--- a/crates/kernel/src/read/listing_record.rs
+++ b/crates/kernel/src/read/listing_record.rs
@@ -82,6 +82,12 @@
         self.complete_under = None;
     }
 
+    /// Whether a write has been sent whose outcome is not known.
+    #[must_use]
+    pub const fn is_unresolved(&self) -> bool {
+        self.is_writing || self.is_outcome_unknown
+    }
+
     /// What the owner can say at `now` of a position at which it holds no result.
     #[must_use]
     pub fn view(&self, standing: &OwnerStanding, now: TimePoint) -> OwnerView {
--- a/crates/kernel/src/read/read_answer.rs
+++ b/crates/kernel/src/read/read_answer.rs
@@ -32,6 +32,12 @@
         &self.results
     }
 
+    /// The results, without the answer around them.
+    #[must_use]
+    pub fn into_results(self) -> Vec<T> {
+        self.results
+    }
+
     /// The proof that there is no result at the position; `None` if there is one.
     #[must_use]
     pub const fn absence(&self) -> Option<&AbsenceProof> {
--- a/crates/wire/src/peer/job_read.rs
+++ b/crates/wire/src/peer/job_read.rs
@@ -1,7 +1,7 @@
 //! Requests to read a batch job from its owner, which save reads of the store.
 
 use crate::stored::ResultEntry;
-use pimentoslip_kernel::SharedName;
+use pimentoslip_kernel::{ReadAnswer, SharedName};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -16,16 +16,34 @@
     pub bytes_max: usize,
     /// Longest time in milliseconds to wait for the first result.
     pub wait_ms: u64,
+    /// Whether the caller knows [`ResultsResponse::Absent`]; false from daemons of earlier releases.
+    #[serde(default)]
+    pub knows_absent: bool,
 }
 
 /// Results of a job that its owner holds in memory.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ResultsResponse {
-    /// Results from the requested position. Empty only if none are stored.
+    /// Results from the requested position. Daemons of earlier releases send an empty list without a proof that none are stored.
     Listed(Vec<Arc<ResultEntry>>),
-    /// The daemon does not own the job or has not cached these results; they must be read from the store.
+    /// The daemon does not own the job, has not cached these results or cannot be sure; they must be read from the store.
     #[serde(rename = "Unsure")]
     Unavailable,
+    /// The daemon owns the job, and no result is stored at the requested position.
+    Absent,
+}
+
+impl ResultsResponse {
+    /// The response with the owner's `answer`, which it could not give if that is `None`. Callers that do not know `Absent` get an
+    /// empty list in its place.
+    #[must_use]
+    pub fn new(answer: Option<ReadAnswer<Arc<ResultEntry>>>, knows_absent: bool) -> Self {
+        match answer {
+            Some(answer) if answer.absence().is_some() && knows_absent => Self::Absent,
+            Some(answer) => Self::Listed(answer.into_results()),
+            None => Self::Unavailable,
+        }
+    }
 }
 
 /// Request for the body of an item.
