Test reads at an owner whose memory lacks the results of another owner

In one test the owner stands still beyond its lease while its successor lists a result, and is read from its return on, with the other edges running or suspended: it obtains another lease before it learns that it is no longer the owner. In the other test the owner has no configuration when it gets the submission, another edge runs the job and is killed, and the owner opens the job from the submission that it kept, without reading the store.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -165,12 +165,23 @@
 
 /// Waits until the job runs, and returns its owner and the other edges.
 async fn owner_and_others(site: &EdgeSite) -> (usize, Vec<usize>) {
-    let begun = format!("event=job_begun job={JOB} ");
+    owner_of(site, JOB).await
+}
+
+/// Waits until `job` runs, and returns its owner and the other edges.
+async fn owner_of(site: &EdgeSite, job: &str) -> (usize, Vec<usize>) {
+    let begun = format!("event=job_begun job={job} ");
     let is_owner = |edge: &usize| site.edges[*edge].process.log().contains(&begun);
     let owner = wait_for("the job has an owner", || async { (0..site.edges.len()).find(is_owner) }).await;
     (owner, (0..site.edges.len()).filter(|edge| *edge != owner).collect())
 }
 
+/// The first of `edges` that has claimed the job.
+fn claimant(site: &EdgeSite, edges: &[usize]) -> Option<usize> {
+    let claimed = format!("event=job_claimed job={JOB} ");
+    edges.iter().copied().find(|edge| site.edges[*edge].process.log().contains(&claimed))
+}
+
 /// Reads at `edge` until it has returned the result at `position`, and returns all results that it has.
 async fn read_until_listed(site: &EdgeSite, edge: usize, position: usize) -> ListedResults {
     let mut listed = ListedResults::default();
@@ -354,3 +365,92 @@
     }
     listed.into_failures(&site).await
 }
+
+/// Guards against an owner that stood still beyond its lease, obtains another one, and denies the results which its successor
+/// has listed meanwhile.
+#[actix_rt::test]
+async fn an_owner_that_was_suspended_beyond_its_lease_denies_no_result_of_its_successor() {
+    let mut failures = Vec::new();
+    for suspends_others in [false, true] {
+        let cases = [false, true].map(|waits| read_at_a_succeeded_owner(suspends_others, waits));
+        failures.extend(future::join_all(cases).await.concat());
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Suspends the owner until another edge has listed a result, and reads at the first owner from its return on; it cannot
+/// receive changes of the store from other edges if those are suspended then. Returns the reads that failed.
+async fn read_at_a_succeeded_owner(suspends_others: bool, waits: bool) -> Vec<String> {
+    let site = site_with_held_scores(3).await;
+    submit_job(&site, 1, 1).await;
+    let (owner, others) = owner_and_others(&site).await;
+    read_until_listed(&site, others[0], 0).await;
+    site.edges[owner].process.freeze();
+    wait_for("another edge owns the job", || async { claimant(&site, &others) }).await;
+    release_scored_items(&site);
+    let mut listed = read_until_listed(&site, others[0], 1).await;
+    settle().await;
+    if suspends_others {
+        others.iter().for_each(|edge| site.edges[*edge].process.freeze());
+    }
+    site.edges[owner].process.resume();
+    let case = format!("others suspended: {suspends_others}");
+    let probed_until = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < probed_until && listed.failures.is_empty() {
+        listed.try_read(&site, owner, 1, waits, &case).await;
+    }
+    others.iter().for_each(|edge| site.edges[*edge].process.resume());
+    for edge in 0..3 {
+        listed.check_edge(&site, edge, &case).await;
+    }
+    listed.into_failures(&site).await
+}
+
+/// Guards against a job that is opened as one that has not run, from a submission that an edge has kept since the job was
+/// accepted, although another edge ran the job.
+#[actix_rt::test]
+async fn an_owner_that_kept_the_submission_denies_no_result_of_the_edge_that_ran_the_job() {
+    let mut site = EdgeSite::without_edges();
+    site.write_default_config();
+    let (view_address, view) = site.store.open_view().expect("another address of the store");
+    site.start_edge(view_address);
+    site.start_edge(view_address);
+    site.wait_ready().await;
+    // The third edge, to which jobs of the route are assigned, gets no configuration and does not run its job.
+    view.hold_range(Some("op/"));
+    site.start_edge(view_address);
+    let (owner, others) = (2, [0, 1]);
+    wait_for("every edge has stored its entry", || async {
+        (site.store.contents().range("p/w/vm/", "").len() == 3).then_some(())
+    })
+    .await;
+    actix_rt::time::sleep(APPLY_TIME).await;
+    submit_job(&site, 1, 0).await;
+    wait_for("the owner waits for a configuration", || async {
+        site.edges[owner].process.log().contains("event=job_waits_for_config").then_some(())
+    })
+    .await;
+    site.edges[owner].process.freeze();
+    let successor = wait_for("another edge owns the job", || async { claimant(&site, &others) }).await;
+    let reader = 1 - successor;
+    let mut listed = read_until_listed(&site, reader, 0).await;
+    site.edges[owner].process.resume();
+    site.engines.iter().for_each(PlatformUpstream::start_draining);
+    settle().await;
+    view.hold_range(None);
+    wait_for("the owner is ready", || async { (site.readiness_status(owner).await == 200).then_some(()) }).await;
+    site.edges[successor].process.kill();
+    wait_for("the first owner owns the job again", || async { claimant(&site, &[owner]) }).await;
+    let probed_until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < probed_until && listed.failures.is_empty() {
+        for edge in [owner, reader] {
+            listed.probe_edge(&site, edge, "no item can run").await;
+        }
+    }
+    site.engines.iter().for_each(PlatformUpstream::list_again);
+    for edge in [owner, reader] {
+        listed.check_edge(&site, edge, "items can run").await;
+    }
+    let failures = listed.into_failures(&site).await;
+    assert!(failures.is_empty(), "{failures:#?}");
+}
