Take an owner's memory for complete only if nobody can have written since it was read

Cause: a kept submission counted as a job that has not run.

Change: a submission is used only under the ownership entry with which it came, and only if this process has not opened the job under it; else the store is read. A job that is opened again under one entry is unresolved until the next write is carried out. A write that is found in the store resolves an unknown outcome and says nothing of what comes after it.

--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -24,6 +24,8 @@
     pub chunk_ends: BTreeMap<usize, usize>,
     /// Where a watch for further results can start.
     pub watch_start: WatchStart,
+    /// Revision of the ownership entry under which this process opened the job last; `None` if it has not.
+    pub opened_under: Option<u64>,
 }
 
 /// A job that was submitted or handed over to this process, which does not run it yet.
@@ -35,6 +37,8 @@
     pub body: Bytes,
     /// The previous owner's state of the job; `None` if the job has not run before.
     pub ledger: Option<LedgerState>,
+    /// Revision of the ownership entry with which the job was submitted or handed over; `None` if it had no owner.
+    pub owner_revision: Option<u64>,
 }
 
 /// A running job whose submission and stored results have been read.
@@ -55,8 +59,6 @@
     pending: HashMap<SharedName, PendingJob>,
     /// Jobs that this process runs; `None` until they are opened.
     running: HashMap<SharedName, Option<OpenedJob>>,
-    /// Jobs that this process stopped to run before the outcome of its last write of results was known.
-    unresolved: HashSet<SharedName>,
     /// Results of jobs that this process runs or ran, readable without the store.
     results: ResultCache,
     /// Submission times of the running jobs that have waiting items, by route and job.
@@ -72,7 +74,6 @@
             ended: HashSet::new(),
             pending: HashMap::new(),
             running: HashMap::new(),
-            unresolved: HashSet::new(),
             results: ResultCache::new(results_bytes_max),
             waiting: BTreeMap::new(),
         }
@@ -87,6 +88,7 @@
             settled: false,
             chunk_ends: BTreeMap::new(),
             watch_start: WatchStart::default(),
+            opened_under: None,
         });
     }
 
@@ -111,7 +113,6 @@
         self.jobs.remove(job);
         self.ended.remove(job);
         self.pending.remove(job);
-        self.unresolved.remove(job);
         self.results.remove(job);
     }
 
@@ -180,26 +181,36 @@
         results: Vec<ResultEntry>,
         owner_revision: u64,
     ) {
-        let is_unresolved = self.unresolved.remove(job);
-        let listing = if is_unresolved { ListingRecord::default() } else { ListingRecord::new(owner_revision) };
+        let was_opened = self.is_opened_under(job, owner_revision);
+        // A write that was sent under the same entry before may still be carried out.
+        let listing = if was_opened { ListingRecord::unresolved() } else { ListingRecord::new(owner_revision) };
+        if let Some(view) = self.jobs.get_mut(job) {
+            view.opened_under = Some(owner_revision);
+        }
         self.running.insert(job.clone(), Some(OpenedJob { submission, listing }));
         self.results.insert(job.clone(), results);
     }
 
+    /// Whether this process has opened `job` under the ownership entry of `owner_revision` before.
+    #[must_use]
+    pub fn is_opened_under(&self, job: &str, owner_revision: u64) -> bool {
+        self.jobs.get(job).is_some_and(|view| view.opened_under == Some(owner_revision))
+    }
+
     /// What this process knows of the stored results of a job that it runs; `None` if it does not run the job.
     pub fn listing_mut(&mut self, job: &str) -> Option<&mut ListingRecord> {
         self.running.get_mut(job)?.as_mut().map(|opened| &mut opened.listing)
     }
 
-    /// Caches further `results` of a running job, which are stored from position `first` on. They are complete under the
-    /// ownership entry of `owner_revision`; with `None`, another process may have stored more.
-    pub fn results_stored(&mut self, job: &str, first: usize, results: &[ResultEntry], owner_revision: Option<u64>) {
+    /// Caches further `results` of a running job, which are stored from position `first` on: just written under the ownership
+    /// entry of `written_under`, or, with `None`, found in the store.
+    pub fn results_stored(&mut self, job: &str, first: usize, results: &[ResultEntry], written_under: Option<u64>) {
         self.chunk_stored(job, first, first + results.len());
         self.results.append(job, first, results);
         let Some(listing) = self.listing_mut(job) else { return };
-        match owner_revision {
+        match written_under {
             Some(owner_revision) => listing.write_stored(owner_revision),
-            None => listing.write_superseded(),
+            None => listing.write_found(),
         }
     }
 
@@ -225,10 +236,7 @@
 
     /// Removes `job`, which this process no longer runs, from the running and the waiting jobs.
     pub fn job_released(&mut self, job: &str) {
-        let opened = self.running.remove(job).flatten();
-        if opened.is_some_and(|opened| opened.listing.is_unresolved()) && !self.is_ended(job) {
-            self.unresolved.insert(job.into());
-        }
+        self.running.remove(job);
         self.waiting.retain(|(_, waiting_job), _| **waiting_job != *job);
     }
 
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -55,7 +55,14 @@
     let entry =
         decode::<JobEntry>(&store_entry.value).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
     let ended = store.get(&KeyLayout::end_key(job)).await?.is_some();
-    Ok(Some(JobView { entry, ended, settled: false, chunk_ends: BTreeMap::new(), watch_start: WatchStart::default() }))
+    Ok(Some(JobView {
+        entry,
+        ended,
+        settled: false,
+        chunk_ends: BTreeMap::new(),
+        watch_start: WatchStart::default(),
+        opened_under: None,
+    }))
 }
 
 /// Reads results from the job's owner, or else from the store. Waits until at least one is stored or the query's wait
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -158,6 +158,10 @@
     pending: Option<PendingJob>,
     owner_revision: u64,
 ) -> Result<JobInputs, StoreError> {
+    // The job may have run meanwhile if this is not the ownership entry with which it came to this process.
+    let pending = pending.filter(|pending| {
+        pending.owner_revision == Some(owner_revision) && !state.jobs().is_opened_under(id, owner_revision)
+    });
     match pending {
         // A job that has not run before has no stored results or checkpoints.
         Some(pending) if pending.ledger.is_none() => {
@@ -173,7 +177,7 @@
                 read_all_results(state, store, id),
                 read_checkpoints(store, id)
             )?;
-            let pending = PendingJob { submission: Arc::new(submission), body, ledger: None };
+            let pending = PendingJob { submission: Arc::new(submission), body, ledger: None, owner_revision: None };
             Ok(JobInputs { owner_revision, pending, results, checkpoints })
         }
     }
@@ -189,7 +193,7 @@
     inputs: JobInputs,
 ) -> Option<OwnedJob> {
     let JobInputs { owner_revision, pending, results, checkpoints } = inputs;
-    let PendingJob { submission, body, ledger: previous_ledger } = pending;
+    let PendingJob { submission, body, ledger: previous_ledger, .. } = pending;
     let entry = state.jobs().get(id)?.entry.clone();
     let revision = state.ownership().owner(id)?.revision;
     let age_ms = state.unix_ms().saturating_sub(entry.submitted_unix_ms);
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -254,7 +254,12 @@
         if !jobs.has_state(&job.id) {
             jobs.add_pending(
                 job.id.clone(),
-                PendingJob { submission: job.submission.clone(), body: job.body.clone(), ledger },
+                PendingJob {
+                    submission: job.submission.clone(),
+                    body: job.body.clone(),
+                    ledger,
+                    owner_revision: owner.as_ref().map(|owner| owner.revision),
+                },
             );
         }
     }
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -127,8 +127,8 @@
     }
     match job.store.commit(&commit).await {
         Ok(CommitOutcome::Committed(revision)) => {
-            let owner_revision = Some(job.owner_revision.get());
-            results.into_iter().for_each(|results| results_stored(job, &results.entry, revision, owner_revision));
+            let written_under = Some(job.owner_revision.get());
+            results.into_iter().for_each(|results| results_stored(job, &results.entry, revision, written_under));
             checkpoint.into_iter().for_each(|checkpoint| checkpoint_stored(job, checkpoint, revision));
             WriteOutcome::Continue
         }
@@ -183,28 +183,28 @@
             job.ledger.borrow_mut().checkpoint_conflicted(checkpoint.number);
         }
     }
-    let owner_revision = stored_entry(&KeyLayout::owner_key(&job.id))
-        .map(|store_entry| store_entry.revision)
-        .filter(|revision| *revision == job.owner_revision.get());
+    let owner_entry = stored_entry(&KeyLayout::owner_key(&job.id));
+    if owner_entry.is_none_or(|store_entry| store_entry.revision != job.owner_revision.get()) {
+        update_listing(job, ListingRecord::write_superseded);
+    }
     let Some(results) = results else { return WriteOutcome::Continue };
     match stored_entry(&results.key) {
         Some(store_entry) if store_entry.value == results.value => {
-            results_stored(job, &results.entry, store_entry.revision, owner_revision);
+            results_stored(job, &results.entry, store_entry.revision, None);
         }
         Some(_) => {
             LogLine::new("results_conflict").field("job", &job.id).field("first", results.entry.first_position).warn();
             write_failed(job, ListingRecord::write_superseded);
             return WriteOutcome::Superseded;
         }
-        None if owner_revision.is_some() => write_failed(job, ListingRecord::write_refused),
-        None => write_failed(job, ListingRecord::write_superseded),
+        None => write_failed(job, ListingRecord::write_refused),
     }
     WriteOutcome::Continue
 }
 
-/// Removes stored results from the ledger, and publishes them to readers. `owner_revision` is that of the ownership entry, if the
-/// store still held it then.
-fn results_stored(job: &OwnedJob, entry: &ResultsEntry, revision: u64, owner_revision: Option<u64>) {
+/// Removes stored results from the ledger, and publishes them to readers. `written_under` is the revision of the ownership entry
+/// under which they were just written; `None` if the store held them already.
+fn results_stored(job: &OwnedJob, entry: &ResultsEntry, revision: u64, written_under: Option<u64>) {
     LogLine::new("results_listed")
         .field("job", &job.id)
         .field("first", entry.first_position)
@@ -212,7 +212,7 @@
         .field("revision", revision)
         .info();
     job.ledger.borrow_mut().chunk_stored(entry.first_position);
-    job.state.jobs().results_stored(&job.id, entry.first_position, &entry.results, owner_revision);
+    job.state.jobs().results_stored(&job.id, entry.first_position, &entry.results, written_under);
     job.state.results_listed.notify_waiters();
 }
 
--- a/crates/kernel/src/read/listing_record.rs
+++ b/crates/kernel/src/read/listing_record.rs
@@ -54,17 +54,30 @@
         Self { complete_under: Some(owner_revision), ..Self::default() }
     }
 
+    /// Creates the record of a job that this process has run before under the same ownership entry: an earlier write may still be
+    /// carried out, until the next one is.
+    #[must_use]
+    pub fn unresolved() -> Self {
+        Self { is_outcome_unknown: true, ..Self::default() }
+    }
+
     /// Records that a write of the next results is sent.
     pub fn write_sent(&mut self) {
         self.is_writing = true;
     }
 
-    /// Records that the results of the write are stored, and in memory, under the ownership entry of `owner_revision`. An earlier
-    /// write of the same position is then without effect.
+    /// Records that the write was carried out under the ownership entry of `owner_revision`, and its results are in memory. No
+    /// result was stored after them then, and an earlier write of the same position is without effect.
     pub fn write_stored(&mut self, owner_revision: u64) {
         *self = Self::new(owner_revision);
     }
 
+    /// Records that the store holds the results of the write already, and they are in memory. Others may be stored after them.
+    pub fn write_found(&mut self) {
+        self.is_writing = false;
+        self.is_outcome_unknown = false;
+    }
+
     /// Records that the write was not carried out and will not be; an earlier one without an answer still may.
     pub fn write_refused(&mut self) {
         self.is_writing = false;
@@ -82,12 +95,6 @@
         self.complete_under = None;
     }
 
-    /// Whether a write has been sent whose outcome is not known.
-    #[must_use]
-    pub const fn is_unresolved(&self) -> bool {
-        self.is_writing || self.is_outcome_unknown
-    }
-
     /// What the owner can say at `now` of a position at which it holds no result.
     #[must_use]
     pub fn view(&self, standing: &OwnerStanding, now: TimePoint) -> OwnerView {
