Claim a job only if its end is not stored

A daemon that had received the removal of a job's owner but not the end yet claimed the ended job and could list more results, which no other daemon expects after the end. The claim now expects that the end mark does not exist. No test of its own beyond the machine; the 15 process tests of jobs pass.

--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -36,14 +36,16 @@
     }
 }
 
-/// Writes this daemon as the owner of a job under its lease, unless another daemon was faster.
+/// Writes this daemon as the owner of a job under its lease, unless another daemon was faster or the job has ended.
 async fn claim_job(state: &EdgeState, store: &StoreAccess, claim: &DueClaim, lease: u64) {
     let entry = match encode(&state.daemon_entry()) {
         Ok(entry) => entry,
         Err(error) => return LogLine::new("job_claim_failed").field("job", &claim.job).field("reason", error).warn(),
     };
     let key = KeyLayout::owner_key(&claim.job);
-    let commit = StoreCommit::default().expect(key.clone(), claim.replaced_revision).put(key, entry, lease);
+    // The end may be stored although this daemon has only read the removal of the owner yet.
+    let condition = StoreCommit::default().expect(KeyLayout::end_key(&claim.job), 0);
+    let commit = condition.expect(key.clone(), claim.replaced_revision).put(key, entry, lease);
     match store.commit(&commit).await {
         Ok(CommitOutcome::Committed(revision)) => {
             LogLine::new("job_claimed")
