Test reads after a page that a large text ended

The test reads five texts of 600, 400 or 250 kB page by page, with a wait, at an edge whose owner is killed or whose job has ended; another edge has read all.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -1,6 +1,6 @@
 //! Tests of reads of a job's results: a result that was read at one edge is there at every edge, after each failure.
 
-use crate::support::{EdgeSite, ROSE_KEY, job_item, job_submission, wait_for};
+use crate::support::{EdgeSite, ROSE_KEY, RawAnswer, RawServer, job_item, job_submission, wait_for};
 use futures_util::future;
 use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault};
 use serde_json::Value;
@@ -454,3 +454,68 @@
     let failures = listed.into_failures(&site).await;
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Why an edge reads results from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreReadCause {
+    OwnerKilled,
+    JobEnded,
+}
+
+/// Guards against the end of a page that is taken for the end of the results, because the next text does not fit into it.
+#[actix_rt::test]
+async fn the_end_of_a_page_hides_no_result_after_it() {
+    let mut failures = Vec::new();
+    for cause in [StoreReadCause::OwnerKilled, StoreReadCause::JobEnded] {
+        for text_bytes in [600_000, 400_000, 250_000] {
+            failures.extend(read_pages_of_large_texts(cause, text_bytes).await);
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Reads the results of a job whose texts have `text_bytes` bytes page by page at an edge that reads the store. Returns the
+/// reads that failed.
+async fn read_pages_of_large_texts(cause: StoreReadCause, text_bytes: usize) -> Vec<String> {
+    const ITEMS: usize = 5;
+    const EVENT_BYTES: usize = 10_000;
+    let mut site = EdgeSite::start(3).await;
+    let events: String = (1..=text_bytes / EVENT_BYTES)
+        .map(|number| format!("id: {number}\ndata: {}\n\n", "t".repeat(EVENT_BYTES - 1)))
+        .collect();
+    let head = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-signature: raw\r\nweight-versions: 1\r\n";
+    let body_head = format!("content-type: text/event-stream\r\ncontent-length: {}\r\n\r\n", events.len());
+    let answer = RawAnswer { first: format!("{head}{body_head}{events}"), ..RawAnswer::default() };
+    let server = RawServer::start(answer).await;
+    site.register("large", "engine", server.address, "ready", 1);
+    site.engines.iter().for_each(PlatformUpstream::start_draining);
+    actix_rt::time::sleep(APPLY_TIME).await;
+    let items: Vec<Value> = (0..ITEMS).map(|number| job_item(&format!("item-{number}"), 1, false)).collect();
+    assert_eq!(site.submit_job(0, JOB, &job_submission(1, &items)).await.status, 202);
+    let (owner, others) = owner_and_others(&site).await;
+    let mut listed = ListedResults::default();
+    let results = site.all_results(others[1], JOB).await;
+    assert_eq!(results[0]["text"].as_str().map(str::len), Some(text_bytes - 1));
+    listed.record(0, ResultsPage { results, received_at: Instant::now() }, "first read");
+    if cause == StoreReadCause::JobEnded {
+        end_job(&site, others[1]).await;
+    }
+    settle().await;
+    if cause == StoreReadCause::OwnerKilled {
+        site.edges[owner].process.kill();
+    }
+    let case = format!("{cause:?}, {text_bytes} bytes");
+    let mut position = 0;
+    while position < ITEMS {
+        let page =
+            wait_for("the edge answers", || async { read_page(&site, others[0], position, true).await.ok() }).await;
+        if page.results.is_empty() {
+            listed.failures.push(format!("{case}: nothing at position {position}"));
+            break;
+        }
+        assert!(page.results.len() < ITEMS, "the results do not fit into one page");
+        position += page.results.len();
+        listed.record(position - page.results.len(), page, &case);
+    }
+    listed.into_failures(&site).await
+}
