Remember an absence only after a page that no limit of size has cut

What callers saw: after a page that ended before a large result, a read that waits for the next one returned nothing, although the result was stored.

Cause: the reader recorded the end of the results after a page whose texts were smaller than the limit. A page of 600 kB that stops before another 600 kB is smaller than 900 kB too.

Change: the reader records it only if all entries that it received fitted.

--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -164,8 +164,8 @@
         StoreChange::Removed { .. } => None,
     });
     let mut results = Vec::new();
-    append_consecutive(state, job, written_entries, query, &mut results)?;
-    if total_text_bytes(&results) < query.bytes_max {
+    let is_complete = append_consecutive(state, job, written_entries, query, &mut results)?;
+    if is_complete {
         state.jobs().absence_observed(job, query.position + results.len(), batch.revision);
     }
     let absence = AbsenceProof::from_store_call(query.arrived_at, sent_at, batch.revision);
@@ -188,12 +188,11 @@
         let page: RangePage = store.page(&prefix, after.as_deref()).await?;
         after = page.entries.last().map(|store_entry| store_entry.key.clone()).or(after);
         let has_more = page.has_more && !page.entries.is_empty();
-        append_consecutive(state, job, page.entries.into_iter(), query, &mut results)?;
-        let is_full = total_text_bytes(&results) >= query.bytes_max;
-        if has_more && !is_full {
+        let is_complete = append_consecutive(state, job, page.entries.into_iter(), query, &mut results)?;
+        if has_more && is_complete {
             continue;
         }
-        if !is_full {
+        if is_complete {
             state.jobs().absence_observed(job, position + results.len(), page.revision);
         }
         let absence = AbsenceProof::from_store_call(query.arrived_at, sent_at, page.revision);
@@ -207,14 +206,14 @@
 }
 
 /// Decodes the chunks in `store_entries`, and appends those results that continue `results`, the first of which is at the
-/// query's position.
+/// query's position. Returns false if it stopped before a result with which the texts would exceed the query's limit.
 fn append_consecutive(
     state: &EdgeState,
     job: &str,
     store_entries: impl Iterator<Item = StoreEntry>,
     query: &ResultsQuery,
     results: &mut Vec<Arc<ResultEntry>>,
-) -> Result<()> {
+) -> Result<bool> {
     let mut bytes = total_text_bytes(results);
     for store_entry in store_entries {
         let entry: ResultsEntry =
@@ -226,12 +225,12 @@
             }
             bytes += result.text.len();
             if bytes > query.bytes_max && !results.is_empty() {
-                return Ok(());
+                return Ok(false);
             }
             results.push(Arc::new(result));
         }
     }
-    Ok(())
+    Ok(true)
 }
 
 /// The encoded submission, joined from its stored parts.
