Process tests: keep the log of a process when its edge is started again

A restart emptied the log file, so that a failed soak had only the lines of the last process of each edge: what an edge had remembered before its owner was restarted could not be traced. The file of the process that is running has the same name as before; that of an earlier one has its number (edge-0.1.log).

--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -5,7 +5,7 @@
 use awc::{Client, ClientResponse, error::SendRequestError, http::Method};
 use pimentoslip_standin::{PlatformProvider, PlatformStore, PlatformUpstream, TcpRelay, UpstreamSettings};
 use serde_json::{Value, json};
-use std::{net::SocketAddr, time::Duration};
+use std::{fs, net::SocketAddr, time::Duration};
 
 /// API key of the organisation `rose`.
 pub const ROSE_KEY: &str = "key-of-rose";
@@ -269,9 +269,12 @@
     }
 
     /// Starts the process of an edge again, with the same settings. The previous process must have exited, since both
-    /// listen on the same addresses.
+    /// listen on the same addresses. Its log is kept under another name.
     pub fn restart_edge(&mut self, edge: usize) {
         let (vm, settings_path) = (self.edges[edge].vm.clone(), self.edges[edge].settings_path.clone());
+        let mut paths = (1..).map(|number| self.workdir.path(&format!("{vm}.{number}.log")));
+        let kept_log = paths.find(|path| !path.exists()).expect("a free name");
+        fs::rename(self.workdir.path(&format!("{vm}.log")), kept_log).expect("keep the log of the previous process");
         self.edges[edge].process = self.spawn_edge(&vm, &settings_path);
     }
 
