Soak: read the results of open and ended jobs during the faults, end jobs, and judge each response by the earlier ones

Now two readers of each job ask random edges about once a second each: from the first position, from a random one, or after the last known result, most with Wait-Ms. Three of four jobs are ended, after a random time or as soon as a result is read, at a random edge, and the end is sent again to another one. Half of the items take two seconds, so that jobs are open for a while.

The oracle keeps what callers have received. A request that is sent more than 1 s (settleMs) after a result was received must not be answered with 200 and nothing at its position, nor with 404 more than 1 s after the 202; a position keeps its result, an item stands at one position, total and next are right, a text is whole, and only items of a job whose end was sent may be terminated. It counts from when a request was sent, at every edge; 503, 504 and no answer are allowed during the faults. Afterwards every known result is read again at every edge from position 0, where these do not help. A failure prints all requests on the job; the parts of the soak are in files of their own.

Also: a process that has exited does not count as ready if something answers at its port.

--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -1,15 +1,21 @@
 //! Soak on the users' platform: edges as separate processes are killed, frozen, stopped and restarted, the store and the
 //! connections to it and to the upstreams fail, upstreams misbehave, leave and are replaced by others with another software
 //! version, configurations add routes, all at random and overlapping, while callers send requests, jobs and requests for streams, and one
-//! upstream names a limit. What callers and upstreams see is compared with the promises.
+//! upstream names a limit. What callers and upstreams see is compared with the promises. During all of this, the results of
+//! open and ended jobs are read at all edges, and jobs are ended.
 //!
 //! `PIMENTOSLIP_SOAK_SEEDS=100..120` plays other seeds.
 
-use crate::support::{
-    EdgeSite, HOST, HttpAnswer, HttpClient, PathMatrix, ROSE_KEY, job_item, job_submission, wait_for,
-};
+mod fault_injector;
+mod job_callers;
+mod job_oracle;
+
+use crate::support::{EdgeSite, HOST, HttpAnswer, HttpClient, PathMatrix, ROSE_KEY, wait_for};
+use fault_injector::{FaultInjector, LeavingDesk};
 use futures_util::{StreamExt, future};
-use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault, TcpRelay, UpstreamFault};
+use job_callers::check_complete;
+use job_oracle::{JobOracle, SETTLE_TIME};
+use pimentoslip_standin::{PlatformUpstream, TcpRelay};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
@@ -22,9 +28,7 @@
 /// Seeds that every run of the tests plays.
 const SEEDS: std::ops::Range<u64> = 0..2;
 const EDGES: usize = 3;
-/// Faults of one seed.
-const FAULTS: usize = 10;
-const ITEMS: usize = 6;
+/// Events of streams and of most items of jobs.
 const EVENTS: u64 = 25;
 
 /// Requests a second that the first desk takes.
@@ -38,8 +42,6 @@
 /// Attempts of a caller to get the rest of a stream.
 const STREAM_ATTEMPTS: usize = 6;
 
-/// Ways in which paths to upstreams are lost.
-const PATH_LOSSES: [RelayRule; 4] = [RelayRule::Silence, RelayRule::Refuse, RelayRule::RefuseNew, RelayRule::Cut];
 /// Time after an upstream has said that it leaves, after which only edges without a response of it send requests there.
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
 /// Most requests that a leaving upstream may get after that: a few of each process that has not received a response of it.
@@ -47,8 +49,8 @@
 
 /// Organisations and keys of all configurations.
 const KEYS: [(&str, &str); 1] = [("rose", ROSE_KEY)];
-/// Key of the entry that names the holder of the duty.
-const DUTY_KEY: &str = "p/w/duty";
+/// Time after the faults for which jobs are still read and ended.
+const CALM_TIME: Duration = Duration::from_secs(3);
 
 /// Time after which a caller gives up, for example on a frozen edge.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -70,8 +72,12 @@
     edges: Vec<String>,
     /// Whether the faults are over.
     is_calm: Cell<bool>,
+    /// Whether the jobs are no longer read.
+    is_over: Cell<bool>,
     /// Batch routes that were added, besides the first one.
     routes: RefCell<Vec<String>>,
+    /// Judges the responses about jobs.
+    oracle: JobOracle,
 }
 
 impl Callers {
@@ -159,147 +165,6 @@
         let complete_events = received.rsplit_once("\n\n").map_or("", |(events, _)| events);
         stream.events.extend(complete_events.split("\n\n").filter(|event| !event.is_empty()).map(str::to_owned));
     }
-
-    /// Submits jobs one after the other until the faults are over, each until it is accepted. Returns their ids.
-    async fn submit_jobs(&self, seed: u64) -> Vec<String> {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut jobs = Vec::new();
-        while !self.is_calm.get() {
-            let job = format!("job-{seed}-{}", jobs.len());
-            let items: Vec<Value> =
-                (0..ITEMS).map(|item| job_item(&format!("{job}-{item}"), EVENTS, item % 2 == 0)).collect();
-            let submission = job_submission(1, &items);
-            let route = {
-                let routes = self.routes.borrow();
-                routes.get(rng.random_range(0..=routes.len())).cloned().unwrap_or_else(|| "cards".to_owned())
-            };
-            loop {
-                let path = format!("/{route}/{job}");
-                let answer = self.send(rng.random_range(0..EDGES), "POST", &path, &job, &submission).await;
-                // An edge answers 404 until it must know a new route.
-                let is_allowed =
-                    matches!(answer.status, 0 | 202 | 502..=504) || (answer.status == 404 && route != "cards");
-                assert!(is_allowed, "seed {seed}: {job} got {answer:?}");
-                if answer.status == 202 {
-                    break;
-                }
-                actix_rt::time::sleep(Duration::from_millis(100)).await;
-            }
-            jobs.push(job);
-            actix_rt::time::sleep(Duration::from_millis(rng.random_range(0..600))).await;
-        }
-        jobs
-    }
-}
-
-/// Injects faults, several of which may last at the same time, and ends all of them.
-async fn inject_faults(
-    site: &mut EdgeSite,
-    relays: &[TcpRelay],
-    matrix: &mut PathMatrix,
-    routes: &RefCell<Vec<String>>,
-    seed: u64,
-) -> Vec<LeavingDesk> {
-    let mut leaving = Vec::new();
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut frozen = [false; EDGES];
-    for _ in 0..FAULTS {
-        let edge = rng.random_range(0..EDGES);
-        let is_stopped = site.edges[edge].process.exit_status().is_some();
-        match rng.random_range(0..20) {
-            0 | 1 if !is_stopped => {
-                site.edges[edge].process.kill();
-                frozen[edge] = false;
-            }
-            2 if !is_stopped && !frozen[edge] => site.edges[edge].process.terminate(),
-            3 | 4 if !is_stopped => {
-                site.edges[edge].process.freeze();
-                frozen[edge] = true;
-            }
-            5 => relays[edge].set_rule(RelayRule::Stall),
-            6 => relays[edge].set_rule(RelayRule::Cut),
-            7 => site.store.set_fault(StoreFault { down: true, ..StoreFault::default() }),
-            8 => site.store.set_fault(StoreFault { lose_commits: rng.random_range(1..4), ..StoreFault::default() }),
-            9 => {
-                let engine = rng.random_range(0..site.engines.len());
-                site.engines[engine].stop().await;
-                let id = format!("engine-{}", site.engines.len() + 1);
-                site.start_engine_with(&id, SOFTWARE[rng.random_range(0..SOFTWARE.len())]);
-                matrix.add_upstreams(site).await;
-            }
-            12 | 13 => matrix.set_all(edge, PATH_LOSSES[rng.random_range(0..PATH_LOSSES.len())]),
-            14 => {
-                let upstreams: Vec<&PlatformUpstream> = site.desks.iter().chain(&site.engines).collect();
-                let address = upstreams[rng.random_range(0..upstreams.len())].address;
-                matrix.set(edge, address, PATH_LOSSES[rng.random_range(0..PATH_LOSSES.len())]);
-            }
-            15 if leaving.is_empty() => {
-                let desk = site.desks[1].clone();
-                desk.announce_leaving(true);
-                leaving.push(LeavingDesk { desk, announced_at: Instant::now() });
-            }
-            16 if !is_stopped => {
-                site.edges[edge].process.freeze();
-                frozen[edge] = true;
-                let mut routes = routes.borrow_mut();
-                let name = format!("new-{}", routes.len());
-                routes.push(name);
-                site.write_config_with(2 + routes.len() as u64, &KEYS, &routes);
-            }
-            17 => {
-                let lost_writes = Some((DUTY_KEY, rng.random_range(1..4)));
-                site.store.set_fault(StoreFault { lost_writes, ..StoreFault::default() });
-            }
-            18 => {
-                let engine = rng.random_range(0..site.engines.len());
-                site.engines[engine].set_faults([UpstreamFault::SpoilAfter(2), UpstreamFault::SpoilAfter(9)]);
-            }
-            19 => {
-                let engine = rng.random_range(0..site.engines.len());
-                site.engines[engine].set_faults([UpstreamFault::EndlessAfter(1), UpstreamFault::EndlessAfter(0)]);
-            }
-            10 => {
-                let engine = rng.random_range(0..site.engines.len());
-                site.engines[engine].set_faults([UpstreamFault::CutAfter(3), UpstreamFault::CutAfter(12)]);
-            }
-            _ => {
-                let faults =
-                    [UpstreamFault::LoseAnswer, UpstreamFault::Truncate, UpstreamFault::WrongId, UpstreamFault::Refuse];
-                let upstreams: Vec<&PlatformUpstream> = site.desks.iter().chain(&site.engines).collect();
-                upstreams[rng.random_range(0..upstreams.len())].set_faults(faults);
-            }
-        }
-        actix_rt::time::sleep(Duration::from_millis(rng.random_range(50..900))).await;
-        // One of the faults of before may end.
-        let edge = rng.random_range(0..EDGES);
-        if rng.random_bool(0.7) {
-            heal(site, relays, matrix, edge, &mut frozen);
-        }
-        if rng.random_bool(0.5) {
-            site.store.set_fault(StoreFault::default());
-        }
-    }
-    (0..EDGES).for_each(|edge| heal(site, relays, matrix, edge, &mut frozen));
-    site.store.set_fault(StoreFault::default());
-    leaving
-}
-
-/// A desk that says in its responses that it leaves, while the store lists it as ready.
-struct LeavingDesk {
-    desk: PlatformUpstream,
-    announced_at: Instant,
-}
-
-/// Ends the faults of an edge.
-fn heal(site: &mut EdgeSite, relays: &[TcpRelay], matrix: &PathMatrix, edge: usize, frozen: &mut [bool; EDGES]) {
-    relays[edge].set_rule(RelayRule::Pass);
-    matrix.set_all(edge, RelayRule::Pass);
-    if std::mem::take(&mut frozen[edge]) {
-        site.edges[edge].process.resume();
-    }
-    if site.edges[edge].process.exit_status().is_some() {
-        site.restart_edge(edge);
-    }
 }
 
 /// Plays one seed and compares what callers and upstreams saw with the promises.
@@ -319,24 +184,34 @@
     }
     site.wait_ready().await;
     let edges = (0..EDGES).map(|edge| site.url(edge, "")).collect();
-    let callers = Callers { http: HttpClient::new(), edges, is_calm: Cell::new(false), routes: RefCell::default() };
+    let callers = Callers {
+        http: HttpClient::new(),
+        edges,
+        is_calm: Cell::new(false),
+        is_over: Cell::new(false),
+        routes: RefCell::default(),
+        oracle: JobOracle::new(seed),
+    };
     let faults = async {
-        let leaving = inject_faults(&mut site, &relays, &mut matrix, &callers.routes, seed).await;
+        let leaving = FaultInjector::new(&mut site, &relays, &mut matrix, &callers.routes, seed).run().await;
         callers.is_calm.set(true);
+        actix_rt::time::sleep(CALM_TIME).await;
+        callers.is_over.set(true);
         leaving
     };
     let started_at = Instant::now();
-    let (quotes, orders, jobs, streams, leaving) = future::join5(
+    let requests = future::join5(
         callers.send_requests("/quote/roses", "quote", seed),
         callers.send_requests("/once/order", "order", seed),
         callers.submit_jobs(seed),
         callers.read_streams(seed),
         faults,
-    )
-    .await;
+    );
+    let ((quotes, orders, jobs, streams, leaving), ()) = future::join(requests, callers.use_jobs(seed)).await;
     // An edge that was asked to stop exits by itself, and is started again.
     for edge in 0..EDGES {
-        while site.readiness_status(edge).await != 200 {
+        // The port of a process that has exited may be taken by another test.
+        while site.edges[edge].process.exit_status().is_some() || site.readiness_status(edge).await != 200 {
             if site.edges[edge].process.exit_status().is_some() {
                 site.restart_edge(edge);
             }
@@ -354,9 +229,14 @@
     check_limit(&site.desks[0], started_at, seed);
     leaving.iter().for_each(|leaving| check_leaving(leaving, seed));
     check_orders(&site, &orders, seed);
+    actix_rt::time::sleep(SETTLE_TIME).await;
     for job in &jobs {
-        check_job(&site, job, seed).await;
+        if !callers.oracle.is_end_sent(job) {
+            check_complete(&site, &callers.oracle, job).await;
+        }
+        callers.read_again(job).await;
     }
+    println!("seed {seed}: {}", callers.oracle.summary());
 }
 
 /// A stream has its events in order, each once, all of one software version.
@@ -408,27 +288,6 @@
     assert!(calls.iter().all(|call| !call.has_key), "seed {seed}: a key reached an upstream");
 }
 
-/// Each item of an accepted job is listed once with its whole text, at the same position at every edge. None is terminated: no
-/// upstream answers 500, and no route is removed.
-async fn check_job(site: &EdgeSite, job: &str, seed: u64) {
-    let results = site.all_results(0, job).await;
-    assert_eq!(results.len(), ITEMS, "seed {seed}: {job}");
-    for edge in 1..EDGES {
-        assert_eq!(site.all_results(edge, job).await, results, "seed {seed}: {job} at edge {edge}");
-    }
-    for item in 0..ITEMS {
-        let id = format!("{job}-{item}");
-        let listed: Vec<&Value> = results.iter().filter(|result| result["id"] == id).collect();
-        assert_eq!(listed.len(), 1, "seed {seed}: {id}");
-        assert_eq!(listed[0]["state"], "completed", "seed {seed}: {}", listed[0]);
-        let text_of = |software: &str| {
-            let suffix = if software == SOFTWARE[0] { String::new() } else { format!("@{software}") };
-            (1..=EVENTS).map(|number| format!("{id}:{number}{suffix}")).collect::<Vec<_>>().join("\n")
-        };
-        assert!(SOFTWARE.iter().any(|software| listed[0]["text"] == text_of(software)), "seed {seed}: {}", listed[0]);
-    }
-}
-
 /// The seeds to play: those of `PIMENTOSLIP_SOAK_SEEDS`, as `FIRST..END`, or the usual ones.
 fn seeds() -> std::ops::Range<u64> {
     let requested = std::env::var("PIMENTOSLIP_SOAK_SEEDS").ok();
--- /dev/null
+++ b/crates/cli/tests/processes/soak/fault_injector.rs
@@ -0,0 +1,182 @@
+//! Injects the faults of a seed.
+
+use super::{EDGES, KEYS, SOFTWARE};
+use crate::support::{EdgeSite, PathMatrix};
+use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault, TcpRelay, UpstreamFault};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+/// Faults of one seed.
+const FAULTS: usize = 10;
+/// Ways in which paths to upstreams are lost.
+const PATH_LOSSES: [RelayRule; 4] = [RelayRule::Silence, RelayRule::Refuse, RelayRule::RefuseNew, RelayRule::Cut];
+/// Key of the entry that names the holder of the duty.
+const DUTY_KEY: &str = "p/w/duty";
+
+/// A desk that says in its responses that it leaves, while the store lists it as ready.
+pub struct LeavingDesk {
+    /// The desk.
+    pub desk: PlatformUpstream,
+    /// Time of its first response that says so.
+    pub announced_at: Instant,
+}
+
+/// Parts of a site in which faults are injected, several of which may last at the same time.
+pub struct FaultInjector<'a> {
+    /// The site.
+    pub site: &'a mut EdgeSite,
+    /// Relay between each edge and the store.
+    pub relays: &'a [TcpRelay],
+    /// Relays between edges and upstreams.
+    pub matrix: &'a mut PathMatrix,
+    /// Batch routes that were added.
+    pub routes: &'a RefCell<Vec<String>>,
+    rng: ChaCha8Rng,
+    is_suspended: [bool; EDGES],
+    leaving: Vec<LeavingDesk>,
+}
+
+impl<'a> FaultInjector<'a> {
+    /// Creates the injector of the faults of `seed`.
+    pub fn new(
+        site: &'a mut EdgeSite,
+        relays: &'a [TcpRelay],
+        matrix: &'a mut PathMatrix,
+        routes: &'a RefCell<Vec<String>>,
+        seed: u64,
+    ) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { site, relays, matrix, routes, rng, is_suspended: [false; EDGES], leaving: Vec::new() }
+    }
+
+    /// Injects all faults and ends them. Returns the desks that leave.
+    pub async fn run(mut self) -> Vec<LeavingDesk> {
+        for _ in 0..FAULTS {
+            match self.rng.random_range(0..20) {
+                fault @ (0..=4 | 16) => self.fail_processes(fault),
+                fault @ (5..=8 | 17) => self.fail_store(fault),
+                fault @ (9 | 12..=15) => self.fail_paths(fault).await,
+                fault => self.fail_responses(fault),
+            }
+            actix_rt::time::sleep(Duration::from_millis(self.rng.random_range(50..900))).await;
+            // One of the faults of before may end.
+            let edge = self.rng.random_range(0..EDGES);
+            if self.rng.random_bool(0.7) {
+                self.heal(edge);
+            }
+            if self.rng.random_bool(0.5) {
+                self.site.store.set_fault(StoreFault::default());
+            }
+        }
+        (0..EDGES).for_each(|edge| self.heal(edge));
+        self.site.store.set_fault(StoreFault::default());
+        self.leaving
+    }
+
+    /// Kills, stops or suspends edges.
+    fn fail_processes(&mut self, fault: u32) {
+        let edge = self.rng.random_range(0..EDGES);
+        let process = &mut self.site.edges[edge].process;
+        if process.exit_status().is_some() {
+            return self.fail_responses(fault);
+        }
+        match fault {
+            0 | 1 => {
+                process.kill();
+                self.is_suspended[edge] = false;
+            }
+            2 if !self.is_suspended[edge] => process.terminate(),
+            3 | 4 => self.suspend(edge),
+            16 => {
+                self.suspend(edge);
+                let mut routes = self.routes.borrow_mut();
+                let name = format!("new-{}", routes.len());
+                routes.push(name);
+                self.site.write_config_with(2 + routes.len() as u64, &KEYS, &routes);
+            }
+            _ => self.fail_responses(fault),
+        }
+    }
+
+    fn suspend(&mut self, edge: usize) {
+        self.site.edges[edge].process.freeze();
+        self.is_suspended[edge] = true;
+    }
+
+    /// Breaks the connections of an edge to the store, or the store itself.
+    fn fail_store(&mut self, fault: u32) {
+        let edge = self.rng.random_range(0..EDGES);
+        let count = self.rng.random_range(1..4);
+        let set_fault = |fault| self.site.store.set_fault(fault);
+        match fault {
+            5 => self.relays[edge].set_rule(RelayRule::Stall),
+            6 => self.relays[edge].set_rule(RelayRule::Cut),
+            7 => set_fault(StoreFault { down: true, ..StoreFault::default() }),
+            8 => set_fault(StoreFault { lose_commits: count, ..StoreFault::default() }),
+            _ => set_fault(StoreFault { lost_writes: Some((DUTY_KEY, count)), ..StoreFault::default() }),
+        }
+    }
+
+    /// Breaks paths to upstreams, or stops upstreams.
+    async fn fail_paths(&mut self, fault: u32) {
+        let edge = self.rng.random_range(0..EDGES);
+        let loss = PATH_LOSSES[self.rng.random_range(0..PATH_LOSSES.len())];
+        match fault {
+            9 => {
+                let engine = self.rng.random_range(0..self.site.engines.len());
+                self.site.engines[engine].stop().await;
+                let id = format!("engine-{}", self.site.engines.len() + 1);
+                self.site.start_engine_with(&id, SOFTWARE[self.rng.random_range(0..SOFTWARE.len())]);
+                self.matrix.add_upstreams(self.site).await;
+            }
+            14 => {
+                let address = self.random_upstream().address;
+                self.matrix.set(edge, address, loss);
+            }
+            15 if self.leaving.is_empty() => {
+                let desk = self.site.desks[1].clone();
+                desk.announce_leaving(true);
+                self.leaving.push(LeavingDesk { desk, announced_at: Instant::now() });
+            }
+            15 => self.fail_responses(fault),
+            _ => self.matrix.set_all(edge, loss),
+        }
+    }
+
+    /// Lets an upstream break, spoil or refuse its next responses.
+    fn fail_responses(&mut self, fault: u32) {
+        let engine = self.rng.random_range(0..self.site.engines.len());
+        let engine = &self.site.engines[engine];
+        match fault {
+            10 => engine.set_faults([UpstreamFault::CutAfter(3), UpstreamFault::CutAfter(12)]),
+            18 => engine.set_faults([UpstreamFault::SpoilAfter(2), UpstreamFault::SpoilAfter(9)]),
+            19 => engine.set_faults([UpstreamFault::EndlessAfter(1), UpstreamFault::EndlessAfter(0)]),
+            _ => {
+                let faults =
+                    [UpstreamFault::LoseAnswer, UpstreamFault::Truncate, UpstreamFault::WrongId, UpstreamFault::Refuse];
+                self.random_upstream().set_faults(faults);
+            }
+        }
+    }
+
+    fn random_upstream(&mut self) -> PlatformUpstream {
+        let upstreams: Vec<&PlatformUpstream> = self.site.desks.iter().chain(&self.site.engines).collect();
+        upstreams[self.rng.random_range(0..upstreams.len())].clone()
+    }
+
+    /// Ends the faults of an edge.
+    fn heal(&mut self, edge: usize) {
+        self.relays[edge].set_rule(RelayRule::Pass);
+        self.matrix.set_all(edge, RelayRule::Pass);
+        if std::mem::take(&mut self.is_suspended[edge]) {
+            self.site.edges[edge].process.resume();
+        }
+        if self.site.edges[edge].process.exit_status().is_some() {
+            self.site.restart_edge(edge);
+        }
+    }
+}
--- a/crates/cli/tests/processes/support/http_client.rs
+++ b/crates/cli/tests/processes/support/http_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the public, administration and stand-in interfaces of a site.
 
-use awc::{Client, ClientRequest};
+use awc::{Client, ClientRequest, SendClientRequest};
 use serde::{Serialize, de::DeserializeOwned};
 use std::time::Duration;
 
@@ -56,15 +56,25 @@
 
     /// Sends a request with `headers` and `body` as JSON, and reads the complete answer.
     pub async fn send<Q: Serialize>(&self, method: &str, url: &str, headers: &[(&str, &str)], body: &Q) -> HttpAnswer {
-        let mut request = self.request(method, url);
-        for (name, value) in headers {
-            request = request.append_header((*name, *value));
+        Self::complete(self.request_with(method, url, headers).send_json(body)).await
+    }
+
+    /// Sends a request with `headers` and no body, and reads the complete answer.
+    pub async fn send_without_body(&self, method: &str, url: &str, headers: &[(&str, &str)]) -> HttpAnswer {
+        Self::complete(self.request_with(method, url, headers).send()).await
+    }
+
+    fn request_with(&self, method: &str, url: &str, headers: &[(&str, &str)]) -> ClientRequest {
+        let request = self.request(method, url);
+        headers.iter().fold(request, |request, header| request.append_header(*header))
+    }
+
+    /// Awaits the answer to a request that was sent, and reads it completely.
+    async fn complete(sent: SendClientRequest) -> HttpAnswer {
+        match sent.await {
+            Ok(answer) => read_answer(answer).await,
+            Err(error) => HttpAnswer { status: 0, headers: Vec::new(), body: error.to_string() },
         }
-        let answer = match request.send_json(body).await {
-            Ok(answer) => answer,
-            Err(error) => return HttpAnswer { status: 0, headers: Vec::new(), body: error.to_string() },
-        };
-        read_answer(answer).await
     }
 
     /// Reads the JSON document at `url`; `None` if the request fails or the body does not parse.
