Count a job as used under each ownership entry that its writes are bound to

If its task then fails with a write without an answer, the job is opened again under that entry, read from the store, and counts as complete, although the write may still be carried out; the owner then denies a result that others read.

The job is now marked with the last entry under which it was opened or written. The condition of a write is the revision of this process's own entry only: between two looks at the table of owners, another daemon's entry could have taken its place.

--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -24,8 +24,8 @@
     pub chunk_ends: BTreeMap<usize, usize>,
     /// Where a watch for further results can start.
     pub watch_start: WatchStart,
-    /// Revision of the ownership entry under which this process opened the job last; `None` if it has not.
-    pub opened_under: Option<u64>,
+    /// Revision of the last ownership entry under which this process opened the job or wrote its results; `None` if it has not.
+    pub used_under: Option<u64>,
 }
 
 /// A job that was submitted or handed over to this process, which does not run it yet.
@@ -88,7 +88,7 @@
             settled: false,
             chunk_ends: BTreeMap::new(),
             watch_start: WatchStart::default(),
-            opened_under: None,
+            used_under: None,
         });
     }
 
@@ -181,20 +181,32 @@
         results: Vec<ResultEntry>,
         owner_revision: u64,
     ) {
-        let was_opened = self.is_opened_under(job, owner_revision);
+        let was_used = self.is_used_under(job, owner_revision);
         // A write that was sent under the same entry before may still be carried out.
-        let listing = if was_opened { ListingRecord::unresolved() } else { ListingRecord::new(owner_revision) };
-        if let Some(view) = self.jobs.get_mut(job) {
-            view.opened_under = Some(owner_revision);
-        }
+        let listing = if was_used { ListingRecord::unresolved() } else { ListingRecord::new(owner_revision) };
+        self.set_used_under(job, owner_revision);
         self.running.insert(job.clone(), Some(OpenedJob { submission, listing }));
         self.results.insert(job.clone(), results);
     }
 
-    /// Whether this process has opened `job` under the ownership entry of `owner_revision` before.
+    /// Whether this process has opened `job` or written its results under the ownership entry of `owner_revision` before.
     #[must_use]
-    pub fn is_opened_under(&self, job: &str, owner_revision: u64) -> bool {
-        self.jobs.get(job).is_some_and(|view| view.opened_under == Some(owner_revision))
+    pub fn is_used_under(&self, job: &str, owner_revision: u64) -> bool {
+        self.jobs.get(job).is_some_and(|view| view.used_under == Some(owner_revision))
+    }
+
+    fn set_used_under(&mut self, job: &str, owner_revision: u64) {
+        if let Some(view) = self.jobs.get_mut(job) {
+            view.used_under = Some(owner_revision);
+        }
+    }
+
+    /// Records that a write of results of `job` is sent under the ownership entry of `owner_revision`.
+    pub fn write_sent(&mut self, job: &str, owner_revision: u64) {
+        self.set_used_under(job, owner_revision);
+        if let Some(listing) = self.listing_mut(job) {
+            listing.write_sent();
+        }
     }
 
     /// What this process knows of the stored results of a job that it runs; `None` if it does not run the job.
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -160,7 +160,7 @@
 ) -> Result<JobInputs, StoreError> {
     // The job may have run meanwhile if this is not the ownership entry with which it came to this process.
     let pending = pending.filter(|pending| {
-        pending.owner_revision == Some(owner_revision) && !state.jobs().is_opened_under(id, owner_revision)
+        pending.owner_revision == Some(owner_revision) && !state.jobs().is_used_under(id, owner_revision)
     });
     match pending {
         // A job that has not run before has no stored results or checkpoints.
@@ -184,7 +184,7 @@
 }
 
 /// Builds the state of the job, with a ledger that continues from the stored and the handed-over progress. `None` if
-/// the job is no longer in the index or has no owner.
+/// the job is no longer in the index.
 fn build_job(
     state: &Arc<EdgeState>,
     upstream_client: Client,
@@ -195,7 +195,6 @@
     let JobInputs { owner_revision, pending, results, checkpoints } = inputs;
     let PendingJob { submission, body, ledger: previous_ledger, .. } = pending;
     let entry = state.jobs().get(id)?.entry.clone();
-    let revision = state.ownership().owner(id)?.revision;
     let age_ms = state.unix_ms().saturating_sub(entry.submitted_unix_ms);
     let submitted_at = state.now().minus_ms(age_ms);
     let rule = state.config().and_then(|config| config.route(&entry.host, &entry.path).cloned());
@@ -217,7 +216,7 @@
         .field("checkpoints", checkpoints.len())
         .field("oldest_version", submission.oldest_version)
         .field("age_ms", age_ms)
-        .field("revision", revision)
+        .field("revision", owner_revision)
         .info();
     state.jobs().job_opened(id, submission.clone(), results, owner_revision);
     Some(OwnedJob {
@@ -230,7 +229,7 @@
         body,
         submission,
         submitted_at,
-        owner_revision: Rc::new(Cell::new(revision)),
+        owner_revision: Rc::new(Cell::new(owner_revision)),
         ledger: Rc::new(RefCell::new(ledger)),
         run_failures: Rc::default(),
         ledger_changed: Rc::new(Notify::new()),
@@ -290,8 +289,8 @@
             }
             return;
         }
-        if let Some(owner) = state.ownership().owner(&job.id) {
-            job.owner_revision.set(owner.revision);
+        if let Some(revision) = state.ownership().own_revision(&job.id) {
+            job.owner_revision.set(revision);
         }
         let now = state.now();
         let has_more = dispatch_items(job, &mut runs, now);
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -123,7 +123,7 @@
         commit = commit.expect(key.clone(), 0).put(key.clone(), value.clone(), 0);
     }
     if results.is_some() {
-        update_listing(job, ListingRecord::write_sent);
+        job.state.jobs().write_sent(&job.id, job.owner_revision.get());
     }
     match job.store.commit(&commit).await {
         Ok(CommitOutcome::Committed(revision)) => {
