Find a job that was accepted without a key for callers with and without one

What callers saw: on a batch route that needs no key, a job was accepted (202), and each read of it, of its items and its end was refused: 401 without a key, 404 with one.

Cause: the reader's organisation was compared with the job's, which is none.

Change: a job without an organisation needs no key. Without a valid key the store is asked only if some route accepts jobs without one; else 401 as before.

a_job_accepted_without_a_key_is_found_with_and_without_one fails before (401) and passes.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -519,3 +519,27 @@
     }
     listed.into_failures(&site).await
 }
+
+/// Guards against a job that was accepted without a key, on a route that needs none, and is not found afterwards.
+#[actix_rt::test]
+async fn a_job_accepted_without_a_key_is_found_with_and_without_one() {
+    let site = EdgeSite::start(2).await;
+    site.write_config_with(3, &[("rose", ROSE_KEY)], &["open".to_owned()]);
+    actix_rt::time::sleep(APPLY_TIME).await;
+    let job = job_submission(1, &[job_item("plain", 2, false)]).to_string();
+    let reply = site.send(0, "POST", &format!("/open/{JOB}"), &[("request-id", JOB)], &job).await;
+    assert_eq!(reply.status, 202, "{reply:?}");
+    let bearer = format!("Bearer {ROSE_KEY}");
+    let (lot, item) = (format!("/pimentoslip/lots/{JOB}?after=0"), format!("/pimentoslip/items/{JOB}?id=plain"));
+    let reads = [("GET", lot.as_str()), ("GET", item.as_str()), ("DELETE", lot.as_str())];
+    for headers in [vec![], vec![("authorization", bearer.as_str())]] {
+        for (method, path) in reads {
+            for edge in 0..2 {
+                let reply = site.send(edge, method, path, &headers, "").await;
+                assert_eq!(reply.status, 200, "{method} {path} at edge {edge} with {headers:?}: {reply:?}");
+            }
+        }
+    }
+    let unknown = site.send(0, "GET", "/pimentoslip/lots/unknown?after=0", &[], "").await;
+    assert_eq!(unknown.status, 401, "{unknown:?}");
+}
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -189,7 +189,7 @@
     }
 
     /// Stores a configuration like [`Self::write_config`], with one more batch route for each name in `batch_routes`, whose
-    /// prefix is the name.
+    /// prefix is the name. One whose name starts with `open` needs no key.
     pub fn write_config_with(&self, version: u64, keys: &[(&str, &str)], batch_routes: &[String]) {
         let tenants: Vec<Value> =
             keys.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "priority": 1 })).collect();
@@ -197,7 +197,7 @@
             let timeout_ms = if name.starts_with("slow") { 12_000 } else { 1_500 };
             json!({
                 "name": name, "host": HOST, "pathPrefix": prefix, "type": route_type, "timeoutMs": timeout_ms,
-                "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": name == "score",
+                "targetLatencyMs": 400, "priority": 1, "service": service, "maxAttempts": 2, "public": name == "score" || name.starts_with("open"),
                 "runTargetMs": 7_500, "retentionS": 60, "resumable": name == "talk",
             })
         };
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -84,24 +84,32 @@
     tokens.fold(0, u64::saturating_add).min(JobEntry::EXPECTED_TOKENS_MAX)
 }
 
-/// The job `id`; fails with `JobNotFound` unless the request's key belongs to the organisation that submitted the job.
+/// The job `id`; fails with `JobNotFound` unless the request's key belongs to the organisation that submitted the job. One that
+/// was accepted without a key belongs to no organisation, and needs none.
 async fn find_job(
     parts: &WorkerParts,
     context: &RequestContext,
     request: &HttpRequest,
     id: &str,
 ) -> Result<JobView, ApiRefusal> {
-    let grant = context.key_grant(request)?;
+    let grant = context.key_grant(request);
+    let is_known = parts.state.jobs().get(id).is_some_and(|view| view.entry.organisation.is_empty());
+    if let Err(refusal) = &grant
+        && !is_known
+        && !context.config.accepts_anonymous_jobs()
+    {
+        // The store is not read for a caller without a valid key.
+        return Err(*refusal);
+    }
     let view = job::read_job(&parts.state, &parts.store, id).await.map_err(|error| {
         LogLine::new("job_read_failed").field("job", id).field("reason", error).warn();
         ApiRefusal::StoreUnreachable
     })?;
-    let view = view.ok_or(ApiRefusal::JobNotFound)?;
-    let organisation = grant.map_or_else(|| "".into(), |grant| grant.organisation);
-    if view.entry.organisation != organisation {
-        return Err(ApiRefusal::JobNotFound);
+    if let Some(view) = view.as_ref().filter(|view| view.entry.organisation.is_empty()) {
+        return Ok(view.clone());
     }
-    Ok(view)
+    let organisation = grant?.map(|grant| grant.organisation);
+    view.filter(|view| Some(&view.entry.organisation) == organisation.as_ref()).ok_or(ApiRefusal::JobNotFound)
 }
 
 /// The decoded value of the query parameter `name`; `None` if it is missing.
--- a/crates/kernel/src/traffic/traffic_config.rs
+++ b/crates/kernel/src/traffic/traffic_config.rs
@@ -68,6 +68,12 @@
         self.keys.get(key)
     }
 
+    /// Whether some route accepts batch jobs without a key.
+    #[must_use]
+    pub fn accepts_anonymous_jobs(&self) -> bool {
+        self.routes().any(|rule| rule.allows_anonymous && rule.batch_rule().is_some())
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
         self.routes.values().flatten()
