Test reads at every edge around faults of edges and of the store

Two tests read the first and the last listed position at every edge, with and without a wait, during a fault, after it, after the end of the job and after a second end at another edge. Faults: restart of all, owner killed, owner suspended, end right after a listing; one edge cut off from the store, store away during the wait, history of the store discarded. The stand-in of the store can discard its history.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -78,6 +78,15 @@
         self.results.keys().next_back().copied().expect("a result was read")
     }
 
+    /// Reads at `edge` until it has returned the result at `position`.
+    async fn read_until(&mut self, site: &EdgeSite, edge: usize, position: usize) {
+        let page = wait_for("the result is listed", || async {
+            let page = read_page(site, edge, 0, true).await.ok()?;
+            (page.results.len() > position).then_some(page)
+        });
+        self.record(0, page.await, "first read");
+    }
+
     /// Reads `position` at `edge` once and checks the answer. Returns whether the read was served, or failed.
     async fn try_read(&mut self, site: &EdgeSite, edge: usize, position: usize, waits: bool, case: &str) -> bool {
         let case = format!("{case}: edge {edge}, position {position}, waits: {waits}");
@@ -107,6 +116,20 @@
         }
     }
 
+    /// Checks one answer to each read at each of `edges`.
+    async fn probe_edges(&mut self, site: &EdgeSite, edges: &[usize], case: &str) {
+        for edge in edges {
+            self.probe_edge(site, *edge, case).await;
+        }
+    }
+
+    /// Checks each read at each of `edges`, which must serve it within [`RETRY_TIME`].
+    async fn check_edges(&mut self, site: &EdgeSite, edges: &[usize], case: &str) {
+        for edge in edges {
+            self.check_edge(site, *edge, case).await;
+        }
+    }
+
     /// Checks each read at `edge`, which must serve it within [`RETRY_TIME`].
     async fn check_edge(&mut self, site: &EdgeSite, edge: usize, case: &str) {
         for (position, waits) in self.reads() {
@@ -185,19 +208,13 @@
 /// Reads at `edge` until it has returned the result at `position`, and returns all results that it has.
 async fn read_until_listed(site: &EdgeSite, edge: usize, position: usize) -> ListedResults {
     let mut listed = ListedResults::default();
-    wait_for("the result is listed", || async {
-        let page = read_page(site, edge, position, true).await.ok()?;
-        (!page.results.is_empty()).then_some(())
-    })
-    .await;
-    let page = read_page(site, edge, 0, true).await.expect("a page");
-    listed.record(0, page, "first read");
+    listed.read_until(site, edge, position).await;
     listed
 }
 
 /// Reads `position`, where nothing is listed yet, at `edge` until it says so.
 async fn read_nothing(site: &EdgeSite, edge: usize, position: usize) {
-    let page = wait_for("the edge answers", || async { read_page(site, edge, position, true).await.ok() }).await;
+    let page = read_end(site, edge, position).await;
     assert!(page.results.is_empty(), "{page:?}");
 }
 
@@ -254,10 +271,9 @@
         }
         OwnerAbsence::AllRestarted => {
             site.edges.iter_mut().for_each(|edge| edge.process.kill());
-            site.restart_edge(early_reader);
+            site.restart_edges(&[early_reader]);
             read_nothing(&site, early_reader, listed_before).await;
-            site.restart_edge(late_reader);
-            site.restart_edge(owner);
+            site.restart_edges(&[late_reader, owner]);
             site.wait_ready().await;
         }
     }
@@ -292,13 +308,9 @@
         site.edges[owner].process.resume();
         settle().await;
         let case = format!("after {listed_before} results");
-        for edge in 0..3 {
-            listed.probe_edge(&site, edge, &format!("{case}, no answer to the write")).await;
-        }
+        listed.probe_edges(&site, &[0, 1, 2], &format!("{case}, no answer to the write")).await;
         site.store.set_fault(StoreFault::default());
-        for edge in 0..3 {
-            listed.check_edge(&site, edge, &case).await;
-        }
+        listed.check_edges(&site, &[0, 1, 2], &case).await;
         failures.extend(listed.into_failures(&site).await);
     }
     assert!(failures.is_empty(), "{failures:#?}");
@@ -360,9 +372,7 @@
     }
     site.store.set_fault(StoreFault::default());
     relays[early_reader].set_rule(RelayRule::Pass);
-    for edge in others {
-        listed.check_edge(&site, edge, &format!("{case}, once the store serves")).await;
-    }
+    listed.check_edges(&site, &others, &format!("{case}, once the store serves")).await;
     listed.into_failures(&site).await
 }
 
@@ -400,9 +410,7 @@
         listed.try_read(&site, owner, 1, waits, &case).await;
     }
     others.iter().for_each(|edge| site.edges[*edge].process.resume());
-    for edge in 0..3 {
-        listed.check_edge(&site, edge, &case).await;
-    }
+    listed.check_edges(&site, &[0, 1, 2], &case).await;
     listed.into_failures(&site).await
 }
 
@@ -443,14 +451,10 @@
     wait_for("the first owner owns the job again", || async { claimant(&site, &[owner]) }).await;
     let probed_until = Instant::now() + Duration::from_secs(1);
     while Instant::now() < probed_until && listed.failures.is_empty() {
-        for edge in [owner, reader] {
-            listed.probe_edge(&site, edge, "no item can run").await;
-        }
+        listed.probe_edges(&site, &[owner, reader], "no item can run").await;
     }
     site.engines.iter().for_each(PlatformUpstream::list_again);
-    for edge in [owner, reader] {
-        listed.check_edge(&site, edge, "items can run").await;
-    }
+    listed.check_edges(&site, &[owner, reader], "items can run").await;
     let failures = listed.into_failures(&site).await;
     assert!(failures.is_empty(), "{failures:#?}");
 }
@@ -520,6 +524,129 @@
     listed.into_failures(&site).await
 }
 
+/// Fault around which the results of a job are read at every edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadFault {
+    AllRestarted,
+    OwnerKilled,
+    OwnerSuspended,
+    /// The job ends as soon as a result is listed.
+    EndedAfterListing,
+    /// One edge is cut off from the store, but not from the other edges.
+    OneCutOff,
+    /// The store refuses all calls while edges wait for results, and the owner is killed.
+    StoreAway,
+    /// The store discards the history after the revision at which edges have read an end of the results, and the owner is
+    /// killed.
+    HistoryDiscarded,
+}
+
+impl ReadFault {
+    /// Whether the owner stands still when the other edges read the end of the results.
+    fn suspends_owner(self) -> bool {
+        matches!(self, Self::OwnerSuspended | Self::OneCutOff | Self::StoreAway | Self::HistoryDiscarded)
+    }
+
+    /// Whether the owner is killed after it has listed a result.
+    fn kills_owner(self) -> bool {
+        matches!(self, Self::StoreAway | Self::HistoryDiscarded)
+    }
+}
+
+/// Guards against results that an edge denies after a fault of edges, during the job, after its end and after a second end.
+#[actix_rt::test]
+async fn every_edge_has_each_listed_result_after_a_fault_of_edges() {
+    use ReadFault::{AllRestarted, EndedAfterListing, OwnerKilled, OwnerSuspended};
+    read_at_every_edge([AllRestarted, OwnerKilled, OwnerSuspended, EndedAfterListing]).await;
+}
+
+/// Guards against results that an edge denies after a fault of the store, during the job, after its end and after a second end.
+#[actix_rt::test]
+async fn every_edge_has_each_listed_result_after_a_fault_of_the_store() {
+    use ReadFault::{HistoryDiscarded, OneCutOff, StoreAway};
+    read_at_every_edge([OneCutOff, StoreAway, HistoryDiscarded]).await;
+}
+
+async fn read_at_every_edge(faults: impl IntoIterator<Item = ReadFault>) {
+    let mut failures = Vec::new();
+    for fault in faults {
+        failures.extend(read_around(fault).await);
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Reads the results of a job at every edge during and after `fault`, after the end of the job and after its second end.
+/// Returns the reads that failed.
+async fn read_around(fault: ReadFault) -> Vec<String> {
+    /// Results that are listed before the fault.
+    const LISTED_BEFORE: usize = 2;
+    let (mut site, relays) = EdgeSite::start_with_relays(3).await;
+    hold_scored_items(&site).await;
+    submit_job(&site, LISTED_BEFORE, 1).await;
+    let (owner, others) = owner_and_others(&site).await;
+    let (cut_off, reader) = (others[0], others[1]);
+    let mut listed = read_until_listed(&site, reader, LISTED_BEFORE - 1).await;
+    let mut running = vec![0, 1, 2];
+    match fault {
+        ReadFault::AllRestarted => {
+            site.edges.iter_mut().for_each(|edge| edge.process.kill());
+            site.restart_edges(&[0, 1, 2]);
+        }
+        ReadFault::OwnerKilled => site.edges[owner].process.kill(),
+        _ if fault.suspends_owner() => site.edges[owner].process.freeze(),
+        _ => {}
+    }
+    running.retain(|edge| fault == ReadFault::AllRestarted || *edge != owner);
+    for page in future::join_all(running.iter().map(|edge| read_end(&site, *edge, LISTED_BEFORE))).await {
+        listed.record(LISTED_BEFORE, page, &format!("{fault:?}, before the listing"));
+    }
+    if fault.suspends_owner() {
+        site.edges[owner].process.resume();
+    }
+    if fault == ReadFault::OneCutOff {
+        relays[cut_off].set_rule(RelayRule::Cut);
+    }
+    release_scored_items(&site);
+    listed.read_until(&site, reader, LISTED_BEFORE).await;
+    if fault == ReadFault::HistoryDiscarded {
+        site.store.contents().discard_history();
+    }
+    if fault.kills_owner() {
+        site.edges[owner].process.kill();
+    } else if fault != ReadFault::OwnerKilled {
+        running = vec![0, 1, 2];
+    }
+    if fault != ReadFault::EndedAfterListing {
+        settle().await;
+        let store_leaves = async {
+            if fault == ReadFault::StoreAway {
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+                site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
+            }
+        };
+        future::join(listed.probe_edges(&site, &running, &format!("{fault:?}, during it")), store_leaves).await;
+        site.store.set_fault(StoreFault::default());
+        listed.check_edges(&site, &running, &format!("{fault:?}, before the end")).await;
+    }
+    for (ending_edge, name) in [(reader, "first"), (cut_off, "second")] {
+        end_job(&site, ending_edge).await;
+        settle().await;
+        listed.check_edges(&site, &running, &format!("{fault:?}, after the {name} end")).await;
+    }
+    relays[cut_off].set_rule(RelayRule::Pass);
+    if !running.contains(&owner) {
+        site.restart_edges(&[owner]);
+        site.wait_ready().await;
+    }
+    listed.check_edges(&site, &[0, 1, 2], &format!("{fault:?}, after it")).await;
+    listed.into_failures(&site).await
+}
+
+/// Reads the end of the results after `position` of them at `edge` until it answers.
+async fn read_end(site: &EdgeSite, edge: usize, position: usize) -> ResultsPage {
+    wait_for("the edge answers", || async { read_page(site, edge, position, true).await.ok() }).await
+}
+
 /// Guards against a job that was accepted without a key, on a route that needs none, and is not found afterwards.
 #[actix_rt::test]
 async fn a_job_accepted_without_a_key_is_found_with_and_without_one() {
--- a/crates/standin/src/platform/platform_store.rs
+++ b/crates/standin/src/platform/platform_store.rs
@@ -176,7 +176,8 @@
     HttpResponse::Ok().json(json!({ "items": items, "morePages": false, "asOf": contents.revision() }))
 }
 
-/// Returns the changes below a prefix after a revision. Waits for a change until the requested time has passed.
+/// Returns the changes below a prefix after a revision. Waits for a change until the requested time has passed. Refuses
+/// if the history of these changes was discarded.
 async fn watch(view: web::Data<StoreView>, query: Query) -> HttpResponse {
     let state = &view.state;
     let after = parameter(&query, "after").parse().unwrap_or(0);
@@ -188,6 +189,9 @@
         }
         let (events, revision) = {
             let contents = state.contents();
+            if !contents.has_changes_after(after) {
+                return HttpResponse::Gone().finish();
+            }
             (contents.changes_after(parameter(&query, "pathPrefix"), after), contents.revision())
         };
         if !events.is_empty() || Instant::now() >= deadline {
--- a/crates/standin/src/platform/store_contents.rs
+++ b/crates/standin/src/platform/store_contents.rs
@@ -26,6 +26,8 @@
     entries: BTreeMap<String, StoredEntry>,
     /// Changes in order, each with its revision and its JSON form.
     history: Vec<(u64, Value)>,
+    /// Revision through which the history was discarded.
+    discarded_through: u64,
     /// Lifetime and expiry of each lease, by id.
     leases: BTreeMap<u64, (Duration, Instant)>,
 }
@@ -100,6 +102,18 @@
         matching.map(|(_, event)| event.clone()).collect()
     }
 
+    /// Whether the history has all changes after `revision`.
+    #[must_use]
+    pub fn has_changes_after(&self, revision: u64) -> bool {
+        revision >= self.discarded_through
+    }
+
+    /// Discards the history of all changes so far.
+    pub fn discard_history(&mut self) {
+        self.discarded_through = self.revision;
+        self.history.clear();
+    }
+
     /// Applies the writes and removals of a commit if all expected revisions match.
     ///
     /// Returns the new revision. If an expectation fails, nothing is written, and the error holds the current entries
