Process tests: reserve the ports of an edge while it is down

Each port is now bound, without listening, for the life of the edge: the kernel gives it to nobody else, an edge can bind it, and a connection to it is refused while the edge is down. Starting an edge on other ports after a failure is no longer needed, and a start that fails is an error.

--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -5,6 +5,7 @@
 use awc::{Client, ClientResponse, error::SendRequestError, http::Method};
 use pimentoslip_standin::{PlatformProvider, PlatformStore, PlatformUpstream, TcpRelay, UpstreamSettings};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::{
     fs,
     net::SocketAddr,
@@ -60,6 +61,8 @@
     pub control_address: SocketAddr,
     /// Path of its settings file.
     settings_path: String,
+    /// Sockets that reserve the addresses.
+    _placeholders: [Socket; 3],
 }
 
 /// Place of an edge.
@@ -91,10 +94,14 @@
     workdir: Workdir,
 }
 
-/// Local address that no process listens on at the time of the call.
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("the address of the listener")
+/// Local address for an edge, and a socket that reserves it: bound without listening, the socket keeps the port from being
+/// chosen for other processes, also while the edge is down, and lets the edge bind it.
+fn reserve_address() -> (SocketAddr, Socket) {
+    let placeholder = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    placeholder.set_reuse_address(true).expect("a socket that shares its address");
+    placeholder.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    let address = placeholder.local_addr().expect("the address of the socket");
+    (address.as_socket().expect("an address with a port"), placeholder)
 }
 
 /// Starts an upstream of `service` with the version `software` of its software. One of the service `engine` serves a
@@ -243,18 +250,16 @@
 
     /// Starts one more edge at the given place.
     pub fn start_edge_with(&mut self, options: &EdgeOptions) {
-        // Another test may take a free port after it was chosen and before the edge listens on it.
-        let mut edge = self.try_start_edge(options);
-        while edge.process.failed_to_listen() {
-            edge = self.try_start_edge(options);
-        }
+        let mut edge = self.spawn_new_edge(options);
+        assert!(!edge.process.failed_to_listen(), "{}", edge.process.log());
         self.edges.push(edge);
     }
 
-    /// Starts the next edge on addresses that are free at the time of the call.
-    fn try_start_edge(&self, options: &EdgeOptions) -> EdgeProcess {
+    /// Starts the process of a new edge.
+    fn spawn_new_edge(&self, options: &EdgeOptions) -> EdgeProcess {
         let vm = format!("edge-{}", self.edges.len());
-        let (frontend_address, readiness_address, control_address) = (free_address(), free_address(), free_address());
+        let [frontend, readiness, control] = std::array::from_fn(|_| reserve_address());
+        let (frontend_address, readiness_address, control_address) = (frontend.0, readiness.0, control.0);
         let settings = json!({
             "nodeName": vm, "ip": "127.0.0.1", "zone": options.failure_domain, "region": options.region,
             "listenAddrs": { "frontend": frontend_address, "ready": readiness_address },
@@ -265,7 +270,8 @@
         });
         let settings_path = self.workdir.write(&format!("{vm}.json"), &settings.to_string());
         let process = self.spawn_edge(&vm, &settings_path);
-        EdgeProcess { process, vm, frontend_address, readiness_address, control_address, settings_path }
+        let _placeholders = [frontend.1, readiness.1, control.1];
+        EdgeProcess { process, vm, frontend_address, readiness_address, control_address, settings_path, _placeholders }
     }
 
     /// Starts the process of an edge with the settings file at `settings_path`.
