Kernel: stateful test of reads of results, which finds faults of the rule (not finished)

A simulated store, owners and readers: claims, pushes, writes with lost and late answers, leases, lagging feeds, failed tasks, hand-overs, restarts and ends. Fails if a daemon reports a position as empty that was read or stored before the read, if a result changes, or if a daemon is not sure of all results once all faults have ended.

--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod ownership;
 mod paths;
+mod reads;
 mod routes;
 mod small_machines;
 mod steps;
