--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -2,7 +2,7 @@
 
 use super::result_cache::ResultCache;
 use bytes::Bytes;
-use pimentoslip_kernel::{LedgerState, SharedName, TimePoint};
+use pimentoslip_kernel::{LedgerState, ListingRecord, OwnerStanding, OwnerView, SharedName, TimePoint, WatchStart};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
 use std::{
@@ -22,8 +22,10 @@
     /// Stored chunks of results that have been read: the position after the last result of a chunk, by the position of
     /// its first.
     pub chunk_ends: BTreeMap<usize, usize>,
-    /// Number of stored results, and the revision of the store at which there were no more.
-    pub results_end: Option<(usize, u64)>,
+    /// Where a watch for further results can start.
+    pub watch_start: WatchStart,
+    /// Revision of the ownership entry under which this process opened the job last; `None` if it has not.
+    pub opened_under: Option<u64>,
 }
 
 /// A job that was submitted or handed over to this process, which does not run it yet.
@@ -35,6 +37,15 @@
     pub body: Bytes,
     /// The previous owner's state of the job; `None` if the job has not run before.
     pub ledger: Option<LedgerState>,
+    /// Revision of the ownership entry with which the job was submitted or handed over; `None` if it had no owner.
+    pub owner_revision: Option<u64>,
+}
+
+/// A running job whose submission and stored results have been read.
+#[derive(Debug)]
+struct OpenedJob {
+    submission: Arc<BatchSubmission>,
+    listing: ListingRecord,
 }
 
 /// Batch jobs by id, with the submissions and results that this process holds in memory.
@@ -46,8 +57,8 @@
     ended: HashSet<SharedName>,
     /// Jobs that were submitted or handed over to this process and are not running yet.
     pending: HashMap<SharedName, PendingJob>,
-    /// Jobs that this process runs, each with its submission once that has been read.
-    running: HashMap<SharedName, Option<Arc<BatchSubmission>>>,
+    /// Jobs that this process runs; `None` until they are opened.
+    running: HashMap<SharedName, Option<OpenedJob>>,
     /// Results of jobs that this process runs or ran, readable without the store.
     results: ResultCache,
     /// Submission times of the running jobs that have waiting items, by route and job.
@@ -76,7 +87,8 @@
             ended,
             settled: false,
             chunk_ends: BTreeMap::new(),
-            results_end: None,
+            watch_start: WatchStart::default(),
+            opened_under: None,
         });
     }
 
@@ -128,13 +140,10 @@
         }
     }
 
-    /// Records that exactly `count` results of `job` were stored at `revision` of the store. An observation at an older
-    /// revision than the last one is ignored.
-    pub fn results_end_observed(&mut self, job: &str, count: usize, revision: u64) {
-        if let Some(view) = self.jobs.get_mut(job)
-            && view.results_end.is_none_or(|(_, observed)| observed < revision)
-        {
-            view.results_end = Some((count, revision));
+    /// Records that no result of `job` was stored at `position` as of `revision` of the store.
+    pub fn absence_observed(&mut self, job: &str, position: usize, revision: u64) {
+        if let Some(view) = self.jobs.get_mut(job) {
+            view.watch_start.absence_observed(position, revision);
         }
     }
 
@@ -163,15 +172,53 @@
         true
     }
 
-    /// Sets the submission of a running job, and caches its stored `results`.
-    pub fn job_opened(&mut self, job: &SharedName, submission: Arc<BatchSubmission>, results: Vec<ResultEntry>) {
-        self.running.insert(job.clone(), Some(submission));
+    /// Sets the submission of a running job, and caches its stored `results`, which were complete under the ownership entry of
+    /// `owner_revision`.
+    pub fn job_opened(
+        &mut self,
+        job: &SharedName,
+        submission: Arc<BatchSubmission>,
+        results: Vec<ResultEntry>,
+        owner_revision: u64,
+    ) {
+        let was_opened = self.is_opened_under(job, owner_revision);
+        // A write that was sent under the same entry before may still be carried out.
+        let listing = if was_opened { ListingRecord::unresolved() } else { ListingRecord::new(owner_revision) };
+        if let Some(view) = self.jobs.get_mut(job) {
+            view.opened_under = Some(owner_revision);
+        }
+        self.running.insert(job.clone(), Some(OpenedJob { submission, listing }));
         self.results.insert(job.clone(), results);
     }
 
-    /// Caches further `results` of a running job, which were stored from position `first` on.
-    pub fn append_results(&mut self, job: &str, first: usize, results: &[ResultEntry]) {
+    /// Whether this process has opened `job` under the ownership entry of `owner_revision` before.
+    #[must_use]
+    pub fn is_opened_under(&self, job: &str, owner_revision: u64) -> bool {
+        self.jobs.get(job).is_some_and(|view| view.opened_under == Some(owner_revision))
+    }
+
+    /// What this process knows of the stored results of a job that it runs; `None` if it does not run the job.
+    pub fn listing_mut(&mut self, job: &str) -> Option<&mut ListingRecord> {
+        self.running.get_mut(job)?.as_mut().map(|opened| &mut opened.listing)
+    }
+
+    /// Caches further `results` of a running job, which are stored from position `first` on: just written under the ownership
+    /// entry of `written_under`, or, with `None`, found in the store.
+    pub fn results_stored(&mut self, job: &str, first: usize, results: &[ResultEntry], written_under: Option<u64>) {
+        self.chunk_stored(job, first, first + results.len());
         self.results.append(job, first, results);
+        let Some(listing) = self.listing_mut(job) else { return };
+        match written_under {
+            Some(owner_revision) => listing.write_stored(owner_revision),
+            None => listing.write_found(),
+        }
+    }
+
+    /// What this process can say, with `standing`, of a position of `job` at which it holds no result.
+    #[must_use]
+    pub fn owner_view(&self, job: &str, standing: &OwnerStanding, now: TimePoint) -> OwnerView {
+        let opened = self.running.get(job).and_then(Option::as_ref);
+        opened.map_or(OwnerView::Unsure, |opened| opened.listing.view(standing, now))
     }
 
     /// Cached results of `job` from `position` on, up to `bytes_max` bytes, but at least one if there is any. `None` if
@@ -184,7 +231,7 @@
     /// The submission of `job`, if this process runs the job and has read it.
     #[must_use]
     pub fn running_submission(&self, job: &str) -> Option<Arc<BatchSubmission>> {
-        self.running.get(job).cloned().flatten()
+        self.running.get(job)?.as_ref().map(|opened| opened.submission.clone())
     }
 
     /// Removes `job`, which this process no longer runs, from the running and the waiting jobs.
