--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -292,30 +292,9 @@
         self.restarts.push(Instant::now());
     }
 
-    /// Starts the processes of `edges` again, like [`Self::restart_edge`], and waits until they have started. One whose
-    /// address is used by a connection meanwhile gets other addresses.
+    /// Starts the processes of `edges` again, like [`Self::restart_edge`].
     pub fn restart_edges(&mut self, edges: &[usize]) {
         edges.iter().for_each(|edge| self.restart_edge(*edge));
-        for edge in edges {
-            while self.edges[*edge].process.failed_to_listen() {
-                self.change_addresses(*edge);
-                self.restart_edge(*edge);
-            }
-        }
-    }
-
-    /// Replaces the addresses that an edge listens on, from its next start on.
-    fn change_addresses(&mut self, edge: usize) {
-        let edge = &mut self.edges[edge];
-        let text = std::fs::read_to_string(&edge.settings_path).expect("read the settings of the edge");
-        let mut settings: Value = serde_json::from_str(&text).expect("settings in JSON");
-        let (frontend_address, readiness_address, control_address) = (free_address(), free_address(), free_address());
-        settings["listenAddrs"] = json!({ "frontend": frontend_address, "ready": readiness_address });
-        settings["internalPorts"] = json!([control_address.port(), control_address.port()]);
-        self.workdir.write(&format!("{}.json", edge.vm), &settings.to_string());
-        edge.frontend_address = frontend_address;
-        edge.readiness_address = readiness_address;
-        edge.control_address = control_address;
     }
 
     /// HTTP status of an edge's readiness check; 0 if the edge does not answer.
