Let an owner that claimed its job again prove absences from its memory

What callers saw: nothing wrong, but after an outage of the store in which leases end, each read without results went to the store, at every edge, until the owner listed its next result.

Cause: the owner goes on running under a new ownership entry, under which its memory had never been shown to be complete.

Change: once for each new entry it reads whether the store holds results after its own, one page.

--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -16,6 +16,10 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time within which an edge that runs applies a change of the list of upstreams.
 const APPLY_TIME: Duration = Duration::from_millis(700);
+/// Rounds of reads within which every edge asks the owner again after an outage of the store.
+const ROUNDS: usize = 20;
+/// Outage of the store in which leases, of three seconds, end.
+const OUTAGE_TIME: Duration = Duration::from_secs(5);
 /// Time that a read waits for a result.
 const WAIT_MS: &str = "300";
 const JOB: &str = "job";
@@ -647,6 +651,32 @@
     wait_for("the edge answers", || async { read_page(site, edge, position, true).await.ok() }).await
 }
 
+/// Guards against reads that all go to the store because the owner has lost its lease in an outage and claimed the job again.
+#[actix_rt::test]
+async fn an_owner_that_claimed_its_job_again_answers_reads_from_its_memory() {
+    let site = site_with_held_scores(3).await;
+    submit_job(&site, 1, 0).await;
+    let (_, others) = owner_and_others(&site).await;
+    read_until_listed(&site, others[0], 0).await;
+    site.store.set_fault(StoreFault { down: true, ..StoreFault::default() });
+    actix_rt::time::sleep(OUTAGE_TIME).await;
+    site.store.set_fault(StoreFault::default());
+    wait_for("the job is claimed again", || async { claimant(&site, &[0, 1, 2]) }).await;
+    let mut sources = Vec::new();
+    for _ in 0..ROUNDS {
+        sources.clear();
+        for edge in 0..3 {
+            read_nothing(&site, edge, 1).await;
+            let log = site.edges[edge].process.log();
+            sources.push(log.lines().rfind(|line| line.contains("event=results_empty")).unwrap_or_default().to_owned());
+        }
+        if sources.iter().all(|line| line.contains("source=own")) {
+            return;
+        }
+    }
+    panic!("an edge asks the store: {sources:#?}");
+}
+
 /// Guards against a job that was accepted without a key, on a route that needs none, and is not found afterwards.
 #[actix_rt::test]
 async fn a_job_accepted_without_a_key_is_found_with_and_without_one() {
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -214,6 +214,14 @@
         self.running.get_mut(job)?.as_mut().map(|opened| &mut opened.listing)
     }
 
+    /// Records that the results of `job` in memory were all that are stored once the ownership entry of `owner_revision` was.
+    pub fn listing_verified(&mut self, job: &str, owner_revision: u64) {
+        self.set_used_under(job, owner_revision);
+        if let Some(listing) = self.listing_mut(job) {
+            *listing = ListingRecord::new(owner_revision);
+        }
+    }
+
     /// Caches further `results` of a running job, which are stored from position `first` on: just written under the ownership
     /// entry of `written_under`, or, with `None`, found in the store.
     pub fn results_stored(&mut self, job: &str, first: usize, results: &[ResultEntry], written_under: Option<u64>) {
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -197,6 +197,13 @@
     }
 }
 
+/// Whether the store holds a chunk of the job's results that begins at `position` or later.
+pub async fn has_chunk_from(store: &StoreAccess, job: &str, position: usize) -> Result<bool> {
+    let after = KeyLayout::key_before_results(job, position);
+    let page = store.page(&KeyLayout::results_prefix(job), after.as_deref()).await?;
+    Ok(!page.entries.is_empty() || page.has_more)
+}
+
 /// Total size of the results' texts, in bytes.
 fn total_text_bytes(results: &[Arc<ResultEntry>]) -> usize {
     results.iter().map(|result| result.text.len()).sum()
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -3,7 +3,7 @@
 use super::{
     PendingJob,
     item_run::{item_model, run_item},
-    job_reader::{read_all_results, read_checkpoints, read_submission},
+    job_reader::{has_chunk_from, read_all_results, read_checkpoints, read_submission},
     job_writer::{SubmittedJob, hand_over_job},
     ledger_writer::{LedgerWriter, WriteOutcome},
     owned_job::{OwnedJob, placement_key},
@@ -289,8 +289,10 @@
             }
             return;
         }
-        if let Some(revision) = state.ownership().own_revision(&job.id) {
+        let own_revision = state.ownership().own_revision(&job.id);
+        if let Some(revision) = own_revision {
             job.owner_revision.set(revision);
+            verify_listing(job, revision).await;
         }
         let now = state.now();
         let has_more = dispatch_items(job, &mut runs, now);
@@ -315,6 +317,20 @@
     }
 }
 
+/// Finds out, once for each new ownership entry, that nobody has stored results since the last one. If somebody has, or the store
+/// cannot be read, readers ask the store until the next write of results is carried out.
+async fn verify_listing(job: &OwnedJob, owner_revision: u64) {
+    if job.state.jobs().is_used_under(&job.id, owner_revision) {
+        return;
+    }
+    let listed_count = job.ledger.borrow().listed_count();
+    match has_chunk_from(&job.store, &job.id, listed_count).await {
+        Ok(false) => job.state.jobs().listing_verified(&job.id, owner_revision),
+        Ok(true) => LogLine::new("listing_outdated").field("job", &job.id).field("listed", listed_count).info(),
+        Err(error) => LogLine::new("listing_not_verified").field("job", &job.id).field("reason", error).warn(),
+    }
+}
+
 /// Starts runs and scorings until no upstream has a free slot, but no more than [`STARTS_MAX`] of each. Returns whether
 /// more can be started. Terminates all unfinished items if the route is no longer configured.
 fn dispatch_items(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) -> bool {
