Apply no ownership record that is older than its removal or its successor

A daemon that received the answer to its claim, or the push of a job, after the removal of that ownership entry or after its successor's, counted as the owner until the next change of the entry: it ran the items in vain, beside the successor, and nobody else claimed the job. Its writes fail and its reads prove nothing, so that callers saw at most a delay.

The table keeps the revision of the last removal. The new test of the kernel fails before in the first of its four cases.

--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -70,10 +70,20 @@
     owner: Option<OwnerRecord>,
     /// When this process received an ownership record that names it as the owner, unless it claimed the job itself.
     handed_over_at: Option<TimePoint>,
+    /// Revision at which the ownership record was last observed to be removed; 0 if it never was.
+    removed_revision: u64,
     /// When this process first observed the job, or last observed that its ownership record was removed.
     vacant_since: TimePoint,
 }
 
+impl OwnershipEntry {
+    /// Whether `owner` was written after the cached record and after the last removal.
+    fn is_newer(&self, owner: &OwnerRecord) -> bool {
+        let known_revision = self.owner.as_ref().map_or(0, |cached| cached.revision).max(self.removed_revision);
+        owner.revision > known_revision
+    }
+}
+
 /// Jobs, their owners, and the daemons that may own them.
 #[derive(Debug)]
 pub struct OwnershipTable {
@@ -145,22 +155,23 @@
         self.entries.remove(job);
     }
 
-    /// Applies a job's stored ownership record unless the cached one has the same or a higher revision.
+    /// Applies a job's stored ownership record unless the cached one has the same or a higher revision, or it has been removed.
     pub fn owner_recorded(&mut self, job: SharedName, owner: OwnerRecord, now: TimePoint) {
         let is_own = owner.daemon == self.daemon && owner.incarnation == self.incarnation;
         let entry = self.entry(job, now);
-        let cached_revision = entry.owner.as_ref().map(|cached| cached.revision);
-        if cached_revision.is_none_or(|revision| revision < owner.revision) {
+        if entry.is_newer(&owner) {
             entry.owner = Some(owner);
             entry.handed_over_at = is_own.then_some(now);
         }
     }
 
-    /// Records this process's own successful claim of a job.
+    /// Records this process's own successful claim of a job. Its removal, or a newer owner, may have been received before.
     pub fn job_claimed(&mut self, job: SharedName, owner: OwnerRecord, now: TimePoint) {
         let entry = self.entry(job, now);
-        entry.owner = Some(owner);
-        entry.handed_over_at = None;
+        if entry.owner.as_ref() == Some(&owner) || entry.is_newer(&owner) {
+            entry.owner = Some(owner);
+            entry.handed_over_at = None;
+        }
     }
 
     /// The entry of `job`, which is added without an owner if the job has not been observed.
@@ -172,6 +183,7 @@
     /// newer than that.
     pub fn owner_removed(&mut self, job: &str, revision: u64, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(job) else { return };
+        entry.removed_revision = entry.removed_revision.max(revision);
         if entry.owner.as_ref().is_some_and(|owner| owner.revision <= revision) {
             entry.owner = None;
             entry.vacant_since = now;
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -397,3 +397,27 @@
     table.owner_recorded("j".into(), owner("a", 3), TimePoint(710));
     assert!(table.may_start("j", false, TimePoint(710)));
 }
+
+/// Guards against a job that a daemon keeps as its own because it learned of its ownership after the removal of that, or after a
+/// newer owner.
+#[test]
+fn a_late_answer_to_a_claim_or_a_late_push_replaces_no_newer_knowledge() {
+    let owner = |daemon: &str, revision| OwnerRecord { daemon: daemon.into(), incarnation: 1, revision };
+    for (is_claim, has_successor) in [(true, true), (true, false), (false, true), (false, false)] {
+        let mut table = OwnershipTable::new("a".into(), 1);
+        table.job_accepted("j".into(), TimePoint(0));
+        table.owner_recorded("j".into(), owner("a", 9), TimePoint(10));
+        table.owner_removed("j", 10, TimePoint(20));
+        if has_successor {
+            table.owner_recorded("j".into(), owner("b", 12), TimePoint(30));
+        }
+        if is_claim {
+            table.job_claimed("j".into(), owner("a", 9), TimePoint(40));
+        } else {
+            table.owner_recorded("j".into(), owner("a", 9), TimePoint(40));
+        }
+        assert!(!table.is_owned_here("j"), "claim: {is_claim}, successor: {has_successor}");
+        let claims = table.due_claims(TimePoint(9_000), None, |_| true, Clone::clone).len();
+        assert_eq!(claims, usize::from(!has_successor), "claim: {is_claim}, successor: {has_successor}");
+    }
+}
