Learn of the end of a job from a claim that it refuses

A daemon that has not received the end yet sent its claim again at each look. The conflict holds the end mark, which is applied now.

--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -58,7 +58,11 @@
             let now = state.now();
             state.ownership().job_claimed(claim.job.clone(), owner, now);
         }
-        Ok(CommitOutcome::Conflict(_)) => {
+        Ok(CommitOutcome::Conflict(store_entries)) => {
+            if store_entries.iter().any(|store_entry| store_entry.key == KeyLayout::end_key(&claim.job)) {
+                state.jobs().job_ended(&claim.job);
+                state.ownership().job_closed(&claim.job);
+            }
             LogLine::new("job_claim_lost").field("job", &claim.job).field("replaces", claim.replaced_revision).info();
         }
         Err(error) => LogLine::new("job_claim_failed").field("job", &claim.job).field("reason", error).warn(),
