--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -166,7 +166,9 @@
         state.jobs().absence_observed(job, query.position + results.len(), batch.revision);
     }
     let absence = AbsenceProof::from_store_call(query.arrived_at, sent_at, batch.revision);
-    Ok(StoredResults { results, revision: batch.revision, absence })
+    // A watch that ends before the revision from which it starts shows nothing.
+    let absence = absence.filter(|_| batch.revision >= revision);
+    Ok(StoredResults { results, revision: batch.revision.max(revision), absence })
 }
 
 /// Reads the chunks in the store that hold the requested results, page by page.
@@ -183,10 +185,12 @@
     let sent_at = state.now();
     loop {
         let page: RangePage = store.page(&prefix, after.as_deref()).await?;
+        if page.has_more && page.entries.is_empty() {
+            return Err(StoreError::Malformed { problem: "a page without entries that is not the last".to_owned() });
+        }
         after = page.entries.last().map(|store_entry| store_entry.key.clone()).or(after);
-        let has_more = page.has_more && !page.entries.is_empty();
         let is_complete = append_consecutive(state, job, page.entries.into_iter(), query, &mut results)?;
-        if has_more && is_complete {
+        if page.has_more && is_complete {
             continue;
         }
         if is_complete {
