--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -396,10 +396,14 @@
 /// receive changes of the store from other edges if those are suspended then. Returns the reads that failed.
 async fn read_at_a_succeeded_owner(suspends_others: bool, waits: bool) -> Vec<String> {
     let site = site_with_held_scores(3).await;
+    let other_job = job_submission(1, &[job_item("other", 1, false)]);
+    assert_eq!(site.submit_job(0, "other", &other_job).await.status, 202);
     submit_job(&site, 1, 1).await;
     let (owner, others) = owner_and_others(&site).await;
     read_until_listed(&site, others[0], 0).await;
     site.edges[owner].process.freeze();
+    // This change answers the owner's pending request for changes, which then does not return the end of its ownership.
+    assert_eq!(site.send_job_request(others[0], "DELETE", "/pimentoslip/lots/other").await.status, 200);
     wait_for("another edge owns the job", || async { claimant(&site, &others) }).await;
     release_scored_items(&site);
     let mut listed = read_until_listed(&site, others[0], 1).await;
