Soak: demand that some edge performs the duty after the faults

After the faults the usage of a window that began then must be reported; only the holder of the duty reports. The wait has no bound but the limit of 90 s that ends every wait of the tests, as this fault does not end. So that the holder changes while such answers are lost, it is asked to stop with that fault.

--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -22,7 +22,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Seeds that every run of the tests plays.
@@ -196,9 +196,10 @@
     let faults = async {
         let leaving = FaultInjector::new(&mut site, &relays, &mut matrix, &callers.routes, seed).run().await;
         callers.is_calm.set(true);
+        let calm_window = usage_window();
         actix_rt::time::sleep(CALM_TIME).await;
         callers.is_over.set(true);
-        leaving
+        (leaving, calm_window)
     };
     let started_at = Instant::now();
     let requests = future::join5(
@@ -208,7 +209,8 @@
         callers.read_streams(seed),
         faults,
     );
-    let ((quotes, orders, jobs, streams, leaving), ()) = future::join(requests, callers.use_jobs(seed)).await;
+    let ((quotes, orders, jobs, streams, (leaving, calm_window)), ()) =
+        future::join(requests, callers.use_jobs(seed)).await;
     // An edge that was asked to stop exits by itself, and is started again.
     for edge in 0..EDGES {
         // The port of a process that has exited may be taken by another test.
@@ -237,9 +239,18 @@
         }
         callers.read_again(job).await;
     }
+    wait_for("the usage of a window after the faults is reported", || async {
+        site.provider.reports().iter().any(|report| report.window >= calm_window).then_some(())
+    })
+    .await;
     println!("seed {seed}: {}", callers.oracle.summary());
 }
 
+/// Number of the current usage window, which lasts 1 s.
+fn usage_window() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_secs()
+}
+
 /// A stream has its events in order, each once, all of one software version.
 fn check_stream(stream: &ReadStream, seed: u64) {
     for (index, event) in stream.events.iter().enumerate() {
--- a/crates/cli/tests/processes/soak/fault_injector.rs
+++ b/crates/cli/tests/processes/soak/fault_injector.rs
@@ -144,7 +144,21 @@
             6 => self.relays[edge].set_rule(RelayRule::Cut),
             7 => set_fault(StoreFault { down: true, ..StoreFault::default() }),
             8 => set_fault(StoreFault { lose_commits: count, ..StoreFault::default() }),
-            _ => set_fault(StoreFault { lost_writes: Some((DUTY_KEY, count)), ..StoreFault::default() }),
+            _ => {
+                set_fault(StoreFault { lost_writes: Some((DUTY_KEY, count)), ..StoreFault::default() });
+                self.stop_duty_holder();
+            }
+        }
+    }
+
+    /// Asks the holder of the duty to stop, so that another edge takes the duty.
+    fn stop_duty_holder(&mut self) {
+        let Some(entry) = self.site.store.contents().value(DUTY_KEY) else { return };
+        let entry = String::from_utf8_lossy(&entry);
+        let Some(holder) = self.site.edges.iter().position(|edge| entry.contains(&edge.vm)) else { return };
+        let process = &mut self.site.edges[holder].process;
+        if process.exit_status().is_none() && self.standstills[holder].is_none() {
+            process.terminate();
         }
     }
 
