--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -456,7 +456,7 @@
         self.usage_write_count.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// How long this process may rely on its ownership of `job`: not at all while draining.
+    /// What this process knows of its ownership of `job`. While draining it relies on none.
     #[must_use]
     pub fn owner_standing(&self, job: &str) -> OwnerStanding {
         let owner_revision = self.ownership().own_revision(job);
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -25,7 +25,7 @@
     /// Where a watch for further results can start.
     pub watch_start: WatchStart,
     /// Revision of the last ownership entry under which this process opened the job or wrote its results; `None` if it has not.
-    pub used_under: Option<u64>,
+    pub used_entry: Option<u64>,
 }
 
 /// A job that was submitted or handed over to this process, which does not run it yet.
@@ -88,7 +88,7 @@
             settled: false,
             chunk_ends: BTreeMap::new(),
             watch_start: WatchStart::default(),
-            used_under: None,
+            used_entry: None,
         });
     }
 
@@ -172,8 +172,8 @@
         true
     }
 
-    /// Sets the submission of a running job, and caches its stored `results`, which were complete under the ownership entry of
-    /// `owner_revision`.
+    /// Sets the submission of a running job, and caches its stored `results`, which were read after this process had learned of
+    /// the ownership entry of `owner_revision`.
     pub fn job_opened(
         &mut self,
         job: &SharedName,
@@ -181,29 +181,29 @@
         results: Vec<ResultEntry>,
         owner_revision: u64,
     ) {
-        let was_used = self.is_used_under(job, owner_revision);
+        let was_used = self.is_entry_used(job, owner_revision);
         // A write that was sent under the same entry before may still be carried out.
         let listing = if was_used { ListingRecord::unresolved() } else { ListingRecord::new(owner_revision) };
-        self.set_used_under(job, owner_revision);
+        self.set_used_entry(job, owner_revision);
         self.running.insert(job.clone(), Some(OpenedJob { submission, listing }));
         self.results.insert(job.clone(), results);
     }
 
     /// Whether this process has opened `job` or written its results under the ownership entry of `owner_revision` before.
     #[must_use]
-    pub fn is_used_under(&self, job: &str, owner_revision: u64) -> bool {
-        self.jobs.get(job).is_some_and(|view| view.used_under == Some(owner_revision))
+    pub fn is_entry_used(&self, job: &str, owner_revision: u64) -> bool {
+        self.jobs.get(job).is_some_and(|view| view.used_entry == Some(owner_revision))
     }
 
-    fn set_used_under(&mut self, job: &str, owner_revision: u64) {
+    fn set_used_entry(&mut self, job: &str, owner_revision: u64) {
         if let Some(view) = self.jobs.get_mut(job) {
-            view.used_under = Some(owner_revision);
+            view.used_entry = Some(owner_revision);
         }
     }
 
     /// Records that a write of results of `job` is sent under the ownership entry of `owner_revision`.
     pub fn write_sent(&mut self, job: &str, owner_revision: u64) {
-        self.set_used_under(job, owner_revision);
+        self.set_used_entry(job, owner_revision);
         if let Some(listing) = self.listing_mut(job) {
             listing.write_sent();
         }
@@ -216,7 +216,7 @@
 
     /// Records that the results of `job` in memory were all that are stored once the ownership entry of `owner_revision` was.
     pub fn listing_verified(&mut self, job: &str, owner_revision: u64) {
-        self.set_used_under(job, owner_revision);
+        self.set_used_entry(job, owner_revision);
         if let Some(listing) = self.listing_mut(job) {
             *listing = ListingRecord::new(owner_revision);
         }
--- a/crates/edge/src/job/job_reader.rs
+++ b/crates/edge/src/job/job_reader.rs
@@ -61,7 +61,7 @@
         settled: false,
         chunk_ends: BTreeMap::new(),
         watch_start: WatchStart::default(),
-        used_under: None,
+        used_entry: None,
     }))
 }
 
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -160,7 +160,7 @@
 ) -> Result<JobInputs, StoreError> {
     // The job may have run meanwhile if this is not the ownership entry with which it came to this process.
     let pending = pending.filter(|pending| {
-        pending.owner_revision == Some(owner_revision) && !state.jobs().is_used_under(id, owner_revision)
+        pending.owner_revision == Some(owner_revision) && !state.jobs().is_entry_used(id, owner_revision)
     });
     match pending {
         // A job that has not run before has no stored results or checkpoints.
@@ -320,7 +320,7 @@
 /// Finds out, once for each new ownership entry, that nobody has stored results since the last one. If somebody has, or the store
 /// cannot be read, readers ask the store until the next write of results is carried out.
 async fn verify_listing(job: &OwnedJob, owner_revision: u64) {
-    if job.state.jobs().is_used_under(&job.id, owner_revision) {
+    if job.state.jobs().is_entry_used(&job.id, owner_revision) {
         return;
     }
     let listed_count = job.ledger.borrow().listed_count();
--- a/crates/edge/src/job/owner_read.rs
+++ b/crates/edge/src/job/owner_read.rs
@@ -35,9 +35,11 @@
             let results = jobs.cached_results(job, query.position, query.bytes_max)?;
             (results, jobs.owner_view(job, &standing, now), jobs.is_ended(job))
         };
+        if !results.is_empty() {
+            return ReadAnswer::new(results, None);
+        }
         let is_last_look = left_ms == 0 || is_ended;
         match view {
-            _ if !results.is_empty() => return ReadAnswer::new(results, None),
             OwnerView::Unsure => return None,
             OwnerView::Absent(proof) if is_last_look => return Some(ReadAnswer::absent(proof)),
             OwnerView::WriteInProgress if is_last_look => return None,
--- a/crates/kernel/src/read/absence_proof.rs
+++ b/crates/kernel/src/read/absence_proof.rs
@@ -32,8 +32,8 @@
         (position >= item_count).then_some(Self { basis: ProofBasis::JobSize })
     }
 
-    /// From a read or a completed watch of the store that was sent at `sent_at` and showed no result as of `revision`. `None`
-    /// if it was sent before the read arrived, at `arrived_at`.
+    /// From a read or a completed watch of the store that was sent at `sent_at`. The caller has found no result at the position in
+    /// its answer, which is as of `revision`. `None` if it was sent before the read arrived, at `arrived_at`.
     #[must_use]
     pub fn from_store_call(arrived_at: TimePoint, sent_at: TimePoint, revision: u64) -> Option<Self> {
         (sent_at >= arrived_at).then_some(Self { basis: ProofBasis::StoreCall { revision } })
--- a/crates/kernel/src/read/listing_record.rs
+++ b/crates/kernel/src/read/listing_record.rs
@@ -3,7 +3,7 @@
 use super::AbsenceProof;
 use crate::TimePoint;
 
-/// How long a process may rely on its ownership of a job.
+/// What a process knows of its ownership of a job: which ownership entry names it, and until when its lease holds that entry.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnerStanding {
     /// Revision of the ownership entry that names this process; `None` if none does.
@@ -39,7 +39,7 @@
 pub struct ListingRecord {
     /// Revision of the ownership entry under which the results in memory were complete. Under that entry, only this process writes
     /// results.
-    complete_under: Option<u64>,
+    complete_entry: Option<u64>,
     /// Whether a write has been sent and not answered yet.
     is_writing: bool,
     /// Whether a write without an answer may have stored results, or may still store them.
@@ -51,7 +51,7 @@
     /// `owner_revision` named this process.
     #[must_use]
     pub fn new(owner_revision: u64) -> Self {
-        Self { complete_under: Some(owner_revision), ..Self::default() }
+        Self { complete_entry: Some(owner_revision), ..Self::default() }
     }
 
     /// Creates the record of a job that this process has run before under the same ownership entry: an earlier write may still be
@@ -92,13 +92,13 @@
     /// Records that the write failed because another process has written to the job.
     pub fn write_superseded(&mut self) {
         self.is_writing = false;
-        self.complete_under = None;
+        self.complete_entry = None;
     }
 
     /// What the owner can say at `now` of a position at which it holds no result.
     #[must_use]
     pub fn view(&self, standing: &OwnerStanding, now: TimePoint) -> OwnerView {
-        let is_complete = standing.valid_revision(now).is_some_and(|revision| self.complete_under == Some(revision));
+        let is_complete = standing.valid_revision(now).is_some_and(|revision| self.complete_entry == Some(revision));
         match (is_complete && !self.is_outcome_unknown, self.is_writing) {
             (false, _) => OwnerView::Unsure,
             (true, true) => OwnerView::WriteInProgress,
--- a/crates/kernel/tests/machines/reads/job_process.rs
+++ b/crates/kernel/tests/machines/reads/job_process.rs
@@ -46,7 +46,7 @@
     /// Ownership revision and results of the job that is being opened.
     pub opening: Option<(u64, Vec<u8>)>,
     /// Revision of the ownership entry under which the job was last opened or written to.
-    pub used_under: Option<u64>,
+    pub used_entry: Option<u64>,
     /// What is known of the results of the job that this process runs.
     pub job: Option<ListingRecord>,
     /// The write that was sent, with the answer that is on its way.
@@ -70,7 +70,7 @@
             lease: None,
             pending: None,
             opening: None,
-            used_under: None,
+            used_entry: None,
             job: None,
             sent: None,
             text_seed: 0,
@@ -149,13 +149,13 @@
     fn open(&mut self, store: &mut ResultStore) {
         let Some(own_revision) = self.table.own_revision(JOB) else { return };
         let Some((owner_revision, results)) = self.opening.take() else {
-            let is_new = self.pending.take() == Some(own_revision) && self.used_under != Some(own_revision);
+            let is_new = self.pending.take() == Some(own_revision) && self.used_entry != Some(own_revision);
             let is_owner = store.owner_revision() == own_revision;
             store.is_run_again |= is_owner && is_new && !store.results.is_empty();
             self.opening = Some((own_revision, if is_new { Vec::new() } else { store.texts(0) }));
             return;
         };
-        let was_used = self.used_under.replace(owner_revision) == Some(owner_revision);
+        let was_used = self.used_entry.replace(owner_revision) == Some(owner_revision);
         let record = if was_used { ListingRecord::unresolved() } else { ListingRecord::new(owner_revision) };
         self.job = Some(record);
         (self.cached, self.text_seed) = (results, store.now.0);
@@ -163,11 +163,11 @@
 
     fn write(&mut self, store: &mut ResultStore, fate: CallFate) {
         let (Some(job), position) = (&mut self.job, self.cached.len()) else { return };
-        let Some(owner_revision) = self.table.own_revision(JOB).or(self.used_under) else { return };
+        let Some(owner_revision) = self.table.own_revision(JOB).or(self.used_entry) else { return };
         let text = u8::from((self.text_seed + position as u64).is_multiple_of(2));
         let write = ResultWrite { owner_revision, position, text };
         job.write_sent();
-        self.used_under = Some(write.owner_revision);
+        self.used_entry = Some(write.owner_revision);
         self.sent = Some((write, store.call_write(write, fate)));
     }
 
