--- a/crates/kernel/tests/machines/reads/job_process.rs
+++ b/crates/kernel/tests/machines/reads/job_process.rs
@@ -132,10 +132,20 @@
         } else if self.job.is_none() {
             self.open(store);
         } else {
+            self.verify_listing(store);
             self.write(store, fate);
         }
     }
 
+    /// Looks for results of others once under each new ownership entry.
+    fn verify_listing(&mut self, store: &ResultStore) {
+        let Some(own_revision) = self.table.own_revision(JOB) else { return };
+        if self.used_entry != Some(own_revision) && store.texts(self.cached.len()).is_empty() {
+            self.used_entry = Some(own_revision);
+            self.job = Some(ListingRecord::new(own_revision));
+        }
+    }
+
     fn claim(&mut self, store: &mut ResultStore, replaced_revision: u64, fate: CallFate) {
         let is_carried_out = matches!(fate, CallFate::Answered | CallFate::AnswerLost) && !store.is_ended;
         let Some((lease, _)) = self.lease.filter(|_| is_carried_out) else { return };
