Log why a request finds no path to an upstream, and what peers answered

A failure of callers_are_served_through_another_peer_after_one_has_ended could not be traced: the log of the calling edge did not name a peer that refuses to relay, nor the peers that are left out. New lines: no_path (state of the direct path, peers and until when they are not used), relay_declined (the peer's reason) and reach_answered (result of each peer that was asked). No change of logic.

--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -1,10 +1,12 @@
 //! Paths to the upstreams: finds out whether an upstream or the path to it has failed, and relays requests of peers that have
 //! lost their paths.
 
+mod no_path_log;
 mod path_probe;
 mod path_task;
 mod relay_api;
 
+pub use no_path_log::log_no_path;
 pub use path_probe::probe_paths;
 pub use path_task::{record_check, watch_paths};
 pub use relay_api::relay_request;
--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -163,7 +163,7 @@
             },
         }
     }
-    guard.path_missing();
+    guard.path_missing(&call.id);
     Err(AttemptFailure::PathLost.into())
 }
 
--- a/crates/edge/src/relay/relayed_attempt.rs
+++ b/crates/edge/src/relay/relayed_attempt.rs
@@ -73,6 +73,12 @@
                     (RELAY_ANSWERED, Ok(response))
                 }
                 value => {
+                    LogLine::new("relay_declined")
+                        .field("request_id", &call.id)
+                        .field("peer", peer)
+                        .field("upstream", &guard.record.id)
+                        .field("reason", value.unwrap_or("none"))
+                        .warn();
                     let failure = refused_by_peer(guard, peer, value);
                     (failure.as_str(), Err(failure.into()))
                 }
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -5,7 +5,7 @@
     buffer_budget::BufferShare,
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
-    path::{direct_failed, relay_peer, relay_peers},
+    path::{direct_failed, log_no_path, relay_peer, relay_peers},
 };
 use actix_web::http::{StatusCode, header::HeaderMap};
 use pimentoslip_kernel::{
@@ -59,7 +59,7 @@
             if state.paths().has_path(&path_query, now, || relay_peers(state)) {
                 return Some(guard);
             }
-            guard.path_missing();
+            guard.path_missing(query.affinity);
         }
         None
     }
@@ -123,8 +123,9 @@
         }
     }
 
-    /// Keeps requests from the upstream for a moment, as there is no path to it.
-    pub fn path_missing(&self) {
+    /// Keeps requests from the upstream for a moment, as there is no path to it for the request `id`.
+    pub fn path_missing(&self, id: &str) {
+        log_no_path(&self.state, id, &self.record);
         let until = self.now().plus_ms(NO_PATH_BACKOFF_MS);
         self.state.upstreams().path_missing(&self.record.id, until);
     }
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -75,10 +75,15 @@
         ReachRequest { upstream: record.id.clone(), started: record.started_unix_ms, address: record.address.clone() };
     let request = &request;
     for round in peers.chunks(PEERS_MAX).take(ROUNDS_MAX) {
-        let calls = round.iter().map(|(_, address)| async move {
+        let calls = round.iter().map(|(name, address)| async move {
             let response = peer_client.call::<ReachResponse>(address, REACH_PATH, request, CALL_TIMEOUT_MS).await;
-            if let Err(error) = &response {
-                LogLine::new("reach_not_answered").field("peer", address).field("reason", error).warn();
+            match &response {
+                Ok(response) => LogLine::new("reach_answered")
+                    .field("peer", name)
+                    .field("upstream", &request.upstream)
+                    .field("connection", response.outcome().map_or("unknown", ConnectOutcome::as_str))
+                    .info(),
+                Err(error) => LogLine::new("reach_not_answered").field("peer", name).field("reason", error).warn(),
             }
             response.ok()?.outcome()
         });
--- a/crates/kernel/src/path/path_table.rs
+++ b/crates/kernel/src/path/path_table.rs
@@ -18,6 +18,8 @@
 const TRIAL_INTERVAL_MS: u64 = 300;
 /// Upstreams whose direct paths fail, without a success at any upstream, after which all direct paths count as lost.
 const CUT_UPSTREAMS: usize = 2;
+/// Shortest time between two lines of the log on missing paths.
+const REPORT_INTERVAL_MS: u64 = 50;
 /// Time for which a peer that did not relay is not used, for one upstream or all of them.
 const PEER_BACKOFF_MS: u64 = 1_000;
 
@@ -111,6 +113,17 @@
     pub prefers_relay: bool,
 }
 
+/// Whether a peer may relay requests to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayState {
+    /// It may.
+    Usable,
+    /// It has not relayed a request to this upstream, and is not used for it until then.
+    UpstreamFailed { until: TimePoint },
+    /// It has not relayed a request, and is not used until then.
+    PeerFailed { until: TimePoint },
+}
+
 /// State of a direct path that has failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PathPhase {
@@ -178,6 +191,8 @@
     failed_relays: BTreeMap<(SharedName, Option<SharedName>), FailedRelay>,
     /// Signs of life of the peers that relay.
     contacts: BTreeMap<SharedName, PeerContact>,
+    /// When a missing path may be logged again.
+    report_at: TimePoint,
 }
 
 impl PathTable {
@@ -442,6 +457,44 @@
         self.failed_relays.get(&(peer.clone(), None)).is_some_and(|relay| now < relay.until)
     }
 
+    /// Whether `peer` may relay requests to the upstream at `address`.
+    #[must_use]
+    pub fn relay_state(&self, peer: &SharedName, address: &SharedName, now: TimePoint) -> RelayState {
+        let until = |address: Option<&SharedName>| {
+            let relay = self.failed_relays.get(&(peer.clone(), address.cloned()));
+            relay.map(|relay| relay.until).filter(|until| now < *until)
+        };
+        match (until(None), until(Some(address))) {
+            (Some(until), _) => RelayState::PeerFailed { until },
+            (None, Some(until)) => RelayState::UpstreamFailed { until },
+            (None, None) => RelayState::Usable,
+        }
+    }
+
+    /// Whether a missing path may be logged now, which bounds the number of lines.
+    pub fn may_report(&mut self, now: TimePoint) -> bool {
+        if now < self.report_at {
+            return false;
+        }
+        self.report_at = now.plus_ms(REPORT_INTERVAL_MS);
+        true
+    }
+
+    /// State of the direct path to `address`, for the log.
+    #[must_use]
+    pub fn direct_state(&self, address: &str) -> &'static str {
+        let failed = self.failed.get(address);
+        match failed.map(|path| path.phase) {
+            _ if self.is_upstream_down(address) => "upstream_down",
+            _ if self.cut.is_some() => "all_paths_lost",
+            None => "direct",
+            Some(PathPhase::Doubted { .. }) => "doubted",
+            Some(PathPhase::Lost { .. }) => "lost",
+            Some(PathPhase::Trial { .. }) => "trial",
+            Some(PathPhase::Regained { .. }) => "regained",
+        }
+    }
+
     /// What is known of `peer`, which has not responded to a call since `since`.
     pub fn peer_check(&mut self, peer: &SharedName, since: TimePoint, now: TimePoint) -> PeerCheck {
         self.contacts.entry(peer.clone()).or_default().check(since, now)
