--- a/crates/cli/tests/processes/platform_relays.rs
+++ b/crates/cli/tests/processes/platform_relays.rs
@@ -104,7 +104,8 @@
         for number in 0..40 {
             served += u32::from(site.send_quote(0, &format!("other-{number}")).await.status == 200);
         }
-        assert!(served >= 38, "{ending}: {served} of 40 are served: {}", site.edges[0].process.log());
+        let logs: Vec<String> = site.edges.iter().map(|edge| edge.process.log()).collect();
+        assert!(served >= 38, "{ending}: {served} of 40 are served: {}", logs.join("\n"));
     }
 }
 
