Probe a path that is lost again right after a probe has succeeded on it

What callers saw: none at an edge without paths was served although a peer reached the upstream: the peer declined every request with path_lost, for good. The edge itself would not have returned to its own path either.

Cause: after a probe has succeeded, a path is on trial. The task that probes lost paths sleeps while none is lost, and a path on trial is not. When the first request on it failed, the path was lost again, which was reported as nothing new, and nothing woke the task: no probe was sent until some other path failed.

Change: the table reports such a loss (DirectLoss::LostAgain), and the edge wakes the task.

Ruled out: a task that also ticks while paths are on trial would tick for as long as nothing uses them.

platform_path and platform_relays (24) and all tests of the kernel (128) pass. With PIMENTOSLIP_SEQUENCES=20000 machines::paths fails, as it did before this commit and without its changes to the test: another fault.

--- a/crates/cli/tests/processes/platform_relays.rs
+++ b/crates/cli/tests/processes/platform_relays.rs
@@ -11,7 +11,7 @@
     stored::PresenceEntry,
 };
 use serde_bytes::ByteBuf;
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 /// Starts a site with `peers` edges that reach the upstreams, beside the edge 0, which does not.
 async fn relayed_site(peers: usize) -> (EdgeSite, PathMatrix) {
@@ -109,6 +109,39 @@
     }
 }
 
+/// Guards against a peer that takes its path to an upstream for lost for ever, because it fails again right after a probe has
+/// found that it works.
+#[actix_rt::test]
+async fn a_peer_relays_again_after_its_path_was_lost_twice() {
+    let (mut site, matrix) = PathMatrix::start_site(&["north", "south", "south"]).await;
+    site.desks[0].leave_list();
+    let address = site.desks[1].address;
+    matrix.set(0, address, RelayRule::Refuse);
+    let tries = Cell::new(0);
+    for loss in 1..3 {
+        matrix.set(1, address, RelayRule::Refuse);
+        wait_for("the peer loses its path", || async {
+            tries.set(tries.get() + 1);
+            site.send_quote(0, &format!("lost-{}", tries.get())).await;
+            (site.edges[1].process.log().matches("event=connection_failed").count() == loss).then_some(())
+        })
+        .await;
+        matrix.set(1, address, RelayRule::Pass);
+        if loss == 1 {
+            let is_regained = || site.edges[1].process.log().contains("event=path_regained");
+            wait_for("a probe succeeds", || async { is_regained().then_some(()) }).await;
+        }
+    }
+    site.edges[2].process.kill();
+    // Three seconds after a loss, callers are served like others; the peer's path has been back for as long.
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    let mut served = 0;
+    for number in 0..20 {
+        served += u32::from(site.send_quote(0, &format!("later-{number}")).await.status == 200);
+    }
+    assert_eq!(served, 20, "{}\n{}", site.edges[0].process.log(), site.edges[1].process.log());
+}
+
 /// Guards against events that a relay holds back, joins or cuts, and against upstreams that work for a caller who has left.
 #[actix_rt::test]
 async fn a_relayed_stream_arrives_as_it_is_generated_and_ends_with_its_caller() {
--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -19,12 +19,16 @@
 /// its bytes were not acknowledged there.
 pub fn direct_failed(state: &EdgeState, record: &SamplerRecord, started_at: TimePoint) {
     let loss = state.paths().direct_failed(&record.address, started_at, state.now());
-    if loss == DirectLoss::Cut {
-        LogLine::new("all_paths_lost").field("upstream", &record.id).warn();
-        path_found(state, None);
-    }
-    if loss != DirectLoss::Known {
-        state.request_path_check(record);
+    match loss {
+        DirectLoss::Known => {}
+        // The task that probes lost paths sleeps while none is lost.
+        DirectLoss::LostAgain => state.paths_changed.notify_one(),
+        DirectLoss::Doubted => state.request_path_check(record),
+        DirectLoss::Cut => {
+            LogLine::new("all_paths_lost").field("upstream", &record.id).warn();
+            path_found(state, None);
+            state.request_path_check(record);
+        }
     }
 }
 
--- a/crates/kernel/src/path/path_table.rs
+++ b/crates/kernel/src/path/path_table.rs
@@ -28,6 +28,8 @@
 pub enum DirectLoss {
     /// Nothing new: the path is doubted or lost already, or has worked since.
     Known,
+    /// The path is lost again, although a probe has just succeeded on it. It is to be probed.
+    LostAgain,
     /// The path may be lost, or the upstream may have ended. Peers are to be asked.
     Doubted,
     /// All direct paths count as lost.
@@ -346,7 +348,7 @@
                     path.failures += 1;
                     path.failed_at = started_at;
                     path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
-                    false
+                    return DirectLoss::LostAgain;
                 }
                 PathPhase::Doubted { .. } | PathPhase::Lost { .. } => false,
             },
--- a/crates/kernel/tests/machines/paths.rs
+++ b/crates/kernel/tests/machines/paths.rs
@@ -72,6 +72,8 @@
     /// When anything that concerns a daemon, or an upstream, changed last.
     changed_at: Vec<TimePoint>,
     events: Vec<(TimePoint, Event)>,
+    /// Daemons that look for due probes: those that had lost paths when they last did, or have been notified since.
+    awake: [bool; DAEMONS],
     tick: usize,
 }
 
@@ -92,6 +94,7 @@
             down: BTreeSet::new(),
             changed_at: vec![TimePoint(0); DAEMONS],
             events: Vec::new(),
+            awake: [false; DAEMONS],
             tick: 0,
         }
     }
@@ -125,7 +128,8 @@
 
     fn direct_failed(&mut self, daemon: usize, upstream: usize, started_at: TimePoint) {
         let loss = self.tables[daemon].direct_failed(&address(upstream), started_at, self.now);
-        if loss != DirectLoss::Known {
+        self.awake[daemon] |= loss != DirectLoss::Known;
+        if matches!(loss, DirectLoss::Doubted | DirectLoss::Cut) {
             let ends_at = self.now.plus_ms(self.connect_ms(daemon, upstream));
             self.events.push((ends_at, Event::Checked { daemon, upstream, started_at: self.now }));
         }
@@ -201,6 +205,7 @@
                     (0..DAEMONS).filter(|other| *other != daemon).map(|other| self.connect(other, upstream)).collect();
                 let verdict = PathVerdict::judge(self.connect(daemon, upstream), &others);
                 self.tables[daemon].path_checked(&address(upstream), verdict, started_at, self.now);
+                self.awake[daemon] = true;
             }
             Event::Probed { daemon, upstream, started_at } => {
                 let outcome = self.connect(daemon, upstream);
@@ -220,7 +225,8 @@
         }
         let listed: Vec<SharedName> = (0..UPSTREAMS).map(address).collect();
         for daemon in 0..DAEMONS {
-            let due = self.tables[daemon].due_probes(self.now, &listed);
+            let due = if self.awake[daemon] { self.tables[daemon].due_probes(self.now, &listed) } else { Vec::new() };
+            self.awake[daemon] = self.tables[daemon].has_lost_paths() && self.awake[daemon];
             for probe in due {
                 let upstream = (0..UPSTREAMS).find(|upstream| address(*upstream) == probe.address);
                 let (upstream, started_at) = (upstream.ok_or("an unknown address is probed")?, self.now);
@@ -278,6 +284,7 @@
             }
             Command::Restart { daemon } => {
                 fleet.tables[daemon] = PathTable::default();
+                fleet.awake[daemon] = false;
                 fleet.changed_at[daemon] = fleet.now;
             }
             Command::Run { ticks } => {
