Ask other peers in each check while nobody reaches an upstream

Cause: a check asks the two peers that rank highest for the upstream. If these have lost the same path, but reach another upstream, they answer that the connection was refused or silent, and the upstream counts as down: nothing is relayed. Each later check asked the same two. machines::paths did not see it, as its checks asked all peers.

Change: each check asks the next two peers for as long as nobody reached the upstream (PathTable::asking_order, used by the machine as well). No check asks more peers than before.

Ruled out: asking all peers, each daemon of a fleet would connect through all others to an upstream that has ended. An answer "unknown" of every peer that does not reach the upstream: nobody could tell any more that one has ended.

Remains: the verdict on a crash (ProcessVerdict) is formed from the first two peers alone.

--- a/crates/cli/tests/processes/platform_relays.rs
+++ b/crates/cli/tests/processes/platform_relays.rs
@@ -142,6 +142,38 @@
     assert_eq!(served, 20, "{}\n{}", site.edges[0].process.log(), site.edges[1].process.log());
 }
 
+/// Guards against an upstream that counts as down because the peers that are asked have lost the same path, while another one
+/// reaches it.
+#[actix_rt::test]
+async fn callers_are_served_through_the_only_peer_that_has_not_lost_the_same_path() {
+    let (site, matrix) = PathMatrix::start_site(&["north", "south", "south", "south"]).await;
+    site.desks[0].leave_list();
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    let address = site.desks[1].address;
+    for sound in 1..4 {
+        (0..4).filter(|edge| *edge != sound).for_each(|edge| matrix.set(edge, address, RelayRule::Refuse));
+        // Three seconds after a loss, the callers of this edge are served like others.
+        for number in 0..30 {
+            site.send_quote(0, &format!("early-{sound}-{number}")).await;
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        let mut served = 0;
+        for number in 0..20 {
+            served += u32::from(site.send_quote(0, &format!("late-{sound}-{number}")).await.status == 200);
+        }
+        assert_eq!(served, 20, "edge-{sound} relays: {}", site.edges[0].process.log());
+        (0..4).for_each(|edge| matrix.set(edge, address, RelayRule::Pass));
+        let tries = Cell::new(0);
+        wait_for("the direct path is used again", || async {
+            tries.set(tries.get() + 1);
+            let id = format!("back-{sound}-{}", tries.get());
+            let is_served = site.send_quote(0, &id).await.status == 200;
+            (is_served && relayed_count(&site, &id) == 0).then_some(())
+        })
+        .await;
+    }
+}
+
 /// Guards against events that a relay holds back, joins or cuts, and against upstreams that work for a caller who has left.
 #[actix_rt::test]
 async fn a_relayed_stream_arrives_as_it_is_generated_and_ends_with_its_caller() {
--- a/crates/edge/src/suspect/reach_check.rs
+++ b/crates/edge/src/suspect/reach_check.rs
@@ -8,10 +8,10 @@
 };
 use futures_util::future::{join, join_all};
 use pimentoslip_client::probe_connection;
-use pimentoslip_kernel::{ConnectOutcome, SamplerRecord, SharedName, rank};
+use pimentoslip_kernel::{ConnectOutcome, PEERS_ASKED, SamplerRecord, SharedName, rank};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::{ReachRequest, ReachResponse};
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 /// Path of the peer interface at which daemons try connections to upstreams.
 pub const REACH_PATH: &str = "/peer/reach";
@@ -19,8 +19,6 @@
 const CALL_TIMEOUT_MS: u64 = 500;
 /// Wait for the connection that a peer has asked for before another upstream is tried as well. Round trips take milliseconds.
 const OTHER_DELAY: Duration = Duration::from_millis(50);
-/// Peers that are asked at once.
-const PEERS_MAX: usize = 2;
 /// Times that other peers are asked while those before have no paths themselves.
 const ROUNDS_MAX: usize = 2;
 
@@ -64,17 +62,19 @@
     peer_client: &PeerClient,
     record: &SamplerRecord,
 ) -> Option<Vec<ConnectOutcome>> {
-    let mut peers = ranked_peers(state, &record.id);
-    if peers.is_empty() {
+    let ranked = ranked_peers(state, &record.id);
+    if ranked.is_empty() {
         return None;
     }
-    // Peers that have lost their own paths cannot tell.
-    let now = state.now();
-    peers.sort_by_key(|(name, _)| state.paths().is_relay_failed(name, now));
+    let names = ranked.iter().map(|(name, _)| name.clone()).collect();
+    let order = state.paths().asking_order(&record.address, names, state.now());
+    let addresses: BTreeMap<SharedName, SharedName> = ranked.into_iter().collect();
+    let peers: Vec<(&SharedName, &SharedName)> =
+        order.iter().filter_map(|name| addresses.get_key_value(name)).collect();
     let request =
         ReachRequest { upstream: record.id.clone(), started: record.started_unix_ms, address: record.address.clone() };
     let request = &request;
-    for round in peers.chunks(PEERS_MAX).take(ROUNDS_MAX) {
+    for round in peers.chunks(PEERS_ASKED).take(ROUNDS_MAX) {
         let calls = round.iter().map(|(name, address)| async move {
             let response = peer_client.call::<ReachResponse>(address, REACH_PATH, request, CALL_TIMEOUT_MS).await;
             match &response {
--- a/crates/kernel/src/path/mod.rs
+++ b/crates/kernel/src/path/mod.rs
@@ -8,7 +8,7 @@
 mod service_path;
 
 pub use path_selector::PathSelector;
-pub use path_table::{DirectLoss, PathGain, PathProbe, PathQuery, PathTable, PathVerdict, RelayState};
+pub use path_table::{DirectLoss, PEERS_ASKED, PathGain, PathProbe, PathQuery, PathTable, PathVerdict, RelayState};
 pub use peer_contact::PeerCheck;
 pub use relay_peer::{RelayFailure, RelayPeer};
 pub use replay_window::ReplayWindow;
--- a/crates/kernel/src/path/path_table.rs
+++ b/crates/kernel/src/path/path_table.rs
@@ -18,6 +18,8 @@
 const TRIAL_INTERVAL_MS: u64 = 300;
 /// Upstreams whose direct paths fail, without a success at any upstream, after which all direct paths count as lost.
 const CUT_UPSTREAMS: usize = 2;
+/// Peers that are asked at once whether they reach an upstream.
+pub const PEERS_ASKED: usize = 2;
 /// Shortest time between two lines of the log on missing paths.
 const REPORT_INTERVAL_MS: u64 = 50;
 /// Time for which a peer that did not relay is not used, for one upstream or all of them.
@@ -147,13 +149,17 @@
     failed_at: TimePoint,
     /// Failures in a row.
     failures: u32,
-    /// Whether no peer that was asked reached the upstream either.
-    is_upstream_down: bool,
+    /// Checks in a row in which no peer that was asked reached the upstream either.
+    down_checks: usize,
 }
 
 impl FailedPath {
     fn new(phase: PathPhase, failed_at: TimePoint) -> Self {
-        Self { phase, failed_at, failures: 1, is_upstream_down: false }
+        Self { phase, failed_at, failures: 1, down_checks: 0 }
+    }
+
+    fn is_upstream_down(&self) -> bool {
+        self.down_checks > 0
     }
 
     fn probe_interval_ms(&self) -> u64 {
@@ -231,6 +237,19 @@
         if relay.is_none() && self.is_direct(query.address) { Some(ServicePath::Direct) } else { relay }
     }
 
+    /// The order in which `ranked` peers are asked whether they reach the upstream at `address`, [`PEERS_ASKED`] of them in each
+    /// check: others than in the checks before if these found nobody who does, since those may have lost the same path. Peers
+    /// that have not relayed lately, which may have lost all paths, are last.
+    #[must_use]
+    pub fn asking_order(&self, address: &str, ranked: Vec<SharedName>, now: TimePoint) -> Vec<SharedName> {
+        let mut peers = ranked;
+        let asked = self.failed.get(address).map_or(0, |path| path.down_checks * PEERS_ASKED);
+        let first = asked.checked_rem(peers.len()).unwrap_or(0);
+        peers.rotate_left(first);
+        peers.sort_by_key(|peer| self.is_relay_failed(peer, now));
+        peers
+    }
+
     /// Whether [`Self::next_path`] would select a path.
     pub fn has_path(&self, query: &PathQuery<'_>, now: TimePoint, peers: impl FnOnce() -> Vec<RelayPeer>) -> bool {
         let is_trial_due = |path: &FailedPath| matches!(path.phase, PathPhase::Trial { next_at } if now >= next_at);
@@ -243,7 +262,7 @@
 
     /// Whether the last check found nobody that reaches the upstream at `address`.
     fn is_upstream_down(&self, address: &str) -> bool {
-        let is_down = |path: &FailedPath| path.is_upstream_down && matches!(path.phase, PathPhase::Lost { .. });
+        let is_down = |path: &FailedPath| path.is_upstream_down() && matches!(path.phase, PathPhase::Lost { .. });
         self.failed.get(address).is_some_and(is_down)
     }
 
@@ -418,7 +437,7 @@
                     path.failures += 1;
                 }
                 path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
-                path.is_upstream_down = verdict == PathVerdict::UpstreamDown;
+                path.down_checks = if verdict == PathVerdict::UpstreamDown { path.down_checks + 1 } else { 0 };
                 if verdict == PathVerdict::Lost {
                     self.cut.iter_mut().for_each(|cut| cut.is_confirmed = true);
                 } else {
@@ -441,7 +460,7 @@
     /// Handles a call that `peer` relayed: the upstream at `address` responded.
     pub fn relay_succeeded(&mut self, peer: &SharedName, address: &str, now: TimePoint) {
         if let Some(path) = self.failed.get_mut(address) {
-            path.is_upstream_down = false;
+            path.down_checks = 0;
             self.cut.iter_mut().for_each(|cut| cut.is_confirmed = true);
         }
         self.failed_relays.remove(&(peer.clone(), None));
@@ -538,9 +557,9 @@
                 PathPhase::Lost { probe_at } => probe_at,
                 PathPhase::Trial { .. } | PathPhase::Regained { .. } => continue,
             };
-            if due_at <= now && (path.is_upstream_down || !is_cut) {
+            if due_at <= now && (path.is_upstream_down() || !is_cut) {
                 path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
-                due.push(PathProbe { address: address.clone(), asks_peers: path.is_upstream_down });
+                due.push(PathProbe { address: address.clone(), asks_peers: path.is_upstream_down() });
             }
         }
         due
@@ -568,7 +587,7 @@
         let lost_path = |path: &&mut FailedPath| matches!(path.phase, PathPhase::Lost { .. });
         if outcome != ConnectOutcome::Accepted {
             // Where nobody reached the upstream, this says nothing of the path.
-            if let Some(path) = self.failed.get_mut(address).filter(lost_path).filter(|path| !path.is_upstream_down) {
+            if let Some(path) = self.failed.get_mut(address).filter(lost_path).filter(|path| !path.is_upstream_down()) {
                 path.failures += 1;
                 path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
             }
@@ -582,7 +601,7 @@
         let was_lost = path.is_some();
         if let Some(path) = path {
             path.phase = PathPhase::Trial { next_at: now };
-            path.is_upstream_down = false;
+            path.down_checks = 0;
         }
         PathGain::new(was_cut, was_lost)
     }
--- a/crates/kernel/tests/machines/paths.rs
+++ b/crates/kernel/tests/machines/paths.rs
@@ -3,8 +3,8 @@
 
 use crate::sequence;
 use pimentoslip_kernel::{
-    ConnectOutcome, DirectLoss, PathQuery, PathTable, PathVerdict, RelayFailure, RelayPeer, ReplayWindow, ServicePath,
-    SharedName, TimePoint,
+    ConnectOutcome, DirectLoss, PEERS_ASKED, PathQuery, PathTable, PathVerdict, RelayFailure, RelayPeer, ReplayWindow,
+    ServicePath, SharedName, TimePoint,
 };
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
@@ -194,6 +194,21 @@
         false
     }
 
+    /// Results of the peers that are asked whether they reach an upstream: the first two; two others if these have lost
+    /// all paths themselves.
+    fn ask_peers(&self, daemon: usize, upstream: usize) -> Vec<ConnectOutcome> {
+        let mut ranked: Vec<SharedName> = Self::peers(daemon).into_iter().map(|peer| peer.name).collect();
+        ranked.rotate_left(upstream);
+        let peers = self.tables[daemon].asking_order(&address(upstream), ranked, self.now);
+        let connect = |peer: &SharedName| {
+            let peer = (0..DAEMONS).find(|daemon| name(*daemon) == *peer)?;
+            let has_paths = (0..UPSTREAMS).any(|other| self.connect(peer, other) == ConnectOutcome::Accepted);
+            has_paths.then(|| self.connect(peer, upstream))
+        };
+        let mut answers = peers.chunks(PEERS_ASKED).map(|asked| asked.iter().filter_map(connect).collect());
+        answers.find(|outcomes: &Vec<ConnectOutcome>| !outcomes.is_empty()).unwrap_or_default()
+    }
+
     fn handle(&mut self, event: Event) -> Result<(), String> {
         match event {
             Event::DirectFailed { daemon, upstream, started_at } => {
@@ -201,8 +216,7 @@
                 self.request(daemon, (upstream + 1) % UPSTREAMS, true)?;
             }
             Event::Checked { daemon, upstream, started_at } => {
-                let others: Vec<ConnectOutcome> =
-                    (0..DAEMONS).filter(|other| *other != daemon).map(|other| self.connect(other, upstream)).collect();
+                let others = self.ask_peers(daemon, upstream);
                 let verdict = PathVerdict::judge(self.connect(daemon, upstream), &others);
                 self.tables[daemon].path_checked(&address(upstream), verdict, started_at, self.now);
                 self.awake[daemon] = true;
