Check a path at once that fails on trial if its upstream counted as down

What callers saw: after a daemon's paths had returned, an upstream that had counted as down before counted as down again when its path failed on trial, for up to 1.5 s until the next check, also if it had started meanwhile and peers reached it.

Cause: a path on trial keeps the result of an earlier check. When the first request failed, the path was lost with that result, and nothing was relayed.

Change: such a path is doubted, so that peers are asked at once.

Ruled out: forgetting the earlier result. The path of an upstream that is down would be lost without a check, and peers would be asked to relay to it for good.

--- a/crates/kernel/src/path/path_table.rs
+++ b/crates/kernel/src/path/path_table.rs
@@ -366,6 +366,11 @@
                 PathPhase::Trial { .. } => {
                     path.failures += 1;
                     path.failed_at = started_at;
+                    // That nobody reached the upstream was found before its path was on trial.
+                    if path.is_upstream_down() && self.cut.is_none() {
+                        path.phase = doubted;
+                        return DirectLoss::Doubted;
+                    }
                     path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
                     return DirectLoss::LostAgain;
                 }
--- a/crates/kernel/tests/machines/paths.rs
+++ b/crates/kernel/tests/machines/paths.rs
@@ -330,3 +330,15 @@
     (10..20_000).for_each(|number| assert!(window.accept(number)));
     assert!((0..20_000).filter(|number| window.accept(*number)).count() == 0, "forgotten numbers count as received");
 }
+
+/// Guards against callers who wait for the next check of an upstream that counted as down before its path was on trial.
+#[test]
+fn a_path_that_fails_on_trial_is_checked_at_once_if_its_upstream_counted_as_down() {
+    let (mut table, at) = (PathTable::default(), |ms: u64| TimePoint(100_000 + ms));
+    assert_eq!(table.direct_failed(&address(0), at(0), at(1)), DirectLoss::Doubted);
+    assert_eq!(table.direct_failed(&address(1), at(2), at(3)), DirectLoss::Cut);
+    table.relay_succeeded(&name(1), &address(1), at(4));
+    table.path_checked(&address(0), PathVerdict::UpstreamDown, at(1), at(5));
+    table.probe_ended(&address(1), ConnectOutcome::Accepted, at(500), at(501));
+    assert_eq!(table.direct_failed(&address(0), at(502), at(503)), DirectLoss::Doubted);
+}
