--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -1,10 +1,12 @@
 //! Paths to the upstreams: finds out whether an upstream or the path to it has failed, and relays requests of peers that have
 //! lost their paths.
 
+mod no_path_log;
 mod path_probe;
 mod path_task;
 mod relay_api;
 
+pub use no_path_log::log_no_path;
 pub use path_probe::probe_paths;
 pub use path_task::{record_check, watch_paths};
 pub use relay_api::relay_request;
@@ -17,12 +19,16 @@
 /// its bytes were not acknowledged there.
 pub fn direct_failed(state: &EdgeState, record: &SamplerRecord, started_at: TimePoint) {
     let loss = state.paths().direct_failed(&record.address, started_at, state.now());
-    if loss == DirectLoss::Cut {
-        LogLine::new("all_paths_lost").field("upstream", &record.id).warn();
-        path_found(state, None);
-    }
-    if loss != DirectLoss::Known {
-        state.request_path_check(record);
+    match loss {
+        DirectLoss::Known => {}
+        // The task that probes lost paths sleeps while none is lost.
+        DirectLoss::LostAgain => state.paths_changed.notify_one(),
+        DirectLoss::Doubted => state.request_path_check(record),
+        DirectLoss::Cut => {
+            LogLine::new("all_paths_lost").field("upstream", &record.id).warn();
+            path_found(state, None);
+            state.request_path_check(record);
+        }
     }
 }
 
--- a/crates/kernel/tests/machines/paths.rs
+++ b/crates/kernel/tests/machines/paths.rs
@@ -3,8 +3,8 @@
 
 use crate::sequence;
 use pimentoslip_kernel::{
-    ConnectOutcome, DirectLoss, PathQuery, PathTable, PathVerdict, RelayFailure, RelayPeer, ReplayWindow, ServicePath,
-    SharedName, TimePoint,
+    ConnectOutcome, DirectLoss, PEERS_ASKED, PathQuery, PathTable, PathVerdict, RelayFailure, RelayPeer, ReplayWindow,
+    ServicePath, SharedName, TimePoint,
 };
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
@@ -72,6 +72,8 @@
     /// When anything that concerns a daemon, or an upstream, changed last.
     changed_at: Vec<TimePoint>,
     events: Vec<(TimePoint, Event)>,
+    /// Daemons that look for due probes: those that had lost paths when they last did, or have been notified since.
+    awake: [bool; DAEMONS],
     tick: usize,
 }
 
@@ -92,6 +94,7 @@
             down: BTreeSet::new(),
             changed_at: vec![TimePoint(0); DAEMONS],
             events: Vec::new(),
+            awake: [false; DAEMONS],
             tick: 0,
         }
     }
@@ -125,7 +128,8 @@
 
     fn direct_failed(&mut self, daemon: usize, upstream: usize, started_at: TimePoint) {
         let loss = self.tables[daemon].direct_failed(&address(upstream), started_at, self.now);
-        if loss != DirectLoss::Known {
+        self.awake[daemon] |= loss != DirectLoss::Known;
+        if matches!(loss, DirectLoss::Doubted | DirectLoss::Cut) {
             let ends_at = self.now.plus_ms(self.connect_ms(daemon, upstream));
             self.events.push((ends_at, Event::Checked { daemon, upstream, started_at: self.now }));
         }
@@ -190,6 +194,21 @@
         false
     }
 
+    /// Results of the peers that are asked whether they reach an upstream: the first two; two others if these have lost
+    /// all paths themselves.
+    fn ask_peers(&self, daemon: usize, upstream: usize) -> Vec<ConnectOutcome> {
+        let mut ranked: Vec<SharedName> = Self::peers(daemon).into_iter().map(|peer| peer.name).collect();
+        ranked.rotate_left(upstream);
+        let peers = self.tables[daemon].asking_order(&address(upstream), ranked, self.now);
+        let connect = |peer: &SharedName| {
+            let peer = (0..DAEMONS).find(|daemon| name(*daemon) == *peer)?;
+            let has_paths = (0..UPSTREAMS).any(|other| self.connect(peer, other) == ConnectOutcome::Accepted);
+            has_paths.then(|| self.connect(peer, upstream))
+        };
+        let mut answers = peers.chunks(PEERS_ASKED).map(|asked| asked.iter().filter_map(connect).collect());
+        answers.find(|outcomes: &Vec<ConnectOutcome>| !outcomes.is_empty()).unwrap_or_default()
+    }
+
     fn handle(&mut self, event: Event) -> Result<(), String> {
         match event {
             Event::DirectFailed { daemon, upstream, started_at } => {
@@ -197,10 +216,10 @@
                 self.request(daemon, (upstream + 1) % UPSTREAMS, true)?;
             }
             Event::Checked { daemon, upstream, started_at } => {
-                let others: Vec<ConnectOutcome> =
-                    (0..DAEMONS).filter(|other| *other != daemon).map(|other| self.connect(other, upstream)).collect();
+                let others = self.ask_peers(daemon, upstream);
                 let verdict = PathVerdict::judge(self.connect(daemon, upstream), &others);
                 self.tables[daemon].path_checked(&address(upstream), verdict, started_at, self.now);
+                self.awake[daemon] = true;
             }
             Event::Probed { daemon, upstream, started_at } => {
                 let outcome = self.connect(daemon, upstream);
@@ -220,7 +239,8 @@
         }
         let listed: Vec<SharedName> = (0..UPSTREAMS).map(address).collect();
         for daemon in 0..DAEMONS {
-            let due = self.tables[daemon].due_probes(self.now, &listed);
+            let due = if self.awake[daemon] { self.tables[daemon].due_probes(self.now, &listed) } else { Vec::new() };
+            self.awake[daemon] = self.tables[daemon].has_lost_paths() && self.awake[daemon];
             for probe in due {
                 let upstream = (0..UPSTREAMS).find(|upstream| address(*upstream) == probe.address);
                 let (upstream, started_at) = (upstream.ok_or("an unknown address is probed")?, self.now);
@@ -278,6 +298,7 @@
             }
             Command::Restart { daemon } => {
                 fleet.tables[daemon] = PathTable::default();
+                fleet.awake[daemon] = false;
                 fleet.changed_at[daemon] = fleet.now;
             }
             Command::Run { ticks } => {
@@ -309,3 +330,15 @@
     (10..20_000).for_each(|number| assert!(window.accept(number)));
     assert!((0..20_000).filter(|number| window.accept(*number)).count() == 0, "forgotten numbers count as received");
 }
+
+/// Guards against callers who wait for the next check of an upstream that counted as down before its path was on trial.
+#[test]
+fn a_path_that_fails_on_trial_is_checked_at_once_if_its_upstream_counted_as_down() {
+    let (mut table, at) = (PathTable::default(), |ms: u64| TimePoint(100_000 + ms));
+    assert_eq!(table.direct_failed(&address(0), at(0), at(1)), DirectLoss::Doubted);
+    assert_eq!(table.direct_failed(&address(1), at(2), at(3)), DirectLoss::Cut);
+    table.relay_succeeded(&name(1), &address(1), at(4));
+    table.path_checked(&address(0), PathVerdict::UpstreamDown, at(1), at(5));
+    table.probe_ended(&address(1), ConnectOutcome::Accepted, at(500), at(501));
+    assert_eq!(table.direct_failed(&address(0), at(502), at(503)), DirectLoss::Doubted);
+}
