--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -28,6 +28,7 @@
 mod platform_software;
 mod platform_stops;
 mod platform_streams;
+mod platform_usage;
 mod reclaim;
 mod requests;
 mod samples;
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -90,6 +90,8 @@
     pub edges: Vec<EdgeProcess>,
     /// Times at which a process of an edge was started again.
     pub restarts: Vec<Instant>,
+    /// Length of a usage window, for edges that are started later.
+    pub usage_window_s: u64,
     /// Directory with the settings and logs of the edges.
     workdir: Workdir,
 }
@@ -124,7 +126,12 @@
     /// Starts the stand-ins, stores a configuration with two organisations, starts `edges` edges and waits until they
     /// are ready.
     pub async fn start(edges: usize) -> Self {
-        let mut site = Self::without_edges();
+        Self::start_with_usage_window(edges, 1).await
+    }
+
+    /// Starts a site like [`Self::start`], whose usage windows are `usage_window_s` seconds long.
+    pub async fn start_with_usage_window(edges: usize, usage_window_s: u64) -> Self {
+        let mut site = Self { usage_window_s, ..Self::without_edges() };
         site.write_default_config();
         for _ in 0..edges {
             let store_address = site.store.address;
@@ -161,6 +168,7 @@
             provider,
             edges: Vec::new(),
             restarts: Vec::new(),
+            usage_window_s: 1,
             workdir: Workdir::new(),
         }
     }
@@ -266,7 +274,7 @@
             "internalPorts": [control_address.port(), control_address.port()],
             "platform": { "address": options.store_address, "valueBytes": 1_048_576, "minTtlMs": 1000 },
             "cloudApi": { "address": self.provider.address },
-            "bounds": { "leaseMs": 1000, "graceS": 8, "reportWindowS": 1, "statusS": 120 },
+            "bounds": { "leaseMs": 1000, "graceS": 8, "reportWindowS": self.usage_window_s, "statusS": 120 },
         });
         let settings_path = self.workdir.write(&format!("{vm}.json"), &settings.to_string());
         let process = self.spawn_edge(&vm, &settings_path);
--- a/crates/edge/src/duty/usage_count_task.rs
+++ b/crates/edge/src/duty/usage_count_task.rs
@@ -1,7 +1,12 @@
 //! Stores this daemon's request counts of each usage window, through the collector of its region.
 
 use super::usage_collector::{USAGE_PATH, write_batches};
-use crate::{edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess};
+use crate::{
+    edge_metrics::{EdgeMetrics, ReasonLabel},
+    edge_state::EdgeState,
+    peer_client::PeerClient,
+    store::StoreAccess,
+};
 use pimentoslip_kernel::UsageBatch;
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{peer::UsagePush, stored::UsageBatchEntry};
@@ -13,6 +18,8 @@
 const LATE_COUNT_MS: u64 = 2_200;
 /// Longest wait for the collector, which collects for some hundred milliseconds and then writes once.
 const COLLECT_TIMEOUT_MS: u64 = 1_000;
+/// Reason of dropped counts that could not be stored for too long.
+const KEPT_REASON: &str = "store_away";
 
 /// Stores the counts of ended windows as long as the process runs.
 pub async fn record_usage(state: Arc<EdgeState>, store: StoreAccess, peer_client: PeerClient) {
@@ -25,7 +32,11 @@
         }
         let dropped_requests = state.usage().take_dropped();
         if dropped_requests > 0 {
-            LogLine::new("usage_dropped").field("requests", dropped_requests).warn();
+            EdgeMetrics::global()
+                .usage_dropped
+                .get_or_create(&ReasonLabel { reason: KEPT_REASON })
+                .inc_by(dropped_requests);
+            LogLine::new("usage_dropped").field("requests", dropped_requests).field("reason", KEPT_REASON).warn();
         }
     }
 }
@@ -39,7 +50,7 @@
 }
 
 /// Stores one batch of counts through the collector, or directly if that fails. A batch that is not confirmed as
-/// stored stays in the tally, which returns it again at the next check.
+/// stored, or as refused because its window is sealed, stays in the tally, which returns it again at the next check.
 async fn store_batch(state: &EdgeState, store: &StoreAccess, peer_client: &PeerClient, batch: UsageBatch) {
     let UsageBatch { number, window, counts } = batch;
     let entry = UsageBatchEntry { daemon: state.settings.vm.clone(), incarnation: state.incarnation, number, counts };
--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -1,12 +1,13 @@
 //! Sums the usage counts of each window over all daemons, seals the sums in the store, and reports them to the
 //! platform.
 
-use super::duty_task::SharedTerm;
+use super::{
+    duty_task::SharedTerm,
+    usage_collector::{SEALED_REASON, log_dropped},
+};
 use crate::{edge_state::EdgeState, store::StoreAccess};
 use pimentoslip_kernel::{SharedName, UsageTally};
-use pimentoslip_platform::{
-    CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, RangePage, StoreCommit, StoreEntry,
-};
+use pimentoslip_platform::{CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, StoreCommit, StoreEntry};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -99,14 +100,18 @@
     /// Sums a window's counts and stores the sums by one write that can succeed only once. Returns whether the window
     /// is sealed.
     async fn seal(&mut self, window: u64) -> bool {
-        let page = match self.store.range(&KeyLayout::usage_counts_prefix(window)).await {
+        let page = match self.store.range(KeyLayout::USAGE_COUNTS_PREFIX).await {
             Ok(page) => page,
             Err(error) => {
                 LogLine::new("usage_read_failed").field("window", window).field("reason", error).warn();
                 return false;
             }
         };
-        let batches = unique_batches(&page);
+        let window_of = |entry: &StoreEntry| KeyLayout::parse_usage_count_window(&entry.key);
+        let is_sealed = |entry: &StoreEntry| window_of(entry).is_some_and(|counted| counted < window);
+        let (late_entries, entries): (Vec<_>, Vec<_>) = page.entries.into_iter().partition(is_sealed);
+        let entries: Vec<_> = entries.into_iter().filter(|entry| window_of(entry) == Some(window)).collect();
+        let batches = unique_batches(&entries);
         let batch_count = batches.len();
         let counts = UsageTally::sum_counts(batches.into_values());
         let value = match encode(&SealedUsageEntry { counts: counts.clone() }) {
@@ -118,8 +123,7 @@
         };
         let key = KeyLayout::sealed_usage_key(window);
         let mut commit = StoreCommit::default().expect(key.clone(), 0).put(key, value, 0);
-        let (removed_entries, remaining_entries) =
-            page.entries.split_at(page.entries.len().min(REMOVALS_PER_COMMIT_MAX));
+        let (removed_entries, remaining_entries) = entries.split_at(entries.len().min(REMOVALS_PER_COMMIT_MAX));
         for store_entry in removed_entries {
             commit = commit.remove(store_entry.key.clone());
         }
@@ -147,18 +151,22 @@
             .info();
         self.unreported.insert(window, counts);
         self.remove_counts(window, remaining_entries).await;
+        if self.remove_counts(window, &late_entries).await {
+            log_late_counts(&late_entries);
+        }
         true
     }
 
-    /// Removes the counts of a sealed window that were not removed when it was sealed.
-    async fn remove_counts(&self, window: u64, entries: &[StoreEntry]) {
+    /// Removes counts up to a sealed window that were not removed when it was sealed. Returns whether they are removed.
+    async fn remove_counts(&self, window: u64, entries: &[StoreEntry]) -> bool {
         for group in entries.chunks(REMOVALS_PER_COMMIT_MAX) {
             let commit = group.iter().fold(StoreCommit::default(), |commit, entry| commit.remove(entry.key.clone()));
             if let Err(error) = self.store.commit(&commit).await {
                 LogLine::new("usage_counts_not_removed").field("window", window).field("reason", error).warn();
-                return;
+                return false;
             }
         }
+        true
     }
 
     /// Reports sealed windows, oldest first, until a call fails.
@@ -194,12 +202,22 @@
 
 /// Counts of each batch, by daemon, incarnation and number of the batch. A batch that is stored in several entries is
 /// returned once.
-fn unique_batches(page: &RangePage) -> BTreeMap<(SharedName, u64, u64), BTreeMap<SharedName, u64>> {
-    let entries = page.entries.iter().filter_map(decode_logged::<UsageBatchesEntry>);
+fn unique_batches(entries: &[StoreEntry]) -> BTreeMap<(SharedName, u64, u64), BTreeMap<SharedName, u64>> {
+    let entries = entries.iter().filter_map(decode_logged::<UsageBatchesEntry>);
     let batches = entries.flat_map(|entry| entry.batches);
     batches.map(|batch| ((batch.daemon, batch.incarnation, batch.number), batch.counts)).collect()
 }
 
+/// Logs counts that were stored too late for the seal of their window.
+fn log_late_counts(entries: &[StoreEntry]) {
+    for entry in entries {
+        let window = KeyLayout::parse_usage_count_window(&entry.key).unwrap_or_default();
+        for ((daemon, _, number), counts) in unique_batches(std::slice::from_ref(entry)) {
+            log_dropped(window, &daemon, number, &counts, SEALED_REASON);
+        }
+    }
+}
+
 /// Decodes a stored entry. `None` if it is malformed, which is logged.
 fn decode_logged<T: DeserializeOwned>(store_entry: &StoreEntry) -> Option<T> {
     match decode(&store_entry.value) {
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -85,6 +85,8 @@
     pub relayed_requests: Family<ReasonLabel, Counter>,
     /// Calls to the store, by purpose.
     pub store_calls: Family<PurposeLabel, Counter>,
+    /// Requests whose counts were dropped, so that no usage report has them, by reason.
+    pub usage_dropped: Family<ReasonLabel, Counter>,
     /// Time from the arrival of a request to its response, in seconds.
     pub request_latency: Histogram,
     /// Age of a batch job when this daemon stops running it, in seconds: usually when its last result is stored, but
@@ -137,6 +139,7 @@
             relayed_attempts: Family::default(),
             relayed_requests: Family::default(),
             store_calls: Family::default(),
+            usage_dropped: Family::default(),
             request_latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_duration: Histogram::new(LATENCY_BUCKETS_SECONDS),
             config_version: Gauge::default(),
@@ -167,6 +170,7 @@
             "Upstreams by what their removal led to",
             metrics.removed_upstreams.clone(),
         );
+        registry.register("usage_dropped", "Requests without a usage report by reason", metrics.usage_dropped.clone());
         registry.register("path_checks", "Checks of paths to upstreams by verdict", metrics.path_checks.clone());
         registry.register("paths_lost", "Upstreams without a direct path", metrics.paths_lost.clone());
         registry.register(
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -16,6 +16,8 @@
     pub const FLOOR_PREFIX: &'static str = "p/floor/";
     /// Prefix of the sealed usage windows.
     pub const SEALED_USAGE_PREFIX: &'static str = "p/usage/sealed/";
+    /// Prefix of the counts of all usage windows.
+    pub const USAGE_COUNTS_PREFIX: &'static str = "p/usage/count/";
     const JOB_PREFIX: &'static str = "p/w/job/";
     const OWNER_PREFIX: &'static str = "p/w/own/";
     const END_PREFIX: &'static str = "p/w/end/";
@@ -122,16 +124,16 @@
         format!("p/d/{job}/text/{number:06}")
     }
 
-    /// Prefix of the counts of all daemons in a usage window.
+    /// Number of the usage window whose counts are stored at `key`; `None` for other keys.
     #[must_use]
-    pub fn usage_counts_prefix(window: u64) -> String {
-        format!("p/usage/count/{window:012}/")
+    pub fn parse_usage_count_window(key: &str) -> Option<u64> {
+        key.strip_prefix(Self::USAGE_COUNTS_PREFIX)?.split('/').next()?.parse().ok()
     }
 
     /// Key of counts in a usage window that one process wrote; `number` distinguishes its writes.
     #[must_use]
     pub fn usage_count_key(window: u64, daemon: &str, incarnation: u64, number: u64) -> String {
-        format!("p/usage/count/{window:012}/{daemon}/{incarnation}/{number}")
+        format!("{}{window:012}/{daemon}/{incarnation}/{number}", Self::USAGE_COUNTS_PREFIX)
     }
 
     /// Key of a sealed usage window.
