Begin to seal at the oldest window that may have counts if none is sealed

What operators saw: after an outage of the store soon after the start of a site, none of the requests before it were reported, and their counts stayed in the store. A new holder that found no sealed window began at the current one.

Change: `SealSchedule` in the kernel decides. The first window is the one after the last sealed window. If there is none, it is the oldest window with stored counts, or the oldest one that is not due to be sealed if that is earlier: its counts may not be stored yet, so that they cannot be read. One page is read, as keys sort by window.

The limit of six windows back stays, now for both cases. Counts of windows that are passed over are removed and logged by the next seal.

Ruled out: beginning six windows back whatever is stored, which would report empty windows from before the first count.

--- a/crates/cli/tests/processes/platform_usage.rs
+++ b/crates/cli/tests/processes/platform_usage.rs
@@ -2,6 +2,7 @@
 //! count is dropped with a log line.
 
 use crate::support::EdgeSite;
+use pimentoslip_standin::StoreFault;
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -44,6 +45,10 @@
     }
 }
 
+fn set_store_down(site: &EdgeSite, down: bool) {
+    site.store.set_fault(StoreFault { down, ..StoreFault::default() });
+}
+
 /// Reported requests by window. Panics if a window was reported with different counts.
 fn reported_requests(site: &EdgeSite) -> BTreeMap<u64, u64> {
     let mut counts_by_window = BTreeMap::new();
@@ -105,6 +110,20 @@
     requests.sum()
 }
 
+/// Guards against a new holder that begins with the current window because no window is sealed, although counts of earlier
+/// windows are kept by edges or stored.
+#[actix_rt::test]
+async fn requests_before_an_outage_of_the_store_are_reported_if_no_window_was_sealed_before() {
+    let site = start_site(3).await;
+    serve(&site, &[0, 1, 2], 12).await;
+    assert!(site.store.contents().range(SEALED_PREFIX, "").is_empty(), "no window is sealed before the outage");
+    set_store_down(&site, true);
+    actix_rt::time::sleep(Duration::from_secs(9)).await;
+    set_store_down(&site, false);
+    assert_eq!(wait_reported(&site, 12).await, 12, "{:#?}", usage_lines(&site));
+    assert_eq!(wait_removed(&site).await, Vec::<String>::new());
+}
+
 /// Guards against counts that are stored after their window was sealed, which nobody reports, removes or logs.
 #[actix_rt::test]
 async fn counts_of_an_edge_that_was_suspended_until_after_the_seal_are_dropped_with_a_log_line() {
--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -6,7 +6,7 @@
     usage_collector::{SEALED_REASON, log_dropped},
 };
 use crate::{edge_state::EdgeState, store::StoreAccess};
-use pimentoslip_kernel::{SharedName, UsageTally};
+use pimentoslip_kernel::{SealSchedule, SharedName, UsageTally};
 use pimentoslip_platform::{CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, StoreCommit, StoreEntry};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -33,9 +33,14 @@
     /// Client for reports to the platform; `None` if its address is not configured.
     provider: Option<DutyClient>,
     term: SharedTerm,
+    schedule: SealSchedule,
     /// Fencing token of the term to which `next_window` and `unreported` belong.
     fencing_token: u64,
-    /// Next window to be sealed; `None` until it has been read in this term.
+    /// Whether the sealed windows have been read in this term.
+    is_begun: bool,
+    /// Last sealed window that was read at the start of the term; `None` if no window is sealed.
+    last_sealed: Option<u64>,
+    /// Next window to be sealed; `None` until it is known in this term.
     next_window: Option<u64>,
     /// Sealed windows that are not reported yet, with the requests by organisation.
     unreported: BTreeMap<u64, BTreeMap<SharedName, u64>>,
@@ -46,7 +51,23 @@
     #[must_use]
     pub fn new(state: Arc<EdgeState>, store: StoreAccess, term: SharedTerm) -> Self {
         let provider = state.settings.provider_address.map(|address| DutyClient::new(address, state.clock.clone()));
-        Self { state, store, provider, term, fencing_token: 0, next_window: None, unreported: BTreeMap::new() }
+        let schedule = SealSchedule {
+            window_ms: state.settings.usage_window_ms.max(1),
+            seal_delay_ms: SEAL_DELAY_MS,
+            look_back_windows: LOOK_BACK_WINDOWS,
+        };
+        Self {
+            state,
+            store,
+            provider,
+            term,
+            schedule,
+            fencing_token: 0,
+            is_begun: false,
+            last_sealed: None,
+            next_window: None,
+            unreported: BTreeMap::new(),
+        }
     }
 
     /// Seals the next window if it is due, and reports sealed windows.
@@ -56,35 +77,39 @@
         let (Some(term), true) = (active_term, self.provider.is_some()) else { return };
         if self.fencing_token != term.fencing_token {
             self.fencing_token = term.fencing_token;
+            self.is_begun = false;
             self.next_window = None;
             self.unreported.clear();
         }
+        self.is_begun = self.is_begun || self.read_sealed().await;
+        if self.is_begun {
+            self.seal_due().await;
+            self.report().await;
+        }
+    }
+
+    /// Seals the next window if it is due.
+    async fn seal_due(&mut self) {
         let Some(window) = self.window_to_seal().await else { return };
-        let due_unix_ms = self.state.usage().window_end_unix_ms(window) + SEAL_DELAY_MS;
-        if self.state.unix_ms() >= due_unix_ms && self.seal(window).await {
+        if self.schedule.is_due(window, self.state.unix_ms()) && self.seal(window).await {
             self.next_window = Some(window + 1);
         }
-        self.report().await;
     }
 
-    /// The next window to be sealed, which is derived from the stored windows at the start of a term. `None` if they
-    /// could not be read.
-    async fn window_to_seal(&mut self) -> Option<u64> {
-        if self.next_window.is_some() {
-            return self.next_window;
-        }
+    /// Reads the sealed windows at the start of a term. Returns whether they could be read.
+    async fn read_sealed(&mut self) -> bool {
         let page = match self.store.range(KeyLayout::SEALED_USAGE_PREFIX).await {
             Ok(page) => page,
             Err(error) => {
                 LogLine::new("usage_read_failed").field("reason", error).warn();
-                return None;
+                return false;
             }
         };
         let current = self.state.usage().window_at(self.state.unix_ms());
-        let mut last_sealed = None;
+        self.last_sealed = None;
         for store_entry in page.entries {
             let Some(window) = KeyLayout::parse_sealed_usage_key(&store_entry.key) else { continue };
-            last_sealed = last_sealed.max(Some(window));
+            self.last_sealed = self.last_sealed.max(Some(window));
             if window + LOOK_BACK_WINDOWS >= current
                 && let Some(entry) = decode_logged::<SealedUsageEntry>(&store_entry)
             {
@@ -92,9 +117,33 @@
                 self.unreported.insert(window, entry.counts);
             }
         }
-        let next_window = last_sealed.map_or(current, |last| (last + 1).max(current.saturating_sub(LOOK_BACK_WINDOWS)));
-        self.next_window = Some(next_window);
-        Some(next_window)
+        true
+    }
+
+    /// The next window to be sealed, which is derived from the stored windows at the start of a term. `None` if they
+    /// could not be read.
+    async fn window_to_seal(&mut self) -> Option<u64> {
+        if self.next_window.is_some() {
+            return self.next_window;
+        }
+        let oldest_counted = match self.last_sealed {
+            Some(_) => None,
+            None => self.oldest_counted().await?,
+        };
+        self.next_window = Some(self.schedule.first_window(self.last_sealed, oldest_counted, self.state.unix_ms()));
+        self.next_window
+    }
+
+    /// The oldest window of which counts are stored, if any. `None` if they could not be read.
+    async fn oldest_counted(&self) -> Option<Option<u64>> {
+        match self.store.page(KeyLayout::USAGE_COUNTS_PREFIX, None).await {
+            // Keys are sorted by window.
+            Ok(page) => Some(page.entries.first().and_then(|entry| KeyLayout::parse_usage_count_window(&entry.key))),
+            Err(error) => {
+                LogLine::new("usage_read_failed").field("reason", error).warn();
+                None
+            }
+        }
     }
 
     /// Sums a window's counts and stores the sums by one write that can succeed only once. Returns whether the window
--- a/crates/kernel/src/duty/mod.rs
+++ b/crates/kernel/src/duty/mod.rs
@@ -5,6 +5,7 @@
 mod duty_term;
 mod run_reports;
 mod scaling_planner;
+mod seal_schedule;
 mod usage_tally;
 mod version_planner;
 
@@ -13,5 +14,6 @@
 pub use duty_term::{DutyTerm, LeaseStatus};
 pub use run_reports::RunReports;
 pub use scaling_planner::{ScalingOrder, ScalingOutcome, ScalingPlanner, standing_counts};
+pub use seal_schedule::SealSchedule;
 pub use usage_tally::{UsageBatch, UsageTally};
 pub use version_planner::{LoadOrder, LoadOutcome, ModelDemand, ServiceSnapshot, VersionPlanner};
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -2,7 +2,7 @@
 
 use pimentoslip_kernel::{
     CapacityNeed, PathSelector, PermitNeed, RunMonitor, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerState,
-    SamplerTable, ServicePath, SharedName, TimePoint, UsageTally, WallClockOffset, WriteSchedule,
+    SamplerTable, SealSchedule, ServicePath, SharedName, TimePoint, UsageTally, WallClockOffset, WriteSchedule,
 };
 use std::collections::BTreeMap;
 
@@ -446,3 +446,29 @@
     }
     assert_eq!(tally.close_ended_windows(u64::MAX).len(), 720);
 }
+
+/// Windows of 5 s, which are sealed 5 s after their end.
+const SEAL_SCHEDULE: SealSchedule = SealSchedule { window_ms: 5_000, seal_delay_ms: 5_000, look_back_windows: 6 };
+
+/// Guards against a new holder that passes over windows whose counts are stored, or not stored yet, because no window is
+/// sealed.
+#[test]
+fn a_holder_that_finds_no_sealed_window_begins_at_the_oldest_one_that_may_have_counts() {
+    let now_unix_ms = 100_000 * 5_000 + 1_000;
+    // Each case: last sealed window, oldest window with stored counts, first window to be sealed.
+    let cases = [
+        (None, None, 99_999),
+        (None, Some(100_000), 99_999),
+        (None, Some(99_997), 99_997),
+        (None, Some(99_000), 99_994),
+        (Some(99_996), None, 99_997),
+        (Some(99_996), Some(99_990), 99_997),
+        (Some(99_000), Some(99_001), 99_994),
+    ];
+    for (last_sealed, oldest_counted, first) in cases {
+        let case = (last_sealed, oldest_counted);
+        assert_eq!(SEAL_SCHEDULE.first_window(last_sealed, oldest_counted, now_unix_ms), first, "{case:?}");
+    }
+    assert!(!SEAL_SCHEDULE.is_due(99_999, 100_000 * 5_000 + 4_999));
+    assert!(SEAL_SCHEDULE.is_due(99_999, 100_000 * 5_000 + 5_000));
+}
