Wait after an outage of the store until kept counts are stored before sealing

What operators saw: usage reports without the requests that daemons counted before an outage of the store. The holder sealed the window that was due as soon as it could act again, before the daemons, itself included, had stored the counts that they had kept.

Evidence: `counts_kept_during_an_outage_of_the_store_are_stored_before...` (12 requests; store away for 4 and 6 s from 1.5 s after the window; one edge and three).

Change: when the ticks of the holder begin with a new term, or continue after a pause, it does not seal until 3.2 s after the last call to the store that had failed on every path. That is the sum of the timeouts of an attempt that fails, the period, and an attempt that succeeds (`STORE_TIME_MAX_MS`). It still reports what is sealed. A window is sealed 5 s after its end and due 10 s after it, so a report is in time if the store returns within about 6 s of the end. Later, a window is reported late with all of its counts.

Ruled out by reading: each failed call extending the wait, since calls that fail now and then would postpone all seals; a wait at each takeover, which would make reports late after the end of a holder without an outage.

Not covered: an outage that is too short to interrupt the term, and a daemon that reaches neither store nor peers until after the seal; its counts are dropped with a log line.

--- a/crates/cli/tests/processes/platform_usage.rs
+++ b/crates/cli/tests/processes/platform_usage.rs
@@ -150,3 +150,23 @@
     actix_rt::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(dropped_requests(&site), 6, "{:#?}", usage_lines(&site));
 }
+
+/// Guards against a window that is sealed on the return of the store, before the edges have stored the counts that they kept.
+#[actix_rt::test]
+async fn counts_kept_during_an_outage_of_the_store_are_stored_before_their_window_is_sealed() {
+    let mut failures = Vec::new();
+    for (edges, away_ms) in [(1, 4_000), (1, 6_000), (3, 4_000), (3, 6_000)] {
+        let site = start_site(edges).await;
+        let window = next_window(500).await;
+        serve(&site, &(0..edges).collect::<Vec<_>>(), 12).await;
+        wait_until((window + 1) * WINDOW_MS + 1_500).await;
+        set_store_down(&site, true);
+        actix_rt::time::sleep(Duration::from_millis(away_ms)).await;
+        set_store_down(&site, false);
+        let reported = wait_reported(&site, 12).await;
+        if reported != 12 {
+            failures.push((edges, away_ms, reported, usage_lines(&site)));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- a/crates/edge/src/duty/usage_count_task.rs
+++ b/crates/edge/src/duty/usage_count_task.rs
@@ -8,6 +8,7 @@
     store::StoreAccess,
 };
 use pimentoslip_kernel::UsageBatch;
+use pimentoslip_platform::StoreClient;
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{peer::UsagePush, stored::UsageBatchEntry};
 use std::{sync::Arc, time::Duration};
@@ -18,6 +19,11 @@
 const LATE_COUNT_MS: u64 = 2_200;
 /// Longest wait for the collector, which collects for some hundred milliseconds and then writes once.
 const COLLECT_TIMEOUT_MS: u64 = 1_000;
+/// Longest time from the return of the store until a window's counts are stored: the rest of an attempt that fails, first
+/// at the collector and then directly, the period, and an attempt that succeeds at the collector.
+pub const STORE_TIME_MAX_MS: u64 =
+    2 * COLLECT_TIMEOUT_MS + StoreClient::CALL_TIMEOUT_MS + CHECK_PERIOD.as_millis() as u64;
+
 /// Reason of dropped counts that could not be stored for too long.
 const KEPT_REASON: &str = "store_away";
 
--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -4,10 +4,13 @@
 use super::{
     duty_task::SharedTerm,
     usage_collector::{SEALED_REASON, log_dropped},
+    usage_count_task::STORE_TIME_MAX_MS,
 };
 use crate::{edge_state::EdgeState, store::StoreAccess};
-use pimentoslip_kernel::{SealSchedule, SharedName, UsageTally};
-use pimentoslip_platform::{CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, StoreCommit, StoreEntry};
+use pimentoslip_kernel::{SealSchedule, SharedName, TimePoint, UsageTally};
+use pimentoslip_platform::{
+    CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, StoreClient, StoreCommit, StoreEntry,
+};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode, encode,
@@ -36,6 +39,10 @@
     schedule: SealSchedule,
     /// Fencing token of the term to which `next_window` and `unreported` belong.
     fencing_token: u64,
+    /// When the last tick with an active term ended; `None` before the first one.
+    ticked_at: Option<TimePoint>,
+    /// Last failed call to the store before the ticks began or continued after a pause.
+    failed_at: Option<TimePoint>,
     /// Whether the sealed windows have been read in this term.
     is_begun: bool,
     /// Last sealed window that was read at the start of the term; `None` if no window is sealed.
@@ -54,6 +61,7 @@
         let schedule = SealSchedule {
             window_ms: state.settings.usage_window_ms.max(1),
             seal_delay_ms: SEAL_DELAY_MS,
+            return_delay_ms: STORE_TIME_MAX_MS,
             look_back_windows: LOOK_BACK_WINDOWS,
         };
         Self {
@@ -63,6 +71,8 @@
             term,
             schedule,
             fencing_token: 0,
+            ticked_at: None,
+            failed_at: None,
             is_begun: false,
             last_sealed: None,
             next_window: None,
@@ -75,21 +85,30 @@
         let now = self.state.now();
         let active_term = self.term.borrow().filter(|term| term.may_act(now, DutyClient::CALL_TIMEOUT_MS));
         let (Some(term), true) = (active_term, self.provider.is_some()) else { return };
-        if self.fencing_token != term.fencing_token {
+        let is_new_term = self.fencing_token != term.fencing_token;
+        if is_new_term {
             self.fencing_token = term.fencing_token;
             self.is_begun = false;
             self.next_window = None;
             self.unreported.clear();
         }
+        // An outage of the store ends the term, or interrupts it because the lease is not renewed.
+        if is_new_term || self.ticked_at.is_none_or(|at| now.since_ms(at) > StoreClient::CALL_TIMEOUT_MS) {
+            self.failed_at = self.state.store_failed_at();
+        }
         self.is_begun = self.is_begun || self.read_sealed().await;
         if self.is_begun {
             self.seal_due().await;
             self.report().await;
         }
+        self.ticked_at = Some(self.state.now());
     }
 
     /// Seals the next window if it is due.
     async fn seal_due(&mut self) {
+        if self.schedule.is_settling(self.failed_at, self.state.now()) {
+            return;
+        }
         let Some(window) = self.window_to_seal().await else { return };
         if self.schedule.is_due(window, self.state.unix_ms()) && self.seal(window).await {
             self.next_window = Some(window + 1);
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -60,6 +60,8 @@
     pub results_listed: Notify,
     /// Ends the watches that wait on the direct path to the store, after a call on that path has failed.
     pub store_path_lost: Notify,
+    /// Time of the last call to the store that failed on every path that was tried.
+    store_failed_at: Mutex<Option<TimePoint>>,
     /// Wakes the task that writes crash marks to the store.
     pub crashes_changed: Notify,
     /// Wakes the task that requests permits for upstreams with a limit.
@@ -192,6 +194,7 @@
             upstreams_changed: Notify::new(),
             results_listed: Notify::new(),
             store_path_lost: Notify::new(),
+            store_failed_at: Mutex::new(None),
             crashes_changed: Notify::new(),
             permits_wanted: Notify::new(),
             permits_changed: Notify::new(),
@@ -431,6 +434,17 @@
         self.change_log(UPSTREAM_PREFIX)?.outage().map(|outage| outage.returned_at)
     }
 
+    /// When a call to the store last failed on every path that was tried.
+    #[must_use]
+    pub fn store_failed_at(&self) -> Option<TimePoint> {
+        *lock(&self.store_failed_at)
+    }
+
+    /// Records that a call to the store failed on every path that was tried.
+    pub fn record_store_failure(&self) {
+        *lock(&self.store_failed_at) = Some(self.now());
+    }
+
     /// Locks the latest report of each daemon: the number of its requests in progress at each upstream that serves
     /// models.
     pub fn run_reports(&self) -> MutexGuard<'_, RunReports> {
--- a/crates/edge/src/store/store_access.rs
+++ b/crates/edge/src/store/store_access.rs
@@ -93,9 +93,22 @@
         }
     }
 
+    /// Makes a call like [`Self::call_paths`], and records whether it failed.
+    async fn call<T>(
+        &self,
+        repeatable: bool,
+        call: impl AsyncFn(&StoreClient, &ServicePath) -> Result<T>,
+    ) -> Result<T> {
+        let result = self.call_paths(repeatable, call).await;
+        if let Err(StoreError::NotApplied { .. } | StoreError::OutcomeUnknown { .. }) = &result {
+            self.state.record_store_failure();
+        }
+        result
+    }
+
     /// Makes a call. If it was not executed, or its outcome is unknown and it is `repeatable`, it is retried once if
     /// another path is available.
-    async fn call<T>(
+    async fn call_paths<T>(
         &self,
         repeatable: bool,
         call: impl AsyncFn(&StoreClient, &ServicePath) -> Result<T>,
--- a/crates/kernel/src/duty/seal_schedule.rs
+++ b/crates/kernel/src/duty/seal_schedule.rs
@@ -1,5 +1,7 @@
 //! Decides which usage windows are sealed, and when.
 
+use crate::TimePoint;
+
 /// Times at which usage windows are sealed. What is not read in the store may still be kept by daemons, so a window counts as
 /// empty only once all of them have had time to store their counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -8,6 +10,8 @@
     pub window_ms: u64,
     /// Time from the end of a window until it is sealed; by then, all daemons have stored their counts.
     pub seal_delay_ms: u64,
+    /// Time from the return of the store after an outage until all daemons have stored the counts that they kept.
+    pub return_delay_ms: u64,
     /// Number of windows before the current one that may still be sealed.
     pub look_back_windows: u64,
 }
@@ -31,4 +35,11 @@
     pub fn is_due(&self, window: u64, unix_ms: u64) -> bool {
         unix_ms >= (window + 1) * self.window_ms + self.seal_delay_ms
     }
+
+    /// Whether daemons may still keep counts at `now` that they could not store during an outage; `failed_at` is the last
+    /// failed call to the store during it.
+    #[must_use]
+    pub fn is_settling(&self, failed_at: Option<TimePoint>, now: TimePoint) -> bool {
+        failed_at.is_some_and(|at| now < at.plus_ms(self.return_delay_ms))
+    }
 }
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -448,7 +448,8 @@
 }
 
 /// Windows of 5 s, which are sealed 5 s after their end.
-const SEAL_SCHEDULE: SealSchedule = SealSchedule { window_ms: 5_000, seal_delay_ms: 5_000, look_back_windows: 6 };
+const SEAL_SCHEDULE: SealSchedule =
+    SealSchedule { window_ms: 5_000, seal_delay_ms: 5_000, return_delay_ms: 3_000, look_back_windows: 6 };
 
 /// Guards against a new holder that passes over windows whose counts are stored, or not stored yet, because no window is
 /// sealed.
@@ -472,3 +473,11 @@
     assert!(!SEAL_SCHEDULE.is_due(99_999, 100_000 * 5_000 + 4_999));
     assert!(SEAL_SCHEDULE.is_due(99_999, 100_000 * 5_000 + 5_000));
 }
+
+/// Guards against a window that is sealed before the counts that daemons kept during an outage are stored.
+#[test]
+fn no_window_is_sealed_until_the_counts_kept_during_an_outage_are_stored() {
+    assert!(!SEAL_SCHEDULE.is_settling(None, TimePoint(10_000)));
+    assert!(SEAL_SCHEDULE.is_settling(Some(TimePoint(10_000)), TimePoint(12_999)));
+    assert!(!SEAL_SCHEDULE.is_settling(Some(TimePoint(10_000)), TimePoint(13_000)));
+}
