--- a/crates/edge/src/duty/usage_duty.rs
+++ b/crates/edge/src/duty/usage_duty.rs
@@ -1,11 +1,15 @@
 //! Sums the usage counts of each window over all daemons, seals the sums in the store, and reports them to the
 //! platform.
 
-use super::duty_task::SharedTerm;
+use super::{
+    duty_task::SharedTerm,
+    usage_collector::{SEALED_REASON, log_dropped},
+    usage_count_task::STORE_TIME_MAX_MS,
+};
 use crate::{edge_state::EdgeState, store::StoreAccess};
-use pimentoslip_kernel::{SharedName, UsageTally};
+use pimentoslip_kernel::{SealSchedule, SharedName, TimePoint, UsageTally};
 use pimentoslip_platform::{
-    CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, RangePage, StoreCommit, StoreEntry,
+    CommitOutcome, DutyAuthority, DutyCallOutcome, DutyClient, StoreClient, StoreCommit, StoreEntry,
 };
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -32,9 +36,18 @@
     /// Client for reports to the platform; `None` if its address is not configured.
     provider: Option<DutyClient>,
     term: SharedTerm,
+    schedule: SealSchedule,
     /// Fencing token of the term to which `next_window` and `unreported` belong.
     fencing_token: u64,
-    /// Next window to be sealed; `None` until it has been read in this term.
+    /// When the last tick with an active term ended; `None` before the first one.
+    ticked_at: Option<TimePoint>,
+    /// Last failed call to the store before the ticks began or continued after a pause.
+    failed_at: Option<TimePoint>,
+    /// Whether the sealed windows have been read in this term.
+    is_begun: bool,
+    /// Last sealed window that was read at the start of the term; `None` if no window is sealed.
+    last_sealed: Option<u64>,
+    /// Next window to be sealed; `None` until it is known in this term.
     next_window: Option<u64>,
     /// Sealed windows that are not reported yet, with the requests by organisation.
     unreported: BTreeMap<u64, BTreeMap<SharedName, u64>>,
@@ -45,7 +58,26 @@
     #[must_use]
     pub fn new(state: Arc<EdgeState>, store: StoreAccess, term: SharedTerm) -> Self {
         let provider = state.settings.provider_address.map(|address| DutyClient::new(address, state.clock.clone()));
-        Self { state, store, provider, term, fencing_token: 0, next_window: None, unreported: BTreeMap::new() }
+        let schedule = SealSchedule {
+            window_ms: state.settings.usage_window_ms.max(1),
+            seal_delay_ms: SEAL_DELAY_MS,
+            return_delay_ms: STORE_TIME_MAX_MS,
+            look_back_windows: LOOK_BACK_WINDOWS,
+        };
+        Self {
+            state,
+            store,
+            provider,
+            term,
+            schedule,
+            fencing_token: 0,
+            ticked_at: None,
+            failed_at: None,
+            is_begun: false,
+            last_sealed: None,
+            next_window: None,
+            unreported: BTreeMap::new(),
+        }
     }
 
     /// Seals the next window if it is due, and reports sealed windows.
@@ -53,37 +85,50 @@
         let now = self.state.now();
         let active_term = self.term.borrow().filter(|term| term.may_act(now, DutyClient::CALL_TIMEOUT_MS));
         let (Some(term), true) = (active_term, self.provider.is_some()) else { return };
-        if self.fencing_token != term.fencing_token {
+        let is_new_term = self.fencing_token != term.fencing_token;
+        if is_new_term {
             self.fencing_token = term.fencing_token;
+            self.is_begun = false;
             self.next_window = None;
             self.unreported.clear();
         }
+        // An outage of the store ends the term, or interrupts it because the lease is not renewed.
+        if is_new_term || self.ticked_at.is_none_or(|at| now.since_ms(at) > StoreClient::CALL_TIMEOUT_MS) {
+            self.failed_at = self.state.store_failed_at();
+        }
+        self.is_begun = self.is_begun || self.read_sealed().await;
+        if self.is_begun {
+            self.seal_due().await;
+            self.report().await;
+        }
+        self.ticked_at = Some(self.state.now());
+    }
+
+    /// Seals the next window if it is due.
+    async fn seal_due(&mut self) {
+        if self.schedule.is_settling(self.failed_at, self.state.now()) {
+            return;
+        }
         let Some(window) = self.window_to_seal().await else { return };
-        let due_unix_ms = self.state.usage().window_end_unix_ms(window) + SEAL_DELAY_MS;
-        if self.state.unix_ms() >= due_unix_ms && self.seal(window).await {
+        if self.schedule.is_due(window, self.state.unix_ms()) && self.seal(window).await {
             self.next_window = Some(window + 1);
         }
-        self.report().await;
     }
 
-    /// The next window to be sealed, which is derived from the stored windows at the start of a term. `None` if they
-    /// could not be read.
-    async fn window_to_seal(&mut self) -> Option<u64> {
-        if self.next_window.is_some() {
-            return self.next_window;
-        }
+    /// Reads the sealed windows at the start of a term. Returns whether they could be read.
+    async fn read_sealed(&mut self) -> bool {
         let page = match self.store.range(KeyLayout::SEALED_USAGE_PREFIX).await {
             Ok(page) => page,
             Err(error) => {
                 LogLine::new("usage_read_failed").field("reason", error).warn();
-                return None;
+                return false;
             }
         };
         let current = self.state.usage().window_at(self.state.unix_ms());
-        let mut last_sealed = None;
+        self.last_sealed = None;
         for store_entry in page.entries {
             let Some(window) = KeyLayout::parse_sealed_usage_key(&store_entry.key) else { continue };
-            last_sealed = last_sealed.max(Some(window));
+            self.last_sealed = self.last_sealed.max(Some(window));
             if window + LOOK_BACK_WINDOWS >= current
                 && let Some(entry) = decode_logged::<SealedUsageEntry>(&store_entry)
             {
@@ -91,22 +136,50 @@
                 self.unreported.insert(window, entry.counts);
             }
         }
-        let next_window = last_sealed.map_or(current, |last| (last + 1).max(current.saturating_sub(LOOK_BACK_WINDOWS)));
-        self.next_window = Some(next_window);
-        Some(next_window)
+        true
+    }
+
+    /// The next window to be sealed, which is derived from the stored windows at the start of a term. `None` if they
+    /// could not be read.
+    async fn window_to_seal(&mut self) -> Option<u64> {
+        if self.next_window.is_some() {
+            return self.next_window;
+        }
+        let oldest_counted = match self.last_sealed {
+            Some(_) => None,
+            None => self.oldest_counted().await?,
+        };
+        self.next_window = Some(self.schedule.first_window(self.last_sealed, oldest_counted, self.state.unix_ms()));
+        self.next_window
+    }
+
+    /// The oldest window of which counts are stored, if any. `None` if they could not be read.
+    async fn oldest_counted(&self) -> Option<Option<u64>> {
+        match self.store.page(KeyLayout::USAGE_COUNTS_PREFIX, None).await {
+            // Keys are sorted by window.
+            Ok(page) => Some(page.entries.first().and_then(|entry| KeyLayout::parse_usage_count_window(&entry.key))),
+            Err(error) => {
+                LogLine::new("usage_read_failed").field("reason", error).warn();
+                None
+            }
+        }
     }
 
     /// Sums a window's counts and stores the sums by one write that can succeed only once. Returns whether the window
     /// is sealed.
     async fn seal(&mut self, window: u64) -> bool {
-        let page = match self.store.range(&KeyLayout::usage_counts_prefix(window)).await {
+        let page = match self.store.range(KeyLayout::USAGE_COUNTS_PREFIX).await {
             Ok(page) => page,
             Err(error) => {
                 LogLine::new("usage_read_failed").field("window", window).field("reason", error).warn();
                 return false;
             }
         };
-        let batches = unique_batches(&page);
+        let window_of = |entry: &StoreEntry| KeyLayout::parse_usage_count_window(&entry.key);
+        let is_sealed = |entry: &StoreEntry| window_of(entry).is_some_and(|counted| counted < window);
+        let (late_entries, entries): (Vec<_>, Vec<_>) = page.entries.into_iter().partition(is_sealed);
+        let entries: Vec<_> = entries.into_iter().filter(|entry| window_of(entry) == Some(window)).collect();
+        let batches = unique_batches(&entries);
         let batch_count = batches.len();
         let counts = UsageTally::sum_counts(batches.into_values());
         let value = match encode(&SealedUsageEntry { counts: counts.clone() }) {
@@ -118,8 +191,7 @@
         };
         let key = KeyLayout::sealed_usage_key(window);
         let mut commit = StoreCommit::default().expect(key.clone(), 0).put(key, value, 0);
-        let (removed_entries, remaining_entries) =
-            page.entries.split_at(page.entries.len().min(REMOVALS_PER_COMMIT_MAX));
+        let (removed_entries, remaining_entries) = entries.split_at(entries.len().min(REMOVALS_PER_COMMIT_MAX));
         for store_entry in removed_entries {
             commit = commit.remove(store_entry.key.clone());
         }
@@ -147,18 +219,22 @@
             .info();
         self.unreported.insert(window, counts);
         self.remove_counts(window, remaining_entries).await;
+        if self.remove_counts(window, &late_entries).await {
+            log_late_counts(&late_entries);
+        }
         true
     }
 
-    /// Removes the counts of a sealed window that were not removed when it was sealed.
-    async fn remove_counts(&self, window: u64, entries: &[StoreEntry]) {
+    /// Removes counts up to a sealed window that were not removed when it was sealed. Returns whether they are removed.
+    async fn remove_counts(&self, window: u64, entries: &[StoreEntry]) -> bool {
         for group in entries.chunks(REMOVALS_PER_COMMIT_MAX) {
             let commit = group.iter().fold(StoreCommit::default(), |commit, entry| commit.remove(entry.key.clone()));
             if let Err(error) = self.store.commit(&commit).await {
                 LogLine::new("usage_counts_not_removed").field("window", window).field("reason", error).warn();
-                return;
+                return false;
             }
         }
+        true
     }
 
     /// Reports sealed windows, oldest first, until a call fails.
@@ -194,12 +270,22 @@
 
 /// Counts of each batch, by daemon, incarnation and number of the batch. A batch that is stored in several entries is
 /// returned once.
-fn unique_batches(page: &RangePage) -> BTreeMap<(SharedName, u64, u64), BTreeMap<SharedName, u64>> {
-    let entries = page.entries.iter().filter_map(decode_logged::<UsageBatchesEntry>);
+fn unique_batches(entries: &[StoreEntry]) -> BTreeMap<(SharedName, u64, u64), BTreeMap<SharedName, u64>> {
+    let entries = entries.iter().filter_map(decode_logged::<UsageBatchesEntry>);
     let batches = entries.flat_map(|entry| entry.batches);
     batches.map(|batch| ((batch.daemon, batch.incarnation, batch.number), batch.counts)).collect()
 }
 
+/// Logs counts that were stored too late for the seal of their window.
+fn log_late_counts(entries: &[StoreEntry]) {
+    for entry in entries {
+        let window = KeyLayout::parse_usage_count_window(&entry.key).unwrap_or_default();
+        for ((daemon, _, number), counts) in unique_batches(std::slice::from_ref(entry)) {
+            log_dropped(window, &daemon, number, &counts, SEALED_REASON);
+        }
+    }
+}
+
 /// Decodes a stored entry. `None` if it is malformed, which is logged.
 fn decode_logged<T: DeserializeOwned>(store_entry: &StoreEntry) -> Option<T> {
     match decode(&store_entry.value) {
