--- a/crates/cli/tests/processes/platform_reads.rs
+++ b/crates/cli/tests/processes/platform_reads.rs
@@ -238,7 +238,7 @@
 /// Time for which an edge has no reachable owner of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnerAbsence {
-    /// The owner stands still, and goes on.
+    /// The owner is suspended, and resumed.
     Suspended,
     /// All edges are killed, and the reading one is the first to be started again.
     AllRestarted,
@@ -380,7 +380,7 @@
     listed.into_failures(&site).await
 }
 
-/// Guards against an owner that stood still beyond its lease, obtains another one, and denies the results which its successor
+/// Guards against an owner that was suspended beyond its lease, obtains another one, and denies the results which its successor
 /// has listed meanwhile.
 #[actix_rt::test]
 async fn an_owner_that_was_suspended_beyond_its_lease_denies_no_result_of_its_successor() {
@@ -550,7 +550,7 @@
 }
 
 impl ReadFault {
-    /// Whether the owner stands still when the other edges read the end of the results.
+    /// Whether the owner is suspended when the other edges read the end of the results.
     fn suspends_owner(self) -> bool {
         matches!(self, Self::OwnerSuspended | Self::OneCutOff | Self::StoreAway | Self::HistoryDiscarded)
     }
--- a/crates/cli/tests/processes/soak/fault_injector.rs
+++ b/crates/cli/tests/processes/soak/fault_injector.rs
@@ -38,7 +38,7 @@
     /// Batch routes that were added.
     pub routes: &'a RefCell<Vec<String>>,
     rng: ChaCha8Rng,
-    /// Until when each edge stands still at least; `None` for one that does not.
+    /// Until when each edge is suspended at least; `None` for one that is not.
     standstills: [Option<Instant>; EDGES],
     leaving: Vec<LeavingDesk>,
 }
@@ -122,7 +122,7 @@
         self.standstills[edge] = Some(self.standstills[edge].map_or(until, |earlier| earlier.max(until)));
     }
 
-    /// Whether an edge stands still for some more time, whatever else happens.
+    /// Whether an edge is suspended for some more time, whatever else happens.
     fn stands_still(&self, edge: usize) -> bool {
         self.standstills[edge].is_some_and(|until| until > Instant::now())
     }
--- a/crates/cli/tests/processes/soak/job_callers.rs
+++ b/crates/cli/tests/processes/soak/job_callers.rs
@@ -12,7 +12,7 @@
 
 /// Most jobs of a seed.
 const JOBS_MAX: usize = 24;
-/// Readers of each job; one may wait for the response of an edge that stands still.
+/// Readers of each job; one may wait for the response of a suspended edge.
 const READERS: usize = 2;
 /// Longest pause of a reader between two reads.
 const READ_PAUSE_MS_MAX: u64 = 1_000;
