--- a/crates/kernel/src/read/listing_record.rs
+++ b/crates/kernel/src/read/listing_record.rs
@@ -1,39 +1,8 @@
 //! What the owner of a job knows of the job's stored results.
 
-use super::AbsenceProof;
+use super::{AbsenceProof, OwnerStanding, OwnerView};
 use crate::TimePoint;
 
-/// What a process knows of its ownership of a job: which ownership entry names it, and until when its lease holds that entry.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnerStanding {
-    /// Revision of the ownership entry that names this process; `None` if none does.
-    pub owner_revision: Option<u64>,
-    /// Revision at which the daemon's presence was stored under its current lease; `None` without a lease. Ownership entries that
-    /// are bound to an earlier lease have lower revisions.
-    pub presence_revision: Option<u64>,
-    /// Time before which the lease cannot expire.
-    pub lease_ends_at: TimePoint,
-}
-
-impl OwnerStanding {
-    /// The revision of the ownership entry, if the store cannot have removed it before `now`.
-    fn valid_revision(&self, now: TimePoint) -> Option<u64> {
-        let (owner_revision, presence_revision) = (self.owner_revision?, self.presence_revision?);
-        (owner_revision > presence_revision && now < self.lease_ends_at).then_some(owner_revision)
-    }
-}
-
-/// What the owner can say of a position at which it holds no result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OwnerView {
-    /// No result is stored there.
-    Absent(AbsenceProof),
-    /// A write of results is in progress, and its outcome will be known within the timeout of the call.
-    WriteInProgress,
-    /// Results may be stored that this process does not hold; the store must be read.
-    Unsure,
-}
-
 /// Whether the results that an owner holds in memory are all that are stored.
 #[derive(Clone, Debug, Default)]
 pub struct ListingRecord {
