Start the outage of a usage test right after a seal was due

A seal is due at each boundary of a window, and the site starts at any moment, so that a seal may come between the start and the outage.

--- a/crates/cli/tests/processes/platform_usage.rs
+++ b/crates/cli/tests/processes/platform_usage.rs
@@ -12,6 +12,10 @@
 const WINDOW_MS: u64 = 5_000;
 /// Time after a window within which its counts must be reported or dropped, outages included.
 const REPORT_TIME: Duration = Duration::from_secs(25);
+/// Time from the start of a window to a moment at which the seal that is due in it has been written.
+const AFTER_SEAL_MS: u64 = 200;
+/// Starts of a site until its first requests are served before a window is sealed.
+const STARTS_MAX: usize = 5;
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 const COUNT_PREFIX: &str = "p/usage/count/";
 const SEALED_PREFIX: &str = "p/usage/sealed/";
@@ -110,13 +114,26 @@
     requests.sum()
 }
 
+/// Starts a site and serves `requests` requests there before its first window is sealed. A site that starts too slowly for that is
+/// left for another one.
+async fn serve_before_a_seal(requests: usize) -> EdgeSite {
+    for _ in 0..STARTS_MAX {
+        // One window is sealed in the time of each; the next seal is nearly that time away.
+        next_window(AFTER_SEAL_MS).await;
+        let site = start_site(3).await;
+        serve(&site, &[0, 1, 2], requests).await;
+        if site.store.contents().range(SEALED_PREFIX, "").is_empty() {
+            return site;
+        }
+    }
+    panic!("a window was sealed before the requests were served in each of {STARTS_MAX} starts");
+}
+
 /// Guards against a new holder that begins with the current window because no window is sealed, although counts of earlier
 /// windows are kept by edges or stored.
 #[actix_rt::test]
 async fn requests_before_an_outage_of_the_store_are_reported_if_no_window_was_sealed_before() {
-    let site = start_site(3).await;
-    serve(&site, &[0, 1, 2], 12).await;
-    assert!(site.store.contents().range(SEALED_PREFIX, "").is_empty(), "no window is sealed before the outage");
+    let site = serve_before_a_seal(12).await;
     set_store_down(&site, true);
     actix_rt::time::sleep(Duration::from_secs(9)).await;
     set_store_down(&site, false);
