Look for results of others once for each ownership entry, also if there are some

An owner that claimed its job again and found results of another daemon read the store and wrote a line in each pass, every 100 ms, until its next write, although its comment says once. Its memory stays unproved as before, so that reads do not differ; the model of the kernel does the same, and passes.

--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -214,10 +214,10 @@
         self.running.get_mut(job)?.as_mut().map(|opened| &mut opened.listing)
     }
 
-    /// Records that the results of `job` in memory were all that are stored once the ownership entry of `owner_revision` was.
-    pub fn listing_verified(&mut self, job: &str, owner_revision: u64) {
+    /// Records whether the results of `job` in memory were all that are stored once the ownership entry of `owner_revision` was.
+    pub fn listing_verified(&mut self, job: &str, owner_revision: u64, is_complete: bool) {
         self.set_used_entry(job, owner_revision);
-        if let Some(listing) = self.listing_mut(job) {
+        if let Some(listing) = self.listing_mut(job).filter(|_| is_complete) {
             *listing = ListingRecord::new(owner_revision);
         }
     }
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -325,8 +325,12 @@
     }
     let listed_count = job.ledger.borrow().listed_count();
     match has_chunk_from(&job.store, &job.id, listed_count).await {
-        Ok(false) => job.state.jobs().listing_verified(&job.id, owner_revision),
-        Ok(true) => LogLine::new("listing_outdated").field("job", &job.id).field("listed", listed_count).info(),
+        Ok(has_more) => {
+            job.state.jobs().listing_verified(&job.id, owner_revision, !has_more);
+            if has_more {
+                LogLine::new("listing_outdated").field("job", &job.id).field("listed", listed_count).info();
+            }
+        }
         Err(error) => LogLine::new("listing_not_verified").field("job", &job.id).field("reason", error).warn(),
     }
 }
--- a/crates/kernel/tests/machines/reads/job_process.rs
+++ b/crates/kernel/tests/machines/reads/job_process.rs
@@ -140,8 +140,8 @@
     /// Looks for results of others once under each new ownership entry.
     fn verify_listing(&mut self, store: &ResultStore) {
         let Some(own_revision) = self.table.own_revision(JOB) else { return };
-        if self.used_entry != Some(own_revision) && store.texts(self.cached.len()).is_empty() {
-            self.used_entry = Some(own_revision);
+        let was_used = self.used_entry.replace(own_revision) == Some(own_revision);
+        if !was_used && store.texts(self.cached.len()).is_empty() {
             self.job = Some(ListingRecord::new(own_revision));
         }
     }
