Check an upstream that no peer reached often enough to ask all near peers in time

Callers of a daemon that lost its path to an upstream just as that upstream returned were not served for 3.05 s (bound 3 s): the only sound peer was asked in the second of two checks, 1.5 s apart.

Change: such checks are 1.35 s apart at most, also right after the one that found nobody (the interval was computed before the count). Ruled out: starting anew at 0.5 s after each loss (tried; the sequence still failed).

--- a/crates/kernel/src/path/path_table.rs
+++ b/crates/kernel/src/path/path_table.rs
@@ -12,6 +12,9 @@
 const PROBE_INTERVAL_MS: u64 = 500;
 /// Longest such interval. It bounds how long after its return a direct path is used again.
 const PROBE_INTERVAL_MS_MAX: u64 = 1_500;
+/// Longest interval between two checks of an upstream that no peer reached so far. Each asks other peers: two checks, with the
+/// connections that they try, end within the 3 s after which callers are served again.
+const CHECK_INTERVAL_MS_MAX: u64 = 1_350;
 /// Time for which the failures of a path that works again still count, so that one that fails by turns is probed less often.
 const FAILURES_TTL_MS: u64 = 10_000;
 /// After a probe has succeeded, one request in this time uses the direct path until one has succeeded.
@@ -163,7 +166,8 @@
     }
 
     fn probe_interval_ms(&self) -> u64 {
-        (PROBE_INTERVAL_MS << self.failures.saturating_sub(1).min(8)).min(PROBE_INTERVAL_MS_MAX)
+        let longest_ms = if self.is_upstream_down() { CHECK_INTERVAL_MS_MAX } else { PROBE_INTERVAL_MS_MAX };
+        (PROBE_INTERVAL_MS << self.failures.saturating_sub(1).min(8)).min(longest_ms)
     }
 }
 
@@ -441,8 +445,8 @@
                 if matches!(path.phase, PathPhase::Lost { .. }) {
                     path.failures += 1;
                 }
-                path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
                 path.down_checks = if verdict == PathVerdict::UpstreamDown { path.down_checks + 1 } else { 0 };
+                path.phase = PathPhase::Lost { probe_at: now.plus_ms(path.probe_interval_ms()) };
                 if verdict == PathVerdict::Lost {
                     self.cut.iter_mut().for_each(|cut| cut.is_confirmed = true);
                 } else {
--- a/crates/kernel/tests/machines/paths.rs
+++ b/crates/kernel/tests/machines/paths.rs
@@ -342,3 +342,19 @@
     table.probe_ended(&address(1), ConnectOutcome::Accepted, at(500), at(501));
     assert_eq!(table.direct_failed(&address(0), at(502), at(503)), DirectLoss::Doubted);
 }
+
+/// Guards against a daemon that loses its path just as an upstream returns, and asks the only peer that reaches it too late.
+#[test]
+fn a_path_lost_as_its_upstream_returns_is_found_through_the_last_peer_in_time() {
+    let cut = |daemon, upstream| Command::Cut { daemon, upstream, is_silent: false };
+    let result = check_service(vec![
+        cut(0, Some(1)),
+        cut(3, None),
+        Command::Switch { upstream: 1 },
+        Command::Run { ticks: 191 },
+        Command::Switch { upstream: 1 },
+        cut(1, Some(1)),
+        Command::Run { ticks: 239 },
+    ]);
+    assert_eq!(result, Ok(()));
+}
