--- a/crates/cli/tests/processes/platform_malformed.rs
+++ b/crates/cli/tests/processes/platform_malformed.rs
@@ -30,6 +30,7 @@
         expected_tokens: u64::MAX,
         config_version: Some(u64::MAX),
         submitted_unix_ms: u64::MAX,
+        region: "land".into(),
     }
 }
 
--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -61,8 +61,7 @@
         };
         self.planners.retain(|name, _| config.services.contains_key(name));
         for service in config.services.values().filter(|service| !service.models.is_empty()) {
-            let upstreams: Vec<SamplerRecord> =
-                self.state.upstreams().records().filter(|record| record.service == service.name).cloned().collect();
+            let upstreams = orderable_upstreams(&self.state, &service.name);
             let models = model_demands(&self.state, &service.models);
             let snapshot = ServiceSnapshot { upstreams: &upstreams, models: &models, runs: &runs };
             let planner = self.planners.entry(service.name.clone()).or_default().clone();
@@ -82,6 +81,13 @@
     }
 }
 
+/// Upstreams of `service` that may be ordered to load weights: those whose failure domains are not evacuated.
+fn orderable_upstreams(state: &EdgeState, service: &str) -> Vec<SamplerRecord> {
+    let upstreams = state.upstreams();
+    let of_service = upstreams.records().filter(|record| *record.service == *service);
+    of_service.filter(|record| !upstreams.evacuations().contains(&record.failure_domain)).cloned().collect()
+}
+
 /// Demand for each model, from its newest named version and its latest steps.
 fn model_demands(state: &EdgeState, models: &[SharedName]) -> BTreeMap<SharedName, ModelDemand> {
     let named_versions = state.newest_versions().clone();
@@ -142,6 +148,9 @@
     order: &mut LoadOrder,
     keep_runs: bool,
 ) -> (LoadOutcome, String) {
+    if !may_send(state, order) {
+        return (LoadOutcome::Conflict, "departed".to_owned());
+    }
     if order.accepted_before.is_none() {
         match orders_accepted(state, upstream_client, order).await {
             Ok(count) => order.accepted_before = Some(count),
@@ -152,7 +161,7 @@
     let Some(active_term) = term.borrow().filter(|term| term.may_act(now, ORDER_TIMEOUT_MS)) else {
         return (LoadOutcome::Conflict, "duty_lost".to_owned());
     };
-    if listed_record(state, order).is_none_or(|record| !state.upstreams().may_send(&record, now)) {
+    if !may_send(state, order) {
         return (LoadOutcome::Conflict, "departed".to_owned());
     }
     let _call_guard = state.track_duty_call();
@@ -205,6 +214,11 @@
     state.upstreams().get(&order.upstream).filter(|record| record.address == order.address).cloned()
 }
 
+/// Whether a call about the order may be sent to its upstream.
+fn may_send(state: &EdgeState, order: &LoadOrder) -> bool {
+    listed_record(state, order).is_some_and(|record| state.upstreams().may_send(&record, state.now()))
+}
+
 /// Records what a response of the upstream of an order says of it.
 fn observe_upstream<S>(state: &EdgeState, order: &LoadOrder, response: &ClientResponse<S>) {
     if let Some(record) = listed_record(state, order) {
--- a/crates/edge/src/duty/scaling_duty.rs
+++ b/crates/edge/src/duty/scaling_duty.rs
@@ -60,7 +60,11 @@
                 scaled_service.floor = read_or_store_floor(&self.store, &service.name, &upstreams).await;
             }
             let Some(floor) = &scaled_service.floor else { continue };
-            for order in scaled_service.planner.plan(rule, &upstreams, floor, demand, self.state.now()) {
+            let rule = {
+                let upstreams = self.state.upstreams();
+                rule.without_domains(|failure_domain| upstreams.evacuations().contains(failure_domain))
+            };
+            for order in scaled_service.planner.plan(&rule, &upstreams, floor, demand, self.state.now()) {
                 let outcome = send_order(&self.state, &provider, &self.term, &service.name, &order, demand).await;
                 scaled_service.planner.order_answered(&order, outcome, rule.startup_ms, self.state.now());
             }
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -94,6 +94,8 @@
     pub batch_duration: Histogram,
     /// Version of the applied configuration.
     pub config_version: Gauge,
+    /// Failure domains to whose upstreams nothing is sent.
+    pub domains_evacuated: Gauge,
     /// Number of batch jobs that this daemon owns.
     pub jobs_owned: Gauge,
     /// 1 while this daemon holds the duty, otherwise 0.
@@ -143,6 +145,7 @@
             request_latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             batch_duration: Histogram::new(LATENCY_BUCKETS_SECONDS),
             config_version: Gauge::default(),
+            domains_evacuated: Gauge::default(),
             jobs_owned: Gauge::default(),
             duty_held: Gauge::default(),
             duty_idle: Gauge::default(),
@@ -183,6 +186,7 @@
         registry.register("latency_seconds", "Time to the answer of a request", metrics.request_latency.clone());
         registry.register("batch_seconds", "Time from submission to the last result", metrics.batch_duration.clone());
         registry.register("config_version", "Configuration version in force", metrics.config_version.clone());
+        registry.register("domains_evacuated", "Evacuated failure domains", metrics.domains_evacuated.clone());
         registry.register("jobs_owned", "Batch jobs owned", metrics.jobs_owned.clone());
         registry.register("duty_idle", "1 while a listed holder may not act", metrics.duty_idle.clone());
         registry.register("duty_held", "1 while the duty is held", metrics.duty_held.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -209,7 +209,7 @@
             steady_time: SteadyTime::new(&clock),
             active_requests: AtomicUsize::new(0),
             config: RwLock::new(None),
-            upstreams: Mutex::default(),
+            upstreams: Mutex::new(SamplerTable::new(settings.regions.clone())),
             coordinators: Mutex::new(CoordinatorTable::new(settings.vm.clone(), settle_ms, clock.since_boot())),
             grants: Mutex::default(),
             streams: Mutex::default(),
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -2,6 +2,7 @@
 
 use crate::edge_metrics::EdgeMetrics;
 use actix_web::{HttpResponse, http::StatusCode};
+use pimentoslip_kernel::WithholdReason;
 use pimentoslip_platform::header;
 use std::borrow::Cow;
 
@@ -30,6 +31,10 @@
     BodyTimeout,
     /// No upstream has capacity or can be reached; the request did not run.
     NoUpstream,
+    /// The failure domains of all upstreams that could serve the request are evacuated; it did not run.
+    Evacuated,
+    /// No upstream is in a region in which the route and the organisation allow the request to be served; it did not run.
+    OutsideHomes,
     /// Several upstreams crashed while they ran this request; it did not run again.
     Quarantined {
         /// Time until it may run again.
@@ -67,6 +72,15 @@
     JobNotFound,
 }
 
+impl From<WithholdReason> for ApiRefusal {
+    fn from(reason: WithholdReason) -> Self {
+        match reason {
+            WithholdReason::Evacuated => Self::Evacuated,
+            WithholdReason::OutsideHomes => Self::OutsideHomes,
+        }
+    }
+}
+
 impl ApiRefusal {
     /// Code in metrics, logs and the response body.
     #[must_use]
@@ -81,6 +95,8 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_late",
             Self::NoUpstream => "no_upstream",
+            Self::Evacuated => "evacuated",
+            Self::OutsideHomes => "outside_homes",
             Self::Quarantined { .. } => "quarantined",
             Self::Isolated => "isolated",
             Self::RateLimited { .. } => "rate_limited",
@@ -111,6 +127,8 @@
             Self::ConfigNotLoaded
             | Self::ConfigStale
             | Self::NoUpstream
+            | Self::Evacuated
+            | Self::OutsideHomes
             | Self::Quarantined { .. }
             | Self::Isolated
             | Self::RateLimited { .. }
@@ -134,6 +152,8 @@
                 Some("0.5".into())
             }
             Self::NoUpstream | Self::DeadlinePassed | Self::MemoryUsedUp | Self::ListOutdated => Some("0.1".into()),
+            // Operators seldom withdraw these within the time that a caller has.
+            Self::Evacuated | Self::OutsideHomes => Some("1".into()),
             // Crashed upstreams are replaced within seconds.
             Self::Isolated => Some("1".into()),
             Self::Quarantined { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_SECOND).to_string().into()),
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -11,7 +11,7 @@
 };
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
 use form_urlencoded::parse;
-use pimentoslip_kernel::{AbsenceProof, ReadAnswer, RouteRule};
+use pimentoslip_kernel::{AbsenceProof, JobPlacement, ReadAnswer, RouteRule};
 use pimentoslip_platform::{
     BatchItem, BatchSubmission, ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission,
     encode_page, header,
@@ -57,11 +57,17 @@
         expected_tokens: expected_tokens(&submission),
         config_version: Some(context.config.version),
         submitted_unix_ms: parts.state.unix_ms(),
+        region: parts.state.settings.region.clone(),
     };
     let (step, items) = (submission.step, submission.items.len());
     let deadline = context.deadline.min(parts.state.now().plus_ms(WRITE_TIMEOUT_MS));
     let submission = Arc::new(submission);
-    let new_job = SubmittedJob { id: context.id.clone(), entry, placement_key: rule.name.clone(), body, submission };
+    let placement = JobPlacement {
+        key: rule.name.clone(),
+        homes: context.config.homes(rule, Some(&entry.organisation)),
+        accepted_in: entry.region.clone(),
+    };
+    let new_job = SubmittedJob { id: context.id.clone(), entry, placement, body, submission };
     let outcome = job::submit_job(parts, &new_job, deadline).await;
     LogLine::new("job_submitted")
         .field("job", &context.id)
--- a/crates/edge/src/http/peer_api.rs
+++ b/crates/edge/src/http/peer_api.rs
@@ -1,7 +1,7 @@
 //! Control API through which daemons call each other.
 
 use crate::{
-    job::{ResultsQuery, SubmittedJob, accept_job, local_item, local_results},
+    job::{ResultsQuery, SubmittedJob, accept_job, job_placement, local_item, local_results},
     limit,
     store::RELAY_PATH,
     stream::known_origins,
@@ -173,8 +173,8 @@
             return HttpResponse::BadRequest().finish();
         }
     };
-    let job =
-        SubmittedJob { id: push.job, entry: push.entry, placement_key: "".into(), body: push.body.into(), submission };
+    let placement = job_placement(state, &push.entry);
+    let job = SubmittedJob { id: push.job, entry: push.entry, placement, body: push.body.into(), submission };
     accept_job(state, &job, Some(owner), push.ledger_state);
     HttpResponse::Ok().finish()
 }
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -84,7 +84,8 @@
         last_event_id: header_text(request.headers(), header::LAST_EVENT_ID).and_then(|text| text.parse().ok()),
     };
     let client_watch = request.conn_data::<ClientWatch>().cloned();
-    let target = RequestTarget::select(parts, request.headers(), rule, &call).await?;
+    let homes = context.config.homes(rule, call.organisation.as_deref());
+    let target = RequestTarget::select(parts, request.headers(), rule, homes, &call).await?;
     let refused_at = context.arrived_at.plus_ms(rule.latency_objective_ms / CAPACITY_WAIT_DIVISOR).min(call.deadline);
     let plan = AttemptPlan {
         call,
--- a/crates/edge/src/http/request_target.rs
+++ b/crates/edge/src/http/request_target.rs
@@ -3,7 +3,9 @@
 use super::api_refusal::ApiRefusal;
 use crate::{relay::UpstreamCall, stream::find_origin, worker_parts::WorkerParts};
 use actix_web::http::header::HeaderMap;
-use pimentoslip_kernel::{CapacityNeed, PermitNeed, RouteKind, RouteRule, SamplerQuery, SharedName, fingerprint};
+use pimentoslip_kernel::{
+    CapacityNeed, HomeRegions, PermitNeed, RouteKind, RouteRule, SamplerQuery, SharedName, fingerprint,
+};
 use pimentoslip_platform::header;
 
 /// Upstreams that a request may be sent to.
@@ -15,19 +17,23 @@
     pub software: Option<SharedName>,
     /// Key of the stream that the request starts; `None` if it starts none that a caller may resume.
     pub new_stream_key: Option<u64>,
+    /// Regions in which the request may be served; `None` for any.
+    pub homes: Option<HomeRegions>,
 }
 
 impl RequestTarget {
-    /// Selects the target of `call`, which was sent with `headers`. Fails if the call continues a stream whose software
+    /// Selects the target of `call`, which was sent with `headers` and may be served in `homes`. Fails if the call continues a stream whose software
     /// is not known for certain or has no upstream, or if the software of the upstreams is not known.
     pub async fn select(
         parts: &WorkerParts,
         headers: &HeaderMap,
         rule: &RouteRule,
+        homes: Option<HomeRegions>,
         call: &UpstreamCall,
     ) -> Result<Self, ApiRefusal> {
+        let any = || Self { service: "".into(), software: None, new_stream_key: None, homes: homes.clone() };
         if !rule.is_stream {
-            return Ok(Self { service: drawn_service(rule, &call.id)?, ..Self::any() });
+            return Ok(Self { service: drawn_service(rule, &call.id)?, ..any() });
         }
         let is_resumable = rule.kind == RouteKind::Idempotent;
         if is_resumable && !parts.state.is_list_confirmed() {
@@ -36,7 +42,7 @@
         if !headers.contains_key(header::LAST_EVENT_ID) {
             let service = drawn_service(rule, &call.id)?;
             let new_stream_key = is_resumable.then(|| stream_key(&call.id, call));
-            return Ok(Self { service, new_stream_key, ..Self::any() });
+            return Ok(Self { service, new_stream_key, ..any() });
         }
         if call.last_event_id.is_none() || headers.get_all(header::LAST_EVENT_ID).count() > 1 {
             return Err(ApiRefusal::Malformed);
@@ -46,7 +52,7 @@
         let key = stream_key(first_attempt, call);
         let stream = find_origin(parts, key, &service).await.ok_or(ApiRefusal::StreamUnknown)?;
         let is_target = rule.targets.iter().any(|target| target.service == stream.service);
-        let target = Self { service: stream.service, software: Some(stream.software), ..Self::any() };
+        let target = Self { service: stream.service, software: Some(stream.software), ..any() };
         let query = target.query(parts, "", &[], PermitNeed::NONE);
         if !is_target || !parts.state.upstreams().is_served(&query, parts.state.now()) {
             return Err(ApiRefusal::SoftwareGone);
@@ -67,6 +73,7 @@
             model: None,
             software: self.software.as_deref(),
             failure_domain: &parts.state.settings.failure_domain,
+            homes: self.homes.as_ref(),
             excluded,
             capacity: CapacityNeed::Queue,
             affinity: id,
@@ -79,10 +86,6 @@
     pub fn needs_software(&self) -> bool {
         self.software.is_some() || self.new_stream_key.is_some()
     }
-
-    fn any() -> Self {
-        Self { service: "".into(), software: None, new_stream_key: None }
-    }
 }
 
 /// Service for the request `id` by the weights of the route's targets.
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -72,6 +72,7 @@
         software: Some(guard.record.software.clone()),
         new_stream_key: None,
         service: guard.record.service.clone(),
+        ..plan.target
     };
     let mut response = HttpResponse::build(open.status());
     for (name, value) in &forwarded_response_headers(open.headers()) {
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -9,7 +9,9 @@
     worker_parts::WorkerParts,
 };
 use actix_web::http::StatusCode;
-use pimentoslip_kernel::{PermitNeed, RouteKind, RouteRule, SamplerOutcome, SharedName, SuspectVerdict, TimePoint};
+use pimentoslip_kernel::{
+    PermitNeed, RouteKind, RouteRule, SamplerOutcome, SharedName, SuspectVerdict, TimePoint, WithholdReason,
+};
 use pimentoslip_telemetry::LogLine;
 use std::{
     cell::LazyCell,
@@ -44,6 +46,8 @@
     may_have_run: bool,
     /// Why no further attempt was made, if it is because upstreams crashed while they ran the request.
     suspect_refusal: Option<ApiRefusal>,
+    /// Why no further attempt was made, if it is because no upstream may get the request.
+    withheld: Option<WithholdReason>,
     /// When an upstream may have room for the request, if limits alone kept it from all of them.
     permitted_at: Option<TimePoint>,
     /// The last response; it has an error status if a further attempt was made.
@@ -59,6 +63,7 @@
             path_failures: 0,
             may_have_run: false,
             suspect_refusal: None,
+            withheld: None,
             permitted_at: None,
             answered: None,
         }
@@ -142,6 +147,10 @@
         let picked_guard = pick_upstream(parts, target, &call.id, &history.tried, *permits);
         let Some(mut guard) = picked_guard else {
             let now = state.now();
+            history.withheld = withhold_reason(parts, target, now);
+            if history.withheld.is_some() {
+                break;
+            }
             history.permitted_at = state.upstreams().permit_time(&target.query(parts, &call.id, &[], *permits), now);
             // A permit that comes too late is not waited for.
             let is_over = now.max(history.permitted_at.unwrap_or(now)) >= permits.useful_until;
@@ -260,6 +269,9 @@
     if let (Some(refusal), false) = (history.suspect_refusal, history.may_have_run) {
         return Err(refusal);
     }
+    if let (Some(reason), false) = (history.withheld, history.may_have_run) {
+        return Err(reason.into());
+    }
     if let (Some(permitted_at), false) = (history.permitted_at, history.may_have_run) {
         return Err(ApiRefusal::RateLimited { retry_after_ms: permitted_at.since_ms(parts.state.now()) });
     }
@@ -288,6 +300,11 @@
     }
 }
 
+/// Why no upstream may get requests for `target`, although some could serve them: waiting for one would be in vain.
+fn withhold_reason(parts: &WorkerParts, target: &RequestTarget, now: TimePoint) -> Option<WithholdReason> {
+    parts.state.upstreams().withhold_reason(&target.query(parts, "", &[], PermitNeed::NONE), now)
+}
+
 /// Picks an upstream of `target` other than those in `tried`. `None` if none has capacity. A resumable stream starts
 /// only at a software version that is stored, and none is selected by its software while the list is outdated.
 fn pick_upstream(
--- a/crates/edge/src/job/claim_task.rs
+++ b/crates/edge/src/job/claim_task.rs
@@ -1,9 +1,9 @@
 //! Claims batch jobs that have no owner, and starts the tasks that run the jobs owned by this daemon.
 
-use super::{job_runner::run_job, owned_job::placement_key};
+use super::{job_runner::run_job, owned_job::job_placement};
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
-use pimentoslip_kernel::{DueClaim, OwnerRecord, SharedName};
+use pimentoslip_kernel::{DueClaim, JobPlacement, OwnerRecord, SharedName};
 use pimentoslip_platform::{CommitOutcome, StoreCommit};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{encode, stored::KeyLayout};
@@ -22,9 +22,11 @@
         let claims = {
             let returned_at = state.store_returned_at();
             let jobs = state.jobs();
-            let key =
-                |job: &SharedName| jobs.get(job).map_or_else(|| job.clone(), |view| placement_key(&state, &view.entry));
-            state.ownership().due_claims(now, returned_at, |job| jobs.has_state(job), key)
+            let placement = |job: &SharedName| match jobs.get(job) {
+                Some(view) => job_placement(&state, &view.entry),
+                None => JobPlacement::from(job.clone()),
+            };
+            state.ownership().due_claims(now, returned_at, |job| jobs.has_state(job), placement)
         };
         let lease = state.lease_view().lease;
         if let Some(lease) = lease {
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -270,11 +270,13 @@
 /// Milliseconds per event at the fastest other upstream with a free slot for the item; `None` if none is recorded.
 fn fastest_other_interval_ms(job: &OwnedJob, item_index: usize, guard: &UpstreamGuard) -> Option<u64> {
     let model = item_model(job, item_index);
+    let homes = job.homes();
     let query = SamplerQuery {
         service: &guard.record.service,
         model: model.as_deref().map(|model| (model, job.submission.oldest_version)),
         software: Some(&guard.record.software),
         failure_domain: &job.state.settings.failure_domain,
+        homes: homes.as_ref(),
         excluded: &[],
         capacity: CapacityNeed::FreeSlot,
         affinity: "",
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -6,7 +6,7 @@
     job_reader::{has_chunk_from, read_all_results, read_checkpoints, read_submission},
     job_writer::{SubmittedJob, hand_over_job},
     ledger_writer::{LedgerWriter, WriteOutcome},
-    owned_job::{OwnedJob, placement_key},
+    owned_job::{OwnedJob, job_placement},
     score_run::{PlacementError, prepare_score_call, score_item},
 };
 use crate::{
@@ -15,8 +15,8 @@
 };
 use awc::Client;
 use pimentoslip_kernel::{
-    AcceptanceBound, BatchLedger, BatchOptions, CapacityNeed, ItemSpec, JobCheckpoint, RequestUrgency, RouteRule,
-    RunAssignment, SamplerQuery, SharedName, TimePoint,
+    AcceptanceBound, BatchLedger, BatchOptions, CapacityNeed, HomeRegions, ItemSpec, JobCheckpoint, RequestUrgency,
+    RouteRule, RunAssignment, SamplerQuery, SharedName, TimePoint,
 };
 use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError};
 use pimentoslip_telemetry::LogLine;
@@ -259,7 +259,7 @@
     let submitted_job = SubmittedJob {
         id: job.id.clone(),
         entry: job.entry.clone(),
-        placement_key: placement_key(&job.state, &job.entry),
+        placement: job_placement(&job.state, &job.entry),
         body: job.body.clone(),
         submission: job.submission.clone(),
     };
@@ -372,8 +372,8 @@
                 runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
             }
             // Other items may be run by upstreams with other software.
-            (None, Some(_)) => defer_item(job, &rule, &assignment, now),
-            (None, None) => {
+            (None, Some(_)) if !is_withheld(job, &rule, &assignment, now) => defer_item(job, &rule, &assignment, now),
+            (None, _) => {
                 job.ledger.borrow_mut().requeue_run(assignment.item_index);
                 start_count -= 1;
                 break;
@@ -416,7 +416,8 @@
 /// `None` if there is no such upstream.
 fn select_upstream(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment) -> Option<UpstreamGuard> {
     let model = item_model(job, assignment.item_index);
-    let query = item_query(job, rule, assignment, model.as_deref())?;
+    let homes = job.homes();
+    let query = item_query(job, rule, assignment, model.as_deref(), homes.as_ref())?;
     let failed = job.run_failures.borrow().upstreams(assignment.item_index);
     if !failed.is_empty() {
         let guard = UpstreamGuard::pick(&job.state, &SamplerQuery { excluded: &failed, ..query });
@@ -428,10 +429,21 @@
     UpstreamGuard::pick(&job.state, &query)
 }
 
+/// Whether no upstream may run the item, whatever its software, although some could: its text is kept until one may.
+fn is_withheld(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) -> bool {
+    let model = item_model(job, assignment.item_index);
+    let homes = job.homes();
+    let query = item_query(job, rule, assignment, model.as_deref(), homes.as_ref());
+    let reason =
+        query.and_then(|query| job.state.upstreams().withhold_reason(&SamplerQuery { software: None, ..query }, now));
+    reason.is_some()
+}
+
 /// Lets an item wait for an upstream that can continue its text, or discards the text if there is none.
 fn defer_item(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) {
     let model = item_model(job, assignment.item_index);
-    let query = item_query(job, rule, assignment, model.as_deref());
+    let homes = job.homes();
+    let query = item_query(job, rule, assignment, model.as_deref(), homes.as_ref());
     let is_served = query.is_some_and(|query| job.state.upstreams().is_served(&query, now));
     job.ledger.borrow_mut().defer_run(assignment.item_index, is_served, now);
 }
@@ -442,6 +454,7 @@
     rule: &'a RouteRule,
     assignment: &'a RunAssignment,
     model: Option<&'a str>,
+    homes: Option<&'a HomeRegions>,
 ) -> Option<SamplerQuery<'a>> {
     let item = &job.submission.items[assignment.item_index];
     let service = rule.service_for_draw(pimentoslip_kernel::fingerprint(&[item.id.as_bytes()]))?;
@@ -451,6 +464,7 @@
         model: model.map(|model| (model, job.submission.oldest_version)),
         software: assignment.software.as_deref(),
         failure_domain: &job.state.settings.failure_domain,
+        homes,
         excluded: &[],
         capacity: CapacityNeed::FreeSlot,
         affinity: &item.group,
--- a/crates/edge/src/job/job_writer.rs
+++ b/crates/edge/src/job/job_writer.rs
@@ -4,7 +4,7 @@
 use crate::{edge_state::EdgeState, store::StoreAccess, worker_parts::WorkerParts};
 use awc::Client;
 use bytes::Bytes;
-use pimentoslip_kernel::{DaemonPresence, LedgerState, OwnerRecord, SharedName, TimePoint};
+use pimentoslip_kernel::{DaemonPresence, JobPlacement, LedgerState, OwnerRecord, SharedName, TimePoint};
 use pimentoslip_platform::{BatchSubmission, CommitOutcome, Result, StoreCommit, StoreEntry, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
@@ -55,9 +55,8 @@
     pub id: SharedName,
     /// Stored entry of the job, or the entry to be stored.
     pub entry: JobEntry,
-    /// Jobs with the same key are assigned to the same daemon. The name of the route, or the path if the job has no
-    /// route any more; unused by the receiver of a job.
-    pub placement_key: SharedName,
+    /// How the owner is chosen.
+    pub placement: JobPlacement,
     /// Encoded submission.
     pub body: Bytes,
     /// Decoded submission.
@@ -96,7 +95,7 @@
         let is_own = existing.entry.organisation == job.entry.organisation;
         return if is_own { SubmitOutcome::Accepted } else { SubmitOutcome::Foreign };
     }
-    let mut owner = choose_owner(state, &job.placement_key, None);
+    let mut owner = choose_owner(state, &job.placement, None);
     let mut outcome_unknown = false;
     loop {
         let Some(commit) = submission_commit(job, owner.as_ref()) else { return SubmitOutcome::NotDone };
@@ -138,10 +137,10 @@
     }
 }
 
-/// The present daemon that jobs with `placement_key` are assigned to, other than `excluded`.
-fn choose_owner(state: &EdgeState, placement_key: &str, excluded: Option<&str>) -> Option<ChosenOwner> {
+/// The present daemon that jobs with `placement` are assigned to, other than `excluded`.
+fn choose_owner(state: &EdgeState, placement: &JobPlacement, excluded: Option<&str>) -> Option<ChosenOwner> {
     let ownership = state.ownership();
-    let (daemon, presence) = ownership.preferred_daemon(placement_key, excluded)?;
+    let (daemon, presence) = ownership.preferred_daemon(placement, excluded)?;
     let daemon_entry = DaemonEntry { daemon: daemon.clone(), incarnation: presence.incarnation };
     Some(ChosenOwner { daemon_entry, presence: presence.clone() })
 }
@@ -203,7 +202,7 @@
 /// has ended; if the message fails, the new owner reads the job from the store.
 pub async fn hand_over_job(parts: &WorkerParts, job: &SubmittedJob, revision: u64, ledger: LedgerState) {
     let own_vm = parts.state.settings.vm.clone();
-    let Some(owner) = choose_owner(&parts.state, &job.placement_key, Some(&own_vm)) else { return };
+    let Some(owner) = choose_owner(&parts.state, &job.placement, Some(&own_vm)) else { return };
     match store_owner(parts, &job.id, &owner, revision).await {
         Ok(Some(revision)) => {
             let push = job.push_message(&owner, revision, Some(ledger));
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -18,4 +18,5 @@
 pub use job_index::{JobIndex, JobView, PendingJob};
 pub use job_reader::{ResultsQuery, read_item_body, read_job, read_results};
 pub use job_writer::{EndOutcome, JOB_PUSH_PATH, SubmitOutcome, SubmittedJob, accept_job, end_job, submit_job};
+pub use owned_job::job_placement;
 pub use owner_read::{ITEM_BODY_PATH, RESULTS_PATH, local_item, local_results};
--- a/crates/edge/src/job/owned_job.rs
+++ b/crates/edge/src/job/owned_job.rs
@@ -4,7 +4,7 @@
 use crate::{edge_state::EdgeState, store::StoreAccess};
 use awc::Client;
 use bytes::Bytes;
-use pimentoslip_kernel::{BatchLedger, RouteRule, SharedName, TimePoint};
+use pimentoslip_kernel::{BatchLedger, HomeRegions, JobPlacement, RouteRule, SharedName, TimePoint};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::JobEntry;
 use std::{
@@ -45,10 +45,14 @@
     pub ledger_changed: Rc<Notify>,
 }
 
-/// Key by which the owner of a job is chosen: the name of its route, or its path if it has none.
-pub fn placement_key(state: &EdgeState, entry: &JobEntry) -> SharedName {
-    let rule = state.config().and_then(|config| config.route(&entry.host, &entry.path).cloned());
-    rule.map_or_else(|| entry.path.clone(), |rule| rule.name.clone())
+/// How the owner of a job is chosen: by the name of its route, or its path if it has none, among the daemons that may get its
+/// submission.
+pub fn job_placement(state: &EdgeState, entry: &JobEntry) -> JobPlacement {
+    let config = state.config();
+    let rule = config.as_ref().and_then(|config| config.route(&entry.host, &entry.path));
+    let homes = config.as_ref().zip(rule).and_then(|(config, rule)| config.homes(rule, Some(&entry.organisation)));
+    let key = rule.map_or_else(|| entry.path.clone(), |rule| rule.name.clone());
+    JobPlacement { key, homes, accepted_in: entry.region.clone() }
 }
 
 impl std::fmt::Debug for OwnedJob {
@@ -58,6 +62,13 @@
 }
 
 impl OwnedJob {
+    /// Regions in which the items may be run by the current configuration; `None` for any.
+    #[must_use]
+    pub fn homes(&self) -> Option<HomeRegions> {
+        let config = self.state.config()?;
+        config.homes(config.route(&self.entry.host, &self.entry.path)?, self.organisation.as_deref())
+    }
+
     /// The job's route in the current configuration; `None` if it has no such route or there is no configuration yet.
     #[must_use]
     pub fn route(&self) -> Option<Arc<RouteRule>> {
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -52,6 +52,7 @@
         model: None,
         software: None,
         failure_domain: &state.settings.failure_domain,
+        homes: rule.homes.as_ref(),
         excluded: &[],
         capacity: CapacityNeed::SpareSlot,
         affinity: &affinity,
--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -12,7 +12,7 @@
 pub use relay_api::relay_request;
 
 use crate::edge_state::EdgeState;
-use pimentoslip_kernel::{DaemonPresence, DirectLoss, RelayPeer, SamplerRecord, SharedName, TimePoint};
+use pimentoslip_kernel::{DaemonPresence, DirectLoss, HomeRegions, RelayPeer, SamplerRecord, SharedName, TimePoint};
 use pimentoslip_telemetry::LogLine;
 
 /// Records that an attempt which was started at `started_at` opened no connection on the direct path to an upstream, or that
@@ -37,12 +37,15 @@
     state.upstreams().path_found(address);
 }
 
-/// Daemons that may relay requests to upstreams for this one.
-pub fn relay_peers(state: &EdgeState) -> Vec<RelayPeer> {
+/// Daemons that may relay requests with `homes` to upstreams for this one: those in the homes and in this daemon's region.
+pub fn relay_peers(state: &EdgeState, homes: Option<&HomeRegions>) -> Vec<RelayPeer> {
+    let is_allowed =
+        |region: &SharedName| homes.is_none_or(|homes| homes.contains(region)) || *region == state.settings.region;
     let now = state.now();
     let ownership = state.ownership();
     let others = ownership.possible_daemons(now).filter(|(name, presence)| {
-        **name != state.settings.vm && !presence.relay_token.is_empty() && !presence.control_address.is_empty()
+        let is_relay = !presence.relay_token.is_empty() && !presence.control_address.is_empty();
+        **name != state.settings.vm && is_relay && is_allowed(&presence.region)
     });
     others.map(|(name, presence)| peer(name, presence)).collect()
 }
--- a/crates/edge/src/path/no_path_log.rs
+++ b/crates/edge/src/path/no_path_log.rs
@@ -2,7 +2,7 @@
 
 use super::relay_peers;
 use crate::edge_state::EdgeState;
-use pimentoslip_kernel::{RelayPeer, RelayState, SamplerRecord, TimePoint};
+use pimentoslip_kernel::{HomeRegions, RelayPeer, RelayState, SamplerRecord, TimePoint};
 use pimentoslip_telemetry::LogLine;
 
 /// Peers that a line names at most.
@@ -10,12 +10,12 @@
 
 /// Logs the state of the direct path to an upstream, and which peers may relay or for how long they are not used, unless that
 /// was logged a moment before.
-pub fn log_no_path(state: &EdgeState, request_id: &str, record: &SamplerRecord) {
+pub fn log_no_path(state: &EdgeState, request_id: &str, record: &SamplerRecord, homes: Option<&HomeRegions>) {
     let now = state.now();
     if !state.paths().may_report(now) {
         return;
     }
-    let peers = relay_peers(state);
+    let peers = relay_peers(state, homes);
     // The table of paths is not locked while the line is written.
     let (direct, states): (_, Vec<String>) = {
         let paths = state.paths();
--- a/crates/edge/src/path/relay_api.rs
+++ b/crates/edge/src/path/relay_api.rs
@@ -5,7 +5,7 @@
     buffer_budget::BufferShare,
     client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
-    edge_state::RequestGuard,
+    edge_state::{EdgeState, RequestGuard},
     relay::{
         AttemptFailure, RelayRefusal, UpstreamCall, UpstreamGuard, forwarded_response_headers, is_clean_close,
         is_delimited_by_close, observe_upstream, send_direct,
@@ -96,7 +96,9 @@
     if state.paths().is_cut() {
         return Err(RelayRefusal::AllPathsLost);
     }
-    let guard = UpstreamGuard::adopt(state, &call.upstream, call.started).ok_or(RelayRefusal::Unlisted)?;
+    let guard = UpstreamGuard::adopt(state, &call.upstream, call.started).ok_or_else(|| {
+        if is_evacuated(state, &call.upstream) { RelayRefusal::Evacuated } else { RelayRefusal::Unlisted }
+    })?;
     if !state.paths().may_relay(&guard.record.address) {
         return Err(RelayRefusal::PathLost);
     }
@@ -108,6 +110,12 @@
     Ok(RelayedRequest { call, guard, share, request_guard: state.track_request() })
 }
 
+/// Whether the failure domain of `upstream` is evacuated.
+fn is_evacuated(state: &EdgeState, upstream: &str) -> bool {
+    let upstreams = state.upstreams();
+    upstreams.get(upstream).is_some_and(|record| upstreams.evacuations().contains(&record.failure_domain))
+}
+
 /// The request to the upstream; `None` if the peer's call is not a request of HTTP.
 fn upstream_call(call: RelayedCall, arrived_at: TimePoint) -> Option<UpstreamCall> {
     let mut headers = HeaderMap::new();
--- a/crates/edge/src/relay/relay_refusal.rs
+++ b/crates/edge/src/relay/relay_refusal.rs
@@ -1,5 +1,7 @@
 //! Reasons why a daemon does not relay a request of a peer.
 
+use super::AttemptFailure;
+
 /// Why a request of a peer was not sent to its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayRefusal {
@@ -13,13 +15,22 @@
     PathLost,
     /// The upstream is not listed as the named process, or is leaving.
     Unlisted,
+    /// The failure domain of the upstream is evacuated.
+    Evacuated,
     /// The memory for bodies is used up.
     MemoryUsedUp,
 }
 
 impl RelayRefusal {
-    const ALL: [Self; 6] =
-        [Self::Forbidden, Self::Stopping, Self::AllPathsLost, Self::PathLost, Self::Unlisted, Self::MemoryUsedUp];
+    const ALL: [Self; 7] = [
+        Self::Forbidden,
+        Self::Stopping,
+        Self::AllPathsLost,
+        Self::PathLost,
+        Self::Unlisted,
+        Self::Evacuated,
+        Self::MemoryUsedUp,
+    ];
 
     /// Name of the reason in metrics and logs, and between daemons.
     #[must_use]
@@ -30,6 +41,8 @@
             Self::AllPathsLost => "all_paths_lost",
             Self::PathLost => "path_lost",
             Self::Unlisted => "unlisted",
+            // Also the failure of an attempt that daemons of earlier releases know: another upstream gets the request then.
+            Self::Evacuated => AttemptFailure::Departed.as_str(),
             Self::MemoryUsedUp => "memory_used_up",
         }
     }
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -9,8 +9,8 @@
 };
 use actix_web::http::{StatusCode, header::HeaderMap};
 use pimentoslip_kernel::{
-    PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord, ServicePath,
-    SharedName, TimePoint,
+    HomeRegions, PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord,
+    ServicePath, SharedName, TimePoint,
 };
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::RelaySender;
@@ -34,6 +34,8 @@
     pub record: SamplerRecord,
     /// When the upstream was picked.
     pub picked_at: TimePoint,
+    /// Regions in which the request may be served; `None` for any.
+    homes: Option<HomeRegions>,
     outcome: SamplerOutcome,
     prefers_relay: bool,
     /// Path of the last attempt; `None` if there was none.
@@ -54,9 +56,9 @@
             if wants_permits {
                 state.permits_wanted.notify_one();
             }
-            let guard = Self::new(state, record?, now);
+            let guard = Self::new(state, record?, query.homes.cloned(), now);
             let path_query = guard.path_query(query.affinity);
-            if state.paths().has_path(&path_query, now, || relay_peers(state)) {
+            if state.paths().has_path(&path_query, now, || relay_peers(state, query.homes)) {
                 return Some(guard);
             }
             guard.path_missing(query.affinity);
@@ -70,14 +72,16 @@
     pub fn adopt(state: &Arc<EdgeState>, id: &str, started_unix_ms: u64) -> Option<Self> {
         let now = state.now();
         let record = state.upstreams().adopt(id, started_unix_ms, now)?;
-        Some(Self::new(state, record, now))
+        // The peer has chosen the upstream by the homes of the request.
+        Some(Self::new(state, record, None, now))
     }
 
-    fn new(state: &Arc<EdgeState>, record: SamplerRecord, picked_at: TimePoint) -> Self {
+    fn new(state: &Arc<EdgeState>, record: SamplerRecord, homes: Option<HomeRegions>, picked_at: TimePoint) -> Self {
         Self {
             state: state.clone(),
             record,
             picked_at,
+            homes,
             outcome: SamplerOutcome::Abandoned,
             prefers_relay: false,
             path: RefCell::new(Some(ServicePath::Direct)),
@@ -98,7 +102,7 @@
     /// Selects the path of the next attempt to send the request `id`. `None` if there is none.
     #[must_use]
     pub fn next_path(&self, id: &str) -> Option<ServicePath> {
-        let path = self.state.paths().next_path(&self.path_query(id), self.now(), || relay_peers(&self.state));
+        let path = self.state.paths().next_path(&self.path_query(id), self.now(), || self.relay_peers());
         self.path.replace(path.clone());
         path
     }
@@ -109,6 +113,11 @@
         self.path.borrow().as_ref().map_or_else(|| "none".to_owned(), ToString::to_string)
     }
 
+    /// Daemons that may relay the request.
+    fn relay_peers(&self) -> Vec<RelayPeer> {
+        relay_peers(&self.state, self.homes.as_ref())
+    }
+
     fn is_direct(&self) -> bool {
         *self.path.borrow() == Some(ServicePath::Direct)
     }
@@ -125,7 +134,7 @@
 
     /// Keeps requests from the upstream for a moment, as there is no path to it for the request `id`.
     pub fn path_missing(&self, id: &str) {
-        log_no_path(&self.state, id, &self.record);
+        log_no_path(&self.state, id, &self.record, self.homes.as_ref());
         let until = self.now().plus_ms(NO_PATH_BACKOFF_MS);
         self.state.upstreams().path_missing(&self.record.id, until);
     }
@@ -141,7 +150,7 @@
     #[must_use]
     pub fn direct_failed(&self, failure: AttemptFailure, sent_at: TimePoint) -> AttemptFailure {
         let is_path_failure = matches!(failure, AttemptFailure::Unreachable | AttemptFailure::Unacknowledged);
-        if !is_path_failure || relay_peers(&self.state).is_empty() {
+        if !is_path_failure || self.relay_peers().is_empty() {
             return failure;
         }
         direct_failed(&self.state, &self.record, sent_at);
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -111,7 +111,7 @@
 /// Starts the background tasks of the daemon.
 fn spawn_tasks(state: &Arc<EdgeState>) {
     let parts = WorkerParts::new(state.clone());
-    spawn_follower(&parts, "follow_operator", state.settings.config_apply_ms, OperatorKeys::new);
+    spawn_follower(&parts, "follow_operator", state.settings.operator_apply_ms(), OperatorKeys::new);
     spawn_follower(&parts, "follow_upstreams", state.settings.upstream_drain_ms, UpstreamKeys::new);
     spawn_follower(&parts, "follow_daemons", coordination_apply_ms(&state.settings), CoordinationKeys::new);
     spawn_task(&parts, "lease", |parts| maintain_lease(parts.state, parts.store.with_purpose("lease")));
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -1,6 +1,6 @@
 //! Tracks which daemon owns which batch job, and decides when a job without an owner is claimed.
 
-use crate::{SharedName, TimePoint, WatchSource, rendezvous};
+use crate::{JobPlacement, SharedName, TimePoint, WatchSource, rendezvous};
 use std::collections::BTreeMap;
 
 /// Additional delay before daemons other than the preferred one claim a job. It exceeds the duration of a claim, so
@@ -217,19 +217,20 @@
         self.is_owned_here(job) && (has_state || handed_over_at.is_none_or(|at| now >= at.plus_ms(PUSH_WAIT_MS)))
     }
 
-    /// The running daemon that new jobs with `placement_key` are assigned to, other than `excluded`; `None` if there is
+    /// The running daemon that new jobs with `placement` are assigned to, other than `excluded`; `None` if there is
     /// none.
     ///
-    /// The key is the name of a route, so that all jobs of a route get the same owner: it has the most accurate count
+    /// The key of the placement is the name of a route, so that all jobs of a route get the same owner: it has the most accurate count
     /// of what runs on the route's upstreams, and keeps connections to them.
     #[must_use]
     pub fn preferred_daemon(
         &self,
-        placement_key: &str,
+        placement: &JobPlacement,
         excluded: Option<&str>,
     ) -> Option<(&SharedName, &DaemonPresence)> {
-        let daemons: Vec<&SharedName> = self.daemons.keys().filter(|daemon| Some(&***daemon) != excluded).collect();
-        self.daemons.get_key_value(*rendezvous::highest_ranked(placement_key, &daemons)?)
+        let allowed = self.daemons.iter().filter(|(_, presence)| placement.allows(presence)).map(|(daemon, _)| daemon);
+        let daemons: Vec<&SharedName> = allowed.filter(|daemon| Some(&***daemon) != excluded).collect();
+        self.daemons.get_key_value(*rendezvous::highest_ranked(&placement.key, &daemons)?)
     }
 
     /// Daemons from which this one, in `failure_domain` of `region`, receives the store's changes, nearest first: the
@@ -274,16 +275,22 @@
         self.owner(job).is_some() && !self.is_owned_here(job)
     }
 
+    /// Whether this daemon may own jobs with `placement`. One whose presence is not known yet may own those without homes.
+    fn may_own(&self, placement: &JobPlacement) -> bool {
+        let presence = self.daemons.get(&self.daemon);
+        presence.map_or(placement.homes.is_none(), |presence| placement.allows(presence))
+    }
+
     /// Jobs that this process should claim now. `returned_at` is when the store returned after its last outage, if
-    /// there was one; `is_held` returns whether this process has a job's state in memory, `placement_key` the
-    /// key for [`Self::preferred_daemon`].
+    /// there was one; `is_held` returns whether this process has a job's state in memory, `placement` the
+    /// one for [`Self::preferred_daemon`].
     #[must_use]
-    pub fn due_claims(
+    pub fn due_claims<P: Into<JobPlacement>>(
         &self,
         now: TimePoint,
         returned_at: Option<TimePoint>,
         is_held: impl Fn(&str) -> bool,
-        placement_key: impl Fn(&SharedName) -> SharedName,
+        placement: impl Fn(&SharedName) -> P,
     ) -> Vec<DueClaim> {
         let is_after_outage = |since: TimePoint| returned_at.is_some_and(|at| since.since_ms(at) < OUTAGE_RECLAIM_MS);
         let open_jobs = self.entries.iter().filter(|(_, entry)| entry.accepted && !entry.closed);
@@ -294,7 +301,11 @@
                 let is_previous_process = owner.daemon == self.daemon && owner.incarnation < self.incarnation;
                 return if is_previous_process { claim(owner.revision) } else { None };
             }
-            let preferred = self.preferred_daemon(&placement_key(job), None);
+            let placement = placement(job).into();
+            if !is_held(job) && !self.may_own(&placement) {
+                return None;
+            }
+            let preferred = self.preferred_daemon(&placement, None);
             let is_preferred = preferred.is_some_and(|(daemon, _)| *daemon == self.daemon);
             let reclaim_ms = if is_after_outage(entry.vacant_since) { OUTAGE_RECLAIM_MS } else { RECLAIM_MS };
             let delay_ms = match (is_held(job), is_preferred) {
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -1,6 +1,6 @@
 //! A listed upstream as this daemon knows it.
 
-use super::{SamplerQuery, SamplerRecord, SamplerState};
+use super::{SamplerQuery, SamplerRecord, SamplerState, WithholdReason};
 use crate::{LimitObservation, PermitPool, SharedName, TimePoint};
 use std::collections::BTreeMap;
 
@@ -16,6 +16,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct SamplerEntry {
     pub(super) record: SamplerRecord,
+    /// Region of the upstream's failure domain; empty if it is not known.
+    pub(super) region: SharedName,
+    /// Whether an operator has evacuated the upstream's failure domain.
+    pub(super) is_evacuated: bool,
     /// When the upstream gets no more requests, as its entry is missing from the list; `None` while it is listed.
     pub(super) missing_until: Option<TimePoint>,
     /// Number of requests of this daemon in progress.
@@ -48,6 +52,8 @@
     pub(super) fn new(record: SamplerRecord) -> Self {
         Self {
             record,
+            region: "".into(),
+            is_evacuated: false,
             missing_until: None,
             inflight: 0,
             others_load: 0,
@@ -118,18 +124,36 @@
         self.pool.as_ref().is_some_and(|pool| now.since_ms(pool.seen_at()) >= LIMIT_RECHECK_MS)
     }
 
-    /// Whether the upstream may get requests: it accepts new ones, and its entry is not overdue.
-    pub(super) fn is_usable(&self, now: TimePoint) -> bool {
+    /// Whether the upstream accepts new requests, and its entry is not overdue.
+    fn is_accepting(&self, now: TimePoint) -> bool {
         self.record.state == SamplerState::Ready && self.missing_until.is_none_or(|until| now < until)
     }
 
+    /// Whether the upstream may get requests: it accepts new ones, and its failure domain is not evacuated.
+    pub(super) fn is_usable(&self, now: TimePoint) -> bool {
+        self.is_accepting(now) && !self.is_evacuated
+    }
+
     /// Whether the upstream may get requests for the service, and has an acceptable version of the model and the software.
     pub(super) fn serves(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
+        self.is_suitable(query, now) && self.withhold_reason(query).is_none()
+    }
+
+    /// Why the query's request may not be sent to the upstream although it could serve it.
+    pub(super) fn withhold_reason(&self, query: &SamplerQuery<'_>) -> Option<WithholdReason> {
+        if self.is_evacuated {
+            return Some(WithholdReason::Evacuated);
+        }
+        query.homes.is_some_and(|homes| !homes.contains(&self.region)).then_some(WithholdReason::OutsideHomes)
+    }
+
+    /// Whether the upstream accepts requests for the service, and has an acceptable version of the model and the software.
+    pub(super) fn is_suitable(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
         let record = &self.record;
         let has_model = query
             .model
             .is_none_or(|(model, oldest)| record.versions.get(model).is_some_and(|version| *version >= oldest));
         let has_software = query.software.is_none_or(|software| *record.software == *software);
-        self.is_usable(now) && *record.service == *query.service && has_model && has_software
+        self.is_accepting(now) && *record.service == *query.service && has_model && has_software
     }
 }
--- a/crates/kernel/src/sampler/sampler_query.rs
+++ b/crates/kernel/src/sampler/sampler_query.rs
@@ -1,6 +1,6 @@
 //! Requirements of a request on the upstream that is selected for it.
 
-use crate::{RequestUrgency, SharedName, TimePoint};
+use crate::{HomeRegions, RequestUrgency, SharedName, TimePoint};
 
 /// One slot in this many is reserved for interactive requests, whose callers wait for the response.
 const RESERVED_SLOTS_DIVISOR: u64 = 3;
@@ -39,6 +39,8 @@
     pub software: Option<&'a str>,
     /// Failure domain of the daemon, whose upstreams are preferred.
     pub failure_domain: &'a str,
+    /// Regions in which the upstream must be; `None` for any.
+    pub homes: Option<&'a HomeRegions>,
     /// Ids of upstreams that must not be selected, such as those already tried.
     pub excluded: &'a [SharedName],
     /// Capacity that the upstream must have.
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -1,11 +1,13 @@
 //! Table of the listed upstreams with their load, from which an upstream is selected for each request.
 
 use super::{
-    PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
+    EvacuationTable, PermitNeed, SamplerQuery, SamplerRecord, SamplerState, WithholdReason,
     leaving_processes::LeavingProcesses,
     sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
 };
-use crate::{LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, SharedName, TimePoint, rendezvous};
+use crate::{
+    LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, RegionMap, SharedName, TimePoint, rendezvous,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Backoff after a refused request: about the time until a slot becomes free.
@@ -92,6 +94,10 @@
 #[derive(Debug, Default)]
 pub struct SamplerTable {
     entries: BTreeMap<SharedName, SamplerEntry>,
+    /// Regions of the upstreams' failure domains.
+    regions: RegionMap,
+    /// Failure domains to whose upstreams nothing is sent.
+    evacuations: EvacuationTable,
     /// Processes that leave, whatever the list says.
     leaving: LeavingProcesses,
     /// Upstreams for which permits are wanted.
@@ -101,12 +107,43 @@
 }
 
 impl SamplerTable {
+    /// Creates an empty table of upstreams whose failure domains are in `regions`.
+    #[must_use]
+    pub fn new(regions: RegionMap) -> Self {
+        Self { regions, ..Self::default() }
+    }
+
+    /// Changes which failure domains are evacuated, by `change`, and returns its result.
+    pub fn change_evacuations<R>(&mut self, change: impl FnOnce(&mut EvacuationTable) -> R) -> R {
+        let result = change(&mut self.evacuations);
+        for entry in self.entries.values_mut() {
+            entry.is_evacuated = self.evacuations.contains(&entry.record.failure_domain);
+        }
+        // The fastest upstreams may be evacuated ones.
+        self.fastest.clear();
+        result
+    }
+
+    /// Failure domains to whose upstreams nothing is sent.
+    #[must_use]
+    pub fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
+    /// Number of this daemon's requests in progress in `failure_domain`.
+    #[must_use]
+    pub fn domain_inflight(&self, failure_domain: &str) -> u64 {
+        let entries = self.entries.values().filter(|entry| *entry.record.failure_domain == *failure_domain);
+        entries.map(|entry| entry.inflight).sum()
+    }
+
     /// Adds an upstream or updates its record. Load and failures are kept unless the upstream was restarted or has
     /// another address. A process that has said that it leaves stays so.
     pub fn upsert(&mut self, mut record: SamplerRecord) {
         if self.leaving.contains(&record) {
             record.state = SamplerState::Leaving;
         }
+        let id = record.id.clone();
         match self.entries.get_mut(&record.id) {
             Some(entry) if entry.record.is_same_process(&record) => {
                 entry.record = record;
@@ -116,6 +153,15 @@
                 self.entries.insert(record.id.clone(), SamplerEntry::new(record));
             }
         }
+        self.place_entry(&id);
+    }
+
+    /// Records the place of the upstream `id`, and whether it is evacuated.
+    fn place_entry(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.region = self.regions.region(&entry.record.failure_domain);
+            entry.is_evacuated = self.evacuations.contains(&entry.record.failure_domain);
+        }
     }
 
     /// Removes and returns an upstream that is no longer listed.
@@ -208,6 +254,20 @@
         self.entries.values().any(|entry| entry.serves(query, now))
     }
 
+    /// Why no upstream may get the query's request although some could serve it; `None` if one may, or none could.
+    #[must_use]
+    pub fn withhold_reason(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<WithholdReason> {
+        let mut withheld = None;
+        for entry in self.entries.values().filter(|entry| entry.is_suitable(query, now)) {
+            let reason = entry.withhold_reason(query)?;
+            // An evacuation ends; the homes of a request seldom change.
+            if withheld != Some(WithholdReason::Evacuated) {
+                withheld = Some(reason);
+            }
+        }
+        withheld
+    }
+
     /// Whether [`Self::pick`] would select an upstream.
     #[must_use]
     pub fn is_pickable(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
--- a/crates/kernel/src/traffic/route_rule.rs
+++ b/crates/kernel/src/traffic/route_rule.rs
@@ -1,5 +1,6 @@
 //! Rules of routes: which requests match, which services receive them, and their timeouts, priorities and retries.
 
+use super::HomeRegions;
 use crate::SharedName;
 
 /// Type of a route, which determines whether a request may be sent to an upstream again.
@@ -58,6 +59,8 @@
     pub is_stream: bool,
     /// Whether requests without a key are accepted.
     pub allows_anonymous: bool,
+    /// Regions in which the requests may be served; `None` for any.
+    pub homes: Option<HomeRegions>,
 }
 
 impl RouteRule {
--- a/crates/kernel/src/traffic/service_rule.rs
+++ b/crates/kernel/src/traffic/service_rule.rs
@@ -19,6 +19,16 @@
     pub domain_prices: BTreeMap<SharedName, u64>,
 }
 
+impl ScalingRule {
+    /// The rule without the failure domains that `is_excluded` names: nothing is ordered there, and the others get their share.
+    #[must_use]
+    pub fn without_domains(&self, is_excluded: impl Fn(&str) -> bool) -> Self {
+        let mut rule = self.clone();
+        rule.domain_prices.retain(|failure_domain, _| !is_excluded(failure_domain));
+        rule
+    }
+}
+
 /// Configuration of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceRule {
--- a/crates/kernel/src/traffic/traffic_config.rs
+++ b/crates/kernel/src/traffic/traffic_config.rs
@@ -1,6 +1,6 @@
 //! One version of the operators' traffic configuration.
 
-use super::{ClientLimits, RouteRule, ServiceRule};
+use super::{ClientLimits, HomeRegions, RouteRule, ServiceRule};
 use crate::SharedName;
 use std::{
     collections::{BTreeMap, HashMap},
@@ -27,6 +27,8 @@
     pub services: BTreeMap<SharedName, ServiceRule>,
     /// Permissions by API key.
     keys: HashMap<SharedName, KeyGrant>,
+    /// Homes of the organisations that have some, by their names.
+    organisation_homes: HashMap<SharedName, HomeRegions>,
     /// Limits for the requests of clients.
     pub limits: ClientLimits,
     /// Whether requests need a key, except on routes that accept requests without one.
@@ -52,7 +54,21 @@
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
         let requires_key = keys.is_some();
-        Self { version, routes, services, keys: keys.unwrap_or_default(), limits, requires_key }
+        let keys = keys.unwrap_or_default();
+        Self { version, routes, services, keys, organisation_homes: HashMap::new(), limits, requires_key }
+    }
+
+    /// The configuration with `homes` as those of the organisations, by their names.
+    #[must_use]
+    pub fn with_organisation_homes(self, homes: HashMap<SharedName, HomeRegions>) -> Self {
+        Self { organisation_homes: homes, ..self }
+    }
+
+    /// Regions in which requests of `organisation` on the route `rule` may be served; `None` for any.
+    #[must_use]
+    pub fn homes(&self, rule: &RouteRule, organisation: Option<&str>) -> Option<HomeRegions> {
+        let organisation_homes = organisation.and_then(|organisation| self.organisation_homes.get(organisation));
+        HomeRegions::common(rule.homes.as_ref(), organisation_homes)
     }
 
     /// Route for a request: that with the longest prefix of `path` among the routes of `host`; `None` if no route
--- a/crates/kernel/tests/machines/fleet_machines.rs
+++ b/crates/kernel/tests/machines/fleet_machines.rs
@@ -29,6 +29,7 @@
         model: Some(("m", 2)),
         software: None,
         failure_domain: "a",
+        homes: None,
         excluded,
         capacity: CapacityNeed::FreeSlot,
         affinity: "",
--- a/crates/kernel/tests/machines/limits.rs
+++ b/crates/kernel/tests/machines/limits.rs
@@ -232,6 +232,7 @@
                 model: None,
                 software: None,
                 failure_domain: "d",
+                homes: None,
                 excluded: &[],
                 capacity: CapacityNeed::FreeSlot,
                 affinity: "",
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -270,7 +270,7 @@
         let mut table = OwnershipTable::new(name.clone(), 1);
         daemons.iter().for_each(|daemon| table.daemon_joined(daemon.clone(), presence(1)));
         (0..JOB_COUNT).for_each(|job| table.job_accepted(format!("j{job}").into(), TimePoint(0)));
-        let preferred = table.preferred_daemon("route", None).map(|(daemon, _)| daemon.clone());
+        let preferred = table.preferred_daemon(&route(&"j0".into()).into(), None).map(|(daemon, _)| daemon.clone());
         // Later than the preferred daemon claims, and earlier than any other one.
         let claims = table.due_claims(TimePoint(1_000), None, |_| false, route).len();
         assert_eq!(claims, if preferred.as_ref() == Some(name) { JOB_COUNT } else { 0 }, "{name}");
--- a/crates/wire/src/stored/job_entry.rs
+++ b/crates/wire/src/stored/job_entry.rs
@@ -32,6 +32,9 @@
     pub config_version: Option<u64>,
     /// Time of the first submission in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
+    /// Region of the daemon that accepted the job; empty in entries of earlier releases.
+    #[serde(default)]
+    pub region: SharedName,
 }
 
 impl JobEntry {
