--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod departures;
 mod duties;
+mod evacuations;
 mod fairness;
 mod fleet_machines;
 mod limits;
