--- a/crates/kernel/tests/machines/evacuations.rs
+++ b/crates/kernel/tests/machines/evacuations.rs
@@ -6,8 +6,8 @@
     sequence,
 };
 use pimentoslip_kernel::{
-    ChangeLog, HomeRegions, LogRead, RegionMap, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerTable, SharedName,
-    TimePoint, WatchSelector, WatchSource, WatchTarget, WatchTiming, WithholdReason,
+    ChangeLog, EvacuationTable, HomeRegions, LogRead, RegionMap, SamplerOutcome, SamplerQuery, SamplerRecord,
+    SamplerTable, SharedName, TimePoint, WatchSelector, WatchSource, WatchTarget, WatchTiming, WithholdReason,
 };
 use quickcheck::{Arbitrary, Gen};
 use std::collections::BTreeMap;
@@ -413,3 +413,27 @@
         );
     }
 }
+
+/// Guards against an evacuation that ends for a moment while changes are applied that are older than the snapshot before them.
+#[test]
+fn changes_before_the_last_request_do_not_end_an_evacuation() {
+    // Revision of a change, and whether it requests the evacuation; the snapshot has the request of revision 11.
+    let cases: [(&[(u64, bool)], bool); 4] = [
+        (&[(9, true)], true),
+        (&[(10, false)], true),
+        (&[(9, true), (10, false)], true),
+        (&[(11, true), (12, false)], false),
+    ];
+    for (changes, is_evacuated) in cases {
+        let mut evacuations = EvacuationTable::default();
+        evacuations.replace_all(BTreeMap::from([("a".into(), 11)]));
+        for (revision, is_request) in changes {
+            if *is_request {
+                evacuations.requested("a".into(), *revision);
+            } else {
+                evacuations.withdrawn("a", *revision);
+            }
+        }
+        assert_eq!(evacuations.contains("a"), is_evacuated, "{changes:?}");
+    }
+}
--- a/crates/kernel/tests/machines/ownership.rs
+++ b/crates/kernel/tests/machines/ownership.rs
@@ -2,7 +2,9 @@
 //! keeps its jobs.
 
 use crate::sequence;
-use pimentoslip_kernel::{DaemonPresence, OwnerRecord, OwnershipTable, SharedName, TimePoint};
+use pimentoslip_kernel::{
+    DaemonPresence, HomeRegions, JobPlacement, OwnerRecord, OwnershipTable, SharedName, TimePoint,
+};
 use quickcheck::{Arbitrary, Gen};
 
 const DAEMONS: usize = 3;
@@ -421,3 +423,41 @@
         assert_eq!(claims, usize::from(!has_successor), "claim: {is_claim}, successor: {has_successor}");
     }
 }
+
+/// Guards against submissions that are sent to daemons outside of the homes of their job.
+#[test]
+fn only_daemons_in_the_homes_of_a_job_or_where_it_was_accepted_own_it() {
+    let land = HomeRegions::from_names(["land".into()]);
+    let nowhere = HomeRegions::from_names(["sea".into()]);
+    let all: Vec<&str> = DAEMON_LOCATIONS.iter().map(|(daemon, ..)| *daemon).collect();
+    // Homes, region of the daemon that accepted the job, and the daemons that may own it.
+    let cases = [
+        (None, "land", &all[..]),
+        (land.clone(), "land", &all[..5]),
+        (land.clone(), "", &all[..5]),
+        (land, "island", &all[..]),
+        (nowhere.clone(), "island", &all[5..]),
+        (nowhere, "", &[]),
+    ];
+    for (homes, accepted_in, owners) in cases {
+        let placement =
+            |key: &SharedName| JobPlacement { key: key.clone(), homes: homes.clone(), accepted_in: accepted_in.into() };
+        for daemon in &all {
+            let mut table = OwnershipTable::new((*daemon).into(), 1);
+            for (other, _, region) in DAEMON_LOCATIONS {
+                table.daemon_joined(other.into(), DaemonPresence { region: region.into(), ..presence(1) });
+            }
+            table.job_accepted("j".into(), TimePoint(0));
+            let claims = table.due_claims(TimePoint(9_000), None, |_| false, placement).len();
+            assert_eq!(claims, usize::from(owners.contains(daemon)), "{daemon}: {homes:?}, {accepted_in}");
+            for key in 0..20 {
+                let preferred = table.preferred_daemon(&placement(&format!("route-{key}").into()), None);
+                let is_allowed = preferred.is_none_or(|(name, _)| owners.contains(&&**name));
+                assert!(
+                    is_allowed && preferred.is_some() != owners.is_empty(),
+                    "{preferred:?}: {homes:?}, {accepted_in}"
+                );
+            }
+        }
+    }
+}
--- a/crates/kernel/tests/machines/scaling.rs
+++ b/crates/kernel/tests/machines/scaling.rs
@@ -253,3 +253,30 @@
     (0..18).try_for_each(|_| simulation.run_planner(false)).unwrap();
     assert_eq!((simulation.count(&domain, false), simulation.count(&domain, true)), (FLOOR, 2));
 }
+
+/// Guards against orders in an evacuated failure domain, and against room that is missing because of it although other failure
+/// domains have some left.
+#[test]
+fn the_room_of_an_evacuated_domain_is_ordered_elsewhere() {
+    // Evacuated failure domains, demand, and the upstreams that are ordered in each of the others.
+    let cases: [(&[&str], u64, &[(&str, u64)]); 5] = [
+        (&[], 6 * SLOTS, &[("a", 2), ("b", 2), ("c", 2)]),
+        (&["a"], 6 * SLOTS, &[("b", 3), ("c", 3)]),
+        (&["a", "b"], 6 * SLOTS, &[("c", UPSTREAMS_MAX)]),
+        (&["a"], 0, &[("b", UPSTREAMS_MIN), ("c", UPSTREAMS_MIN)]),
+        (&["a", "b", "c"], 6 * SLOTS, &[]),
+    ];
+    for (evacuated, demand, expected) in cases {
+        let rule = ScalingRule { reclaimable_price: None, ..scaling_rule() };
+        let rule = rule.without_domains(|failure_domain| evacuated.contains(&failure_domain));
+        // The list has one upstream, from which the slots of all are known.
+        let upstream = Simulation::new().records().into_iter().take(1).collect::<Vec<_>>();
+        let orders = ScalingPlanner::default().plan(&rule, &upstream, &BTreeMap::new(), demand, TimePoint(0));
+        let ordered: Vec<(&str, u64)> = orders
+            .iter()
+            .filter(|order| !order.reclaimable)
+            .map(|order| (&*order.failure_domain, order.desired))
+            .collect();
+        assert_eq!(ordered, expected, "without {evacuated:?}, demand {demand}");
+    }
+}
