Process tests of evacuated failure domains and home regions

Edges cut from the store, restarted, or without the history of changes; callers while all domains are evacuated; runs in progress and waiting items; relayed requests; bodies and jobs within homes.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -15,6 +15,8 @@
 mod platform_crasher;
 mod platform_departures;
 mod platform_duties;
+mod platform_evacuations;
+mod platform_homes;
 mod platform_job_routes;
 mod platform_jobs;
 mod platform_leaving;
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -109,11 +109,22 @@
 /// Starts an upstream of `service` with the version `software` of its software. One of the service `engine` serves a
 /// model.
 fn start_upstream(store: &PlatformStore, id: &str, service: &str, software: &str) -> PlatformUpstream {
+    start_upstream_in("north", store, id, service, software)
+}
+
+/// Starts an upstream like [`start_upstream`], in the failure domain `failure_domain`.
+fn start_upstream_in(
+    failure_domain: &str,
+    store: &PlatformStore,
+    id: &str,
+    service: &str,
+    software: &str,
+) -> PlatformUpstream {
     let models: &[&str] = if service == "engine" { &["verse"] } else { &[] };
     let settings = UpstreamSettings {
         id: id.to_owned(),
         service: service.to_owned(),
-        failure_domain: "north".to_owned(),
+        failure_domain: failure_domain.to_owned(),
         software: software.to_owned(),
         slots: 8,
         models: models.iter().map(ToString::to_string).collect(),
@@ -183,6 +194,11 @@
         self.desks.push(start_upstream(&self.store, id, "desk", BASE_SOFTWARE));
     }
 
+    /// Starts one more upstream of the plain service `desk`, in the failure domain `south`.
+    pub fn start_southern_desk(&mut self, id: &str) {
+        self.desks.push(start_upstream_in("south", &self.store, id, "desk", BASE_SOFTWARE));
+    }
+
     /// Starts one more upstream of the service `engine`.
     pub fn start_engine(&mut self, id: &str) {
         self.start_engine_with(id, BASE_SOFTWARE);
@@ -213,6 +229,11 @@
     /// Stores a configuration like [`Self::write_config`], with one more batch route for each name in `batch_routes`, whose
     /// prefix is the name. One whose name starts with `open` needs no key.
     pub fn write_config_with(&self, version: u64, keys: &[(&str, &str)], batch_routes: &[String]) {
+        self.store.put("op/config", &Self::config_with(version, keys, batch_routes));
+    }
+
+    /// The configuration that [`Self::write_config_with`] stores.
+    pub fn config_with(version: u64, keys: &[(&str, &str)], batch_routes: &[String]) -> Value {
         let tenants: Vec<Value> =
             keys.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "priority": 1 })).collect();
         let route = |name: &str, prefix: &str, route_type: &str, service: &str| {
@@ -244,7 +265,7 @@
         });
         let routes = config["routes"].as_array_mut().expect("a list of routes");
         routes.extend(batch_routes.iter().map(|name| route(name, &format!("/{name}/"), "rollout", "engine")));
-        self.store.put("op/config", &config);
+        config
     }
 
     /// Starts one more edge, which connects to the store at `store_address`.
@@ -270,6 +291,7 @@
         let (frontend_address, readiness_address, control_address) = (frontend.0, readiness.0, control.0);
         let settings = json!({
             "nodeName": vm, "ip": "127.0.0.1", "zone": options.failure_domain, "region": options.region,
+            "zones": { "north": "land", "south": "island" },
             "listenAddrs": { "frontend": frontend_address, "ready": readiness_address },
             "internalPorts": [control_address.port(), control_address.port()],
             "platform": { "address": options.store_address, "valueBytes": 1_048_576, "minTtlMs": 1000 },
