--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -51,7 +51,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Ended runs of batch items, by result.
     pub item_runs: Family<ReasonLabel, Counter>,
-    /// Owned batch jobs that wait before they are run, by reason: `config_older` than the one under which the job was accepted.
+    /// Owned batch jobs that wait before they are run, by reason: `config_older` than the one under which the job was accepted;
+    /// `evacuated` or `outside_homes`, counted each 10 s, while no upstream may run their items.
     pub job_waits: Family<ReasonLabel, Counter>,
     /// Reads of results of batch jobs, by the source of the answer: `own_memory`, `owner_peer` or `store`.
     pub result_reads: Family<ReasonLabel, Counter>,
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -34,6 +34,8 @@
 /// Runs and scorings that one pass starts at most, each by a comparison of all upstreams. Other tasks of the thread run
 /// in between.
 const STARTS_MAX: usize = 32;
+/// Shortest time between two reports that a job's items wait for upstreams that may not run them.
+const WITHHELD_REPORT_INTERVAL_MS: u64 = 10_000;
 /// Delay before a failed read of a job is repeated.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -232,6 +234,7 @@
         owner_revision: Rc::new(Cell::new(owner_revision)),
         ledger: Rc::new(RefCell::new(ledger)),
         run_failures: Rc::default(),
+        withheld_report_at: Rc::new(Cell::new(TimePoint(0))),
         ledger_changed: Rc::new(Notify::new()),
     })
 }
@@ -372,8 +375,13 @@
                 runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
             }
             // Other items may be run by upstreams with other software.
-            (None, Some(_)) if !is_withheld(job, &rule, &assignment, now) => defer_item(job, &rule, &assignment, now),
-            (None, _) => {
+            (None, Some(_)) if !check_withheld(job, &rule, &assignment, now) => {
+                defer_item(job, &rule, &assignment, now)
+            }
+            (None, software) => {
+                if software.is_none() {
+                    check_withheld(job, &rule, &assignment, now);
+                }
                 job.ledger.borrow_mut().requeue_run(assignment.item_index);
                 start_count -= 1;
                 break;
@@ -429,14 +437,25 @@
     UpstreamGuard::pick(&job.state, &query)
 }
 
-/// Whether no upstream may run the item, whatever its software, although some could: its text is kept until one may.
-fn is_withheld(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) -> bool {
+/// Whether no upstream may run the item, whatever its software, although some could: its text is kept until one may. Logs that
+/// from time to time.
+fn check_withheld(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) -> bool {
     let model = item_model(job, assignment.item_index);
     let homes = job.homes();
     let query = item_query(job, rule, assignment, model.as_deref(), homes.as_ref());
     let reason =
         query.and_then(|query| job.state.upstreams().withhold_reason(&SamplerQuery { software: None, ..query }, now));
-    reason.is_some()
+    let Some(reason) = reason else { return false };
+    if now >= job.withheld_report_at.get() {
+        job.withheld_report_at.set(now.plus_ms(WITHHELD_REPORT_INTERVAL_MS));
+        EdgeMetrics::increment(&EdgeMetrics::global().job_waits, reason.as_str());
+        LogLine::new("items_withheld")
+            .field("job", &job.id)
+            .field("items", job.ledger.borrow().waiting_count() + 1)
+            .field("reason", reason.as_str())
+            .warn();
+    }
+    true
 }
 
 /// Lets an item wait for an upstream that can continue its text, or discards the text if there is none.
--- a/crates/edge/src/job/owned_job.rs
+++ b/crates/edge/src/job/owned_job.rs
@@ -41,6 +41,8 @@
     pub ledger: Rc<RefCell<BatchLedger>>,
     /// Upstreams that have failed unfinished items.
     pub run_failures: Rc<RefCell<RunFailures>>,
+    /// When it is logged again that no upstream may run the items.
+    pub withheld_report_at: Rc<Cell<TimePoint>>,
     /// Wakes the job's main task after a run or a scoring has ended.
     pub ledger_changed: Rc<Notify>,
 }
--- a/crates/kernel/src/sampler/withhold_reason.rs
+++ b/crates/kernel/src/sampler/withhold_reason.rs
@@ -8,3 +8,14 @@
     /// The upstream is outside of the homes of the request.
     OutsideHomes,
 }
+
+impl WithholdReason {
+    /// Name in log lines and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Evacuated => "evacuated",
+            Self::OutsideHomes => "outside_homes",
+        }
+    }
+}
--- a/crates/kernel/tests/machines/scaling.rs
+++ b/crates/kernel/tests/machines/scaling.rs
@@ -259,7 +259,8 @@
 #[test]
 fn the_room_of_an_evacuated_domain_is_ordered_elsewhere() {
     // Evacuated failure domains, demand, and the upstreams that are ordered in each of the others.
-    let cases: [(&[&str], u64, &[(&str, u64)]); 5] = [
+    type Case = (&'static [&'static str], u64, &'static [(&'static str, u64)]);
+    let cases: [Case; 5] = [
         (&[], 6 * SLOTS, &[("a", 2), ("b", 2), ("c", 2)]),
         (&["a"], 6 * SLOTS, &[("b", 3), ("c", 3)]),
         (&["a", "b"], 6 * SLOTS, &[("c", UPSTREAMS_MAX)]),
