Waiting line of a service: order, expected wait and refusal at once, without I/O

Callers saw that a freed slot went to the request that happened to ask next, that an organisation with many requests took the room of others, and that a request which could not be served was held for a quarter of its objective. The line orders by urgency, weighted fair shares of organisations and age, and refuses what would begin too late. The checks play three times the callers that few slots serve, and fail without fairness, early refusals or ages.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -37,6 +37,7 @@
 mod traffic;
 mod usage_meter;
 mod usage_window;
+mod waiting;
 mod wall_clock_offset;
 mod watch;
 
@@ -45,7 +46,7 @@
 pub use claim_table::{ClaimAnswer, ClaimKey, ClaimTable, NotShardOwner, Result as ClaimResult};
 pub use config::*;
 pub use duty::*;
-pub use fair_queue::{FairQueue, QueueTicket};
+pub use fair_queue::{FairQueue, QueueTicket, QueuedRequest};
 pub use fetch_cursor::FetchCursor;
 pub use fingerprint::fingerprint;
 pub use freshness_table::FreshnessTable;
@@ -74,6 +75,7 @@
 pub use traffic::*;
 pub use usage_meter::{UsageCount, UsageKey, UsageMeter};
 pub use usage_window::{UsageLine, UsageWindow};
+pub use waiting::*;
 pub use wall_clock_offset::WallClockOffset;
 pub use watch::*;
 
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -26,8 +26,10 @@
     pub(super) others_load_until: TimePoint,
     /// Number of consecutive failed requests.
     pub(super) failures: u32,
-    /// End of the backoff after failed or refused requests.
+    /// End of the backoff after failed requests.
     pub(super) backoff_until: TimePoint,
+    /// End of the backoff after a refused request.
+    pub(super) refused_until: TimePoint,
     /// Until when the upstream gets no requests, as there is no path to it.
     pub(super) pathless_until: TimePoint,
     /// End of the backoff by model, after refusals because the upstream loads weights.
@@ -54,6 +56,7 @@
             others_load_until: TimePoint(0),
             failures: 0,
             backoff_until: TimePoint(0),
+            refused_until: TimePoint(0),
             pathless_until: TimePoint(0),
             model_backoff_until: BTreeMap::new(),
             latency_ms: None,
@@ -104,8 +107,19 @@
 
     /// Whether there is a path to the upstream, and it is not backing off for the query.
     pub(super) fn is_available(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
+        self.available_at(query) <= now
+    }
+
+    /// When the upstream is available to the query, unless more requests fail or the path returns sooner.
+    pub(super) fn available_at(&self, query: &SamplerQuery<'_>) -> TimePoint {
         let model_backoff_until = query.model.and_then(|(model, _)| self.model_backoff_until.get(model));
-        self.backoff_until.max(self.pathless_until) <= now && model_backoff_until.is_none_or(|until| *until <= now)
+        let backoff_until = self.backoff_until.max(self.refused_until).max(self.pathless_until);
+        backoff_until.max(model_backoff_until.copied().unwrap_or_default())
+    }
+
+    /// Whether the upstream is not available because it has refused a request, and for no other reason.
+    pub(super) fn is_refusing(&self, now: TimePoint) -> bool {
+        self.refused_until > now && self.backoff_until.max(self.pathless_until) <= now
     }
 
     /// Whether the query's request may be sent under the upstream's limit, if it names one.
--- a/crates/kernel/src/sampler/sampler_query.rs
+++ b/crates/kernel/src/sampler/sampler_query.rs
@@ -1,5 +1,6 @@
 //! Requirements of a request on the upstream that is selected for it.
 
+use super::sampler_entry::SamplerEntry;
 use crate::{RequestUrgency, SharedName, TimePoint};
 
 /// One slot in this many is reserved for interactive requests, whose callers wait for the response.
@@ -10,6 +11,9 @@
 pub enum CapacityNeed {
     /// None: the request may be queued at the upstream.
     Queue,
+    /// A slot that no request of this daemon uses; the requests of other daemons do not count, since this daemon does not
+    /// see their ends. Upstreams that serve models need none, as they order requests themselves.
+    OwnSlot,
     /// At least one free slot.
     FreeSlot,
     /// A free slot beyond those reserved for interactive requests. Used for scoring: at the end of a step hundreds of
@@ -18,12 +22,14 @@
 }
 
 impl CapacityNeed {
-    /// Whether an upstream with `load` requests on `slots` slots has the capacity.
-    pub(super) fn is_met(self, load: u64, slots: u64) -> bool {
+    /// Whether the upstream of `entry` has the capacity.
+    pub(super) fn is_met(self, entry: &SamplerEntry, now: TimePoint) -> bool {
+        let slots = entry.record.slots;
         match self {
             Self::Queue => true,
-            Self::FreeSlot => load < slots,
-            Self::SpareSlot => load < slots - slots / RESERVED_SLOTS_DIVISOR,
+            Self::OwnSlot => entry.inflight < slots.max(1) || !entry.record.versions.is_empty(),
+            Self::FreeSlot => entry.load(now) < slots,
+            Self::SpareSlot => entry.load(now) < slots - slots / RESERVED_SLOTS_DIVISOR,
         }
     }
 }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -1,17 +1,21 @@
 //! Table of the listed upstreams with their load, from which an upstream is selected for each request.
 
 use super::{
-    PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
+    CapacityNeed, PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
     leaving_processes::LeavingProcesses,
     sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
 };
-use crate::{LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, SharedName, TimePoint, rendezvous};
+use crate::{
+    LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, RoomOutlook, SharedName, TimePoint, rendezvous,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Backoff after a refused request: about the time until a slot becomes free.
 const REFUSAL_BACKOFF_MS: u64 = 200;
 /// Backoff for one model after a refusal due to loading of weights: a fraction of the time that a load takes.
 const MODEL_REFUSAL_BACKOFF_MS: u64 = 300;
+/// Slots of a service must be known to be in use up to their number divided by this, for the room in it to be known.
+const KNOWN_SLOTS_DIVISOR: u64 = 2;
 /// Time for which the load that an upstream reported is valid.
 const LOAD_REPORT_TTL_MS: u64 = 1_000;
 /// Reciprocal of the weight of a new request in the moving average of the latency.
@@ -228,7 +232,7 @@
         for entry in self.entries.values().filter(|entry| entry.serves(query, now)) {
             fastest_ms = fastest_ms.min(entry.latency_ms.unwrap_or(u64::MAX));
             let is_candidate = entry.is_available(query, now)
-                && query.capacity.is_met(entry.load(now), entry.record.slots)
+                && query.capacity.is_met(entry, now)
                 && !query.excluded.contains(&entry.record.id);
             if is_candidate {
                 candidates.push(entry);
@@ -381,7 +385,7 @@
                     entry.latency_ms = Some(latency_ms.max(1));
                 }
             }
-            SamplerOutcome::Refused => entry.backoff_until = entry.backoff_until.max(now.plus_ms(REFUSAL_BACKOFF_MS)),
+            SamplerOutcome::Refused => entry.refused_until = entry.refused_until.max(now.plus_ms(REFUSAL_BACKOFF_MS)),
             SamplerOutcome::Failed => entry.failed(now),
             SamplerOutcome::Abandoned => {}
         }
@@ -426,6 +430,7 @@
         for entry in self.entries_at(address) {
             entry.failures = 0;
             entry.backoff_until = TimePoint(0);
+            entry.refused_until = TimePoint(0);
             entry.pathless_until = TimePoint(0);
         }
     }
@@ -516,10 +521,56 @@
     }
 
     /// Handles a load report of the upstream `id`. `requests` is its number of running and queued requests, including
-    /// those of this daemon.
-    pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) {
-        let Some(entry) = self.entries.get_mut(id) else { return };
+    /// those of this daemon. A free slot ends the backoff after a refusal. Returns whether it did.
+    pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else { return false };
         entry.others_load = requests.saturating_sub(entry.inflight);
         entry.others_load_until = now.plus_ms(LOAD_REPORT_TTL_MS);
+        let has_room = requests < entry.record.slots && entry.refused_until > now;
+        if has_room {
+            entry.refused_until = now;
+        }
+        has_room
+    }
+
+    /// What keeps the query from an upstream, if none is selected for it.
+    #[must_use]
+    pub fn room_outlook(&self, query: &SamplerQuery<'_>, now: TimePoint) -> RoomOutlook {
+        let (mut running, mut used_slots, mut all_slots) = (0, 0, 0);
+        let mut refused_until = None;
+        let mut is_refused = true;
+        for entry in self.entries.values().filter(|entry| entry.serves(query, now)) {
+            all_slots += entry.record.slots.max(1);
+            if entry.is_available(query, now) && entry.is_permitted(query, now) {
+                is_refused = false;
+                if !CapacityNeed::OwnSlot.is_met(entry, now) {
+                    running += entry.inflight;
+                    used_slots += entry.record.slots.max(1);
+                }
+            } else if entry.is_refusing(now) {
+                let until = entry.refused_until;
+                refused_until = Some(refused_until.map_or(until, |earliest: TimePoint| earliest.min(until)));
+            } else {
+                is_refused = false;
+            }
+        }
+        match refused_until {
+            // Slots at upstreams that are not available now may be free sooner.
+            _ if running > 0 && used_slots * KNOWN_SLOTS_DIVISOR >= all_slots => RoomOutlook::SlotsInUse { running },
+            Some(until) if is_refused => RoomOutlook::Refused { until },
+            _ => RoomOutlook::Unknown,
+        }
+    }
+
+    /// When an upstream becomes available to the query, or a permit for one may be had, without any other event. `None` if
+    /// there is no such time after `now`.
+    #[must_use]
+    pub fn next_chance(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<TimePoint> {
+        let serving = self.entries.values().filter(|entry| entry.serves(query, now));
+        let times = serving.flat_map(|entry| {
+            let permit_at = entry.pool.as_ref().map(|pool| pool.next_chance(query.permits.urgency, now));
+            [Some(entry.available_at(query)), permit_at]
+        });
+        times.flatten().filter(|at| *at > now).min()
     }
 }
--- a/crates/kernel/src/traffic/traffic_config.rs
+++ b/crates/kernel/src/traffic/traffic_config.rs
@@ -68,6 +68,12 @@
         self.keys.get(key)
     }
 
+    /// Priority of `organisation`, which overrides that of the route if it is set; `None` if there is no such organisation.
+    #[must_use]
+    pub fn organisation_priority(&self, organisation: &str) -> Option<Option<u32>> {
+        self.keys.values().find(|grant| *grant.organisation == *organisation).map(|grant| grant.priority)
+    }
+
     /// Whether some route accepts batch jobs without a key.
     #[must_use]
     pub fn accepts_anonymous_jobs(&self) -> bool {
--- /dev/null
+++ b/crates/kernel/src/waiting/room_outlook.rs
@@ -0,0 +1,20 @@
+//! What is known of the next room at the upstreams of a service.
+
+use crate::TimePoint;
+
+/// What keeps a request from the upstreams of its service, as far as this daemon knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomOutlook {
+    /// Requests of this daemon use the slots of all available upstreams.
+    SlotsInUse {
+        /// Number of these requests.
+        running: u64,
+    },
+    /// All upstreams have refused requests and back off.
+    Refused {
+        /// When the first of them is tried again.
+        until: TimePoint,
+    },
+    /// Nothing is known that says when there will be room.
+    Unknown,
+}
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -24,4 +24,5 @@
 mod terms;
 mod usage;
 mod versions;
+mod waiting;
 mod watching;
