Edge: requests without room wait in a line, and freed slots are handed to the first

Each request without room asked again every 15 ms, and whichever asked first after a slot was free got it; all waited a quarter of their objective and were refused with the same time to return. A request now waits for the slots that the daemon's own requests use, in the order of the line; ends of runs, load reports, permits, paths, the list and the configuration wake one task, which hands the selected upstream over. Refusals have the codes no_room, line_full and route_changed.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -32,6 +32,13 @@
     pub reason: &'static str,
 }
 
+/// Labels for a service of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// Name of the service.
+    pub service: String,
+}
+
 /// Labels for the purpose of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PurposeLabel {
@@ -76,6 +83,10 @@
     pub removed_upstreams: Family<ReasonLabel, Counter>,
     /// Checks of paths to upstreams, by verdict: `sound`, `lost` or `upstream_down`.
     pub path_checks: Family<ReasonLabel, Counter>,
+    /// Requests that wait for a slot, by service.
+    pub requests_waiting: Family<ServiceLabel, Gauge>,
+    /// Age in milliseconds of the request that has waited longest for a slot, by service.
+    pub waiting_age_ms: Family<ServiceLabel, Gauge>,
     /// Upstreams whose direct paths are lost.
     pub paths_lost: Gauge,
     /// Requests that peers were asked to relay, by result: `answered`, the failure of the attempt, or `path_lost` if the
@@ -135,6 +146,8 @@
             read_gaps: Family::default(),
             removed_upstreams: Family::default(),
             path_checks: Family::default(),
+            requests_waiting: Family::default(),
+            waiting_age_ms: Family::default(),
             paths_lost: Gauge::default(),
             relayed_attempts: Family::default(),
             relayed_requests: Family::default(),
@@ -173,6 +186,8 @@
         registry.register("usage_dropped", "Requests without a usage report by reason", metrics.usage_dropped.clone());
         registry.register("path_checks", "Checks of paths to upstreams by verdict", metrics.path_checks.clone());
         registry.register("paths_lost", "Upstreams without a direct path", metrics.paths_lost.clone());
+        registry.register("requests_waiting", "Requests that wait for a slot", metrics.requests_waiting.clone());
+        registry.register("waiting_age_ms", "Longest wait for a slot", metrics.waiting_age_ms.clone());
         registry.register(
             "relayed_attempts",
             "Requests sent through peers by result",
@@ -189,6 +204,13 @@
         metrics
     }
 
+    /// Sets the gauges of the requests that wait for `service`.
+    pub fn set_waiting(&self, service: &str, count: usize, age_ms: u64) {
+        let label = ServiceLabel { service: service.to_owned() };
+        self.requests_waiting.get_or_create(&label).set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.waiting_age_ms.get_or_create(&label).set(i64::try_from(age_ms).unwrap_or(i64::MAX));
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(purpose: &'static str) {
         Self::global().store_calls.get_or_create(&PurposeLabel { purpose }).inc();
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     buffer_budget::BufferBudget, edge_metrics::EdgeMetrics, job::JobIndex, planned_stop::PlannedStop,
-    steady_time::SteadyTime, store::PrefixLog, suspect::CrashOutbox,
+    steady_time::SteadyTime, store::PrefixLog, suspect::CrashOutbox, waiting::LineDirectory,
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
@@ -78,6 +78,8 @@
     pub software_unrecorded: Notify,
     /// Wakes the task that stores the origins of callers' streams.
     pub streams_started: Notify,
+    /// Requests that wait for room at an upstream.
+    pub lines: LineDirectory,
     /// Memory of the bodies of requests and responses.
     pub buffers: Arc<BufferBudget>,
     /// Held while the store and other daemons are asked for the origin of a stream. Contains the start of the last read of
@@ -203,6 +205,7 @@
             software_wanted: AtomicBool::new(false),
             software_unrecorded: Notify::new(),
             streams_started: Notify::new(),
+            lines: LineDirectory::new(settings.memory_limit_bytes),
             buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
             stream_lookup_turn: tokio::sync::Mutex::new(TimePoint(0)),
             change_logs: change_logs(&settings),
@@ -256,12 +259,16 @@
 
     /// Applies `config` if its version is higher than that of the applied one. Returns whether it was applied.
     pub fn apply_config(&self, config: TrafficConfig) -> bool {
-        let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
-        if current.as_ref().is_some_and(|current| current.version >= config.version) {
-            return false;
+        let config = Arc::new(config);
+        {
+            let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
+            if current.as_ref().is_some_and(|current| current.version >= config.version) {
+                return false;
+            }
+            *current = Some(config.clone());
         }
         EdgeMetrics::global().config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
-        *current = Some(Arc::new(config));
+        self.lines.apply_config(&config);
         true
     }
 
@@ -351,6 +358,7 @@
         };
         LogLine::new("path_regained").field("address", regained.unwrap_or("all")).info();
         self.upstreams().path_regained(regained);
+        self.lines.room_changed();
     }
 
     /// Proof for a peer that the next call is from this process.
--- a/crates/edge/src/http/api_refusal.rs
+++ b/crates/edge/src/http/api_refusal.rs
@@ -42,6 +42,18 @@
         /// Time until an upstream may have room.
         retry_after_ms: u64,
     },
+    /// The request would get a slot too late; it did not run.
+    NoRoom {
+        /// Time until a slot would be free in time.
+        retry_after_ms: u64,
+    },
+    /// As many requests wait for the service as may; the request did not run.
+    LineFull {
+        /// Time until there may be room.
+        retry_after_ms: u64,
+    },
+    /// The configuration no longer allows the request, which waited for a slot, to be sent to its service; it did not run.
+    RouteChanged,
     /// It is not certain which software started the stream that the request resumes; the request did not run.
     StreamUnknown,
     /// The list of upstreams is too old to name their software, which must be known to start or resume a stream that callers may
@@ -67,6 +79,11 @@
     JobNotFound,
 }
 
+/// Milliseconds as seconds.
+fn seconds_text(ms: u64) -> Cow<'static, str> {
+    (ms as f64 / MS_PER_SECOND as f64).to_string().into()
+}
+
 impl ApiRefusal {
     /// Code in metrics, logs and the response body.
     #[must_use]
@@ -84,6 +101,9 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Isolated => "isolated",
             Self::RateLimited { .. } => "rate_limited",
+            Self::NoRoom { .. } => "no_room",
+            Self::LineFull { .. } => "line_full",
+            Self::RouteChanged => "route_changed",
             Self::StreamUnknown => "stream_unknown",
             Self::ListOutdated => "list_outdated",
             Self::SoftwareGone => "software_gone",
@@ -114,6 +134,9 @@
             | Self::Quarantined { .. }
             | Self::Isolated
             | Self::RateLimited { .. }
+            | Self::NoRoom { .. }
+            | Self::LineFull { .. }
+            | Self::RouteChanged
             | Self::StreamUnknown
             | Self::ListOutdated
             | Self::SoftwareGone
@@ -137,11 +160,10 @@
             // Crashed upstreams are replaced within seconds.
             Self::Isolated => Some("1".into()),
             Self::Quarantined { retry_after_ms } => Some(retry_after_ms.div_ceil(MS_PER_SECOND).to_string().into()),
-            Self::RateLimited { retry_after_ms } => {
-                Some(((retry_after_ms.max(RETRY_AFTER_MS_MIN)) as f64 / MS_PER_SECOND as f64).to_string().into())
-            }
-            // Another daemon serves the request at once.
-            Self::Stopping => Some("0".into()),
+            Self::RateLimited { retry_after_ms } => Some(seconds_text(retry_after_ms.max(RETRY_AFTER_MS_MIN))),
+            Self::NoRoom { retry_after_ms } | Self::LineFull { retry_after_ms } => Some(seconds_text(retry_after_ms)),
+            // Another daemon, or the new route, serves the request at once.
+            Self::RouteChanged | Self::Stopping => Some("0".into()),
             _ => None,
         }
     }
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -11,5 +11,8 @@
 mod stream_proxy;
 mod upstream_attempts;
 
+pub use api_refusal::ApiRefusal;
 pub use front_app::configure_front;
 pub use ready_app::{configure_control, configure_ready};
+pub use request_target::RequestTarget;
+pub use upstream_attempts::{AttemptPlan, pick_upstream};
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -16,6 +16,7 @@
         CompleteResponse, UpstreamCall, UpstreamGuard, fetch_complete, forwarded_request_headers,
         forwarded_response_headers,
     },
+    waiting::WaitTerms,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -28,8 +29,8 @@
 
 /// Largest response body that is buffered; services other than batch jobs respond with kilobytes.
 pub const RESPONSE_BYTES_MAX: usize = 16 << 20;
-/// A request waits for capacity for up to its route's latency objective divided by this. After that, a response from
-/// elsewhere is worth more to the caller, so the request is refused.
+/// While the next room is not known, a request waits for up to its route's latency objective divided by this. After that, a
+/// response from elsewhere is worth more to the caller, so the request is refused.
 const CAPACITY_WAIT_DIVISOR: u64 = 4;
 
 /// Reads the request body within the configured size limit, the request's deadline and the memory for bodies. The
@@ -92,6 +93,7 @@
         rule: rule.clone(),
         config_version: context.config.version,
         permits: caller_permit(priority, context.arrived_at, refused_at),
+        wait: WaitTerms::new(context.arrived_at, context.deadline, rule.timeout_ms, rule.latency_objective_ms),
         earlier_runs: 0,
         failed_upstreams: Vec::new(),
     };
--- a/crates/edge/src/http/request_target.rs
+++ b/crates/edge/src/http/request_target.rs
@@ -1,7 +1,7 @@
 //! Selects the service of a request, and the software version that can continue its stream.
 
 use super::api_refusal::ApiRefusal;
-use crate::{relay::UpstreamCall, stream::find_origin, worker_parts::WorkerParts};
+use crate::{edge_state::EdgeState, relay::UpstreamCall, stream::find_origin, worker_parts::WorkerParts};
 use actix_web::http::header::HeaderMap;
 use pimentoslip_kernel::{CapacityNeed, PermitNeed, RouteKind, RouteRule, SamplerQuery, SharedName, fingerprint};
 use pimentoslip_platform::header;
@@ -47,17 +47,17 @@
         let stream = find_origin(parts, key, &service).await.ok_or(ApiRefusal::StreamUnknown)?;
         let is_target = rule.targets.iter().any(|target| target.service == stream.service);
         let target = Self { service: stream.service, software: Some(stream.software), ..Self::any() };
-        let query = target.query(parts, "", &[], PermitNeed::NONE);
+        let query = target.query(&parts.state, "", &[], PermitNeed::NONE);
         if !is_target || !parts.state.upstreams().is_served(&query, parts.state.now()) {
             return Err(ApiRefusal::SoftwareGone);
         }
         Ok(target)
     }
 
-    /// Query for an upstream that may queue the request `id`.
+    /// Query for an upstream that has room for the request `id`.
     pub fn query<'a>(
         &'a self,
-        parts: &'a WorkerParts,
+        state: &'a EdgeState,
         id: &'a str,
         excluded: &'a [SharedName],
         permits: PermitNeed,
@@ -66,9 +66,9 @@
             service: &self.service,
             model: None,
             software: self.software.as_deref(),
-            failure_domain: &parts.state.settings.failure_domain,
+            failure_domain: &state.settings.failure_domain,
             excluded,
-            capacity: CapacityNeed::Queue,
+            capacity: CapacityNeed::OwnSlot,
             affinity: id,
             permits,
         }
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -117,7 +117,7 @@
 /// upstream stays there.
 fn has_room_elsewhere(parts: &WorkerParts, plan: &AttemptPlan, guard: &UpstreamGuard) -> bool {
     let excluded = [guard.record.id.clone()];
-    let query = plan.target.query(parts, &plan.call.id, &excluded, plan.permits);
+    let query = plan.target.query(&parts.state, &plan.call.id, &excluded, plan.permits);
     let query = SamplerQuery { capacity: CapacityNeed::FreeSlot, ..query };
     parts.state.upstreams().is_pickable(&query, parts.state.now())
 }
@@ -308,6 +308,8 @@
         let refused_at = self.parts.state.now().plus_ms(CONTINUE_WAIT_MS);
         self.plan.call.last_event_id = self.last_event;
         self.plan.permits.useful_until = refused_at.min(self.plan.call.deadline);
+        self.plan.wait.decided_at = refused_at;
+        self.plan.wait.useful_until = refused_at;
         self.plan.earlier_runs = self.runs;
         match try_stream(&self.parts, &self.plan).await {
             Ok(AnsweredAttempt { response: StreamAttempt::Open(open), guard, runs }) => {
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -3,9 +3,11 @@
 use super::{api_refusal::ApiRefusal, request_target::RequestTarget};
 use crate::{
     edge_metrics::EdgeMetrics,
+    edge_state::EdgeState,
     relay::{AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard},
     stream::unrecorded_upstreams,
     suspect::{clear_suspect, examine_loss},
+    waiting::{WaitTerms, permit_refusal, wait_for_room},
     worker_parts::WorkerParts,
 };
 use actix_web::http::StatusCode;
@@ -14,14 +16,11 @@
 use std::{
     cell::LazyCell,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
 };
 
 /// Result of the attempts.
 pub type Result<T> = std::result::Result<T, ApiRefusal>;
 
-/// Interval at which upstreams are checked again while none has capacity.
-const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 /// Number of attempts in which the request did not run, such as refusals by upstreams, after which one more attempt is
 /// made. They do not count towards the attempts that the route allows.
 const REFUSALS_MAX: u32 = 4;
@@ -44,8 +43,8 @@
     may_have_run: bool,
     /// Why no further attempt was made, if it is because upstreams crashed while they ran the request.
     suspect_refusal: Option<ApiRefusal>,
-    /// When an upstream may have room for the request, if limits alone kept it from all of them.
-    permitted_at: Option<TimePoint>,
+    /// Why it was not sent to a further upstream, if none had room.
+    room_refusal: Option<ApiRefusal>,
     /// The last response; it has an error status if a further attempt was made.
     answered: Option<(R, UpstreamGuard)>,
 }
@@ -59,7 +58,7 @@
             path_failures: 0,
             may_have_run: false,
             suspect_refusal: None,
-            permitted_at: None,
+            room_refusal: None,
             answered: None,
         }
     }
@@ -76,8 +75,10 @@
     pub rule: Arc<RouteRule>,
     /// Version of the configuration that the route is from.
     pub config_version: u64,
-    /// Need of permits; the request is refused when it gets no upstream until they are of no use.
+    /// Need of permits; while the next room is not known, the request is refused when they are of no use.
     pub permits: PermitNeed,
+    /// How long the request waits for room.
+    pub wait: WaitTerms,
     /// Number of runs that the request had before, in the same answer.
     pub earlier_runs: u32,
     /// Upstreams that failed the request before, in the same answer; others are preferred.
@@ -121,7 +122,7 @@
     plan: &AttemptPlan,
     attempt: impl AsyncFn(&UpstreamGuard, TimePoint) -> std::result::Result<R, AttemptFailure>,
 ) -> Result<AnsweredAttempt<R>> {
-    let AttemptPlan { call, target, rule, permits, .. } = plan;
+    let AttemptPlan { call, target, rule, .. } = plan;
     let state = &parts.state;
     // The body is hashed only while some request is marked, or after an attempt without a response.
     let repeat_fingerprint = LazyCell::new(|| call.repeat_fingerprint());
@@ -133,25 +134,14 @@
         && history.path_failures <= PATH_FAILURES_MAX
         && state.now() < call.deadline
     {
+        let Some(mut guard) = next_upstream(state, plan, &mut history).await else { break };
+        // Marks may have arrived while the request waited.
         if is_marked() {
             history.suspect_refusal = suspect_refusal(parts, target, *repeat_fingerprint);
             if history.suspect_refusal.is_some() {
                 break;
             }
         }
-        let picked_guard = pick_upstream(parts, target, &call.id, &history.tried, *permits);
-        let Some(mut guard) = picked_guard else {
-            let now = state.now();
-            history.permitted_at = state.upstreams().permit_time(&target.query(parts, &call.id, &[], *permits), now);
-            // A permit that comes too late is not waited for.
-            let is_over = now.max(history.permitted_at.unwrap_or(now)) >= permits.useful_until;
-            if history.answered.is_some() || is_over {
-                break;
-            }
-            history.tried.clear();
-            let _ = actix_rt::time::timeout(CAPACITY_CHECK_INTERVAL, state.permits_changed.notified()).await;
-            continue;
-        };
         if history.path_failures > 0 {
             guard.prefer_relay();
         }
@@ -214,6 +204,30 @@
     final_answer(parts, call, history)
 }
 
+/// The upstream of the next attempt, once it is the request's turn. `None` if there is none, which is final if the history
+/// has a response already.
+async fn next_upstream<R>(
+    state: &Arc<EdgeState>,
+    plan: &AttemptPlan,
+    history: &mut AttemptHistory<R>,
+) -> Option<UpstreamGuard> {
+    let AttemptPlan { call, target, permits, .. } = plan;
+    // Requests that wait come before new ones.
+    if history.answered.is_some() || !state.lines.is_waited_for(&target.service) {
+        let picked_guard = pick_upstream(state, target, &call.id, &history.tried, *permits);
+        if picked_guard.is_some() || history.answered.is_some() {
+            return picked_guard;
+        }
+    }
+    let tried = std::mem::take(&mut history.tried);
+    let waited = match permit_refusal(state, plan) {
+        Some(refusal) => Err(refusal),
+        None => wait_for_room(state, plan, &tried).await,
+    };
+    history.room_refusal = waited.as_ref().err().copied();
+    waited.ok()
+}
+
 /// Fails if the response may be that of a process with other software than the target's, which was started under the
 /// upstream's id and is not known here.
 fn check_software<R>(
@@ -260,8 +274,8 @@
     if let (Some(refusal), false) = (history.suspect_refusal, history.may_have_run) {
         return Err(refusal);
     }
-    if let (Some(permitted_at), false) = (history.permitted_at, history.may_have_run) {
-        return Err(ApiRefusal::RateLimited { retry_after_ms: permitted_at.since_ms(parts.state.now()) });
+    if let (Some(refusal), false) = (history.room_refusal, history.may_have_run) {
+        return Err(refusal);
     }
     let is_past_deadline = parts.state.now() >= call.deadline;
     Err(match (history.may_have_run, is_past_deadline) {
@@ -281,7 +295,7 @@
         SuspectVerdict::Quarantined { until } => Some(ApiRefusal::Quarantined { retry_after_ms: until.since_ms(now) }),
         SuspectVerdict::Isolated => {
             let available_count =
-                parts.state.upstreams().available_count(&target.query(parts, "", &[], PermitNeed::NONE), now);
+                parts.state.upstreams().available_count(&target.query(&parts.state, "", &[], PermitNeed::NONE), now);
             (available_count <= 1).then_some(ApiRefusal::Isolated)
         }
         SuspectVerdict::Unsuspected => None,
@@ -290,28 +304,28 @@
 
 /// Picks an upstream of `target` other than those in `tried`. `None` if none has capacity. A resumable stream starts
 /// only at a software version that is stored, and none is selected by its software while the list is outdated.
-fn pick_upstream(
-    parts: &WorkerParts,
+pub fn pick_upstream(
+    state: &Arc<EdgeState>,
     target: &RequestTarget,
     id: &str,
     tried: &[SharedName],
     permits: PermitNeed,
 ) -> Option<UpstreamGuard> {
-    if target.needs_software() && !parts.state.is_list_confirmed() {
+    if target.needs_software() && !state.is_list_confirmed() {
         return None;
     }
     let unrecorded = match target.new_stream_key {
-        Some(_) => unrecorded_upstreams(&parts.state, &target.service),
+        Some(_) => unrecorded_upstreams(state, &target.service),
         None => Vec::new(),
     };
     if unrecorded.is_empty() {
-        return UpstreamGuard::pick(&parts.state, &target.query(parts, id, tried, permits));
+        return UpstreamGuard::pick(state, &target.query(state, id, tried, permits));
     }
     let excluded: Vec<SharedName> = tried.iter().chain(&unrecorded).cloned().collect();
-    let guard = UpstreamGuard::pick(&parts.state, &target.query(parts, id, &excluded, permits));
+    let guard = UpstreamGuard::pick(state, &target.query(state, id, &excluded, permits));
     if guard.is_none() {
-        parts.state.software_wanted.store(true, Ordering::SeqCst);
-        parts.state.software_unrecorded.notify_one();
+        state.software_wanted.store(true, Ordering::SeqCst);
+        state.software_unrecorded.notify_one();
     }
     guard
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod stream;
 mod suspect;
 mod task_supervisor;
+mod waiting;
 mod worker_parts;
 
 pub use relay::{AttemptFailure, EventPortion, PortionReader};
--- a/crates/edge/src/limit/permit_task.rs
+++ b/crates/edge/src/limit/permit_task.rs
@@ -100,6 +100,7 @@
         state.upstreams().permits_answered(&answer);
     }
     state.permits_changed.notify_waiters();
+    state.lines.room_changed();
 }
 
 /// Handles requests for permits that got no response. The requests that wait for the permits ask again.
--- a/crates/edge/src/path/mod.rs
+++ b/crates/edge/src/path/mod.rs
@@ -35,6 +35,7 @@
 /// Lets requests that wait for a path to `address`, or to any upstream for `None`, be sent: peers may relay them now.
 fn path_found(state: &EdgeState, address: Option<&str>) {
     state.upstreams().path_found(address);
+    state.lines.room_changed();
 }
 
 /// Daemons that may relay requests to upstreams for this one.
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -270,6 +270,7 @@
         if !self.state.upstreams().limit_reported(&self.record, limit, sent_at, now) {
             return;
         }
+        self.state.lines.room_changed();
         let (event, reason) = if limit.is_some() { ("limit_named", "named") } else { ("limit_ended", "ended") };
         EdgeMetrics::increment(&EdgeMetrics::global().limit_changes, reason);
         let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
@@ -283,7 +284,10 @@
 
     /// Records the number of requests that the upstream reported as running and queued.
     pub fn load_reported(&self, requests: u64) {
-        self.state.upstreams().load_reported(&self.record.id, requests, self.state.now());
+        let has_room = self.state.upstreams().load_reported(&self.record.id, requests, self.state.now());
+        if has_room {
+            self.state.lines.room_changed();
+        }
     }
 }
 
@@ -291,5 +295,10 @@
     fn drop(&mut self) {
         let now = self.state.now();
         self.state.upstreams().request_ended(&self.record, self.outcome, now);
+        // A guard may be dropped while the lines are locked, but only by the selection of an upstream, without an answer.
+        if let (SamplerOutcome::Answered(_), true) = (self.outcome, self.record.versions.is_empty()) {
+            self.state.lines.run_ended(&self.record.service, now.since_ms(self.picked_at), now);
+        }
+        self.state.lines.room_changed();
     }
 }
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -14,6 +14,7 @@
     stream::{keep_software_history, store_streams},
     suspect::store_crash_marks,
     task_supervisor::supervise,
+    waiting::hand_over_slots,
     worker_parts::WorkerParts,
 };
 use actix_rt::{
@@ -121,6 +122,7 @@
         record_usage(parts.state, parts.store.with_purpose("usage"), parts.peer_client)
     });
     spawn_task(&parts, "permits", |parts| request_permits(parts.state, parts.peer_client));
+    spawn_task(&parts, "waiting", |parts| hand_over_slots(parts.state));
     spawn_task(&parts, "paths", |parts| watch_paths(parts.state, parts.peer_client));
     spawn_task(&parts, "software", |parts| keep_software_history(parts.state, parts.store.with_purpose("streams")));
     spawn_task(&parts, "streams", |parts| store_streams(parts.state, parts.store.with_purpose("streams")));
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -134,6 +134,7 @@
         self.revision = page.revision;
         self.state.job_changed.notify_waiters();
         self.state.upstreams_changed.notify_waiters();
+        self.state.lines.room_changed();
     }
 
     fn apply_change(&mut self, change: StoreChange, now: TimePoint) {
@@ -151,6 +152,7 @@
         }
         self.state.job_changed.notify_waiters();
         self.state.upstreams_changed.notify_waiters();
+        self.state.lines.room_changed();
     }
 
     fn after_poll(&mut self, now: TimePoint) {
--- a/crates/kernel/src/waiting/run_pace.rs
+++ b/crates/kernel/src/waiting/run_pace.rs
@@ -14,10 +14,10 @@
 }
 
 impl RunPace {
-    /// Records the end of a run that took `run_ms`; `None` if the upstream did not complete it.
-    pub fn run_ended(&mut self, run_ms: Option<u64>, now: TimePoint) {
+    /// Records the end of a run that an upstream has completed in `run_ms`.
+    pub fn run_ended(&mut self, run_ms: u64, now: TimePoint) {
         self.last_end = self.last_end.max(now);
-        let Some(run_us) = run_ms.map(|ms| ms.max(1).saturating_mul(MICROSECONDS_PER_MS)) else { return };
+        let run_us = run_ms.max(1).saturating_mul(MICROSECONDS_PER_MS);
         let mean_us = self.mean_run_us.map_or(run_us, |mean| mean - mean / AVERAGE_DIVISOR + run_us / AVERAGE_DIVISOR);
         self.mean_run_us = Some(mean_us);
     }
--- a/crates/kernel/src/waiting/waiting_line.rs
+++ b/crates/kernel/src/waiting/waiting_line.rs
@@ -182,7 +182,7 @@
     }
 
     /// Records the end of a run at an upstream of the service; see [`RunPace::run_ended`].
-    pub fn run_ended(&mut self, run_ms: Option<u64>, now: TimePoint) {
+    pub fn run_ended(&mut self, run_ms: u64, now: TimePoint) {
         self.pace.run_ended(run_ms, now);
     }
 
