Product's own interface: the same waiting line, which refuses on arrival what would begin after its deadline

AdmissionController queued requests that could not begin before their deadline until it had passed. It uses WaitingLine now, with tokens as cost and the depth of each organisation as before; the refusal is queue_full, as not run. A slot that is free for the moment between its end and the hand-over no longer hides the expected wait at the edge, which a process test had shown as refusals no_upstream after a quarter of the objective.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -29,6 +29,7 @@
 mod platform_stops;
 mod platform_streams;
 mod platform_usage;
+mod platform_waiting;
 mod reclaim;
 mod requests;
 mod samples;
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -183,6 +183,20 @@
         self.desks.push(start_upstream(&self.store, id, "desk", BASE_SOFTWARE));
     }
 
+    /// Starts one more upstream of the plain service `desk`, which lists `slots` slots and takes `run_ms` for an answer.
+    pub fn start_small_desk(&mut self, id: &str, slots: u64, run_ms: u64) {
+        let settings = UpstreamSettings {
+            id: id.to_owned(),
+            service: "desk".to_owned(),
+            failure_domain: "north".to_owned(),
+            software: BASE_SOFTWARE.to_owned(),
+            slots,
+            models: Vec::new(),
+            event_ms: run_ms,
+        };
+        self.desks.push(PlatformUpstream::start(settings, &self.store).expect("start an upstream"));
+    }
+
     /// Starts one more upstream of the service `engine`.
     pub fn start_engine(&mut self, id: &str) {
         self.start_engine_with(id, BASE_SOFTWARE);
--- a/crates/daemon/src/admission_controller.rs
+++ b/crates/daemon/src/admission_controller.rs
@@ -1,22 +1,35 @@
 //! Limits the number of running requests of each service, and admits waiting requests in fair order.
 
 use crate::shared_state::SharedState;
-use pimentoslip_kernel::{FairQueue, QueueTicket, SharedName};
+use pimentoslip_kernel::{
+    LineBounds, LineRefusal, LineRequest, QueueTicket, RequestUrgency, RoomOutlook, SharedName, TimePoint, WaitingLine,
+};
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
 };
 use tokio::sync::oneshot;
 
-/// Fair queue of one service.
-#[derive(Debug, Default)]
+/// The depth of the queue of each organisation and the limits of bodies bound the lines.
+const BOUNDS: LineBounds = LineBounds { length_max: usize::MAX, bytes_max: usize::MAX };
+
+/// Waiting line of one service.
+#[derive(Debug)]
 struct ServiceQueue {
-    queue: FairQueue,
+    line: WaitingLine,
+    /// Number of admitted requests that have not ended.
+    running: usize,
     /// Channels that notify the waiting requests of their admission, by ticket.
     waiting: HashMap<QueueTicket, oneshot::Sender<()>>,
 }
 
-/// Fair queues of the requests that wait or run, one for each service.
+impl Default for ServiceQueue {
+    fn default() -> Self {
+        Self { line: WaitingLine::new(BOUNDS), running: 0, waiting: HashMap::new() }
+    }
+}
+
+/// Lines of the requests that wait, and the numbers of those that run, for each service.
 #[derive(Debug, Default)]
 pub struct AdmissionController {
     queues: Mutex<HashMap<SharedName, ServiceQueue>>,
@@ -35,6 +48,8 @@
     pub expected_tokens: u64,
     /// Maximum number of waiting requests of the organisation.
     pub depth_max: usize,
+    /// When the caller stops waiting.
+    pub deadline: TimePoint,
     /// Maximum number of requests that this daemon may have in flight on one upstream.
     pub inflight_max: u64,
 }
@@ -49,7 +64,11 @@
     /// Admits waiting requests of `service` until `running_max` requests are running.
     pub fn admit_waiting(&self, service: &SharedName, running_max: usize) {
         self.with_queue(service, |service_queue| {
-            while let Some(ticket) = service_queue.queue.admit(running_max) {
+            while service_queue.running < running_max {
+                let next_ticket = service_queue.line.in_order().next();
+                let Some(ticket) = next_ticket else { break };
+                service_queue.line.admit(ticket);
+                service_queue.running += 1;
                 let Some(sender) = service_queue.waiting.remove(&ticket) else { continue };
                 // A request that has just stopped waiting frees its place when its guard is dropped.
                 let _ = sender.send(());
@@ -57,25 +76,48 @@
         });
     }
 
-    /// Waits until the request is admitted. Returns `None` if too many requests of its organisation are waiting. If the
-    /// future is dropped, the request leaves the queue.
-    pub async fn wait_for_admission(shared: &Arc<SharedState>, request: AdmissionRequest) -> Option<AdmissionGuard> {
+    /// Waits until the request is admitted. Fails if too many requests of its organisation are waiting, or if it is not
+    /// expected to be admitted before its deadline. If the future is dropped, the request leaves the line.
+    pub async fn wait_for_admission(
+        shared: &Arc<SharedState>,
+        request: AdmissionRequest,
+    ) -> Result<AdmissionGuard, LineRefusal> {
         let (sender, receiver) = oneshot::channel();
+        let now = shared.now();
+        let running_max = shared.routes().capacity(&request.service, request.inflight_max);
         let ticket = shared.admission_controller.with_queue(&request.service, |service_queue| {
-            let ticket = service_queue.queue.enqueue(
-                &request.organisation,
-                request.weight,
-                request.expected_tokens,
-                request.depth_max,
-            )?;
+            let has_room = service_queue.running < running_max && service_queue.line.is_empty();
+            let running = running_max as u64;
+            let outlook = if has_room { RoomOutlook::Unknown } else { RoomOutlook::SlotsInUse { running } };
+            let (ticket, _) = service_queue.line.enter(request.line_request(now), outlook, now)?;
             service_queue.waiting.insert(ticket, sender);
-            Some(ticket)
+            Ok(ticket)
         })?;
-        let guard = AdmissionGuard { shared: shared.clone(), request, ticket };
+        let mut guard = AdmissionGuard { shared: shared.clone(), request, ticket, admitted_at: now };
         guard.admit_waiting();
         // The sender is only dropped without sending together with the controller, which `shared` keeps alive.
         let _ = receiver.await;
-        Some(guard)
+        guard.admitted_at = shared.now();
+        Ok(guard)
+    }
+}
+
+impl AdmissionRequest {
+    /// The request as one that is refused on arrival or waits until its deadline.
+    fn line_request(&self, now: TimePoint) -> LineRequest {
+        LineRequest {
+            organisation: self.organisation.clone(),
+            weight: self.weight,
+            urgency: RequestUrgency::of_caller(0),
+            first_sent_at: now,
+            decided_at: now,
+            waits_until: self.deadline,
+            useful_until: self.deadline,
+            deadline: self.deadline,
+            depth_max: self.depth_max,
+            cost: self.expected_tokens,
+            bytes: 0,
+        }
     }
 }
 
@@ -84,6 +126,7 @@
     shared: Arc<SharedState>,
     request: AdmissionRequest,
     ticket: QueueTicket,
+    admitted_at: TimePoint,
 }
 
 impl AdmissionGuard {
@@ -91,7 +134,7 @@
     pub fn record_actual_tokens(&self, tokens: u64) {
         let request = &self.request;
         self.shared.admission_controller.with_queue(&request.service, |service_queue| {
-            service_queue.queue.adjust_cost(&request.organisation, request.weight, request.expected_tokens, tokens);
+            service_queue.line.adjust_cost(&request.organisation, request.weight, request.expected_tokens, tokens);
         });
     }
 
@@ -104,12 +147,14 @@
 
 impl Drop for AdmissionGuard {
     fn drop(&mut self) {
+        let now = self.shared.now();
         self.shared.admission_controller.with_queue(&self.request.service, |service_queue| {
             let is_waiting = service_queue.waiting.remove(&self.ticket).is_some();
             if is_waiting {
-                service_queue.queue.cancel(self.ticket);
+                service_queue.line.leave(self.ticket);
             } else {
-                service_queue.queue.release();
+                service_queue.running = service_queue.running.saturating_sub(1);
+                service_queue.line.run_ended(now.since_ms(self.admitted_at), now);
             }
         });
         self.admit_waiting();
--- a/crates/daemon/src/http/engine_api.rs
+++ b/crates/daemon/src/http/engine_api.rs
@@ -158,12 +158,13 @@
         expected_tokens: u64::from(completion.max_tokens.unwrap_or(DEFAULT_EXPECTED_TOKENS)),
         depth_max: if is_fair { service.queue_depth } else { usize::MAX },
         inflight_max: service.inflight_per_upstream,
+        deadline: upstream_request.deadline,
     };
     let remaining_ms = upstream_request.deadline.since_ms(shared.now());
     let admission = AdmissionController::wait_for_admission(shared, admission_request);
     match actix_rt::time::timeout(std::time::Duration::from_millis(remaining_ms), admission).await {
-        Ok(Some(guard)) => Ok(guard),
-        Ok(None) => Err(ApiError::not_run(RefusalReason::QueueFull, id)),
+        Ok(Ok(guard)) => Ok(guard),
+        Ok(Err(_)) => Err(ApiError::not_run(RefusalReason::QueueFull, id)),
         Err(_) => Err(ApiError::not_run(RefusalReason::DeadlinePassed, id)),
     }
 }
--- a/crates/edge/src/waiting/room_wait.rs
+++ b/crates/edge/src/waiting/room_wait.rs
@@ -129,6 +129,7 @@
         waits_until: plan.permits.useful_until,
         useful_until: plan.wait.useful_until,
         deadline: call.deadline,
+        depth_max: usize::MAX,
         cost: 1,
         bytes: SEAT_BYTES + header_bytes + call.path.len(),
     }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -1,7 +1,7 @@
 //! Table of the listed upstreams with their load, from which an upstream is selected for each request.
 
 use super::{
-    CapacityNeed, PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
+    PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
     leaving_processes::LeavingProcesses,
     sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
 };
@@ -543,9 +543,11 @@
             all_slots += entry.record.slots.max(1);
             if entry.is_available(query, now) && entry.is_permitted(query, now) {
                 is_refused = false;
-                if !CapacityNeed::OwnSlot.is_met(entry, now) {
-                    running += entry.inflight;
-                    used_slots += entry.record.slots.max(1);
+                if entry.record.versions.is_empty() {
+                    // A slot that is free at this moment is about to be handed to a waiting request.
+                    let slots = entry.record.slots.max(1);
+                    running += entry.inflight.max(slots);
+                    used_slots += slots;
                 }
             } else if entry.is_refusing(now) {
                 let until = entry.refused_until;
--- a/crates/kernel/src/waiting/line_request.rs
+++ b/crates/kernel/src/waiting/line_request.rs
@@ -21,6 +21,8 @@
     pub useful_until: TimePoint,
     /// When the caller stops waiting.
     pub deadline: TimePoint,
+    /// Most requests of the organisation that wait in this class.
+    pub depth_max: usize,
     /// Expected cost, in the unit by which organisations share the service.
     pub cost: u64,
     /// Memory that the request holds while it waits.
--- a/crates/kernel/src/waiting/waiting_line.rs
+++ b/crates/kernel/src/waiting/waiting_line.rs
@@ -80,13 +80,7 @@
         self.count_entry(&request, now);
         let bytes = self.bytes.saturating_add(request.bytes);
         if self.waiters.len() >= self.bounds.length_max || bytes > self.bounds.bytes_max {
-            let mut refusal = LineRefusal { cause: RefusalCause::LineFull, returns_at: None, estimate: None };
-            if let RoomOutlook::SlotsInUse { running } = outlook {
-                let own_depth = self.queue.depth(request.urgency, &request.organisation);
-                refusal.estimate = self.estimate(&request, own_depth, running, now);
-                refusal.returns_at = refusal.estimate.map(|estimate| self.return_time(&request, estimate, now));
-            }
-            return Err(refusal);
+            return Err(self.full(&request, outlook, now));
         }
         let queued = QueuedRequest {
             organisation: request.organisation.clone(),
@@ -95,9 +89,8 @@
             urgency: request.urgency,
             order: request.first_sent_at.0.max(1),
         };
-        // The line's own bounds apply.
-        let Some(ticket) = self.queue.enqueue_request(queued, usize::MAX) else {
-            return Err(LineRefusal { cause: RefusalCause::LineFull, returns_at: None, estimate: None });
+        let Some(ticket) = self.queue.enqueue_request(queued, request.depth_max) else {
+            return Err(self.full(&request, outlook, now));
         };
         self.bytes = bytes;
         self.waiters.insert(ticket, Waiter { request, entered_at: now, is_kept: false });
@@ -186,6 +179,11 @@
         self.pace.run_ended(run_ms, now);
     }
 
+    /// Corrects the cost of an admitted request; see [`FairQueue::adjust_cost`].
+    pub fn adjust_cost(&mut self, organisation: &str, weight: u64, expected_cost: u64, actual_cost: u64) {
+        self.queue.adjust_cost(organisation, weight, expected_cost, actual_cost);
+    }
+
     /// Number of waiting requests.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -222,6 +220,19 @@
         backlogs
     }
 
+    /// Refusal of a request for which the line has no place.
+    fn full(&mut self, request: &LineRequest, outlook: RoomOutlook, now: TimePoint) -> LineRefusal {
+        let estimate = match outlook {
+            RoomOutlook::SlotsInUse { running } => {
+                let own_depth = self.queue.depth(request.urgency, &request.organisation);
+                self.estimate(request, own_depth, running, now)
+            }
+            RoomOutlook::Refused { .. } | RoomOutlook::Unknown => None,
+        };
+        let returns_at = estimate.map(|estimate| self.return_time(request, estimate, now));
+        LineRefusal { cause: RefusalCause::LineFull, returns_at, estimate }
+    }
+
     fn remove_waiter(&mut self, ticket: QueueTicket) {
         if let Some(waiter) = self.waiters.remove(&ticket) {
             self.bytes = self.bytes.saturating_sub(waiter.request.bytes);
@@ -259,7 +270,7 @@
             }
             wait_us = next_us;
         }
-        let begins_at = now.plus_ms(interval_us.saturating_mul(turns_ahead) / MICROSECONDS_PER_MS);
+        let begins_at = now.plus_ms(interval_us.saturating_mul(turns_ahead + 1) / MICROSECONDS_PER_MS);
         Some(WaitEstimate { turns_ahead, interval_us, begins_at })
     }
 
--- a/crates/kernel/tests/machines/waiting.rs
+++ b/crates/kernel/tests/machines/waiting.rs
@@ -193,6 +193,7 @@
         waits_until: TimePoint(arrived_at + OBJECTIVE_MS / 4),
         useful_until: TimePoint(arrived_at + OBJECTIVE_MS),
         deadline: TimePoint(arrived_at + DEADLINE_MS),
+        depth_max: usize::MAX,
         cost: 1,
         bytes: REQUEST_BYTES,
     }
