--- a/crates/kernel/tests/machines/waiting.rs
+++ b/crates/kernel/tests/machines/waiting.rs
@@ -3,8 +3,9 @@
 
 use crate::sequence;
 use pimentoslip_kernel::{
-    LineBounds, LineDecision, LineRequest, QueueTicket, RefusalCause, RequestUrgency, RoomOutlook, SharedName,
-    TimePoint, WaitingLine,
+    CapacityNeed, LineBounds, LineDecision, LineRequest, PermitNeed, QueueTicket, RefusalCause, RequestUrgency,
+    RoomOutlook, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerState, SamplerTable, SharedName, TimePoint,
+    WaitingLine,
 };
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
@@ -337,6 +338,90 @@
     line.enter(request_at(1_301, 2, 1), busy, TimePoint(1_301)).expect("runs end again");
 }
 
+/// Guards against requests that keep their old place when the priority or the weight of their organisation changes.
+#[test]
+fn a_changed_priority_or_weight_moves_the_waiting_requests() {
+    let mut line = WaitingLine::new(BOUNDS);
+    let busy = RoomOutlook::SlotsInUse { running: 4 };
+    let mut enter = |organisation, priority| {
+        let request = request_at(1_000, organisation, priority);
+        line.enter(request, busy, TimePoint(1_000)).expect("room in the line").0
+    };
+    let firsts: Vec<QueueTicket> = (0..20).map(|_| enter(0, 1)).collect();
+    let seconds: Vec<QueueTicket> = (0..20).map(|_| enter(1, 1)).collect();
+    seconds.iter().for_each(|ticket| line.reclassify(*ticket, RequestUrgency::of_caller(0), 1));
+    assert_eq!(line.in_order().take(20).collect::<Vec<_>>(), seconds, "the urgent ones come first, in their order");
+    seconds.iter().for_each(|ticket| line.reclassify(*ticket, RequestUrgency::of_caller(1), 3));
+    let served = line.in_order().take(16).filter(|ticket| firsts.contains(ticket)).count();
+    assert!((3..=5).contains(&served), "{served} of 16 are of weight 1, the others of weight 3");
+}
+
+/// A plain upstream with two slots.
+fn upstream(id: &str) -> SamplerRecord {
+    SamplerRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: format!("{id}:1").into(),
+        failure_domain: "d".into(),
+        slots: 2,
+        state: SamplerState::Ready,
+        software: "v1".into(),
+        versions: BTreeMap::new(),
+        started_unix_ms: 1,
+        reclaimable: false,
+    }
+}
+
+const QUERY: SamplerQuery<'_> = SamplerQuery {
+    service: "s",
+    model: None,
+    software: None,
+    failure_domain: "d",
+    excluded: &[],
+    capacity: CapacityNeed::OwnSlot,
+    affinity: "a",
+    permits: PermitNeed::NONE,
+};
+
+/// Guards against load reports that hold requests back although they are old, false or malformed, and against requests in
+/// excess of the slots that this daemon uses itself.
+#[test]
+fn only_the_slots_that_this_daemon_uses_hold_a_request_back() {
+    let mut table = SamplerTable::default();
+    ["u", "v"].iter().for_each(|id| table.upsert(upstream(id)));
+    let now = TimePoint(1_000);
+    ["u", "v"].iter().for_each(|id| assert!(!table.load_reported(id, u64::MAX, now), "a false report is no room"));
+    let picked: Vec<SamplerRecord> = std::iter::from_fn(|| table.pick(&QUERY, now)).take(10).collect();
+    assert_eq!(picked.len(), 4, "two slots each, whatever is reported");
+    assert_eq!(table.room_outlook(&QUERY, now), RoomOutlook::SlotsInUse { running: 4 });
+    table.request_ended(&picked[0], SamplerOutcome::Answered(None), now);
+    assert!(table.pick(&QUERY, now).is_some(), "the end of a run frees its slot");
+    table.path_missing("u", now.plus_ms(500));
+    table.path_missing("v", now.plus_ms(300));
+    assert_eq!(table.room_outlook(&QUERY, now), RoomOutlook::Unknown, "nothing is known of upstreams without a path");
+    assert_eq!(table.next_chance(&QUERY, now), Some(now.plus_ms(300)));
+}
+
+/// Guards against a backoff after a refusal that outlasts the lack of room, and against a false report that ends one for longer
+/// than until the next refusal.
+#[test]
+fn a_report_of_a_free_slot_ends_the_backoff_after_a_refusal() {
+    let mut table = SamplerTable::default();
+    table.upsert(upstream("u"));
+    let now = TimePoint(1_000);
+    for _ in 0..2 {
+        let record = table.pick(&QUERY, now).expect("a free slot");
+        table.request_ended(&record, SamplerOutcome::Refused, now);
+        let RoomOutlook::Refused { until } = table.room_outlook(&QUERY, now) else { panic!("it backs off") };
+        assert!(until > now && table.pick(&QUERY, now).is_none());
+        assert!(!table.load_reported("u", 2, now), "both slots are in use");
+        assert!(table.load_reported("u", 1, now), "a slot is free");
+    }
+    let record = table.pick(&QUERY, now).expect("a free slot");
+    table.request_ended(&record, SamplerOutcome::Failed, now);
+    assert!(!table.load_reported("u", 0, now) && table.pick(&QUERY, now).is_none(), "a failure is no lack of room");
+}
+
 /// Input to a line.
 #[derive(Clone, Debug)]
 enum Command {
