A reported load near the largest number no longer overflows costs

By a check of false load reports: the sum of running and queued requests, and the cost of their upstream, overflowed; with overflow checks the daemon panicked, without them such an upstream became the cheapest.

--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -242,5 +242,5 @@
     let mut fields = headers.get(header::UPSTREAM_LOAD)?.to_str().ok()?.split(',');
     let running: u64 = fields.next()?.trim().parse().ok()?;
     let queued: u64 = fields.next()?.trim().parse().ok()?;
-    Some(running + queued)
+    Some(running.saturating_add(queued))
 }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -16,6 +16,8 @@
 const MODEL_REFUSAL_BACKOFF_MS: u64 = 300;
 /// Slots of a service must be known to be in use up to their number divided by this, for the room in it to be known.
 const KNOWN_SLOTS_DIVISOR: u64 = 2;
+/// Highest load that a report is taken for; costs are computed with it.
+const REPORTED_LOAD_MAX: u64 = 1_000_000;
 /// Time for which the load that an upstream reported is valid.
 const LOAD_REPORT_TTL_MS: u64 = 1_000;
 /// Reciprocal of the weight of a new request in the moving average of the latency.
@@ -524,7 +526,7 @@
     /// those of this daemon. A free slot ends the backoff after a refusal. Returns whether it did.
     pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) -> bool {
         let Some(entry) = self.entries.get_mut(id) else { return false };
-        entry.others_load = requests.saturating_sub(entry.inflight);
+        entry.others_load = requests.min(REPORTED_LOAD_MAX).saturating_sub(entry.inflight);
         entry.others_load_until = now.plus_ms(LOAD_REPORT_TTL_MS);
         let has_room = requests < entry.record.slots && entry.refused_until > now;
         if has_room {
