--- a/crates/edge/src/store/operator_keys.rs
+++ b/crates/edge/src/store/operator_keys.rs
@@ -39,7 +39,7 @@
                 .upstreams()
                 .change_evacuations(|evacuations| evacuations.requested(failure_domain.clone(), revision));
             if is_new {
-                self.log_evacuation("domain_evacuated", &failure_domain, revision);
+                self.evacuation_changed("domain_evacuated", &failure_domain, revision);
             }
         } else if let Some(vm) = retired_vm(&store_entry.key) {
             LogLine::new("vm_retired").field("vm", vm).field("revision", store_entry.revision).info();
@@ -82,10 +82,10 @@
             previous
         });
         for (failure_domain, revision) in listed.iter().filter(|(domain, _)| !previous.contains(domain)) {
-            self.log_evacuation("domain_evacuated", failure_domain, *revision);
+            self.evacuation_changed("domain_evacuated", failure_domain, *revision);
         }
         for failure_domain in previous.iter().filter(|domain| !listed.contains_key(*domain)) {
-            self.log_evacuation("domain_returned", failure_domain, page.revision);
+            self.evacuation_changed("domain_returned", failure_domain, page.revision);
         }
     }
 
@@ -94,12 +94,13 @@
         let is_ended =
             self.state.upstreams().change_evacuations(|evacuations| evacuations.withdrawn(failure_domain, revision));
         if is_ended {
-            self.log_evacuation("domain_returned", failure_domain, revision);
+            self.evacuation_changed("domain_returned", failure_domain, revision);
         }
     }
 
-    /// Logs the start or end of an evacuation, with the requests that are in progress there and the age of what was known before.
-    fn log_evacuation(&self, event: &'static str, failure_domain: &str, revision: u64) {
+    /// Handles the start or end of an evacuation for the requests that wait, and logs it with the requests that are in progress
+    /// there and the age of what was known before.
+    fn evacuation_changed(&self, event: &'static str, failure_domain: &str, revision: u64) {
         let (inflight, evacuated_count, listed_count) = {
             let upstreams = self.state.upstreams();
             let listed = upstreams.records().filter(|record| *record.failure_domain == *failure_domain).count();
@@ -114,6 +115,8 @@
             .field("running", inflight)
             .field("known_age_ms", self.state.now().since_ms(applied_as_of))
             .info();
+        self.state.permits_changed.notify_waiters();
+        self.state.lines.room_changed();
     }
 
     /// Records the newest weight version of a model; older versions are ignored.
