--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -1,6 +1,6 @@
 //! Soak on the users' platform: edges as separate processes are killed, frozen, stopped and restarted, the store and the
 //! connections to it and to the upstreams fail, upstreams misbehave, leave and are replaced by others with another software
-//! version, configurations add routes, all at random and overlapping, while callers send requests, jobs and requests for streams, and one
+//! version, configurations add routes, the operator evacuates a failure domain, all at random and overlapping, while callers send requests, jobs and requests for streams, and one
 //! upstream names a limit. What callers and upstreams see is compared with the promises. During all of this, the results of
 //! open and ended jobs are read at all edges, and jobs are ended.
 //!
@@ -18,7 +18,7 @@
 use pimentoslip_standin::{PlatformUpstream, TcpRelay};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -48,6 +48,13 @@
 /// received a response of it sends a few.
 const LEAVING_MAX: usize = 2;
 
+/// Desks of the north, before the one of the south.
+const NORTHERN_DESKS: usize = 3;
+/// Key with which the operator evacuates the south, where one desk runs.
+const SOUTH_KEY: &str = "op/evacuate/south";
+/// Requests to each edge while the south is evacuated.
+const EVACUATED_REQUESTS: usize = 8;
+
 /// Organisations and keys of all configurations.
 const KEYS: [(&str, &str); 1] = [("rose", ROSE_KEY)];
 /// Time after the faults for which jobs are still read and ended.
@@ -173,6 +180,7 @@
     let mut site = EdgeSite::without_edges();
     site.write_config(2, &KEYS);
     site.start_desk("desk-3");
+    site.start_southern_desk("desk-4");
     site.start_engine_with("engine-3", SOFTWARE[1]);
     site.start_engine_with("engine-4", SOFTWARE[1]);
     site.desks[0].name_limit(Some(&LIMIT.to_string()));
@@ -239,6 +247,7 @@
         }
         callers.read_again(job).await;
     }
+    check_evacuation(&site, &callers, seed).await;
     wait_for("the usage of a window after the faults is reported", || async {
         site.provider.reports().iter().any(|report| report.window >= calm_window).then_some(())
     })
@@ -246,6 +255,34 @@
     println!("seed {seed}: {}", callers.oracle.summary());
 }
 
+/// Whatever happened to an edge, it learns of an evacuation; then it sends nothing there until the end of the evacuation.
+async fn check_evacuation(site: &EdgeSite, callers: &Callers, seed: u64) {
+    site.store.put(SOUTH_KEY, &json!({}));
+    wait_for("every edge knows that the south is evacuated", || async {
+        let is_known = |log: String| {
+            log.rfind("event=domain_evacuated failure_domain=south")
+                > log.rfind("event=domain_returned failure_domain=south")
+        };
+        site.edges.iter().all(|edge| is_known(edge.process.log())).then_some(())
+    })
+    .await;
+    let southern = &site.desks[NORTHERN_DESKS];
+    let before = southern.arrivals().len();
+    let send = async |name: &str| {
+        for number in 0..EDGES * EVACUATED_REQUESTS {
+            callers.send(number % EDGES, "POST", "/quote/roses", &format!("{name}-{number}"), &Value::Null).await;
+        }
+    };
+    send("evacuated").await;
+    assert_eq!(southern.arrivals().len(), before, "seed {seed}: requests in the evacuated south");
+    site.store.contents().remove(SOUTH_KEY);
+    wait_for("the south is used again", || async {
+        send("returned").await;
+        (southern.arrivals().len() > before).then_some(())
+    })
+    .await;
+}
+
 /// Number of the current usage window, which lasts 1 s.
 fn usage_window() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_secs()
--- a/crates/cli/tests/processes/soak/fault_injector.rs
+++ b/crates/cli/tests/processes/soak/fault_injector.rs
@@ -1,10 +1,11 @@
 //! Injects the faults of a seed.
 
-use super::{EDGES, KEYS, SOFTWARE};
+use super::{EDGES, KEYS, NORTHERN_DESKS, SOFTWARE, SOUTH_KEY};
 use crate::support::{EdgeSite, PathMatrix};
 use pimentoslip_standin::{PlatformUpstream, RelayRule, StoreFault, TcpRelay, UpstreamFault};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use std::{
     cell::RefCell,
     time::{Duration, Instant},
@@ -38,6 +39,8 @@
     /// Batch routes that were added.
     pub routes: &'a RefCell<Vec<String>>,
     rng: ChaCha8Rng,
+    /// Draws what the operator does, so that the faults of a seed do not depend on it.
+    operator_rng: ChaCha8Rng,
     /// Until when each edge is suspended at least; `None` for one that is not.
     standstills: [Option<Instant>; EDGES],
     leaving: Vec<LeavingDesk>,
@@ -53,12 +56,14 @@
         seed: u64,
     ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        Self { site, relays, matrix, routes, rng, standstills: [None; EDGES], leaving: Vec::new() }
+        let operator_rng = ChaCha8Rng::seed_from_u64(seed + 2);
+        Self { site, relays, matrix, routes, rng, operator_rng, standstills: [None; EDGES], leaving: Vec::new() }
     }
 
     /// Injects all faults and ends them. Returns the desks that leave.
     pub async fn run(mut self) -> Vec<LeavingDesk> {
         for _ in 0..FAULTS {
+            self.operate();
             match self.rng.random_range(0..23) {
                 fault @ (0..=4 | 16 | 20..=22) => self.fail_processes(fault),
                 fault @ (5..=8 | 17) => self.fail_store(fault),
@@ -83,6 +88,16 @@
         self.leaving
     }
 
+    /// Lets the operator evacuate the south or end that, from time to time.
+    fn operate(&mut self) {
+        match self.operator_rng.random_range(0..6) {
+            0 => self.site.store.put(SOUTH_KEY, &json!({})),
+            1 => self.site.store.contents().remove(SOUTH_KEY),
+            2 => self.site.store.contents().discard_history(),
+            _ => {}
+        }
+    }
+
     /// Kills, stops or suspends edges.
     fn fail_processes(&mut self, fault: u32) {
         let edge = self.rng.random_range(0..EDGES);
@@ -204,8 +219,10 @@
         }
     }
 
+    /// Any upstream but the desk of the south, so that the seeds keep their faults.
     fn random_upstream(&mut self) -> PlatformUpstream {
-        let upstreams: Vec<&PlatformUpstream> = self.site.desks.iter().chain(&self.site.engines).collect();
+        let upstreams: Vec<&PlatformUpstream> =
+            self.site.desks.iter().take(NORTHERN_DESKS).chain(&self.site.engines).collect();
         upstreams[self.rng.random_range(0..upstreams.len())].clone()
     }
 
