--- a/crates/cli/tests/processes/platform_evacuations.rs
+++ b/crates/cli/tests/processes/platform_evacuations.rs
@@ -1,15 +1,11 @@
 //! Tests of evacuated failure domains: nothing is sent to the upstreams there, whichever edge a request comes to.
 
-use crate::support::{EdgeSite, HOST, ROSE_KEY, event_numbers, job_item, job_submission, wait_for};
-use awc::Client;
+use crate::{
+    platform_relays::{relay_quote, relay_sender},
+    support::{EdgeSite, ROSE_KEY, event_numbers, job_item, job_submission, wait_for},
+};
 use futures_util::future;
 use pimentoslip_standin::{PlatformUpstream, RelayRule};
-use pimentoslip_wire::{
-    encode,
-    peer::{RELAY_RESULT_HEADER, RelaySender, RelayedCall},
-    stored::PresenceEntry,
-};
-use serde_bytes::ByteBuf;
 use serde_json::json;
 use std::cell::Cell;
 
@@ -149,32 +145,8 @@
 #[actix_rt::test]
 async fn an_edge_relays_nothing_to_an_evacuated_domain() {
     let site = EdgeSite::start(2).await;
-    let value = site.store.contents().value("p/w/vm/edge-0").expect("the presence of the edge");
-    let presence: PresenceEntry = pimentoslip_wire::decode(&value).expect("a presence");
     site.store.put(NORTH_KEY, &json!({}));
     wait_logged(&site, &[0, 1], "domain_evacuated", 1).await;
-    let call = RelayedCall {
-        sender: RelaySender {
-            daemon: "edge-0".into(),
-            incarnation: presence.incarnation,
-            token: presence.relay_token.clone(),
-            number: 1_000,
-        },
-        upstream: "desk-1".into(),
-        started: 1,
-        id: "relayed".into(),
-        method: "POST".to_owned(),
-        path: "/quote/roses".to_owned(),
-        host: HOST.into(),
-        headers: Vec::new(),
-        organisation: Some("rose".into()),
-        last_event: None,
-        left_ms: 1_000,
-        body: ByteBuf::new(),
-    };
-    let url = format!("http://{}/peer/upstream", site.edges[1].control_address);
-    let response = Client::default().post(url).send_body(encode(&call).expect("an encodable call")).await;
-    let headers = response.expect("a response").headers().clone();
-    let result = headers.get(RELAY_RESULT_HEADER).and_then(|value| value.to_str().ok());
-    assert_eq!((result, call_count(&site.desks)), (Some("departed"), 0));
+    let result = relay_quote(&site, 1, relay_sender(&site, 0), "relayed").await;
+    assert_eq!((result.as_str(), call_count(&site.desks)), ("departed", 0));
 }
--- a/crates/cli/tests/processes/platform_relays.rs
+++ b/crates/cli/tests/processes/platform_relays.rs
@@ -202,18 +202,46 @@
     wait_for("the engine stops", || async { (running() == 0).then_some(()) }).await;
 }
 
-/// Guards against requests of processes that are no daemons, or of an earlier call, which reach an upstream.
-#[actix_rt::test]
-async fn a_forged_or_repeated_call_to_relay_reaches_no_upstream() {
-    let site = EdgeSite::start(2).await;
-    let value = site.store.contents().value("p/w/vm/edge-0").expect("the presence of the edge");
+/// The proof that a call is the first one of an edge. Its own calls have lower numbers.
+pub fn relay_sender(site: &EdgeSite, edge: usize) -> RelaySender {
+    let vm = &site.edges[edge].vm;
+    let value = site.store.contents().value(&format!("p/w/vm/{vm}")).expect("the presence of the edge");
     let presence: PresenceEntry = pimentoslip_wire::decode(&value).expect("a presence");
-    let sender = RelaySender {
-        daemon: "edge-0".into(),
+    RelaySender {
+        daemon: vm.as_str().into(),
         incarnation: presence.incarnation,
         token: presence.relay_token.clone(),
         number: 1_000,
+    }
+}
+
+/// Asks an edge to relay the request `id` to the first desk, and returns the result that it names.
+pub async fn relay_quote(site: &EdgeSite, edge: usize, sender: RelaySender, id: &str) -> String {
+    let call = RelayedCall {
+        sender,
+        upstream: "desk-1".into(),
+        started: 1,
+        id: id.into(),
+        method: "POST".to_owned(),
+        path: "/quote/roses".to_owned(),
+        host: HOST.into(),
+        headers: Vec::new(),
+        organisation: Some("rose".into()),
+        last_event: None,
+        left_ms: 1_000,
+        body: ByteBuf::new(),
     };
+    let url = format!("http://{}/peer/upstream", site.edges[edge].control_address);
+    let response = Client::default().post(url).send_body(encode(&call).expect("an encodable call")).await;
+    let headers = response.expect("a response").headers().clone();
+    headers.get(RELAY_RESULT_HEADER).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+/// Guards against requests of processes that are no daemons, or of an earlier call, which reach an upstream.
+#[actix_rt::test]
+async fn a_forged_or_repeated_call_to_relay_reaches_no_upstream() {
+    let site = EdgeSite::start(2).await;
+    let sender = relay_sender(&site, 0);
     let forged = [
         RelaySender { token: "".into(), ..sender.clone() },
         RelaySender { token: "0123456789abcdef0123456789abcdef".into(), ..sender.clone() },
@@ -221,26 +249,7 @@
         RelaySender { daemon: "edge-1".into(), ..sender.clone() },
         RelaySender { daemon: "nobody".into(), ..sender.clone() },
     ];
-    let relay = async |sender: RelaySender, id: &str| {
-        let call = RelayedCall {
-            sender,
-            upstream: "desk-1".into(),
-            started: 1,
-            id: id.into(),
-            method: "POST".to_owned(),
-            path: "/quote/roses".to_owned(),
-            host: HOST.into(),
-            headers: Vec::new(),
-            organisation: Some("rose".into()),
-            last_event: None,
-            left_ms: 1_000,
-            body: ByteBuf::new(),
-        };
-        let url = format!("http://{}/peer/upstream", site.edges[1].control_address);
-        let response = Client::default().post(url).send_body(encode(&call).expect("an encodable call")).await;
-        let headers = response.expect("a response").headers().clone();
-        headers.get(RELAY_RESULT_HEADER).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
-    };
+    let relay = async |sender: RelaySender, id: &str| relay_quote(&site, 1, sender, id).await;
     for (number, sender) in forged.into_iter().enumerate() {
         assert_eq!(relay(sender.clone(), &format!("forged-{number}")).await, "forbidden", "{sender:?}");
     }
--- a/crates/edge/src/http/request_target.rs
+++ b/crates/edge/src/http/request_target.rs
@@ -22,8 +22,8 @@
 }
 
 impl RequestTarget {
-    /// Selects the target of `call`, which was sent with `headers` and may be served in `homes`. Fails if the call continues a stream whose software
-    /// is not known for certain or has no upstream, or if the software of the upstreams is not known.
+    /// Selects the target of `call`, which was sent with `headers` and may be served in `homes`. Fails if the call continues
+    /// a stream whose software is not known for certain or has no upstream, or if the software of the upstreams is not known.
     pub async fn select(
         parts: &WorkerParts,
         headers: &HeaderMap,
--- a/crates/kernel/src/ownership_table.rs
+++ b/crates/kernel/src/ownership_table.rs
@@ -220,8 +220,8 @@
     /// The running daemon that new jobs with `placement` are assigned to, other than `excluded`; `None` if there is
     /// none.
     ///
-    /// The key of the placement is the name of a route, so that all jobs of a route get the same owner: it has the most accurate count
-    /// of what runs on the route's upstreams, and keeps connections to them.
+    /// The key of the placement is the name of a route, so that all jobs of a route get the same owner: it has the most
+    /// accurate count of what runs on the route's upstreams, and keeps connections to them.
     #[must_use]
     pub fn preferred_daemon(
         &self,
