--- a/crates/edge/src/waiting/line_seat.rs
+++ b/crates/edge/src/waiting/line_seat.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(super) enum LineTurn {
     /// The request gets this upstream.
-    Room(UpstreamGuard),
+    Room(Box<UpstreamGuard>),
     /// The configuration no longer sends the request to the service.
     RouteChanged,
 }
--- a/crates/edge/src/waiting/room_wait.rs
+++ b/crates/edge/src/waiting/room_wait.rs
@@ -78,7 +78,7 @@
         tokio::select! {
             biased;
             turn = &mut receiver => return match turn {
-                Ok(LineTurn::Room(guard)) => Ok(guard),
+                Ok(LineTurn::Room(guard)) => Ok(*guard),
                 // Without a turn the line was removed.
                 Ok(LineTurn::RouteChanged) | Err(_) => Err(ApiRefusal::RouteChanged),
             },
--- a/crates/edge/src/waiting/service_line.rs
+++ b/crates/edge/src/waiting/service_line.rs
@@ -68,7 +68,7 @@
         }
         for (ticket, guard) in met {
             self.line.admit(ticket);
-            self.end_seat(ticket, LineTurn::Room(guard), &mut hand_over);
+            self.end_seat(ticket, LineTurn::Room(Box::new(guard)), &mut hand_over);
         }
         hand_over
     }
