--- a/crates/cli/tests/processes/support/child_process.rs
+++ b/crates/cli/tests/processes/support/child_process.rs
@@ -69,9 +69,15 @@
     /// Starts `program` and waits until it has written one line to its standard output. Its standard error, which
     /// carries the log, is written to the file `log_path`.
     pub fn start(program: &str, args: &[String], log_path: PathBuf) -> Self {
+        Self::start_with(program, args, &[], log_path)
+    }
+
+    /// Starts `program` like [`ChildProcess::start`], with environment variables (name, value).
+    pub fn start_with(program: &str, args: &[String], variables: &[(&str, String)], log_path: PathBuf) -> Self {
         let file = File::create(&log_path).expect("create the log file");
-        let mut child =
-            Command::new(program).args(args).stdout(Stdio::piped()).stderr(file).spawn().expect("start the process");
+        let mut command = Command::new(program);
+        command.args(args).envs(variables.iter().cloned()).stdout(Stdio::piped()).stderr(file);
+        let mut child = command.spawn().expect("start the process");
         let mut first_line = String::new();
         let stdout = child.stdout.take().expect("standard output is piped");
         BufReader::new(stdout).read_line(&mut first_line).expect("read the first line of the process");
--- a/crates/cli/tests/processes/support/daemon_site.rs
+++ b/crates/cli/tests/processes/support/daemon_site.rs
@@ -30,6 +30,8 @@
     pub engine_flags: Vec<String>,
     /// Additional command-line flags of every daemon, as `--flag=value`.
     pub daemon_flags: Vec<String>,
+    /// Environment variables of every daemon.
+    pub daemon_variables: Vec<(&'static str, String)>,
     /// Whether the stand-ins that accept VM orders and usage reports reject an outdated fencing number.
     pub checks_fencing: bool,
     /// Base configuration in TOML, applied by [`DaemonSite::start`].
@@ -43,6 +45,7 @@
             engines: vec!["a", "b"],
             engine_flags: Vec::new(),
             daemon_flags: Vec::new(),
+            daemon_variables: Vec::new(),
             checks_fencing: false,
             base_config: BASE_CONFIG.to_owned(),
         }
@@ -210,7 +213,8 @@
         }
         let args: Vec<String> = args.into_iter().map(|(flag, value)| format!("--{flag}={value}")).collect();
         let log_path = self.workdir.path(&format!("{name}-{}.log", self.daemons.len()));
-        let process = ChildProcess::start(env!("CARGO_BIN_EXE_pimentoslipd"), &args, log_path);
+        let variables = &self.options.daemon_variables;
+        let process = ChildProcess::start_with(env!("CARGO_BIN_EXE_pimentoslipd"), &args, variables, log_path);
         let (public_address, control_address) = (process.word_after("public="), process.word_after("control="));
         DaemonProcess { name: name.to_owned(), failure_domain, process, public_address, control_address }
     }
--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -92,6 +92,8 @@
     pub restarts: Vec<Instant>,
     /// Length of a usage window, for edges that are started later.
     pub usage_window_s: u64,
+    /// Limits of the VM, for edges that are started later; null if their settings name none.
+    pub limits: Value,
     /// Directory with the settings and logs of the edges.
     workdir: Workdir,
 }
@@ -169,6 +171,7 @@
             edges: Vec::new(),
             restarts: Vec::new(),
             usage_window_s: 1,
+            limits: Value::Null,
             workdir: Workdir::new(),
         }
     }
@@ -268,7 +271,7 @@
         let vm = format!("edge-{}", self.edges.len());
         let [frontend, readiness, control] = std::array::from_fn(|_| reserve_address());
         let (frontend_address, readiness_address, control_address) = (frontend.0, readiness.0, control.0);
-        let settings = json!({
+        let mut settings = json!({
             "nodeName": vm, "ip": "127.0.0.1", "zone": options.failure_domain, "region": options.region,
             "listenAddrs": { "frontend": frontend_address, "ready": readiness_address },
             "internalPorts": [control_address.port(), control_address.port()],
@@ -276,6 +279,9 @@
             "cloudApi": { "address": self.provider.address },
             "bounds": { "leaseMs": 1000, "graceS": 8, "reportWindowS": self.usage_window_s, "statusS": 120 },
         });
+        if !self.limits.is_null() {
+            settings["limits"] = self.limits.clone();
+        }
         let settings_path = self.workdir.write(&format!("{vm}.json"), &settings.to_string());
         let process = self.spawn_edge(&vm, &settings_path);
         let _placeholders = [frontend.1, readiness.1, control.1];
@@ -325,6 +331,16 @@
         actix_rt::time::sleep(Duration::from_millis(700)).await;
     }
 
+    /// Address of an edge for callers.
+    pub fn public_address(&self, edge: usize) -> SocketAddr {
+        self.edges[edge].frontend_address
+    }
+
+    /// Address of an edge for readiness checks.
+    pub fn ready_address(&self, edge: usize) -> SocketAddr {
+        self.edges[edge].readiness_address
+    }
+
     /// URL of `path` at an edge.
     pub fn url(&self, edge: usize, path: &str) -> String {
         format!("http://{}{path}", self.edges[edge].frontend_address)
