Bound what clients hold, and pass on one request of a connection at a time

Clients that the operators don't control sent many requests ahead on a few connections and read no answer; a process ran out of memory.

An answer without a body is written to the connection's buffer at once, and reading goes on although the socket takes nothing, so that the buffer has no bound. A body of one block is copied there whole, outside the budget of bodies. Connections had no limit, and each took two descriptors.

Change: the crate pimentoslip-server starts the listeners of both daemons and wraps each accepted socket. One head is passed on at a time, the body as its handler asks for it, and nothing while written bytes are not taken. Connections, requests in progress, heads, bodies, pages of results and metrics share one budget, a quarter of the memory; what does not fit is refused as not run. Listeners have limits of their own, so that callers leave descriptors to upstreams, peers and the store; a new connection takes the place of the one that waited longest for its client. Late heads and unread answers are closed after ticks at which the process runs, after what has arrived was read: the library's own timer, which answered 408 from a time read before a suspension, is not used any more. The watch for a client that leaves peeks at the connection's own socket, without a duplicate.

The decisions are in the kernel (HeadScanner, ClientPhase), each with a machine that fails without it: the blank line after a carriage return ignored, served connections that yield, the shortest wait yielding, heads that never expire.

Ruled out: the library's own limits, which don't cover decoded requests and stop accepting; limits by address, as callers come through a balancer.

--- a/crates/cli/tests/processes/support/edge_site.rs
+++ b/crates/cli/tests/processes/support/edge_site.rs
@@ -313,7 +313,7 @@
 
     /// HTTP status of an edge's readiness check; 0 if the edge does not answer.
     pub async fn readiness_status(&self, edge: usize) -> u16 {
-        let url = format!("http://{}/pimentoslip/ready", self.edges[edge].readiness_address);
+        let url = format!("http://{}/pimentoslip/ready", self.ready_address(edge));
         Client::default().get(url).send().await.map_or(0, |answer| answer.status().as_u16())
     }
 
@@ -343,7 +343,7 @@
 
     /// URL of `path` at an edge.
     pub fn url(&self, edge: usize, path: &str) -> String {
-        format!("http://{}{path}", self.edges[edge].frontend_address)
+        format!("http://{}{path}", self.public_address(edge))
     }
 
     /// Sends a caller's request to an edge and reads the complete answer.
--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -56,6 +56,10 @@
     pub body_bytes_max: usize,
     /// Maximum number of connections of callers.
     pub connections_max: usize,
+    /// Memory of the process in mebibytes.
+    pub memory_mib: usize,
+    /// Descriptors that the process may open.
+    pub descriptors_max: usize,
     /// Minimum time between two group commits of claims.
     pub claim_interval_ms: u64,
     /// Time for which a shutdown still accepts requests, so that the balancer can notice the failing readiness probe.
@@ -108,6 +112,16 @@
     SettingSpec { flag: "workers", help: "Number of threads that serve callers", default: Some("1") },
     SettingSpec { flag: "body-bytes-max", help: "Maximum size of a request body in bytes", default: Some("4194304") },
     SettingSpec { flag: "connections-max", help: "Maximum number of connections of callers", default: Some("4096") },
+    SettingSpec {
+        flag: "memory-mib",
+        help: "Memory of the process in mebibytes; its clients may use a quarter of it",
+        default: Some("1024"),
+    },
+    SettingSpec {
+        flag: "descriptors-max",
+        help: "Descriptors that the process may open; callers may take half of them",
+        default: Some("8392"),
+    },
     SettingSpec {
         flag: "claim-interval-ms",
         help: "Minimum time between group commits of claims, in milliseconds",
@@ -268,6 +282,8 @@
             workers: reader.size("workers"),
             body_bytes_max: reader.size("body-bytes-max"),
             connections_max: reader.size("connections-max"),
+            memory_mib: reader.size("memory-mib"),
+            descriptors_max: reader.size("descriptors-max"),
             claim_interval_ms: reader.number("claim-interval-ms", 1),
             drain_grace_ms: reader.number("drain-grace-ms", 0),
             drain_timeout_ms: reader.number("drain-timeout-ms", 1),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod config_writer;
 mod daemon_settings;
 mod http;
+mod limit_observer;
 mod metric_set;
 mod peer_client;
 mod request_id;
--- a/crates/daemon/src/metric_set.rs
+++ b/crates/daemon/src/metric_set.rs
@@ -28,6 +28,7 @@
 pub struct MetricSet {
     registry: Mutex<Registry>,
     refusals: Family<ReasonLabel, Counter>,
+    client_closes: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     requests: Family<ServiceLabel, Counter>,
     tokens: Family<ServiceLabel, Counter>,
@@ -66,6 +67,7 @@
         let set = Self {
             registry: Mutex::new(Registry::with_prefix("pimentoslip")),
             refusals: Family::default(),
+            client_closes: Family::default(),
             retries: Family::default(),
             requests: Family::default(),
             tokens: Family::default(),
@@ -92,6 +94,11 @@
         self.refusals.get_or_create(&ReasonLabel { reason: reason.code() }).inc();
     }
 
+    /// Counts a connection that was closed or refused because of a limit.
+    pub fn count_client_close(&self, reason: &'static str) {
+        self.client_closes.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a repeated attempt.
     pub fn count_retry(&self, reason: RetryReason) {
         self.retries.get_or_create(&ReasonLabel { reason: reason.code() }).inc();
@@ -125,6 +132,7 @@
             drop(self.retries.get_or_create(&ReasonLabel { reason: reason.code() }));
         }
         registry.register("refusals", "Refused requests by reason", self.refusals.clone());
+        registry.register("client_closes", "Connections closed because of a limit", self.client_closes.clone());
         registry.register("retries", "Repeated attempts by reason", self.retries.clone());
         registry.register("requests", "Answered requests by service", self.requests.clone());
         registry.register("tokens", "Generated tokens by service", self.tokens.clone());
--- a/crates/daemon/src/running_daemon.rs
+++ b/crates/daemon/src/running_daemon.rs
@@ -4,15 +4,17 @@
     DaemonSettings,
     claim::ClaimActor,
     http::{WorkerState, configure_control, configure_public},
+    limit_observer::DaemonObserver,
     peer_client::PeerClient,
     shared_state::SharedState,
     step::StepActor,
     task::{DiscoveryTask, ExchangeTask, OrderTask, PeerUpdate, PeriodicActor, StopMessage, UsageTask, push_update},
 };
 use actix::{Actor, Addr};
-use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use actix_web::{App, dev::ServerHandle, web};
 use anyhow::Context;
 use pimentoslip_client::{EtcdClient, ProviderClient};
+use pimentoslip_server::{HttpListener, ListenerLimits, ListenerOptions};
 use pimentoslip_telemetry::LogLine;
 use std::{
     net::{SocketAddr, TcpListener},
@@ -23,7 +25,6 @@
 /// Result of starting a daemon.
 pub type Result<T> = anyhow::Result<T>;
 
-const REQUEST_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const CONNECTION_KEEP_ALIVE: Duration = Duration::from_secs(30);
 /// Interval at which a shutdown checks whether it may proceed.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -74,31 +75,29 @@
 
     let state = shared.clone();
     let (public_claim_actor, public_step_actor) = (claim_actor.clone(), step_actor.clone());
-    let public_server = HttpServer::new(move || {
-        let worker = WorkerState::new(state.clone(), public_claim_actor.clone(), public_step_actor.clone());
-        App::new().app_data(web::Data::new(worker)).configure(configure_public)
-    })
-    .workers(settings.workers)
-    .max_connections(settings.connections_max)
-    .client_request_timeout(REQUEST_HEADER_TIMEOUT)
-    .keep_alive(CONNECTION_KEEP_ALIVE)
-    .shutdown_timeout(SERVER_STOP_TIMEOUT_SECONDS)
-    .disable_signals()
-    .listen(public_listener)?
-    .run();
+    let limits = ListenerLimits::new(settings.descriptors_max, shared.buffers.bytes_max());
+    let options = ListenerOptions {
+        name: "callers",
+        workers: settings.workers,
+        connections_max: limits.callers.min(settings.connections_max),
+        keep_alive: CONNECTION_KEEP_ALIVE,
+        shutdown_timeout_s: SERVER_STOP_TIMEOUT_SECONDS,
+        budget: shared.buffers.clone(),
+    };
+    let control_options =
+        ListenerOptions { name: "control", workers: 1, connections_max: limits.control, ..options.clone() };
+    let public_server =
+        HttpListener::new(public_listener, options, DaemonObserver(shared.clone())).serve(move || {
+            let worker = WorkerState::new(state.clone(), public_claim_actor.clone(), public_step_actor.clone());
+            App::new().app_data(web::Data::new(worker)).configure(configure_public)
+        })?;
 
     let state = shared.clone();
-    let control_server = HttpServer::new(move || {
-        let worker = web::Data::new(WorkerState::new(state.clone(), claim_actor.clone(), step_actor.clone()));
-        App::new().app_data(worker.clone()).configure(move |app| configure_control(app, &worker))
-    })
-    .workers(1)
-    .client_request_timeout(REQUEST_HEADER_TIMEOUT)
-    .keep_alive(CONNECTION_KEEP_ALIVE)
-    .shutdown_timeout(SERVER_STOP_TIMEOUT_SECONDS)
-    .disable_signals()
-    .listen(control_listener)?
-    .run();
+    let control_server =
+        HttpListener::new(control_listener, control_options, DaemonObserver(shared.clone())).serve(move || {
+            let worker = web::Data::new(WorkerState::new(state.clone(), claim_actor.clone(), step_actor.clone()));
+            App::new().app_data(worker.clone()).configure(move |app| configure_control(app, &worker))
+        })?;
 
     let daemon = RunningDaemon {
         public_address,
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -9,6 +9,7 @@
     ConfigView, FreshnessTable, MemberEntry, MemberState, MemberTable, RecordEntry, RetryBudget, RouteTable,
     SharedName, SuspectTable, TimePoint, UsageCount, UsageKey, UsageMeter,
 };
+use pimentoslip_server::BufferBudget;
 use pimentoslip_wire::peer::MemberBody;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
@@ -19,6 +20,9 @@
     },
 };
 
+/// Callers may use up to the process's memory divided by this.
+const BUFFERS_MEMORY_DIVISOR: usize = 4;
+
 /// State and fencing number of each duty, as shown on the status page.
 pub type DutyStates = BTreeMap<SharedName, (&'static str, Option<u64>)>;
 
@@ -33,6 +37,8 @@
     pub incarnation: u64,
     /// Metrics of this daemon.
     pub metrics: MetricSet,
+    /// Memory of callers' connections and requests.
+    pub buffers: Arc<BufferBudget>,
     /// Queues of requests that wait for capacity on an upstream.
     pub admission_controller: AdmissionController,
     /// Number of calls to the key-value service.
@@ -86,6 +92,7 @@
             incarnation: clock.unix_ms(),
             clock,
             metrics: MetricSet::default(),
+            buffers: BufferBudget::new((settings.memory_mib << 20) / BUFFERS_MEMORY_DIVISOR),
             admission_controller: AdmissionController::default(),
             kv_calls: Arc::default(),
             crash_push: CrashPush::default(),
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -47,6 +47,8 @@
     pub answers: Family<ReasonLabel, Counter>,
     /// Error responses that the daemon created itself, by reason.
     pub refusals: Family<ReasonLabel, Counter>,
+    /// Connections of clients that were closed or refused because of a limit: `connections`, `memory`, `no_progress` or `refused`.
+    pub client_closes: Family<ReasonLabel, Counter>,
     /// Failed attempts at upstreams, by reason.
     pub retries: Family<ReasonLabel, Counter>,
     /// Ended runs of batch items, by result.
@@ -122,6 +124,7 @@
             registry: Registry::with_prefix("pimentoslip"),
             answers: Family::default(),
             refusals: Family::default(),
+            client_closes: Family::default(),
             retries: Family::default(),
             item_runs: Family::default(),
             job_waits: Family::default(),
@@ -150,6 +153,7 @@
         let registry = &mut metrics.registry;
         registry.register("answers", "Answers to requests by outcome", metrics.answers.clone());
         registry.register("refusals", "Refused requests by reason", metrics.refusals.clone());
+        registry.register("client_closes", "Connections closed because of a limit", metrics.client_closes.clone());
         registry.register("retries", "Repeated attempts by reason", metrics.retries.clone());
         registry.register("item_runs", "Runs of batch items by end", metrics.item_runs.clone());
         registry.register("job_waits", "Owned jobs that wait by reason", metrics.job_waits.clone());
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,8 +1,8 @@
 //! State shared by all listeners and tasks of a daemon.
 
 use crate::{
-    buffer_budget::BufferBudget, edge_metrics::EdgeMetrics, job::JobIndex, planned_stop::PlannedStop,
-    steady_time::SteadyTime, store::PrefixLog, suspect::CrashOutbox,
+    edge_metrics::EdgeMetrics, job::JobIndex, planned_stop::PlannedStop, steady_time::SteadyTime, store::PrefixLog,
+    suspect::CrashOutbox,
 };
 use pimentoslip_client::LeaseClock;
 use pimentoslip_kernel::{
@@ -11,6 +11,7 @@
     SuspectTable, TimePoint, TrafficConfig, UsageTally, fingerprint,
 };
 use pimentoslip_platform::{OPERATOR_PREFIX, ProcessSettings, UPSTREAM_PREFIX};
+use pimentoslip_server::{BufferBudget, ListenerLimits};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     peer::RelaySender,
@@ -24,7 +25,7 @@
     },
 };
 use subtle::ConstantTimeEq;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 /// Cached batch results may use up to the process's memory limit divided by this.
 const RESULTS_MEMORY_DIVISOR: usize = 8;
@@ -32,6 +33,9 @@
 /// Bodies of requests and responses may use up to the process's memory limit divided by this.
 const BUFFERS_MEMORY_DIVISOR: usize = 4;
 
+/// Bodies of items that are read for callers at the same time.
+const ITEM_READS_MAX: usize = 2;
+
 /// Longest time within which changes of jobs, owners and daemons should reach every daemon. No promise depends on it, as
 /// their writes are conditional; crash marks must be known sooner where the platform's settings say so.
 const COORDINATION_APPLY_MS_MAX: u64 = 4_000;
@@ -80,6 +84,10 @@
     pub streams_started: Notify,
     /// Memory of the bodies of requests and responses.
     pub buffers: Arc<BufferBudget>,
+    /// Turns in which bodies of items are read for callers. Each read holds several copies until the body is in the budget.
+    pub item_reads: Semaphore,
+    /// Connections that the daemon's listeners accept.
+    pub listener_limits: ListenerLimits,
     /// Held while the store and other daemons are asked for the origin of a stream. Contains the start of the last read of
     /// the store.
     pub stream_lookup_turn: tokio::sync::Mutex<TimePoint>,
@@ -187,6 +195,7 @@
         let clock = Arc::new(LeaseClock::default());
         let incarnation = clock.unix_ms();
         let settle_ms = coordination_apply_ms(&settings);
+        let buffer_bytes = settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR;
         Arc::new(Self {
             incarnation,
             planned_stop: PlannedStop::default(),
@@ -203,7 +212,9 @@
             software_wanted: AtomicBool::new(false),
             software_unrecorded: Notify::new(),
             streams_started: Notify::new(),
-            buffers: BufferBudget::new(settings.memory_limit_bytes / BUFFERS_MEMORY_DIVISOR),
+            buffers: BufferBudget::new(buffer_bytes),
+            item_reads: Semaphore::new(ITEM_READS_MAX),
+            listener_limits: ListenerLimits::new(settings.descriptors_max, buffer_bytes),
             stream_lookup_turn: tokio::sync::Mutex::new(TimePoint(0)),
             change_logs: change_logs(&settings),
             steady_time: SteadyTime::new(&clock),
--- a/crates/edge/src/http/batch_api.rs
+++ b/crates/edge/src/http/batch_api.rs
@@ -6,19 +6,23 @@
     request_context::{RequestContext, header_text},
 };
 use crate::{
+    edge_state::EdgeState,
     job::{self, EndOutcome, JobView, ResultsQuery, SubmitOutcome, SubmittedJob},
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpRequest, HttpResponse, http::Method, web};
+use bytes::Bytes;
 use form_urlencoded::parse;
-use pimentoslip_kernel::{AbsenceProof, ReadAnswer, RouteRule};
+use pimentoslip_kernel::{AbsenceProof, ReadAnswer, RouteRule, TimePoint};
 use pimentoslip_platform::{
     BatchItem, BatchSubmission, ITEM_PARAMETER, ListedResult, POSITION_PARAMETER, ResultPage, decode_submission,
     encode_page, header,
 };
+use pimentoslip_server::ChargedBody;
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+use tokio::sync::SemaphorePermit;
 
 /// Largest total size of the texts in a page of results; the API allows pages of 1 MB.
 const PAGE_BYTES_MAX: usize = 900_000;
@@ -143,6 +147,7 @@
     let results: Vec<ListedResult<'_>> = answer.results().iter().map(|result| listed_result(result)).collect();
     let page = ResultPage { item_count: view.entry.item_count, next_position: position + results.len(), results };
     let body = encode_page(&page).map_err(|_| ApiRefusal::StoreUnreachable)?;
+    let body = charged_body(&parts.state, body)?;
     Ok(HttpResponse::Ok().content_type("application/json").body(body))
 }
 
@@ -166,16 +171,29 @@
 ) -> Result<HttpResponse, ApiRefusal> {
     find_job(parts, context, request, id).await?;
     let item = query_parameter(request, ITEM_PARAMETER).ok_or(ApiRefusal::Malformed)?;
+    let _turn = item_read_turn(&parts.state, context.deadline).await?;
     let body = job::read_item_body(&parts.state, &parts.store, &parts.peer_client, &id.into(), &item).await.map_err(
         |error| {
             LogLine::new("item_read_failed").field("job", id).field("item", &item).field("reason", error).warn();
             ApiRefusal::StoreUnreachable
         },
     )?;
-    let body = body.ok_or(ApiRefusal::JobNotFound)?;
+    let body = charged_body(&parts.state, body.ok_or(ApiRefusal::JobNotFound)?)?;
     Ok(HttpResponse::Ok().content_type("application/octet-stream").body(body))
 }
 
+/// A body that is in the budget until the caller has read it. Fails if the budget is used up; then nothing was done.
+fn charged_body(state: &EdgeState, body: impl Into<Bytes>) -> Result<ChargedBody, ApiRefusal> {
+    ChargedBody::new(body, state.buffers.share()).ok_or(ApiRefusal::MemoryUsedUp)
+}
+
+/// Waits until fewer than `ITEM_READS_MAX` item bodies are being read, up to `deadline`.
+async fn item_read_turn(state: &EdgeState, deadline: TimePoint) -> Result<SemaphorePermit<'_>, ApiRefusal> {
+    let left = Duration::from_millis(deadline.since_ms(state.now()));
+    let turn = actix_rt::time::timeout(left, state.item_reads.acquire()).await;
+    turn.ok().and_then(Result::ok).ok_or(ApiRefusal::DeadlinePassed)
+}
+
 /// Ends a batch job before all its results are complete.
 pub async fn end_job(
     parts: &WorkerParts,
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -11,5 +11,6 @@
 mod stream_proxy;
 mod upstream_attempts;
 
+pub use api_refusal::ApiRefusal;
 pub use front_app::configure_front;
 pub use ready_app::{configure_control, configure_ready};
--- a/crates/edge/src/http/proxy.rs
+++ b/crates/edge/src/http/proxy.rs
@@ -8,8 +8,6 @@
     upstream_attempts::{AttemptPlan, try_upstreams},
 };
 use crate::{
-    buffer_budget::BufferShare,
-    client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     limit::caller_permit,
     relay::{
@@ -23,6 +21,7 @@
 use futures_util::StreamExt;
 use pimentoslip_kernel::{RouteKind, RouteRule};
 use pimentoslip_platform::header;
+use pimentoslip_server::{BufferShare, ClientWatch};
 use pimentoslip_telemetry::LogLine;
 use std::{sync::Arc, time::Duration};
 
--- a/crates/edge/src/http/ready_app.rs
+++ b/crates/edge/src/http/ready_app.rs
@@ -1,6 +1,6 @@
 //! Routes of the readiness probe and of the control listener.
 
-use super::peer_api;
+use super::{api_refusal::ApiRefusal, peer_api};
 use crate::{
     duty::{RUNS_PATH, USAGE_PATH},
     edge_metrics::EdgeMetrics,
@@ -15,6 +15,7 @@
 };
 use actix_web::{HttpResponse, web};
 use pimentoslip_platform::READY_PATH;
+use pimentoslip_server::ChargedBody;
 
 /// Readiness probe of the load balancer: succeeds when a configuration is applied and the daemon is not draining.
 async fn ready(parts: web::Data<WorkerParts>) -> HttpResponse {
@@ -31,10 +32,13 @@
 }
 
 /// Metrics in the OpenMetrics text format.
-async fn metrics() -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-        .body(EdgeMetrics::global().encode())
+async fn metrics(parts: web::Data<WorkerParts>) -> HttpResponse {
+    match ChargedBody::new(EdgeMetrics::global().encode(), parts.state.buffers.share()) {
+        Some(body) => {
+            HttpResponse::Ok().content_type("application/openmetrics-text; version=1.0.0; charset=utf-8").body(body)
+        }
+        None => ApiRefusal::MemoryUsedUp.response(),
+    }
 }
 
 /// Configures the listener that the load balancer probes.
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -7,8 +7,6 @@
     upstream_attempts::{AnsweredAttempt, AttemptPlan, AttemptResponse, run_unfinished, try_upstreams},
 };
 use crate::{
-    buffer_budget::BufferShare,
-    client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     relay::{
         AttemptFailure, OpenStream, StreamAttempt, StreamPortion, UpstreamGuard, forwarded_response_headers,
@@ -22,6 +20,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use pimentoslip_kernel::{CapacityNeed, RouteKind, SamplerOutcome, SamplerQuery, StreamOrigin, TimePoint};
+use pimentoslip_server::{BufferShare, ClientWatch};
 use pimentoslip_telemetry::LogLine;
 use std::{io, time::Duration};
 use tokio::sync::mpsc;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,8 +2,6 @@
 //! daemons run the same code; one at a time holds the duty. Durable state is stored in the platform's key-value store;
 //! all other state may be lost with the process.
 
-mod buffer_budget;
-mod client_watch;
 mod duty;
 mod edge_metrics;
 mod edge_state;
--- a/crates/edge/src/path/relay_api.rs
+++ b/crates/edge/src/path/relay_api.rs
@@ -2,8 +2,6 @@
 //! long is decided by the peer.
 
 use crate::{
-    buffer_budget::BufferShare,
-    client_watch::ClientWatch,
     edge_metrics::EdgeMetrics,
     edge_state::RequestGuard,
     relay::{
@@ -24,6 +22,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, stream};
 use pimentoslip_kernel::{SamplerOutcome, TimePoint};
+use pimentoslip_server::{BufferShare, ClientWatch};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
--- a/crates/edge/src/relay/body_blocks.rs
+++ b/crates/edge/src/relay/body_blocks.rs
@@ -1,8 +1,8 @@
 //! Body of a response that is read completely before it is used.
 
-use crate::buffer_budget::BufferShare;
 use actix_web::body::{BodySize, MessageBody};
 use bytes::Bytes;
+use pimentoslip_server::BufferShare;
 use std::{
     collections::VecDeque,
     convert::Infallible,
--- a/crates/edge/src/relay/complete_response.rs
+++ b/crates/edge/src/relay/complete_response.rs
@@ -1,7 +1,6 @@
 //! Reads a complete response of an upstream into memory.
 
 use super::{AttemptFailure, BodyBlocks, Result, UpstreamCall, UpstreamGuard, start_attempt};
-use crate::buffer_budget::BufferShare;
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
@@ -10,6 +9,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::TimePoint;
+use pimentoslip_server::BufferShare;
 use std::{io::ErrorKind, time::Duration};
 
 /// A response with its complete body.
--- a/crates/edge/src/relay/open_stream.rs
+++ b/crates/edge/src/relay/open_stream.rs
@@ -4,7 +4,6 @@
     AttemptFailure, CompleteResponse, EventPortion, PortionReader, UpstreamCall, UpstreamGuard, is_clean_close,
     is_delimited_by_close, read_response, start_attempt,
 };
-use crate::buffer_budget::BufferShare;
 use actix_web::http::{
     StatusCode,
     header::{CONTENT_TYPE, HeaderMap},
@@ -13,6 +12,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use pimentoslip_kernel::{RunMonitor, TimePoint};
+use pimentoslip_server::BufferShare;
 use pimentoslip_wire::peer::RELAY_UNMEASURED_HEADER;
 use std::time::Duration;
 
--- a/crates/edge/src/relay/upstream_guard.rs
+++ b/crates/edge/src/relay/upstream_guard.rs
@@ -2,7 +2,6 @@
 
 use super::{AttemptFailure, leaving_notice::observe_leaving};
 use crate::{
-    buffer_budget::BufferShare,
     edge_metrics::EdgeMetrics,
     edge_state::EdgeState,
     path::{direct_failed, log_no_path, relay_peer, relay_peers},
@@ -12,6 +11,7 @@
     PathQuery, PeerCheck, RateLimit, RelayFailure, RelayPeer, SamplerOutcome, SamplerQuery, SamplerRecord, ServicePath,
     SharedName, TimePoint,
 };
+use pimentoslip_server::BufferShare;
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::peer::RelaySender;
 use std::{cell::RefCell, sync::Arc, time::Duration};
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -1,11 +1,10 @@
 //! Starts the daemon and stops it gracefully.
 
 use crate::{
-    client_watch::ClientWatch,
     duty::{flush_usage, hold_duty, record_usage, report_runs},
     edge_metrics::EdgeMetrics,
     edge_state::{EdgeState, coordination_apply_ms},
-    http::{configure_control, configure_front, configure_ready},
+    http::{ApiRefusal, configure_control, configure_front, configure_ready},
     job::claim_jobs,
     lease_task::{maintain_lease, revoke_lease},
     limit::request_permits,
@@ -20,10 +19,11 @@
     Arbiter,
     signal::unix::{SignalKind, signal},
 };
-use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use actix_web::{App, HttpResponse, dev::ServerHandle, web};
 use anyhow::Context;
 use pimentoslip_kernel::WatchTiming;
 use pimentoslip_platform::ProcessSettings;
+use pimentoslip_server::{HttpListener, LimitObserver, ListenerOptions};
 use pimentoslip_telemetry::LogLine;
 use std::{
     future::Future,
@@ -35,10 +35,10 @@
 /// Result of starting or running a daemon.
 pub type Result<T> = anyhow::Result<T>;
 
-/// Time within which a client must have sent the header of its request; clients send it at once.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which idle connections are closed; longer than clients keep them, so that clients close them first.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// Time after which idle connections of peers and probes are closed.
+const INTERNAL_KEEP_ALIVE: Duration = Duration::from_secs(5);
 /// After SIGTERM new connections are accepted for this long, until the load balancer has stopped sending them.
 const BALANCER_REACTION_MS: u64 = 3_200;
 /// Requests are answered until this long before the end of the grace period, at which the process is killed.
@@ -64,10 +64,12 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let state = EdgeState::new(settings);
     let public_server = serve_public(&state)?;
-    serve_internal(&state, state.settings.ready_address, configure_ready)?;
-    serve_internal(&state, state.settings.control_address, configure_control)?;
+    serve_internal(&state, state.settings.ready_address, internal_options(&state), configure_ready)?;
+    let control_options =
+        ListenerOptions { name: "control", connections_max: state.listener_limits.control, ..internal_options(&state) };
+    serve_internal(&state, state.settings.control_address, control_options, configure_control)?;
     let metrics_address = metrics_port.and_then(|port| Some(SocketAddr::new(state.settings.ip.parse().ok()?, port)));
-    if let Err(error) = serve_internal(&state, metrics_address, configure_control) {
+    if let Err(error) = serve_internal(&state, metrics_address, internal_options(&state), configure_control) {
         LogLine::new("metrics_not_served").field("reason", format!("{error:#}")).warn();
     }
     spawn_tasks(&state);
@@ -189,43 +191,67 @@
 /// Starts the public HTTP server, to which callers connect.
 fn serve_public(state: &Arc<EdgeState>) -> Result<ServerHandle> {
     let address = state.settings.public_address.context("the settings file has no address for callers; add one")?;
-    let shared_state = state.clone();
-    let server = HttpServer::new(move || {
-        let parts = WorkerParts::new(shared_state.clone());
-        App::new().app_data(web::Data::new(parts)).configure(configure_front)
-    })
-    .workers(1)
-    .client_request_timeout(HEADER_TIMEOUT)
-    .keep_alive(KEEP_ALIVE)
-    .shutdown_timeout(SHUTDOWN_TIMEOUT_SECONDS)
-    .on_connect(ClientWatch::on_connect)
-    .disable_signals()
-    .listen(bind(address)?)?
-    .run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(handle)
+    let options = ListenerOptions {
+        name: "callers",
+        connections_max: state.listener_limits.callers,
+        keep_alive: KEEP_ALIVE,
+        ..internal_options(state)
+    };
+    start_server(state, address, options, configure_front)
 }
 
 /// Starts an HTTP server for the readiness probe, or for peers and operators. Without an address it does nothing.
 fn serve_internal(
     state: &Arc<EdgeState>,
     address: Option<SocketAddr>,
+    options: ListenerOptions,
     configure: fn(&mut web::ServiceConfig),
 ) -> Result<()> {
     let Some(address) = address else { return Ok(()) };
+    start_server(state, address, options, configure).map(|_| ())
+}
+
+/// Options of listeners for probes.
+fn internal_options(state: &EdgeState) -> ListenerOptions {
+    ListenerOptions {
+        name: "probes",
+        workers: 1,
+        connections_max: state.listener_limits.probes,
+        keep_alive: INTERNAL_KEEP_ALIVE,
+        shutdown_timeout_s: SHUTDOWN_TIMEOUT_SECONDS,
+        budget: state.buffers.clone(),
+    }
+}
+
+/// Counts what the listeners of the daemon refuse.
+#[derive(Clone, Copy, Debug)]
+struct EdgeObserver;
+
+impl LimitObserver for EdgeObserver {
+    fn connection_closed(&self, reason: &'static str) {
+        EdgeMetrics::increment(&EdgeMetrics::global().client_closes, reason);
+    }
+
+    fn request_refused(&self) -> HttpResponse {
+        ApiRefusal::MemoryUsedUp.response()
+    }
+}
+
+/// Starts an HTTP server.
+fn start_server(
+    state: &Arc<EdgeState>,
+    address: SocketAddr,
+    options: ListenerOptions,
+    configure: fn(&mut web::ServiceConfig),
+) -> Result<ServerHandle> {
     let shared_state = state.clone();
-    let server = HttpServer::new(move || {
+    let server = HttpListener::new(bind(address)?, options, EdgeObserver).serve(move || {
         let parts = WorkerParts::new(shared_state.clone());
         App::new().app_data(web::Data::new(parts)).configure(configure)
-    })
-    .workers(1)
-    .on_connect(ClientWatch::on_connect)
-    .disable_signals()
-    .listen(bind(address)?)?
-    .run();
+    })?;
+    let handle = server.handle();
     actix_rt::spawn(server);
-    Ok(())
+    Ok(handle)
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener> {
--- a/crates/kernel/src/refusal_reason.rs
+++ b/crates/kernel/src/refusal_reason.rs
@@ -71,6 +71,7 @@
     ClaimUnavailable, "claim_unavailable", 503, "send the same request again after the given time";
     ConfigStale, "config_stale", 503, "send the request again; this daemon cannot confirm that keys still hold";
     Draining, "draining", 503, "send the request again; the balancer picks another daemon";
+    MemoryUsedUp, "memory_used_up", 503, "send the request again after the given time";
     QueueFull, "queue_full", 429, "send fewer requests at a time";
     DeadlinePassed, "deadline_passed", 504, "send the request again with a longer timeout";
     NoUpstream, "no_upstream", 503, "send the request again after the given time";
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -7,6 +7,7 @@
 mod acceptance;
 mod batches;
 mod claims;
+mod clients;
 mod configuration;
 mod departures;
 mod duties;
--- a/crates/edge/src/buffer_budget.rs
+++ b/crates/server/src/buffer_budget.rs
@@ -19,6 +19,12 @@
         Arc::new(Self { used_bytes: AtomicUsize::new(0), bytes_max })
     }
 
+    /// Size of the budget.
+    #[must_use]
+    pub fn bytes_max(&self) -> usize {
+        self.bytes_max
+    }
+
     /// An empty part of the budget.
     #[must_use]
     pub fn share(self: &Arc<Self>) -> BufferShare {
