Take no response for an answer whose status is none

Callers got statuses that are none as answers: 101 and 600 to 999 on plain requests, orders and streams, directly and through a peer; an item whose upstreams answered 101 was listed as terminated. 000, 099, two or four digits, letters and signs were refused by the HTTP library already. A 204 or 304 with a body passed its body on.

Cause: the library accepts each status from 100 to 999, and a status line of HTTP/1.0, after blank lines, or with line feeds alone was not examined. A status of four digits beginning with 1 was dropped as an interim response, so that the next one counted as the answer.

Change: ResponseHead, which all clients share (upstreams, peers, store, provider, own interface), prepares a response whose status isn't 200 to 599, or a 204 or 304 with a body, with a status that the library refuses. Such a response counts as unreadable: the request may have run, another upstream is tried where that is allowed, and the connection is closed.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -26,6 +26,7 @@
 mod platform_reads;
 mod platform_relays;
 mod platform_software;
+mod platform_statuses;
 mod platform_stops;
 mod platform_streams;
 mod platform_usage;
--- a/crates/client/src/response_head.rs
+++ b/crates/client/src/response_head.rs
@@ -1,18 +1,28 @@
 //! Prepares the head of a response for the HTTP library.
 //!
 //! The library takes a response of HTTP/1.1 without a length for one without a body, although its body extends to the
-//! end of the connection, and takes an interim response for the final one.
+//! end of the connection, and takes an interim response for the final one. It also accepts statuses that are none, and
+//! bodies of responses that have none; such a response is prepared so that the library refuses it and closes the connection.
 
 use bytes::{Buf, BytesMut};
+use std::ops::RangeInclusive;
 
 /// Largest head that is collected, together with the interim responses before it. The HTTP library refuses larger ones.
 const HEAD_BYTES_MAX: usize = 128 << 10;
 /// End of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Start of the status line that is expected.
-const VERSION: &[u8] = b"HTTP/1.1 ";
+/// Start of the status line that is expected, without the minor version.
+const VERSION: &[u8] = b"HTTP/1.";
 /// Position of the minor version in the status line.
-const MINOR_VERSION_INDEX: usize = 7;
+const MINOR_VERSION_INDEX: usize = VERSION.len();
+/// Position of the status in the status line.
+const STATUS_INDEX: usize = MINOR_VERSION_INDEX + 2;
+/// Number of digits of a status.
+const STATUS_DIGITS: usize = 3;
+/// Statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+/// Status that the library refuses.
+const REFUSED_STATUS: &[u8; STATUS_DIGITS] = b"000";
 
 /// Collects received bytes until the head of the final response is complete.
 #[derive(Debug, Default)]
@@ -37,9 +47,10 @@
             if !self.is_interim() || self.dropped >= HEAD_BYTES_MAX {
                 if !self.has_length(end) {
                     // Responses of HTTP/1.0 end with the connection.
-                    self.received[MINOR_VERSION_INDEX] = b'0';
+                    let index = self.line_start() + MINOR_VERSION_INDEX;
+                    self.received[index] = b'0';
                 }
-                return Some(self.take());
+                return Some(self.take_checked(Some(end)));
             }
             self.received.advance(end);
             self.dropped += end;
@@ -49,7 +60,24 @@
 
     /// All bytes received so far, when no more follow.
     pub fn take(&mut self) -> BytesMut {
+        self.take_checked(None)
+    }
+
+    /// All bytes received so far, with a status that is refused unless they may be a final response. `end` is the end of its head, if
+    /// it was found.
+    fn take_checked(&mut self, end: Option<usize>) -> BytesMut {
         self.searched = 0;
+        let is_response = match self.status() {
+            Some(204 | 304) => end.is_some_and(|end| end == self.received.len() && !self.announces_body(end)),
+            status => status.is_some_and(|status| FINAL_STATUSES.contains(&status)),
+        };
+        let start = self.line_start() + STATUS_INDEX;
+        if let Some(status) = self.received.get_mut(start..start + STATUS_DIGITS)
+            && !is_response
+            && !status.iter().any(|byte| matches!(byte, b'\r' | b'\n'))
+        {
+            status.copy_from_slice(REFUSED_STATUS);
+        }
         std::mem::take(&mut self.received)
     }
 
@@ -61,25 +89,55 @@
         Some(start + found? + HEAD_END.len())
     }
 
-    /// First digit and rest of the status code; `None` if the head is not one of HTTP/1.1.
-    fn status(&self) -> Option<&[u8]> {
-        self.received.strip_prefix(VERSION)?.get(..3)
+    /// Start of the status line; the library skips blank lines before it.
+    fn line_start(&self) -> usize {
+        self.received.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count()
+    }
+
+    /// Minor version; `None` if the bytes are no response of HTTP/1.
+    fn minor_version(&self) -> Option<u8> {
+        let [version, b' ', ..] = self.received[self.line_start()..].strip_prefix(VERSION)? else { return None };
+        Some(*version)
+    }
+
+    /// Status; `None` if it has not exactly three digits.
+    fn status(&self) -> Option<u16> {
+        self.minor_version()?;
+        let status = &self.received[self.line_start() + STATUS_INDEX..];
+        let (digits, rest) = status.split_at_checked(STATUS_DIGITS)?;
+        let is_ended = rest.first().is_none_or(|byte| matches!(byte, b' ' | b'\r' | b'\n'));
+        if !is_ended || !digits.iter().all(u8::is_ascii_digit) {
+            return None;
+        }
+        std::str::from_utf8(digits).ok()?.parse().ok()
     }
 
     /// Whether the final response follows this one. After 101, another protocol follows.
     fn is_interim(&self) -> bool {
-        self.status().is_some_and(|status| status[0] == b'1' && status != b"101")
+        self.minor_version() == Some(b'1')
+            && self.status().is_some_and(|status| (100..200).contains(&status) && status != 101)
+    }
+
+    /// Values of the fields of the head that end at `end` and say where the body ends.
+    fn lengths(&self, end: usize) -> impl Iterator<Item = (&[u8], &[u8])> {
+        let fields = self.received[..end].split(|byte| *byte == b'\n').filter_map(|line| {
+            let colon = line.iter().position(|byte| *byte == b':')?;
+            Some((&line[..colon], line[colon + 1..].trim_ascii()))
+        });
+        fields.filter(|(name, _)| {
+            name.eq_ignore_ascii_case(b"content-length") || name.eq_ignore_ascii_case(b"transfer-encoding")
+        })
+    }
+
+    /// Whether the head announces a body that is not empty.
+    fn announces_body(&self, end: usize) -> bool {
+        self.lengths(end).any(|(name, value)| name.eq_ignore_ascii_case(b"transfer-encoding") || value != b"0")
     }
 
     /// Whether the head says where the body ends, or is of a response without a body, or is none that can be read.
     fn has_length(&self, end: usize) -> bool {
-        let Some(status) = self.status() else { return true };
-        let names = self.received[..end]
-            .split(|byte| *byte == b'\n')
-            .filter_map(|line| line.split(|byte| *byte == b':').next());
-        let mut lengths = names.filter(|name| {
-            name.eq_ignore_ascii_case(b"content-length") || name.eq_ignore_ascii_case(b"transfer-encoding")
-        });
-        matches!(status, b"101" | b"204" | b"304") || lengths.next().is_some()
+        self.minor_version() != Some(b'1')
+            || matches!(self.status(), Some(101 | 204 | 304))
+            || self.lengths(end).next().is_some()
     }
 }
