Test heads that arrive while an edge is suspended, and heads that don't end

Cause: the HTTP library judged its time for a head before it read the socket. Mended by the limits of clients, which count ticks at which the process runs. With the library's timer of 5 s put back, the first test fails each time with that 408, and the second as the slow connection isn't closed by the limits; both pass now.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -15,6 +15,7 @@
 mod platform_crasher;
 mod platform_departures;
 mod platform_duties;
+mod platform_heads;
 mod platform_job_routes;
 mod platform_jobs;
 mod platform_leaving;
