Start the longest texts of a step at the fastest upstreams, and continue texts that a step was ended without

Trainers whose texts are longest submit fewer steps: at a site with three trainers their steps took 7 to 9 s. A trace shows that no item waits for a slot and no long text is held up by a load: 145 events take 7.0 s at two thirds of the upstreams and 9.2 s at the others, and the upstream with the fewest requests was selected, whatever its speed.

A job's items take the upstream at which their text would be complete first; a text that turns out long moves to a faster one; texts that a trainer went on without are continued by its later step if versions fit. Ruled out: waits for slots, loads of weights, the split of upstreams by work (docs/design/room-between-trainers.md).

Not measured yet: no figures after the change.

--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -212,6 +212,11 @@
         if other_interval_ms.is_some_and(|ms| monitor.is_slower_than(ms)) {
             return FinishedRun::answered(RunOutcome::Interrupted, "moved_slow");
         }
+        let event_count = job.ledger.borrow().event_count(assignment.item_index);
+        if let Some(other_ms) = other_interval_ms.filter(|ms| monitor.is_worth_moving(*ms, event_count)) {
+            log_move(job, assignment, guard, event_count, monitor.event_interval_ms(), other_ms);
+            return FinishedRun::answered(RunOutcome::Interrupted, "moved_long");
+        }
         // Bytes that complete no event are no progress, however fast they arrive.
         let event_timeout = Duration::from_millis(monitor.unresponsive_at(other_interval_ms).since_ms(state.now()));
         if event_timeout.is_zero() {
@@ -267,6 +272,26 @@
     }
 }
 
+/// Logs why a run is moved to a faster upstream.
+fn log_move(
+    job: &OwnedJob,
+    assignment: &RunAssignment,
+    guard: &UpstreamGuard,
+    event_count: u64,
+    interval_ms: Option<u64>,
+    other_interval_ms: u64,
+) {
+    LogLine::new("run_moved")
+        .field("job", &job.id)
+        .field("item", &job.submission.items[assignment.item_index].id)
+        .field("upstream", &guard.record.id)
+        .field("requests", guard.inflight())
+        .field("events", event_count)
+        .field("interval_ms", interval_ms.unwrap_or(0))
+        .field("other_interval_ms", other_interval_ms)
+        .info();
+}
+
 /// Milliseconds per event at the fastest other upstream with a free slot for the item; `None` if none is recorded.
 fn fastest_other_interval_ms(job: &OwnedJob, item_index: usize, guard: &UpstreamGuard) -> Option<u64> {
     let model = item_model(job, item_index);
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -2,6 +2,7 @@
 
 use super::{
     PendingJob,
+    carried_items::{continue_texts, keep_texts},
     item_run::{item_model, run_item},
     job_reader::{has_chunk_from, read_all_results, read_checkpoints, read_submission},
     job_writer::{SubmittedJob, hand_over_job},
@@ -59,6 +60,9 @@
         if state.is_draining() && !job.ledger.borrow().is_settled() {
             hand_over(&job).await;
         }
+        if job.ledger.borrow().is_ended() {
+            keep_texts(&job);
+        }
         let ledger = job.ledger.borrow();
         let age_ms = state.now().since_ms(job.submitted_at);
         EdgeMetrics::global().batch_duration.observe(age_ms as f64 / 1_000.0);
@@ -219,7 +223,7 @@
         .field("revision", owner_revision)
         .info();
     state.jobs().job_opened(id, submission.clone(), results, owner_revision);
-    Some(OwnedJob {
+    let job = OwnedJob {
         state: state.clone(),
         upstream_client,
         store,
@@ -233,7 +237,9 @@
         ledger: Rc::new(RefCell::new(ledger)),
         run_failures: Rc::default(),
         ledger_changed: Rc::new(Notify::new()),
-    })
+    };
+    continue_texts(&job);
+    Some(job)
 }
 
 /// Options of the job, from its submission and its route. They stay as they are while this process runs the job. Without a
@@ -452,7 +458,7 @@
         software: assignment.software.as_deref(),
         failure_domain: &job.state.settings.failure_domain,
         excluded: &[],
-        capacity: CapacityNeed::FreeSlot,
+        capacity: CapacityNeed::TextSlot,
         affinity: &item.group,
         permits: queued_permits(&job.state, RequestUrgency::of_item(rule.priority), waiting_count),
     })
--- a/crates/kernel/src/sampler/mod.rs
+++ b/crates/kernel/src/sampler/mod.rs
@@ -6,6 +6,7 @@
 mod sampler_query;
 mod sampler_record;
 mod sampler_table;
+mod text_cost;
 
 pub use sampler_query::{CapacityNeed, PermitNeed, SamplerQuery};
 pub use sampler_record::{SamplerRecord, SamplerState};
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -8,6 +8,10 @@
 const BACKOFF_BASE_MS: u64 = 250;
 /// Longest backoff after failed requests; a restarting upstream is ready again within a few seconds.
 pub(super) const BACKOFF_MAX_MS: u64 = 4_000;
+/// Reciprocal of the weight of a new request in the moving average of the latency.
+const AVERAGE_DIVISOR: u64 = 8;
+/// Time for which a measured latency says how fast an upstream is: a few steps of a trainer.
+const LATENCY_TTL_MS: u64 = 20_000;
 /// Time after which one request is sent to an upstream with a limit although another one has a shorter expected wait,
 /// as only its response shows whether the limit has ended.
 const LIMIT_RECHECK_MS: u64 = 10_000;
@@ -34,6 +38,8 @@
     pub(super) model_backoff_until: BTreeMap<SharedName, TimePoint>,
     /// Moving average of the latency per unit of work.
     pub(super) latency_ms: Option<u64>,
+    /// When `latency_ms` no longer says how fast the upstream is: one that was slow for a while may have recovered.
+    pub(super) latency_until: TimePoint,
     /// Permits under the limit that the last response named; `None` if it named none.
     pub(super) pool: Option<PermitPool>,
     /// When a response last named no limit.
@@ -57,6 +63,7 @@
             pathless_until: TimePoint(0),
             model_backoff_until: BTreeMap::new(),
             latency_ms: None,
+            latency_until: TimePoint(0),
             pool: None,
             unlimited_at: TimePoint(0),
             responded_at: None,
@@ -64,6 +71,19 @@
         }
     }
 
+    /// Records the latency of a request, in milliseconds per unit of work.
+    pub(super) fn latency_measured(&mut self, ms: u64, now: TimePoint) {
+        let latency_ms =
+            self.latency_ms.map_or(ms, |average| (average * (AVERAGE_DIVISOR - 1) + ms) / AVERAGE_DIVISOR);
+        self.latency_ms = Some(latency_ms.max(1));
+        self.latency_until = now.plus_ms(LATENCY_TTL_MS);
+    }
+
+    /// Latency per unit of work, unless it was measured long ago.
+    pub(super) fn recent_latency_ms(&self, now: TimePoint) -> Option<u64> {
+        self.latency_ms.filter(|_| now < self.latency_until)
+    }
+
     /// Starts the backoff after a failed request.
     pub(super) fn failed(&mut self, now: TimePoint) {
         let backoff_ms = (BACKOFF_BASE_MS << self.failures.min(8)).min(BACKOFF_MAX_MS);
--- a/crates/kernel/src/sampler/sampler_query.rs
+++ b/crates/kernel/src/sampler/sampler_query.rs
@@ -12,6 +12,9 @@
     Queue,
     /// At least one free slot.
     FreeSlot,
+    /// At least one free slot, for a long text: the upstream at which it would be complete first is preferred to one with fewer
+    /// requests.
+    TextSlot,
     /// A free slot beyond those reserved for interactive requests. Used for scoring: at the end of a step hundreds of
     /// scoring requests are sent at once, to upstreams that also serve interactive requests such as price quotes.
     SpareSlot,
@@ -22,7 +25,7 @@
     pub(super) fn is_met(self, load: u64, slots: u64) -> bool {
         match self {
             Self::Queue => true,
-            Self::FreeSlot => load < slots,
+            Self::FreeSlot | Self::TextSlot => load < slots,
             Self::SpareSlot => load < slots - slots / RESERVED_SLOTS_DIVISOR,
         }
     }
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -1,9 +1,10 @@
 //! Table of the listed upstreams with their load, from which an upstream is selected for each request.
 
 use super::{
-    PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
+    CapacityNeed, PermitNeed, SamplerQuery, SamplerRecord, SamplerState,
     leaving_processes::LeavingProcesses,
     sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
+    text_cost::text_cost,
 };
 use crate::{LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, SharedName, TimePoint, rendezvous};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +15,6 @@
 const MODEL_REFUSAL_BACKOFF_MS: u64 = 300;
 /// Time for which the load that an upstream reported is valid.
 const LOAD_REPORT_TTL_MS: u64 = 1_000;
-/// Reciprocal of the weight of a new request in the moving average of the latency.
-const AVERAGE_DIVISOR: u64 = 8;
 /// Cost added for an upstream in another failure domain, in units of 1/[`COST_SCALE`].
 const OTHER_DOMAIN_COST: u64 = 150;
 /// Time for which the fastest upstreams are kept: a few events of a stream.
@@ -224,9 +223,12 @@
     /// with a permit.
     fn select(&self, query: &SamplerQuery<'_>, now: TimePoint) -> Selection {
         let mut fastest_ms = u64::MAX;
+        let (mut latency_sum, mut latency_count) = (0, 0);
         let mut candidates: Vec<&SamplerEntry> = Vec::new();
         for entry in self.entries.values().filter(|entry| entry.serves(query, now)) {
             fastest_ms = fastest_ms.min(entry.latency_ms.unwrap_or(u64::MAX));
+            latency_sum += entry.recent_latency_ms(now).unwrap_or(0);
+            latency_count += u64::from(entry.recent_latency_ms(now).is_some());
             let is_candidate = entry.is_available(query, now)
                 && query.capacity.is_met(entry.load(now), entry.record.slots)
                 && !query.excluded.contains(&entry.record.id);
@@ -241,6 +243,12 @@
         let cost = |entry: &SamplerEntry| {
             let is_other_domain = *entry.record.failure_domain != *query.failure_domain;
             let slots = entry.record.slots.max(1);
+            if query.capacity == CapacityNeed::TextSlot {
+                // An upstream of unknown speed is tried with a text of medium length.
+                let typical_ms = latency_sum.checked_div(latency_count).unwrap_or(1);
+                let latency_ms = entry.recent_latency_ms(now).unwrap_or(typical_ms);
+                return text_cost(latency_ms, entry.load(now), slots, is_other_domain);
+            }
             let wait = (entry.load(now) + 1) * COST_SCALE / slots + if is_other_domain { OTHER_DOMAIN_COST } else { 0 };
             wait * entry.latency_ms.unwrap_or(fastest_ms) / fastest_ms
         };
@@ -376,9 +384,7 @@
             SamplerOutcome::Answered(latency_ms) => {
                 entry.failures = 0;
                 if let Some(ms) = latency_ms {
-                    let latency_ms =
-                        entry.latency_ms.map_or(ms, |average| (average * (AVERAGE_DIVISOR - 1) + ms) / AVERAGE_DIVISOR);
-                    entry.latency_ms = Some(latency_ms.max(1));
+                    entry.latency_measured(ms, now);
                 }
             }
             SamplerOutcome::Refused => entry.backoff_until = entry.backoff_until.max(now.plus_ms(REFUSAL_BACKOFF_MS)),
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -19,6 +19,7 @@
 mod routes;
 mod small_machines;
 mod steps;
+mod text_finish;
 mod streams;
 mod suspects;
 mod terms;
