--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -51,10 +51,6 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Ended runs of batch items, by result.
     pub item_runs: Family<ReasonLabel, Counter>,
-    /// Items of batch jobs that begin with the text of an earlier job: `complete` if only the score is missing, or `continued`.
-    pub carried_items: Family<ReasonLabel, Counter>,
-    /// Size of the texts that are kept for later jobs, in bytes.
-    pub carried_bytes: Gauge,
     /// Owned batch jobs that wait before they are run, by reason: `config_older` than the one under which the job was accepted.
     pub job_waits: Family<ReasonLabel, Counter>,
     /// Reads of results of batch jobs, by the source of the answer: `own_memory`, `owner_peer` or `store`.
@@ -128,8 +124,6 @@
             refusals: Family::default(),
             retries: Family::default(),
             item_runs: Family::default(),
-            carried_items: Family::default(),
-            carried_bytes: Gauge::default(),
             job_waits: Family::default(),
             result_reads: Family::default(),
             score_calls: Family::default(),
@@ -158,8 +152,6 @@
         registry.register("refusals", "Refused requests by reason", metrics.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", metrics.retries.clone());
         registry.register("item_runs", "Runs of batch items by end", metrics.item_runs.clone());
-        registry.register("carried_items", "Items that begin with the text of an earlier job", metrics.carried_items.clone());
-        registry.register("carried_bytes", "Bytes of texts kept for later jobs", metrics.carried_bytes.clone());
         registry.register("job_waits", "Owned jobs that wait by reason", metrics.job_waits.clone());
         registry.register("result_reads", "Reads of results by source", metrics.result_reads.clone());
         registry.register("item_scores", "Calls of scorers by end", metrics.score_calls.clone());
--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -110,7 +110,10 @@
         .field("path", guard.path_text())
         .field("listed_version", listed_version(&job, assignment.item_index, &guard))
         .field("resumed_after", assignment.resume_after.map_or_else(|| "none".to_owned(), |last| last.to_string()))
+        .field("expected_tokens", job.submission.items[assignment.item_index].expected_tokens())
         .field("events", new_event_count)
+        .field("interval_ms", monitor.event_interval_ms().map_or_else(|| "none".to_owned(), |ms| ms.to_string()))
+        .field("requests", guard.inflight())
         .field("took_ms", took_ms)
         .field("result", run.reason)
         .info();
@@ -212,11 +215,6 @@
         if other_interval_ms.is_some_and(|ms| monitor.is_slower_than(ms)) {
             return FinishedRun::answered(RunOutcome::Interrupted, "moved_slow");
         }
-        let event_count = job.ledger.borrow().event_count(assignment.item_index);
-        if let Some(other_ms) = other_interval_ms.filter(|ms| monitor.is_worth_moving(*ms, event_count)) {
-            log_move(job, assignment, guard, event_count, monitor.event_interval_ms(), other_ms);
-            return FinishedRun::answered(RunOutcome::Interrupted, "moved_long");
-        }
         // Bytes that complete no event are no progress, however fast they arrive.
         let event_timeout = Duration::from_millis(monitor.unresponsive_at(other_interval_ms).since_ms(state.now()));
         if event_timeout.is_zero() {
@@ -272,26 +270,6 @@
     }
 }
 
-/// Logs why a run is moved to a faster upstream.
-fn log_move(
-    job: &OwnedJob,
-    assignment: &RunAssignment,
-    guard: &UpstreamGuard,
-    event_count: u64,
-    interval_ms: Option<u64>,
-    other_interval_ms: u64,
-) {
-    LogLine::new("run_moved")
-        .field("job", &job.id)
-        .field("item", &job.submission.items[assignment.item_index].id)
-        .field("upstream", &guard.record.id)
-        .field("requests", guard.inflight())
-        .field("events", event_count)
-        .field("interval_ms", interval_ms.unwrap_or(0))
-        .field("other_interval_ms", other_interval_ms)
-        .info();
-}
-
 /// Milliseconds per event at the fastest other upstream with a free slot for the item; `None` if none is recorded.
 fn fastest_other_interval_ms(job: &OwnedJob, item_index: usize, guard: &UpstreamGuard) -> Option<u64> {
     let model = item_model(job, item_index);
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -2,7 +2,7 @@
 
 use super::result_cache::ResultCache;
 use bytes::Bytes;
-use pimentoslip_kernel::{CarriedTexts, LedgerState, ListingRecord, OwnerStanding, OwnerView, SharedName, TimePoint, WatchStart};
+use pimentoslip_kernel::{LedgerState, ListingRecord, OwnerStanding, OwnerView, SharedName, TimePoint, WatchStart};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
 use std::{
@@ -10,9 +10,6 @@
     sync::Arc,
 };
 
-/// Texts of ended jobs may take this fraction of the memory for results.
-const CARRIED_MEMORY_DIVISOR: usize = 4;
-
 /// Stored state of a batch job, as far as this process has read it.
 #[derive(Clone, Debug)]
 pub struct JobView {
@@ -64,8 +61,6 @@
     running: HashMap<SharedName, Option<OpenedJob>>,
     /// Results of jobs that this process runs or ran, readable without the store.
     results: ResultCache,
-    /// Texts that ended jobs have left for later ones.
-    carried_texts: CarriedTexts,
     /// Submission times of the running jobs that have waiting items, by route and job.
     waiting: BTreeMap<(SharedName, SharedName), TimePoint>,
 }
@@ -80,7 +75,6 @@
             pending: HashMap::new(),
             running: HashMap::new(),
             results: ResultCache::new(results_bytes_max),
-            carried_texts: CarriedTexts::new(results_bytes_max / CARRIED_MEMORY_DIVISOR),
             waiting: BTreeMap::new(),
         }
     }
@@ -260,11 +254,6 @@
         self.running.get(job)?.as_ref().map(|opened| opened.submission.clone())
     }
 
-    /// Texts that ended jobs have left for later ones.
-    pub fn carried_texts(&mut self) -> &mut CarriedTexts {
-        &mut self.carried_texts
-    }
-
     /// Removes `job`, which this process no longer runs, from the running and the waiting jobs.
     pub fn job_released(&mut self, job: &str) {
         self.running.remove(job);
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -2,7 +2,6 @@
 
 use super::{
     PendingJob,
-    carried_items::{continue_texts, keep_texts},
     item_run::{item_model, run_item},
     job_reader::{has_chunk_from, read_all_results, read_checkpoints, read_submission},
     job_writer::{SubmittedJob, hand_over_job},
@@ -60,9 +59,6 @@
         if state.is_draining() && !job.ledger.borrow().is_settled() {
             hand_over(&job).await;
         }
-        if job.ledger.borrow().is_ended() {
-            keep_texts(&job);
-        }
         let ledger = job.ledger.borrow();
         let age_ms = state.now().since_ms(job.submitted_at);
         EdgeMetrics::global().batch_duration.observe(age_ms as f64 / 1_000.0);
@@ -223,7 +219,7 @@
         .field("revision", owner_revision)
         .info();
     state.jobs().job_opened(id, submission.clone(), results, owner_revision);
-    let job = OwnedJob {
+    Some(OwnedJob {
         state: state.clone(),
         upstream_client,
         store,
@@ -237,9 +233,7 @@
         ledger: Rc::new(RefCell::new(ledger)),
         run_failures: Rc::default(),
         ledger_changed: Rc::new(Notify::new()),
-    };
-    continue_texts(&job);
-    Some(job)
+    })
 }
 
 /// Options of the job, from its submission and its route. They stay as they are while this process runs the job. Without a
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -1,6 +1,5 @@
 //! Batch jobs: submissions, stored results, and the execution of the jobs that this daemon owns.
 
-mod carried_items;
 mod claim_task;
 mod item_run;
 mod job_index;
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -1,7 +1,7 @@
 //! Scheduling, progress and results of one batch job, kept by the daemon that owns the job.
 
 use super::{
-    BatchOptions, CarriedText, EventOutcome, FailureCount, ItemResult, ItemSpec, ItemState, JobCheckpoint, LedgerState, ResultChunk,
+    BatchOptions, EventOutcome, FailureCount, ItemResult, ItemSpec, ItemState, JobCheckpoint, LedgerState, ResultChunk,
     RunAssignment, RunOutcome, SampleText, ScoreOutcome, UnfinishedItem,
 };
 use crate::{SharedName, TimePoint};
@@ -124,12 +124,6 @@
         }
     }
 
-    /// Limits and requirements of the job.
-    #[must_use]
-    pub fn options(&self) -> BatchOptions {
-        self.options
-    }
-
     /// State that the next owner needs in addition to the stored results and checkpoints.
     #[must_use]
     pub fn handover_state(&self) -> LedgerState {
@@ -178,39 +172,6 @@
         }
     }
 
-    /// Texts of the unlisted items, by index. The submitter does not have their groups completely, and may submit them again.
-    #[must_use]
-    pub fn unlisted_texts(&self) -> Vec<(usize, CarriedText)> {
-        let LedgerState { unlisted, items, .. } = self.handover_state();
-        let finished = unlisted.into_iter().filter(|result| result.state == ItemState::Completed).map(|result| {
-            let text = SampleText::complete(result.text, result.versions);
-            (result.item_index, CarriedText { text, is_complete: true })
-        });
-        let unfinished = items
-            .into_iter()
-            .map(|item| (item.item_index, CarriedText { text: item.text, is_complete: item.is_complete }));
-        finished.chain(unfinished).collect()
-    }
-
-    /// Groups of which not all items are listed.
-    #[must_use]
-    pub fn incomplete_groups(&self) -> BTreeSet<SharedName> {
-        let pending = self.pending_chunk.iter().flat_map(|chunk| &chunk.results);
-        let unlisted = pending.chain(&self.unlisted).map(|result| result.item_index);
-        let unfinished = (0..self.items.len()).filter(|item_index| self.items[*item_index].phase != ItemPhase::Finished);
-        unlisted.chain(unfinished).filter_map(|item_index| Some(self.items.get(item_index)?.spec.group.clone())).collect()
-    }
-
-    /// Continues a waiting item without a text from the text that an earlier job has left. Returns whether it does.
-    pub fn continue_from(&mut self, item_index: usize, carried: CarriedText) -> bool {
-        let CarriedText { text, is_complete } = carried;
-        let Some(item) = self.items.get(item_index).filter(|item| item.text.last_event().is_none()) else { return false };
-        let FailureCount { run_failures, score_failures } = item.failures;
-        let unfinished = UnfinishedItem { item_index, text, is_complete, run_failures, score_failures };
-        self.restore(LedgerState { items: vec![unfinished], ..LedgerState::default() });
-        self.items.get(item_index).is_some_and(|item| item.text.last_event().is_some())
-    }
-
     /// Restores the texts and failures of waiting items from all stored checkpoints, which are passed in the order of
     /// their numbers.
     pub fn replay_checkpoints(&mut self, checkpoints: &[JobCheckpoint]) {
--- a/crates/kernel/src/batch/mod.rs
+++ b/crates/kernel/src/batch/mod.rs
@@ -3,7 +3,6 @@
 mod acceptance_bound;
 mod batch_ledger;
 mod batch_options;
-mod carried_texts;
 mod item_result;
 mod job_checkpoint;
 mod ledger_state;
@@ -14,7 +13,6 @@
 pub use acceptance_bound::AcceptanceBound;
 pub use batch_ledger::BatchLedger;
 pub use batch_options::{BatchOptions, EventOutcome, ItemSpec, RunAssignment, RunOutcome, ScoreOutcome};
-pub use carried_texts::{CarriedText, CarriedTexts, ItemIdentity};
 pub use item_result::{ItemResult, ItemState};
 pub use job_checkpoint::{FailureCount, JobCheckpoint, TextPart};
 pub use ledger_state::{LedgerState, ResultChunk, UnfinishedItem};
--- a/crates/kernel/src/batch/run_monitor.rs
+++ b/crates/kernel/src/batch/run_monitor.rs
@@ -9,8 +9,6 @@
 /// A run is moved if its interval is more than this many times that of another upstream. Resuming the text there costs
 /// about the time of one event.
 const SLOW_FACTOR: u64 = 2;
-/// A run of a long text is moved if that saves this much time, several times what moving it costs.
-const SAVED_MS_MIN: u64 = 400;
 /// A run is unresponsive after this many event intervals of another upstream without an event.
 const TIMEOUT_INTERVALS: u64 = 12;
 /// Lower limit of the timeout. An upstream that preempted a run takes less time than this to process its text again.
@@ -66,15 +64,6 @@
         self.event_interval_ms().is_some_and(|interval_ms| interval_ms > other_interval_ms.max(1) * SLOW_FACTOR)
     }
 
-    /// Whether a text with `event_count` events would be complete so much sooner at an upstream with an event interval of
-    /// `other_interval_ms` that its run should be moved there. Most texts are short and few are several times as long, so that
-    /// a text is expected to have as many further events as it has already.
-    #[must_use]
-    pub fn is_worth_moving(&self, other_interval_ms: u64, event_count: u64) -> bool {
-        let gain_ms = self.event_interval_ms().map_or(0, |interval_ms| interval_ms.saturating_sub(other_interval_ms.max(1)));
-        gain_ms.saturating_mul(event_count) >= SAVED_MS_MIN
-    }
-
     /// Time at which the run counts as unresponsive unless an event arrives before. `other_interval_ms` is the event
     /// interval of the fastest other upstream, if known.
     #[must_use]
--- a/crates/kernel/src/batch/sample_text.rs
+++ b/crates/kernel/src/batch/sample_text.rs
@@ -34,12 +34,6 @@
 }
 
 impl SampleText {
-    /// A complete text, which is not continued, so that the number of its events does not matter.
-    #[must_use]
-    pub fn complete(text: String, versions: Vec<u64>) -> Self {
-        Self { text, last_event: Some(FIRST_EVENT_NUMBER), versions, ..Self::default() }
-    }
-
     /// Number of the last event; `None` if there are no events.
     #[must_use]
     pub fn last_event(&self) -> Option<u64> {
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -73,8 +73,7 @@
 
     /// Records the latency of a request, in milliseconds per unit of work.
     pub(super) fn latency_measured(&mut self, ms: u64, now: TimePoint) {
-        let latency_ms =
-            self.latency_ms.map_or(ms, |average| (average * (AVERAGE_DIVISOR - 1) + ms) / AVERAGE_DIVISOR);
+        let latency_ms = self.latency_ms.map_or(ms, |average| (average * (AVERAGE_DIVISOR - 1) + ms) / AVERAGE_DIVISOR);
         self.latency_ms = Some(latency_ms.max(1));
         self.latency_until = now.plus_ms(LATENCY_TTL_MS);
     }
