--- a/crates/kernel/tests/machines/text_finish.rs
+++ b/crates/kernel/tests/machines/text_finish.rs
@@ -35,9 +35,9 @@
     table
 }
 
-/// Lengths of the texts of a step, the longest first: one in twelve is several times as long as the others.
+/// Lengths of the texts of a step, the longest first: one in four is several times as long as the others.
 fn lengths(longest: u64) -> Vec<u64> {
-    (0..72).map(|index| if index < 6 { longest - index } else { 20 - index / 6 }).collect()
+    (0..72).map(|index| if index < 18 { longest - index } else { 20 - index / 6 }).collect()
 }
 
 /// When the last text of a step is complete whose items are dispatched at `now`, in milliseconds from then on.
