--- a/crates/edge/src/job/item_run.rs
+++ b/crates/edge/src/job/item_run.rs
@@ -110,7 +110,10 @@
         .field("path", guard.path_text())
         .field("listed_version", listed_version(&job, assignment.item_index, &guard))
         .field("resumed_after", assignment.resume_after.map_or_else(|| "none".to_owned(), |last| last.to_string()))
+        .field("expected_tokens", job.submission.items[assignment.item_index].expected_tokens())
         .field("events", new_event_count)
+        .field("interval_ms", monitor.event_interval_ms().map_or_else(|| "none".to_owned(), |ms| ms.to_string()))
+        .field("requests", guard.inflight())
         .field("took_ms", took_ms)
         .field("result", run.reason)
         .info();
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -485,7 +485,7 @@
         failure_domain: &job.state.settings.failure_domain,
         homes,
         excluded: &[],
-        capacity: CapacityNeed::FreeSlot,
+        capacity: CapacityNeed::TextSlot,
         affinity: &item.group,
         permits: queued_permits(&job.state, RequestUrgency::of_item(rule.priority), waiting_count),
     })
--- a/crates/kernel/src/sampler/mod.rs
+++ b/crates/kernel/src/sampler/mod.rs
@@ -7,6 +7,7 @@
 mod sampler_query;
 mod sampler_record;
 mod sampler_table;
+mod text_cost;
 mod withhold_reason;
 
 pub use evacuation_table::EvacuationTable;
--- a/crates/kernel/src/sampler/sampler_query.rs
+++ b/crates/kernel/src/sampler/sampler_query.rs
@@ -16,6 +16,9 @@
     OwnSlot,
     /// At least one free slot.
     FreeSlot,
+    /// At least one free slot, for a long text: the upstream at which it would be complete first is preferred to one with fewer
+    /// requests.
+    TextSlot,
     /// A free slot beyond those reserved for interactive requests. Used for scoring: at the end of a step hundreds of
     /// scoring requests are sent at once, to upstreams that also serve interactive requests such as price quotes.
     SpareSlot,
@@ -28,7 +31,7 @@
         match self {
             Self::Queue => true,
             Self::OwnSlot => entry.inflight < slots.max(1) || !entry.record.versions.is_empty(),
-            Self::FreeSlot => entry.load(now) < slots,
+            Self::FreeSlot | Self::TextSlot => entry.load(now) < slots,
             Self::SpareSlot => entry.load(now) < slots - slots / RESERVED_SLOTS_DIVISOR,
         }
     }
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -24,6 +24,7 @@
 mod streams;
 mod suspects;
 mod terms;
+mod text_finish;
 mod usage;
 mod versions;
 mod waiting;
