Waiting line: no permit is taken for a request that must not run; sums of listed slots do not overflow

The check for requests that crash upstreams comes before the selection again, and after a wait. The meters of organisations that send nothing any more are dropped when a line forms.

--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -134,13 +134,16 @@
         && history.path_failures <= PATH_FAILURES_MAX
         && state.now() < call.deadline
     {
+        let suspect_refusal = || if is_marked() { suspect_refusal(parts, target, *repeat_fingerprint) } else { None };
+        history.suspect_refusal = suspect_refusal();
+        if history.suspect_refusal.is_some() {
+            break;
+        }
         let Some(mut guard) = next_upstream(state, plan, &mut history).await else { break };
         // Marks may have arrived while the request waited.
-        if is_marked() {
-            history.suspect_refusal = suspect_refusal(parts, target, *repeat_fingerprint);
-            if history.suspect_refusal.is_some() {
-                break;
-            }
+        history.suspect_refusal = suspect_refusal();
+        if history.suspect_refusal.is_some() {
+            break;
         }
         if history.path_failures > 0 {
             guard.prefer_relay();
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -538,18 +538,18 @@
     /// What keeps the query from an upstream, if none is selected for it.
     #[must_use]
     pub fn room_outlook(&self, query: &SamplerQuery<'_>, now: TimePoint) -> RoomOutlook {
-        let (mut running, mut used_slots, mut all_slots) = (0, 0, 0);
+        let (mut running, mut used_slots, mut all_slots) = (0_u64, 0_u64, 0_u64);
         let mut refused_until = None;
         let mut is_refused = true;
         for entry in self.entries.values().filter(|entry| entry.serves(query, now)) {
-            all_slots += entry.record.slots.max(1);
+            all_slots = all_slots.saturating_add(entry.record.slots.max(1));
             if entry.is_available(query, now) && entry.is_permitted(query, now) {
                 is_refused = false;
                 if entry.record.versions.is_empty() {
                     // A slot that is free at this moment is about to be handed to a waiting request.
                     let slots = entry.record.slots.max(1);
-                    running += entry.inflight.max(slots);
-                    used_slots += slots;
+                    running = running.saturating_add(entry.inflight.max(slots));
+                    used_slots = used_slots.saturating_add(slots);
                 }
             } else if entry.is_refusing(now) {
                 let until = entry.refused_until;
@@ -560,7 +560,7 @@
         }
         match refused_until {
             // Slots at upstreams that are not available now may be free sooner.
-            _ if running > 0 && used_slots * KNOWN_SLOTS_DIVISOR >= all_slots => RoomOutlook::SlotsInUse { running },
+            _ if running > 0 && used_slots >= all_slots / KNOWN_SLOTS_DIVISOR => RoomOutlook::SlotsInUse { running },
             Some(until) if is_refused => RoomOutlook::Refused { until },
             _ => RoomOutlook::Unknown,
         }
--- a/crates/kernel/src/waiting/waiting_line.rs
+++ b/crates/kernel/src/waiting/waiting_line.rs
@@ -76,6 +76,8 @@
     ) -> Result<(QueueTicket, TimePoint), LineRefusal> {
         if self.waiters.is_empty() {
             self.busy_since = now;
+            self.meters.retain(|_, meter| !meter.is_idle(now));
+            self.returns.retain(|_, returns_at| *returns_at > now);
         }
         self.count_entry(&request, now);
         let bytes = self.bytes.saturating_add(request.bytes);
