--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -523,12 +523,14 @@
     }
 
     /// Handles a load report of the upstream `id`. `requests` is its number of running and queued requests, including
-    /// those of this daemon. A free slot ends the backoff after a refusal. Returns whether it did.
+    /// those of this daemon. A free slot ends the backoff after a refusal, but for upstreams that serve models, which also
+    /// refuse requests while they load weights. Returns whether it did.
     pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) -> bool {
         let Some(entry) = self.entries.get_mut(id) else { return false };
         entry.others_load = requests.min(REPORTED_LOAD_MAX).saturating_sub(entry.inflight);
         entry.others_load_until = now.plus_ms(LOAD_REPORT_TTL_MS);
-        let has_room = requests < entry.record.slots && entry.refused_until > now;
+        let is_plain = entry.record.versions.is_empty();
+        let has_room = is_plain && requests < entry.record.slots && entry.refused_until > now;
         if has_room {
             entry.refused_until = now;
         }
