--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -588,12 +588,14 @@
     }
 
     /// Handles a load report of the upstream `id`. `requests` is its number of running and queued requests, including
-    /// those of this daemon. A free slot ends the backoff after a refusal. Returns whether it did.
+    /// those of this daemon. A free slot ends the backoff after a refusal, but for upstreams that serve models, which also
+    /// refuse requests while they load weights. Returns whether it did.
     pub fn load_reported(&mut self, id: &str, requests: u64, now: TimePoint) -> bool {
         let Some(entry) = self.entries.get_mut(id) else { return false };
         entry.others_load = requests.min(REPORTED_LOAD_MAX).saturating_sub(entry.inflight);
         entry.others_load_until = now.plus_ms(LOAD_REPORT_TTL_MS);
-        let has_room = requests < entry.record.slots && entry.refused_until > now;
+        let is_plain = entry.record.versions.is_empty();
+        let has_room = is_plain && requests < entry.record.slots && entry.refused_until > now;
         if has_room {
             entry.refused_until = now;
         }
@@ -603,18 +605,18 @@
     /// What keeps the query from an upstream, if none is selected for it.
     #[must_use]
     pub fn room_outlook(&self, query: &SamplerQuery<'_>, now: TimePoint) -> RoomOutlook {
-        let (mut running, mut used_slots, mut all_slots) = (0, 0, 0);
+        let (mut running, mut used_slots, mut all_slots) = (0_u64, 0_u64, 0_u64);
         let mut refused_until = None;
         let mut is_refused = true;
         for entry in self.entries.values().filter(|entry| entry.serves(query, now)) {
-            all_slots += entry.record.slots.max(1);
+            all_slots = all_slots.saturating_add(entry.record.slots.max(1));
             if entry.is_available(query, now) && entry.is_permitted(query, now) {
                 is_refused = false;
                 if entry.record.versions.is_empty() {
                     // A slot that is free at this moment is about to be handed to a waiting request.
                     let slots = entry.record.slots.max(1);
-                    running += entry.inflight.max(slots);
-                    used_slots += slots;
+                    running = running.saturating_add(entry.inflight.max(slots));
+                    used_slots = used_slots.saturating_add(slots);
                 }
             } else if entry.is_refusing(now) {
                 let until = entry.refused_until;
@@ -625,7 +627,7 @@
         }
         match refused_until {
             // Slots at upstreams that are not available now may be free sooner.
-            _ if running > 0 && used_slots * KNOWN_SLOTS_DIVISOR >= all_slots => RoomOutlook::SlotsInUse { running },
+            _ if running > 0 && used_slots >= all_slots / KNOWN_SLOTS_DIVISOR => RoomOutlook::SlotsInUse { running },
             Some(until) if is_refused => RoomOutlook::Refused { until },
             _ => RoomOutlook::Unknown,
         }
