--- a/crates/kernel/src/sampler/text_cost.rs
+++ b/crates/kernel/src/sampler/text_cost.rs
@@ -13,7 +13,8 @@
 /// Cost of an upstream that takes `latency_ms` for an event, with `load` requests on `slots` slots.
 pub(super) fn text_cost(latency_ms: u64, load: u64, slots: u64, is_other_domain: bool) -> u64 {
     let slots = slots.max(1);
-    let domain_cost = if is_other_domain { OTHER_DOMAIN_PERCENT * slots } else { 0 };
-    let slowdown = FULL_SLOWDOWN_PERCENT.saturating_mul(load.saturating_add(1)).saturating_add(domain_cost);
-    latency_ms.saturating_mul(slowdown.saturating_add(100 * slots)) * 10 / slots
+    let load_cost = FULL_SLOWDOWN_PERCENT.saturating_mul(load.saturating_add(1));
+    let base_percent = 100 + if is_other_domain { OTHER_DOMAIN_PERCENT } else { 0 };
+    let slowdown = base_percent.saturating_mul(slots).saturating_add(load_cost);
+    latency_ms.saturating_mul(slowdown).saturating_mul(10) / slots
 }
