--- a/crates/server/src/client_connection.rs
+++ b/crates/server/src/client_connection.rs
@@ -47,7 +47,7 @@
 enum ReadState {
     /// Bytes of a head.
     Head,
-    /// Nothing: a complete head was passed on, whose request has not begun.
+    /// Nothing: a complete head was passed on, whose request has not started.
     HeadPassed,
     /// The body of the request in progress, `allowance` bytes at most.
     Body { end: BodyEnd, allowance: usize },
--- a/crates/server/src/http_listener.rs
+++ b/crates/server/src/http_listener.rs
@@ -129,9 +129,9 @@
     B: MessageBody + 'static,
     O: LimitObserver,
 {
-    let begun = begin_request(&mut request).map(|(connection, turn)| (connection, turn, app.call(request)));
+    let started = begin_request(&mut request).map(|(connection, turn)| (connection, turn, app.call(request)));
     async move {
-        let Some((connection, turn, answer)) = begun else {
+        let Some((connection, turn, answer)) = started else {
             let mut response = observer.request_refused();
             response.head_mut().set_connection_type(ConnectionType::Close);
             return Err(response);
