--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -63,6 +63,8 @@
     pub upstream_crashes: Counter,
     /// Changes of the limits that upstreams name: `named`, `ended` or `malformed`.
     pub limit_changes: Family<ReasonLabel, Counter>,
+    /// Upstreams that turned cold, by what showed it.
+    pub cold_upstreams: Family<ReasonLabel, Counter>,
     /// Requests for permits of one upstream, by result: `granted`, `unmet`, `ended` if the upstream names no limit any
     /// more, `unresponsive`, `malformed`, or `deferred` by the bound on calls.
     pub permit_asks: Family<ReasonLabel, Counter>,
@@ -130,6 +132,7 @@
             task_failures: Family::default(),
             upstream_crashes: Counter::default(),
             limit_changes: Family::default(),
+            cold_upstreams: Family::default(),
             permit_asks: Family::default(),
             stream_lookups: Family::default(),
             read_gaps: Family::default(),
@@ -157,6 +160,7 @@
         registry.register("item_scores", "Calls of scorers by end", metrics.score_calls.clone());
         registry.register("task_failures", "Panics of background tasks", metrics.task_failures.clone());
         registry.register("upstream_crashes", "Crashes of upstreams under a request", metrics.upstream_crashes.clone());
+        registry.register("cold_upstreams", "Upstreams that turned cold", metrics.cold_upstreams.clone());
         registry.register("limit_changes", "Changes of limits named by upstreams", metrics.limit_changes.clone());
         registry.register("permit_asks", "Requests for permits by result", metrics.permit_asks.clone());
         registry.register(
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -265,6 +265,16 @@
         true
     }
 
+    /// Applies what the configuration says of cold upstreams.
+    pub fn apply_cold_rules(&self) {
+        let Some(config) = self.config() else { return };
+        let rules = config.services.values().filter_map(|service| {
+            let rule = service.cold?.within(self.settings.cold_allowance);
+            Some((service.name.clone(), rule))
+        });
+        self.upstreams().set_cold_rules(rules.collect(), self.now());
+    }
+
     /// Whether every configuration is known that was written before the time within which one must be in force.
     #[must_use]
     pub fn is_config_current(&self) -> bool {
@@ -285,6 +295,14 @@
         self.now().since_ms(confirmed_at) <= self.settings.upstream_drain_ms
     }
 
+    /// Whether the list of daemons is as new as that of any other one: nobody has taken this daemon for gone long enough to
+    /// act in its place.
+    #[must_use]
+    pub fn are_daemons_confirmed(&self) -> bool {
+        let confirmed_at = self.change_log(KeyLayout::WATCHED_PREFIX).map_or(TimePoint(0), PrefixLog::confirmed_at);
+        self.now().since_ms(confirmed_at) <= coordination_apply_ms(&self.settings)
+    }
+
     /// The recent changes below `prefix`; `None` if it is not followed.
     #[must_use]
     pub fn change_log(&self, prefix: &str) -> Option<&PrefixLog> {
--- a/crates/edge/src/limit/permit_task.rs
+++ b/crates/edge/src/limit/permit_task.rs
@@ -28,7 +28,7 @@
         let present: BTreeSet<SharedName> = state.ownership().daemons().map(|(daemon, _)| daemon.clone()).collect();
         state.coordinators().daemons_listed(&present, now);
         let mut asks_by_daemon: BTreeMap<SharedName, Vec<PermitAsk>> = BTreeMap::new();
-        for ask in state.upstreams().start_asks() {
+        for ask in state.upstreams().start_asks(now) {
             let coordinator = state.coordinators().coordinator(&ask.upstream, now);
             asks_by_daemon.entry(coordinator).or_default().push(ask);
         }
@@ -54,9 +54,9 @@
 
 /// Grants permits of one upstream.
 fn grant_permit(state: &EdgeState, ask: &PermitAsk, now: TimePoint) -> PermitAnswer {
-    let observation = state.upstreams().limit_observation(&ask.upstream, ask.started_unix_ms);
-    let share = state.coordinators().own_share(&ask.upstream, now);
-    state.grants().grant(ask, observation, share, now)
+    let observation = state.upstreams().limit_observation(&ask.upstream, ask.started_unix_ms, now);
+    let shares = state.coordinators().own_shares(&ask.upstream, state.are_daemons_confirmed(), now);
+    state.grants().grant(ask, observation, shares, now)
 }
 
 /// Requests permits from the coordinator `daemon`.
@@ -91,13 +91,14 @@
 /// Passes granted permits to the requests that wait for them.
 fn permits_received(state: &EdgeState, answers: Vec<PermitAnswer>) {
     for answer in answers {
-        let result = match (answer.observation.limit, answer.blocked) {
+        let now = state.now();
+        let result = match (answer.observation.limit_at(now), answer.blocked) {
             (None, _) => "ended",
             (Some(_), Some(_)) => "unmet",
             (Some(_), None) => "granted",
         };
         EdgeMetrics::increment(&EdgeMetrics::global().permit_asks, result);
-        state.upstreams().permits_answered(&answer);
+        state.upstreams().permits_answered(&answer, now);
     }
     state.permits_changed.notify_waiters();
 }
--- a/crates/edge/src/store/operator_keys.rs
+++ b/crates/edge/src/store/operator_keys.rs
@@ -45,6 +45,9 @@
             Ok(config) => {
                 let version = config.version;
                 let applied = self.state.apply_config(config);
+                if applied {
+                    self.state.apply_cold_rules();
+                }
                 LogLine::new("config")
                     .field("version", version)
                     .field("revision", store_entry.revision)
--- a/crates/edge/src/store/upstream_keys.rs
+++ b/crates/edge/src/store/upstream_keys.rs
@@ -7,8 +7,10 @@
     peer_client::PeerClient,
     suspect::{upstream_delisted, upstream_listed},
 };
-use pimentoslip_kernel::{LapseWindow, SharedName, TimePoint};
-use pimentoslip_platform::{RangePage, StoreChange, StoreEntry, UPSTREAM_PREFIX, decode_upstream_record, upstream_id};
+use pimentoslip_kernel::{ColdPeriod, LapseWindow, SharedName, TimePoint};
+use pimentoslip_platform::{
+    RangePage, StoreChange, StoreEntry, UPSTREAM_PREFIX, UpstreamRegistration, decode_upstream_record, upstream_id,
+};
 use pimentoslip_telemetry::LogLine;
 use std::{ops::RangeInclusive, sync::Arc};
 
@@ -29,14 +31,14 @@
     }
 
     /// Applies the entry of an upstream that is in the snapshot or was written after it.
-    fn entry_written(&self, store_entry: &StoreEntry) {
+    fn entry_written(&self, store_entry: &StoreEntry, now: TimePoint) {
         let Some(id) = upstream_id(&store_entry.key) else { return };
         if self.state.upstreams().is_missing(id) {
             count_missing("listed_again");
             LogLine::new("upstream_listed_again").field("upstream", id).field("revision", store_entry.revision).info();
         }
         match decode_upstream_record(id, &store_entry.value) {
-            Ok(record) => {
+            Ok(UpstreamRegistration { record, cold_ms }) => {
                 upstream_listed(&self.state, &record);
                 let is_new = {
                     let upstreams = self.state.upstreams();
@@ -62,7 +64,11 @@
                         .field("revision", store_entry.revision)
                         .info();
                 }
+                let age_ms = if is_new { self.process_age_ms(record.started_unix_ms) } else { None };
                 upstreams.upsert(record);
+                if let Some(period) = upstreams.cold_listed(id, cold_ms, age_ms, now) {
+                    log_cold(id, period, cold_ms, age_ms, now);
+                }
             }
             Err(error) => {
                 LogLine::new("upstream_unreadable").field("upstream", id).field("reason", error).warn();
@@ -71,6 +77,15 @@
         }
     }
 
+    /// Age in milliseconds of a process that was not listed before: 0 if it has appeared since the first list, which holds all
+    /// older ones. `None` if that list names no start.
+    fn process_age_ms(&self, started_unix_ms: u64) -> Option<u64> {
+        if self.revision > 0 {
+            return Some(0);
+        }
+        (started_unix_ms > 0).then(|| self.state.unix_ms().saturating_sub(started_unix_ms))
+    }
+
     /// Removes an upstream whose entry was removed from the store at one of `revisions`. One whose entry may have lapsed in an outage of the store is
     /// kept until the entry is overdue.
     fn entry_removed(&self, id: &str, revisions: &RangeInclusive<u64>, now: TimePoint) {
@@ -111,6 +126,19 @@
     }
 }
 
+/// Logs that an upstream is cold from now on, with what its entry says and whether its process is new.
+fn log_cold(id: &str, period: ColdPeriod, listed_ms: u64, age_ms: Option<u64>, now: TimePoint) {
+    let reason = if age_ms.is_some() { "started" } else { "listed" };
+    EdgeMetrics::increment(&EdgeMetrics::global().cold_upstreams, reason);
+    LogLine::new("upstream_cold")
+        .field("upstream", id)
+        .field("reason", reason)
+        .field("limit", period.limit)
+        .field("listed_ms", listed_ms)
+        .field("left_ms", period.until.since_ms(now))
+        .info();
+}
+
 /// Counts a change of an upstream whose entry was removed.
 fn count_missing(reason: &'static str) {
     EdgeMetrics::increment(&EdgeMetrics::global().removed_upstreams, reason);
@@ -122,7 +150,7 @@
 
     fn apply_snapshot(&mut self, page: RangePage, now: TimePoint) {
         for store_entry in &page.entries {
-            self.entry_written(store_entry);
+            self.entry_written(store_entry, now);
         }
         let is_listed = |id: &str| page.entries.iter().any(|store_entry| upstream_id(&store_entry.key) == Some(id));
         let delisted: Vec<SharedName> =
@@ -139,7 +167,7 @@
     fn apply_change(&mut self, change: StoreChange, now: TimePoint) {
         match change {
             StoreChange::Written(store_entry) => {
-                self.entry_written(&store_entry);
+                self.entry_written(&store_entry, now);
                 self.revision = self.revision.max(store_entry.revision);
             }
             StoreChange::Removed { key, revision } => {
--- a/crates/kernel/src/limit/coordinator_table.rs
+++ b/crates/kernel/src/limit/coordinator_table.rs
@@ -1,6 +1,6 @@
 //! Which daemon coordinates the permits of an upstream, and which share of the limit this daemon may grant.
 
-use super::RateShare;
+use super::{GrantShares, RateShare};
 use crate::{SharedName, TimePoint, rank};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -94,6 +94,16 @@
         RateShare::of_rank(own_rank, self.present.len() + self.left.len())
     }
 
+    /// Shares of the limits of `upstream` that this daemon may grant. `is_confirmed` tells whether the list of daemons is as
+    /// new as that of any other daemon; otherwise another one may have taken over, and this one grants only a part of what
+    /// a cold upstream bears.
+    pub fn own_shares(&mut self, upstream: &SharedName, is_confirmed: bool, now: TimePoint) -> GrantShares {
+        let named = self.own_share(upstream, now);
+        let is_uncertain = now < self.settled_at || !is_confirmed;
+        let own_rank = self.rank_entry(upstream).own_rank + usize::from(is_uncertain);
+        GrantShares { named, cold: RateShare::of_cold_rank(own_rank, self.present.len() + self.left.len()) }
+    }
+
     /// Order of the daemons for `upstream`.
     fn rank_entry(&mut self, upstream: &SharedName) -> &RankEntry {
         self.ranks.entry(upstream.clone()).or_insert_with(|| {
--- a/crates/kernel/src/limit/grant_table.rs
+++ b/crates/kernel/src/limit/grant_table.rs
@@ -1,6 +1,9 @@
 //! Permits that this daemon grants as the coordinator of upstreams.
 
-use super::{GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitWant, RateShare, RequestUrgency};
+use super::{
+    ColdPeriod, GrantShares, GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitWant, RateLimit,
+    RateShare, RequestUrgency,
+};
 use crate::{SharedName, TimePoint};
 use std::collections::HashMap;
 
@@ -31,6 +34,10 @@
     next_us: u64,
     /// Time between two permits, as of the last request for permits.
     interval_us: u64,
+    /// Time for which permits that nobody wanted can be granted later.
+    burst_us: u64,
+    /// Until when the upstream is known to be cold.
+    cold_until: TimePoint,
     /// Number of daemons that were told to ask again for queued requests, since as many permits were granted.
     backlog: u64,
     /// Most urgent want that was not met lately, and until when less urgent ones wait for it.
@@ -45,6 +52,8 @@
             observation: ask.observation,
             next_us: 0,
             interval_us: 0,
+            burst_us: BURST_US,
+            cold_until: TimePoint(0),
             backlog: 0,
             unmet: None,
             asked_at: now,
@@ -59,6 +68,34 @@
         self.interval_us = interval_us;
     }
 
+    /// Applies the limits that hold at `now`: a daemon grants its shares of them.
+    fn apply_limits(
+        &mut self,
+        named: Option<RateLimit>,
+        cold: Option<ColdPeriod>,
+        shares: GrantShares,
+        now: TimePoint,
+    ) {
+        let stretched = |limit: RateLimit, share: RateShare| share.stretch_us(limit.interval_us());
+        let named_us = named.map_or(0, |limit| stretched(limit, shares.named));
+        let cold_us = cold.map_or(0, |period| stretched(period.limit, shares.cold));
+        if let Some(period) = cold {
+            if self.cold_until <= now {
+                self.cold_started(named.is_some(), shares.cold, cold_us, now);
+            }
+            self.cold_until = period.until;
+        }
+        self.burst_us = if cold.is_some() { 0 } else { BURST_US };
+        self.set_interval(named_us.max(cold_us), now);
+    }
+
+    /// Schedules the first permit of a cold upstream. A daemon that may not be the coordinator leaves the first ones to it.
+    fn cold_started(&mut self, is_limited: bool, share: RateShare, interval_us: u64, now: TimePoint) {
+        let delay_us = if share == RateShare::WHOLE { 0 } else { interval_us };
+        let earliest_us = if is_limited { self.next_us } else { 0 };
+        self.next_us = earliest_us.max(microseconds(now).saturating_add(delay_us));
+    }
+
     /// Grants permits for `want` as far as there are any. Returns the time at which the daemon should ask for the rest.
     fn grant(&mut self, want: &PermitWant, permits: &mut Vec<GrantedPermit>, now: TimePoint) -> Option<TimePoint> {
         let now_us = microseconds(now);
@@ -67,7 +104,7 @@
         }
         let is_held_back = self.unmet.is_some_and(|(urgency, until)| urgency < want.urgency && now < until);
         for _ in 0..want.count.min(COUNT_MAX) {
-            let permit_us = self.next_us.max(now_us.saturating_sub(BURST_US));
+            let permit_us = self.next_us.max(now_us.saturating_sub(self.burst_us));
             let is_free = if is_held_back {
                 self.next_us.saturating_add(HOLD_BACK_US) <= now_us
             } else {
@@ -113,16 +150,16 @@
 }
 
 impl GrantTable {
-    /// Grants permits to a daemon. `share` is the share of the limit that this daemon may grant, and `own_observation`
-    /// what it observed of the upstream itself.
+    /// Grants permits to a daemon. `shares` are the shares of the limits that this daemon may grant, and `own_observation`
+    /// is what it observed of the upstream itself.
     ///
     /// No more permits than the share allows become usable in any span, but for those that nobody wanted in the
-    /// quarter of a second before it.
+    /// quarter of a second before it. Of a cold upstream there are none of these.
     pub fn grant(
         &mut self,
         ask: &PermitAsk,
         own_observation: Option<LimitObservation>,
-        share: RateShare,
+        shares: GrantShares,
         now: TimePoint,
     ) -> PermitAnswer {
         self.make_room(now);
@@ -144,8 +181,12 @@
         entry.observation = entry.observation.newer(ask.observation);
         entry.observation = own_observation.map_or(entry.observation, |own| entry.observation.newer(own));
         answer.observation = entry.observation;
-        let Some(limit) = entry.observation.limit else { return answer };
-        entry.set_interval(share.stretch_us(limit.interval_us()), now);
+        let LimitObservation { limit, .. } = entry.observation;
+        let cold = entry.observation.cold_at(now);
+        if limit.is_none() && cold.is_none() {
+            return answer;
+        }
+        entry.apply_limits(limit, cold, shares, now);
         for want in &ask.wants {
             if let Some(retry_at) = entry.grant(want, &mut answer.permits, now) {
                 entry.want_unmet(want.urgency, now);
--- a/crates/kernel/src/limit/permit_pool.rs
+++ b/crates/kernel/src/limit/permit_pool.rs
@@ -8,6 +8,9 @@
 /// was granted.
 const PERMIT_TTL_MS: u64 = 500;
 
+/// The same for a permit of a cold upstream. A second's permits and those of this time before it may be used in one second.
+pub(super) const COLD_PERMIT_TTL_MS: u64 = 250;
+
 const MICROSECONDS_PER_MS: u64 = 1_000;
 
 /// A permit that was not used yet.
@@ -99,9 +102,9 @@
         want.useful_until = want.useful_until.max(useful_until);
     }
 
-    /// The request for the wanted permits, to be sent to the coordinator of the upstream that `record` describes. `None`
-    /// if none are wanted or a request is in progress.
-    pub fn start_ask(&mut self, record: &SamplerRecord) -> Option<PermitAsk> {
+    /// The request for the wanted permits, to be sent to the coordinator of the upstream that `record` describes, with what
+    /// is known of its limits. `None` if none are wanted or a request is in progress.
+    pub fn start_ask(&mut self, record: &SamplerRecord, observation: LimitObservation) -> Option<PermitAsk> {
         if self.is_asking || self.wants.is_empty() {
             return None;
         }
@@ -115,7 +118,7 @@
         Some(PermitAsk {
             upstream: record.id.clone(),
             started_unix_ms: record.started_unix_ms,
-            observation: LimitObservation { limit: Some(self.limit), seen_at: self.seen_at },
+            observation,
             wants: wants.map(want).collect(),
         })
     }
@@ -124,10 +127,11 @@
     pub fn answered(&mut self, answer: &PermitAnswer) {
         self.is_asking = false;
         self.blocked = answer.blocked;
+        let ttl_ms = if answer.observation.cold.is_some() { COLD_PERMIT_TTL_MS } else { PERMIT_TTL_MS };
         let permits = answer.permits.iter().map(|permit| HeldPermit {
             urgency: permit.urgency,
             usable_from: permit.usable_from,
-            expires_at: permit.usable_from.plus_ms(PERMIT_TTL_MS),
+            expires_at: permit.usable_from.plus_ms(ttl_ms),
         });
         self.permits.extend(permits);
     }
--- a/crates/kernel/src/limit/rate_limit.rs
+++ b/crates/kernel/src/limit/rate_limit.rs
@@ -28,8 +28,8 @@
 impl RateLimit {
     /// Creates the limit of `millihertz` requests per 1,000 seconds.
     #[must_use]
-    pub fn from_millihertz(millihertz: u64) -> Self {
-        Self { millihertz: millihertz.min(MILLIHERTZ_MAX) }
+    pub const fn from_millihertz(millihertz: u64) -> Self {
+        Self { millihertz: if millihertz < MILLIHERTZ_MAX { millihertz } else { MILLIHERTZ_MAX } }
     }
 
     /// Time between two requests at this rate, ten seconds at most.
--- a/crates/kernel/src/sampler/sampler_entry.rs
+++ b/crates/kernel/src/sampler/sampler_entry.rs
@@ -1,7 +1,7 @@
 //! A listed upstream as this daemon knows it.
 
 use super::{SamplerQuery, SamplerRecord, SamplerState};
-use crate::{LimitObservation, PermitPool, SharedName, TimePoint};
+use crate::{ColdPeriod, ColdRule, LimitObservation, PermitPool, RateLimit, SharedName, TimePoint};
 use std::collections::BTreeMap;
 
 /// Backoff after a failed request; doubles with each further consecutive failure.
@@ -34,10 +34,16 @@
     pub(super) model_backoff_until: BTreeMap<SharedName, TimePoint>,
     /// Moving average of the latency per unit of work.
     pub(super) latency_ms: Option<u64>,
-    /// Permits under the limit that the last response named; `None` if it named none.
+    /// Limit that the last response named; `None` if it named none.
+    pub(super) named_limit: Option<RateLimit>,
+    /// When a response last named a limit, or none; the origin of time before the first response.
+    pub(super) named_at: TimePoint,
+    /// What the service's upstreams bear while cold; `None` if they bear as much as others.
+    pub(super) cold_rule: Option<ColdRule>,
+    /// Until when the upstream is cold, as far as known.
+    pub(super) cold_until: TimePoint,
+    /// Permits under the lower one of the named limit and that of a cold upstream; `None` if there is neither.
     pub(super) pool: Option<PermitPool>,
-    /// When a response last named no limit.
-    pub(super) unlimited_at: TimePoint,
     /// When the upstream last responded to this daemon; `None` before its first response.
     pub(super) responded_at: Option<TimePoint>,
     /// Number of requests sent since the last call of [`SamplerTable::take_limited_counts`].
@@ -57,8 +63,11 @@
             pathless_until: TimePoint(0),
             model_backoff_until: BTreeMap::new(),
             latency_ms: None,
+            named_limit: None,
+            named_at: TimePoint(0),
+            cold_rule: None,
+            cold_until: TimePoint(0),
             pool: None,
-            unlimited_at: TimePoint(0),
             responded_at: None,
             sent_count: 0,
         }
@@ -69,30 +78,53 @@
         let backoff_ms = (BACKOFF_BASE_MS << self.failures.min(8)).min(BACKOFF_MAX_MS);
         self.backoff_until = self.backoff_until.max(now.plus_ms(backoff_ms));
         self.failures += 1;
+        // Its process may have started again under its id.
+        let start_ms = self.cold_rule.map_or(0, |rule| rule.start_ms);
+        self.turn_cold(self.backoff_until.plus_ms(start_ms), now);
     }
 
-    /// Records the limit that a response named.
-    pub(super) fn observe(&mut self, observation: LimitObservation) {
-        let LimitObservation { limit, seen_at } = observation;
+    /// Treats the upstream as cold until `until`, if its service has a rule for that. Returns whether it was not cold before.
+    pub(super) fn turn_cold(&mut self, until: TimePoint, now: TimePoint) -> bool {
+        let was_cold = self.cold_period(now).is_some();
+        self.cold_until = self.cold_until.max(until);
+        self.update_pool(now);
+        !was_cold && self.cold_period(now).is_some()
+    }
+
+    /// The time for which the upstream is cold, if it is at `now`.
+    pub(super) fn cold_period(&self, now: TimePoint) -> Option<ColdPeriod> {
+        let rule = self.cold_rule.filter(|_| now < self.cold_until)?;
+        Some(ColdPeriod { limit: rule.rate, until: self.cold_until })
+    }
+
+    /// Whether neither the upstream nor its cold start limits requests at `now`.
+    pub(super) fn is_unlimited(&self, now: TimePoint) -> bool {
+        self.named_limit.is_none() && self.cold_period(now).is_none()
+    }
+
+    /// Sets the limit of the pool to the one that holds at `now`.
+    pub(super) fn update_pool(&mut self, now: TimePoint) {
+        let cold_limit = self.cold_period(now).map(|period| period.limit);
+        let limit = self.named_limit.into_iter().chain(cold_limit).min();
         match (limit, &mut self.pool) {
-            (Some(limit), Some(pool)) => pool.limit_named(limit, seen_at),
-            (Some(limit), None) => self.pool = Some(PermitPool::new(limit, seen_at)),
-            (None, _) => {
-                self.pool = None;
-                self.unlimited_at = seen_at;
-            }
+            (Some(limit), Some(pool)) => pool.limit_named(limit, self.named_at),
+            (Some(limit), None) => self.pool = Some(PermitPool::new(limit, self.named_at)),
+            (None, _) => self.pool = None,
         }
     }
 
-    /// The last limit that a response named or did not name; `None` before the first response.
-    pub(super) fn last_observation(&self) -> Option<LimitObservation> {
-        match &self.pool {
-            Some(pool) => Some(LimitObservation { limit: Some(pool.limit()), seen_at: pool.seen_at() }),
-            None if self.unlimited_at > TimePoint(0) => {
-                Some(LimitObservation { limit: None, seen_at: self.unlimited_at })
-            }
-            None => None,
-        }
+    /// Records the limit that a response named, or that it named none.
+    pub(super) fn observe(&mut self, observation: LimitObservation, now: TimePoint) {
+        self.named_limit = observation.limit;
+        self.named_at = observation.seen_at;
+        self.update_pool(now);
+    }
+
+    /// What is known of the upstream's limits; `None` if there is nothing.
+    pub(super) fn last_observation(&self, now: TimePoint) -> Option<LimitObservation> {
+        let cold = self.cold_period(now);
+        let is_known = self.named_at > TimePoint(0) || cold.is_some();
+        is_known.then_some(LimitObservation { limit: self.named_limit, seen_at: self.named_at, cold })
     }
 
     /// Number of requests at the upstream: the exact number of this daemon's, and that of other daemons as last
@@ -110,12 +142,12 @@
 
     /// Whether the query's request may be sent under the upstream's limit, if it names one.
     pub(super) fn is_permitted(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
-        self.pool.as_ref().is_none_or(|pool| pool.has_permit(query.permits.urgency, now))
+        self.is_unlimited(now) || self.pool.as_ref().is_none_or(|pool| pool.has_permit(query.permits.urgency, now))
     }
 
     /// Whether no response has named the upstream's limit for so long that it may have ended.
     pub(super) fn is_limit_outdated(&self, now: TimePoint) -> bool {
-        self.pool.as_ref().is_some_and(|pool| now.since_ms(pool.seen_at()) >= LIMIT_RECHECK_MS)
+        self.named_limit.is_some() && now.since_ms(self.named_at) >= LIMIT_RECHECK_MS
     }
 
     /// Whether the upstream may get requests: it accepts new ones, and its entry is not overdue.
--- a/crates/kernel/src/sampler/sampler_table.rs
+++ b/crates/kernel/src/sampler/sampler_table.rs
@@ -5,7 +5,9 @@
     leaving_processes::LeavingProcesses,
     sampler_entry::{BACKOFF_MAX_MS, SamplerEntry},
 };
-use crate::{LimitObservation, PermitAnswer, PermitAsk, PermitPool, RateLimit, SharedName, TimePoint, rendezvous};
+use crate::{
+    ColdPeriod, ColdRule, LimitObservation, PermitAnswer, PermitAsk, RateLimit, SharedName, TimePoint, rendezvous,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Backoff after a refused request: about the time until a slot becomes free.
@@ -20,6 +22,8 @@
 const OTHER_DOMAIN_COST: u64 = 150;
 /// Time for which the fastest upstreams are kept: a few events of a stream.
 const FASTEST_TTL_MS: u64 = 50;
+/// Longest cold period that an entry is believed to announce at once; upstreams write their entries every second or two.
+const COLD_MS_MAX: u64 = 60_000;
 /// Fixed-point scale of costs: this value is the cost of an upstream whose slots would all be in use.
 const COST_SCALE: u64 = 1_000;
 
@@ -96,6 +100,8 @@
     leaving: LeavingProcesses,
     /// Upstreams for which permits are wanted.
     wanting: BTreeSet<SharedName>,
+    /// What cold upstreams bear, by service.
+    cold_rules: BTreeMap<SharedName, ColdRule>,
     /// The fastest upstreams by query, so that not every event of every run compares all upstreams.
     fastest: Vec<FastestEntry>,
 }
@@ -113,11 +119,43 @@
                 entry.missing_until = None;
             }
             _ => {
-                self.entries.insert(record.id.clone(), SamplerEntry::new(record));
+                let cold_rule = self.cold_rules.get(&record.service).copied();
+                let entry = SamplerEntry { cold_rule, ..SamplerEntry::new(record) };
+                self.entries.insert(entry.record.id.clone(), entry);
             }
         }
     }
 
+    /// Sets what cold upstreams bear, by service.
+    pub fn set_cold_rules(&mut self, rules: BTreeMap<SharedName, ColdRule>, now: TimePoint) {
+        for entry in self.entries.values_mut() {
+            entry.cold_rule = rules.get(&entry.record.service).copied();
+            entry.update_pool(now);
+        }
+        self.cold_rules = rules;
+    }
+
+    /// Handles the entry of the upstream `id`, by which it is cold for `left_ms` more. `age_ms` is the time since the start
+    /// of a process that is new here: it is cold for as long as its service says, also if its entry does not say so yet.
+    /// Returns the cold period if it has just begun.
+    pub fn cold_listed(&mut self, id: &str, left_ms: u64, age_ms: Option<u64>, now: TimePoint) -> Option<ColdPeriod> {
+        let entry = self.entries.get_mut(id)?;
+        let start_ms = entry.cold_rule.map_or(0, |rule| rule.start_ms);
+        let start_left_ms = age_ms.map_or(0, |age_ms| start_ms.saturating_sub(age_ms));
+        let until = now.plus_ms(left_ms.min(COLD_MS_MAX).max(start_left_ms));
+        if until <= now {
+            return None;
+        }
+        let is_new = entry.turn_cold(until, now);
+        entry.cold_period(now).filter(|_| is_new)
+    }
+
+    /// Whether the upstream `id` is known to be cold.
+    #[must_use]
+    pub fn is_cold(&self, id: &str, now: TimePoint) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.cold_period(now).is_some())
+    }
+
     /// Removes and returns an upstream that is no longer listed.
     pub fn remove(&mut self, id: &str) -> Option<SamplerRecord> {
         self.entries.remove(id).map(|entry| entry.record)
@@ -187,6 +225,7 @@
     /// Selects the upstream with the shortest expected wait and counts the request as in progress there. The caller
     /// must report its end with [`Self::request_ended`]. `None` if no upstream meets the query.
     pub fn pick(&mut self, query: &SamplerQuery<'_>, now: TimePoint) -> Option<SamplerRecord> {
+        self.end_cold_periods(now);
         let Selection { chosen, wanted } = self.select(query, now);
         for (id, count) in wanted {
             if let Some(pool) = self.entries.get_mut(&id).and_then(|entry| entry.pool.as_mut()) {
@@ -202,6 +241,12 @@
         Some(entry.record.clone())
     }
 
+    /// Removes the limits of upstreams that are not cold any more.
+    fn end_cold_periods(&mut self, now: TimePoint) {
+        let ended = self.entries.values_mut().filter(|entry| entry.pool.is_some() && entry.cold_until <= now);
+        ended.for_each(|entry| entry.update_pool(now));
+    }
+
     /// Whether an upstream serves the query, even if it has no capacity or backs off.
     #[must_use]
     pub fn is_served(&self, query: &SamplerQuery<'_>, now: TimePoint) -> bool {
@@ -283,11 +328,12 @@
 
     /// Requests for the wanted permits, one for each upstream. Until the coordinator has responded, there is no other
     /// one for the upstream.
-    pub fn start_asks(&mut self) -> Vec<PermitAsk> {
+    pub fn start_asks(&mut self, now: TimePoint) -> Vec<PermitAsk> {
         let wanting = std::mem::take(&mut self.wanting);
         let asks = wanting.iter().filter_map(|id| {
             let entry = self.entries.get_mut(id)?;
-            entry.pool.as_mut()?.start_ask(&entry.record)
+            let observation = entry.last_observation(now)?;
+            entry.pool.as_mut()?.start_ask(&entry.record, observation)
         });
         asks.collect()
     }
@@ -299,14 +345,16 @@
     }
 
     /// Handles the response of a coordinator to a request for permits.
-    pub fn permits_answered(&mut self, answer: &PermitAnswer) {
+    pub fn permits_answered(&mut self, answer: &PermitAnswer, now: TimePoint) {
         let Some(entry) = self.entries.get_mut(&answer.upstream) else { return };
         if entry.record.started_unix_ms != answer.started_unix_ms {
             return self.ask_failed(&answer.upstream);
         }
-        let is_newer = entry.last_observation().is_none_or(|known| known.seen_at < answer.observation.seen_at);
-        if is_newer {
-            entry.observe(answer.observation);
+        if entry.named_at < answer.observation.seen_at {
+            entry.observe(answer.observation, now);
+        }
+        if let Some(period) = answer.observation.cold_at(now) {
+            entry.turn_cold(period.until, now);
         }
         if let Some(pool) = &mut entry.pool {
             pool.answered(answer);
@@ -320,11 +368,11 @@
         }
     }
 
-    /// What this daemon knows of the limit of the upstream process; `None` if it has received no response.
+    /// What this daemon knows of the limits of the upstream process; `None` if it knows nothing.
     #[must_use]
-    pub fn limit_observation(&self, id: &str, started_unix_ms: u64) -> Option<LimitObservation> {
+    pub fn limit_observation(&self, id: &str, started_unix_ms: u64, now: TimePoint) -> Option<LimitObservation> {
         let entry = self.entries.get(id).filter(|entry| entry.record.started_unix_ms == started_unix_ms)?;
-        entry.last_observation()
+        entry.last_observation(now)
     }
 
     /// Latency in milliseconds per unit of work of the fastest upstream other than `id` that has a free slot for the
@@ -345,7 +393,8 @@
     fn compare_latencies(&self, query: &SamplerQuery<'_>, now: TimePoint) -> FastestEntry {
         let free = self.entries.values().filter(|entry| {
             // Moving a run costs a request, which an upstream with a limit may not have room for.
-            let is_free = entry.load(now) < entry.record.slots && entry.pool.is_none() && entry.missing_until.is_none();
+            let is_free =
+                entry.load(now) < entry.record.slots && entry.is_unlimited(now) && entry.missing_until.is_none();
             entry.serves(query, now) && entry.is_available(query, now) && is_free
         });
         let mut fastest: Vec<(u64, SharedName)> = Vec::new();
@@ -488,12 +537,12 @@
         let Some(entry) = entry else { return false };
         entry.responded_at = Some(now);
         // Responses on different connections may overtake each other.
-        let is_outdated = limit.is_none() && entry.pool.as_ref().is_some_and(|pool| sent_at <= pool.seen_at());
+        let is_outdated = limit.is_none() && entry.named_limit.is_some() && sent_at <= entry.named_at;
         if is_outdated {
             return false;
         }
-        let previous = entry.pool.as_ref().map(PermitPool::limit);
-        entry.observe(LimitObservation { limit, seen_at: now });
+        let previous = entry.named_limit;
+        entry.observe(LimitObservation { limit, seen_at: now, cold: None }, now);
         previous != limit
     }
 
--- a/crates/kernel/src/traffic/service_rule.rs
+++ b/crates/kernel/src/traffic/service_rule.rs
@@ -1,6 +1,6 @@
 //! Services that routes send requests to, with their scaling limits.
 
-use crate::SharedName;
+use crate::{ColdRule, SharedName};
 use std::collections::BTreeMap;
 
 /// Limits and prices for the upstreams that may be ordered for a service.
@@ -28,4 +28,6 @@
     pub models: Vec<SharedName>,
     /// Limits for the number of upstreams; `None` if no upstreams may be ordered.
     pub scaling: Option<ScalingRule>,
+    /// What the upstreams bear while they are cold; `None` if they bear as much as others.
+    pub cold: Option<ColdRule>,
 }
--- a/crates/kernel/tests/machines/limits.rs
+++ b/crates/kernel/tests/machines/limits.rs
@@ -3,9 +3,9 @@
 
 use crate::sequence;
 use pimentoslip_kernel::{
-    CapacityNeed, CoordinatorTable, GrantTable, GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitNeed,
-    PermitPool, RateLimit, RateShare, RequestUrgency, SamplerOutcome, SamplerQuery, SamplerRecord, SamplerState,
-    SamplerTable, SharedName, TimePoint, rank,
+    CapacityNeed, ColdAllowance, ColdRule, CoordinatorTable, GrantShares, GrantTable, GrantedPermit, LimitObservation,
+    PermitAnswer, PermitAsk, PermitNeed, PermitPool, RateLimit, RateShare, RequestUrgency, SamplerOutcome,
+    SamplerQuery, SamplerRecord, SamplerState, SamplerTable, SharedName, TimePoint, rank,
 };
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +29,8 @@
 const LIST_PERIOD_MS: u64 = 500;
 /// Time for which a lease outlives its daemon.
 const LEASE_MS: u64 = 3_000;
+/// Time after which every daemon has read an entry.
+const LIST_DELAY_MS: u64 = 300;
 const UPSTREAMS: usize = 2;
 /// Limits that upstreams name, in requests per 1,000 seconds.
 const LIMITS: [Option<u64>; 8] =
@@ -47,6 +49,10 @@
     Freeze { daemon: usize, ms: u16, restarts: bool },
     /// A daemon reaches no other daemon.
     Cut { daemon: usize, ms: u16 },
+    /// An upstream turns cold.
+    Chill { upstream: usize, ms: u16 },
+    /// A daemon reaches neither other daemons nor the store, so that its lease ends.
+    Isolate { daemon: usize, ms: u16 },
     /// Daemons join.
     Join { count: u8 },
     /// Time passes.
@@ -79,6 +85,8 @@
     named: Vec<(u64, Option<u64>)>,
     /// Times of requests, and whether the platform counts them.
     arrivals: Vec<(u64, bool)>,
+    /// Times for which the upstream is cold and every daemon has read its entry.
+    cold: Vec<(u64, u64)>,
 }
 
 impl Upstream {
@@ -161,6 +169,8 @@
     lists_at: u64,
     frozen_until: u64,
     cut_until: u64,
+    /// Since when it has not reached the store; the end of time if it reaches it.
+    unlisted_since: u64,
     /// End of the time for which the platform does not count its requests.
     excused_until: u64,
     /// When it first received a response with a limit from each upstream process.
@@ -185,6 +195,7 @@
             lists_at: 0,
             frozen_until: 0,
             cut_until: 0,
+            unlisted_since: u64::MAX,
             excused_until: now + CONTACT_MS,
             limit_seen: BTreeMap::new(),
             loads: Vec::new(),
@@ -256,9 +267,10 @@
 
     /// Grants permits to a daemon, or to itself.
     fn grant(&mut self, ask: &PermitAsk, now: u64) -> PermitAnswer {
-        let observation = self.upstreams.limit_observation(&ask.upstream, ask.started_unix_ms);
-        let share = self.coordinators.own_share(&ask.upstream, TimePoint(now));
-        self.grants.grant(ask, observation, share, TimePoint(now))
+        let observation = self.upstreams.limit_observation(&ask.upstream, ask.started_unix_ms, TimePoint(now));
+        let is_confirmed = now < self.unlisted_since.saturating_add(CONTACT_MS);
+        let shares = self.coordinators.own_shares(&ask.upstream, is_confirmed, TimePoint(now));
+        self.grants.grant(ask, observation, shares, TimePoint(now))
     }
 }
 
@@ -274,6 +286,8 @@
     Response { to: usize, record: SamplerRecord, limit: Option<u64>, sent_at: u64 },
     /// A daemon learns whether another one is present.
     Presence { to: usize, daemon: usize },
+    /// A daemon reads the entry of an upstream, which is cold until that time.
+    Listed { to: usize, upstream: usize, cold_until: u64 },
 }
 
 struct Site {
@@ -287,6 +301,8 @@
     /// Calls for permits between daemons.
     ask_count: usize,
     division: Division,
+    /// Leases of daemons that do not reach the store, with their ends.
+    leases: Vec<(u64, usize)>,
 }
 
 impl Site {
@@ -297,6 +313,7 @@
             limit,
             named: vec![(0, limit)],
             arrivals: Vec::new(),
+            cold: Vec::new(),
         };
         let mut site = Self {
             now: 10_000,
@@ -307,6 +324,7 @@
             delivery_count: 0,
             ask_count: 0,
             division: Division::ByDemand,
+            leases: Vec::new(),
         };
         site.join(daemons);
         site
@@ -379,6 +397,20 @@
                 daemon.cut_until = daemon.cut_until.max(until);
                 daemon.excused_until = daemon.excused_until.max(until + CONTACT_MS);
             }
+            Command::Chill { upstream, ms } => {
+                let until = self.now + u64::from(ms);
+                for to in 0..count {
+                    let delay_ms = (to * 37) as u64 % LIST_DELAY_MS;
+                    self.deliver(delay_ms, Delivery::Listed { to, upstream, cold_until: until });
+                }
+                self.upstreams[upstream].cold.push((self.now + LIST_DELAY_MS, until));
+            }
+            Command::Isolate { daemon, ms } => {
+                let (number, until) = (daemon % count, self.now + u64::from(ms));
+                self.daemons[number].cut_until = until;
+                self.daemons[number].unlisted_since = self.now;
+                self.leases.push((self.now + LEASE_MS, number));
+            }
             Command::Join { count: joining } => self.join(usize::from(joining).min(40 - count.min(40))),
             Command::Wait { ms } => self.run(u64::from(ms)),
         }
@@ -409,6 +441,7 @@
                 let delivery = entry.remove();
                 self.handle(delivery);
             }
+            self.end_leases();
             for number in 0..self.daemons.len() {
                 if self.is_up(number) {
                     self.step(number);
@@ -418,9 +451,23 @@
         }
     }
 
+    /// Ends the leases of daemons that do not reach the store, and lists those again that do.
+    fn end_leases(&mut self) {
+        let now = self.now;
+        let ended: Vec<usize> = self.leases.iter().filter(|(at, _)| *at <= now).map(|(_, number)| *number).collect();
+        self.leases.retain(|(at, _)| now < *at);
+        for number in ended {
+            self.listed[number] = false;
+            self.announce(number);
+        }
+        for daemon in self.daemons.iter_mut().filter(|daemon| daemon.cut_until <= now) {
+            daemon.unlisted_since = u64::MAX;
+        }
+    }
+
     /// Lets a daemon send what it can and ask for what it wants.
     fn step(&mut self, number: usize) {
-        if !self.listed[number] {
+        if !self.listed[number] && self.daemons[number].unlisted_since == u64::MAX {
             self.listed[number] = true;
             self.announce(number);
         }
@@ -434,17 +481,17 @@
         for record in daemon.send_waiting(now) {
             self.request_arrives(number, &record);
         }
-        for ask in self.daemons[number].upstreams.start_asks() {
+        for ask in self.daemons[number].upstreams.start_asks(TimePoint(now)) {
             let coordinator = self.daemons[number].coordinators.coordinator(&ask.upstream, TimePoint(now));
             let to = self.daemons.iter().position(|daemon| daemon.name == coordinator).unwrap_or(number);
             if self.division == Division::SingleOwner && to != number {
                 self.daemons[number].upstreams.ask_failed(&ask.upstream);
             } else if self.division == Division::EqualShares {
                 let answer = self.grant_equal_share(number, ask);
-                self.daemons[number].upstreams.permits_answered(&answer);
+                self.daemons[number].upstreams.permits_answered(&answer, TimePoint(now));
             } else if to == number {
                 let answer = self.daemons[number].grant(&ask, now);
-                self.daemons[number].upstreams.permits_answered(&answer);
+                self.daemons[number].upstreams.permits_answered(&answer, TimePoint(now));
             } else {
                 self.ask_count += 1;
                 self.deliver(HOP_MS, Delivery::Ask { from: number, to, ask, sent_at: now });
@@ -457,7 +504,7 @@
         let observation = ask.observation;
         let part = |limit: RateLimit| RateLimit::from_millihertz(limit.millihertz() / self.daemons.len() as u64);
         ask.observation.limit = ask.observation.limit.map(part);
-        let answer = self.daemons[number].grants.grant(&ask, None, RateShare::WHOLE, TimePoint(self.now));
+        let answer = self.daemons[number].grants.grant(&ask, None, GrantShares::WHOLE, TimePoint(self.now));
         PermitAnswer { observation, ..answer }
     }
 
@@ -487,7 +534,7 @@
             }
             // A response that a frozen daemon would have received is lost with its connection.
             Delivery::Answer { to, answer } if self.are_connected(to, to) && self.is_up(to) => {
-                self.daemons[to].upstreams.permits_answered(&answer);
+                self.daemons[to].upstreams.permits_answered(&answer, TimePoint(now));
             }
             Delivery::Answer { to, answer } => self.daemons[to].upstreams.ask_failed(&answer.upstream),
             Delivery::Failed { from, to, upstream } => {
@@ -504,6 +551,15 @@
                     daemon.limit_seen.entry((record.id, record.started_unix_ms)).or_insert(now);
                 }
             }
+            Delivery::Listed { to, upstream, cold_until } => {
+                let left_ms = cold_until.saturating_sub(now);
+                let id = self.upstreams[upstream].id.clone();
+                self.daemons[to].upstreams.cold_listed(&id, left_ms, None, TimePoint(now));
+            }
+            // The daemon reads what it has missed once it reaches the store.
+            Delivery::Presence { to, daemon } if self.daemons[to].unlisted_since != u64::MAX => {
+                self.deliver(LIST_PERIOD_MS, Delivery::Presence { to, daemon });
+            }
             Delivery::Presence { to, daemon } => {
                 let name = self.daemons[daemon].name.clone();
                 if self.listed[daemon] {
@@ -543,6 +599,118 @@
     sequence::check_count(0x11f7, 30, 100, check_limits);
 }
 
+/// What the upstreams bear while cold.
+const COLD_RULE: ColdRule = ColdRule { start_ms: 3_000, rate: RateLimit::from_millihertz(9_800) };
+/// Requests a second of all daemons together: several times what the upstreams bear while cold.
+const FLEET_PER_S: u8 = 100;
+const COLD_ALLOWANCE: ColdAllowance = ColdAllowance { factor_permille: 1_500, slack_millis: 5_000 };
+
+impl Site {
+    /// A site whose upstreams bear little while cold, with heavy load at each daemon.
+    fn with_cold_upstreams(daemons: usize, rule: ColdRule) -> Self {
+        let mut site = Self::new(daemons, None);
+        for daemon in 0..daemons {
+            site.daemons[daemon].upstreams.set_cold_rules([("s".into(), rule)].into(), TimePoint(site.now));
+            site.apply(&Command::Load { daemon, per_s: FLEET_PER_S.div_ceil(daemons as u8), ms: 40_000, is_queued: daemon % 3 != 0 });
+        }
+        site.run(2 * CONTACT_MS);
+        site
+    }
+
+    /// Checks each second of the times for which an upstream is cold.
+    fn check_cold(&self) -> Result<(), String> {
+        let allowed = COLD_ALLOWANCE.requests_max_millis(COLD_RULE.rate);
+        for (upstream, (from, until)) in
+            self.upstreams.iter().flat_map(|it| it.cold.iter().map(move |cold| (it, *cold)))
+        {
+            let arrivals: Vec<u64> =
+                upstream.arrivals.iter().map(|(at, _)| *at).filter(|at| (from..until).contains(at)).collect();
+            for (index, first) in arrivals.iter().enumerate() {
+                let count = arrivals[index..].iter().take_while(|at| **at < first + 1_000).count() as u64;
+                if count * 1_000 > allowed {
+                    return Err(format!("{count} requests in the second from {first} ms on: {}", upstream.id));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Event at a site whose upstreams turn cold.
+#[derive(Clone, Debug)]
+struct ColdCommand(Command);
+
+impl Arbitrary for ColdCommand {
+    fn arbitrary(rng: &mut Gen) -> Self {
+        let (daemon, ms) = (usize::arbitrary(rng) % 16, u16::arbitrary(rng) % 6_000);
+        let command = match u8::arbitrary(rng) % 8 {
+            0..=2 => Command::Chill { upstream: usize::arbitrary(rng) % UPSTREAMS, ms },
+            3 => Command::Isolate { daemon, ms: ms * 2 },
+            4 => Command::Freeze { daemon, ms, restarts: false },
+            5 => Command::Cut { daemon, ms },
+            _ => Command::Wait { ms: ms / 2 },
+        };
+        Self(command)
+    }
+}
+
+fn check_cold_upstreams(commands: Vec<ColdCommand>) -> Result<(), String> {
+    let mut site = Site::with_cold_upstreams(16, COLD_RULE.within(COLD_ALLOWANCE));
+    for ColdCommand(command) in &commands {
+        site.apply(command);
+        site.run(150);
+    }
+    site.run(2_000);
+    site.check_cold()
+}
+
+/// Guards against a cold upstream that gets more requests than it bears, of daemons that reach each other or not.
+#[test]
+fn daemons_in_touch_or_not_spare_a_cold_upstream_together() {
+    sequence::check_count(0xc01d, 6, 16, check_cold_upstreams);
+}
+
+/// Guards against a fleet without contact, of which each daemon takes a request for little enough.
+#[test]
+fn fifty_daemons_that_lose_each_other_spare_a_cold_upstream() {
+    let mut site = Site::with_cold_upstreams(50, COLD_RULE.within(COLD_ALLOWANCE));
+    (0..50).for_each(|daemon| site.apply(&Command::Isolate { daemon, ms: 20_000 }));
+    for upstream in [0, 1, 0, 1] {
+        site.run(2_500);
+        site.apply(&Command::Chill { upstream, ms: 4_000 });
+    }
+    site.run(4_500);
+    site.check_cold().expect("no second with too many requests");
+}
+
+/// Guards against cold upstreams that are shut out, and against a test that no load could fail.
+#[test]
+fn a_cold_upstream_is_used_at_the_rate_that_it_bears() {
+    let served_while_cold = |rule| {
+        let mut site = Site::with_cold_upstreams(8, rule);
+        (0..UPSTREAMS).for_each(|upstream| site.apply(&Command::Chill { upstream, ms: 10_000 }));
+        site.run(2_000);
+        let from = site.now;
+        site.run(5_000);
+        (site.arrivals_since(0, from), site.check_cold())
+    };
+    let (served, result) = served_while_cold(COLD_RULE.within(COLD_ALLOWANCE));
+    assert!(served >= 40, "{served} requests in five seconds");
+    assert_eq!(result, Ok(()));
+    let unlimited = ColdRule { rate: RateLimit::from_millihertz(1_000_000), ..COLD_RULE };
+    assert!(served_while_cold(unlimited).1.is_err(), "the load is too low");
+}
+
+/// Guards against a rate that only fits the allowance of one site.
+#[test]
+fn the_rate_for_cold_upstreams_fits_the_allowance() {
+    let allowance = |factor_permille, slack_millis| ColdAllowance { factor_permille, slack_millis };
+    let rate = |allowance| COLD_RULE.within(allowance).rate.millihertz();
+    assert_eq!(rate(COLD_ALLOWANCE), 9_800, "the whole rate, where there is room for it");
+    assert!(rate(allowance(1_000, 0)) <= 4_000, "{}", rate(allowance(1_000, 0)));
+    assert!(rate(allowance(0, 0)) > 0, "an upstream that is never used stays cold");
+}
+
 /// Guards against a limit that is used in part only, or by one daemon alone.
 #[test]
 fn all_that_an_upstream_takes_is_used_and_no_daemon_is_starved() {
@@ -723,7 +891,8 @@
 }
 
 fn upstream_record(started_unix_ms: u64) -> SamplerRecord {
-    Upstream { id: "u".into(), started_unix_ms, limit: None, named: Vec::new(), arrivals: Vec::new() }.record()
+    Upstream { id: "u".into(), started_unix_ms, limit: None, named: Vec::new(), arrivals: Vec::new(), cold: Vec::new() }
+        .record()
 }
 
 /// A pool with a limit of `millihertz`, named at 0, and one permit of a caller that may be used from `usable_from` on.
@@ -731,11 +900,12 @@
     let limit = RateLimit::from_millihertz(millihertz);
     let mut pool = PermitPool::new(limit, TimePoint(0));
     pool.want(RequestUrgency::of_caller(1), 1, TimePoint(1_000));
-    pool.start_ask(&upstream_record(1)).expect("a permit is wanted");
+    let observation = LimitObservation { limit: Some(limit), seen_at: TimePoint(0), cold: None };
+    pool.start_ask(&upstream_record(1), observation).expect("a permit is wanted");
     pool.answered(&PermitAnswer {
         upstream: "u".into(),
         started_unix_ms: 1,
-        observation: LimitObservation { limit: Some(limit), seen_at: TimePoint(0) },
+        observation,
         permits: vec![GrantedPermit { urgency: RequestUrgency::of_caller(1), usable_from: TimePoint(usable_from) }],
         blocked: None,
     });
@@ -778,7 +948,7 @@
     let mut table = SamplerTable::default();
     table.upsert(record.clone());
     let is_limited = |table: &SamplerTable, started_unix_ms| {
-        table.limit_observation("u", started_unix_ms).is_some_and(|observation| observation.limit.is_some())
+        table.limit_observation("u", started_unix_ms, TimePoint(0)).is_some_and(|observation| observation.limit.is_some())
     };
     assert!(table.limit_reported(&record, Some(limit), TimePoint(100), TimePoint(150)));
     assert!(!table.limit_reported(&record, None, TimePoint(120), TimePoint(170)), "sent before the limit was known");
--- a/crates/wire/src/peer/permit.rs
+++ b/crates/wire/src/peer/permit.rs
@@ -2,30 +2,61 @@
 //! so that spans from or until the time of the message are sent.
 
 use pimentoslip_kernel::{
-    GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitWant, RateLimit, RequestUrgency, SharedName,
-    TimePoint,
+    ColdPeriod, GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitWant, RateLimit, RequestUrgency,
+    SharedName, TimePoint,
 };
 use serde::{Deserialize, Serialize};
 
 /// Longest span that is accepted from another daemon; permits are granted for less than a second ahead.
 const SPAN_MS_MAX: u64 = 60_000;
 
+/// Time for which an upstream is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdBody {
+    /// Requests per 1,000 seconds from all daemons together.
+    pub limit: u64,
+    /// Time left, in milliseconds.
+    pub left_ms: u64,
+}
+
+impl ColdBody {
+    fn from_period(period: ColdPeriod, now: TimePoint) -> Self {
+        Self { limit: period.limit.millihertz(), left_ms: period.until.since_ms(now) }
+    }
+
+    fn into_period(self, now: TimePoint) -> ColdPeriod {
+        let until = now.plus_ms(self.left_ms.min(SPAN_MS_MAX));
+        ColdPeriod { limit: RateLimit::from_millihertz(self.limit), until }
+    }
+}
+
 /// Limit that a response of an upstream named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObservationBody {
     /// Requests per 1,000 seconds; `None` if the response named no limit.
     pub limit: Option<u64>,
-    /// Time since the response was received, in milliseconds.
+    /// Time since the response was received, in milliseconds; the highest number if there was none.
     pub age_ms: u64,
+    /// Time for which the upstream is cold; `None` if it is not known to be, or from daemons that do not send it.
+    #[serde(default)]
+    pub cold: Option<ColdBody>,
 }
 
 impl ObservationBody {
     fn from_observation(observation: LimitObservation, now: TimePoint) -> Self {
-        Self { limit: observation.limit.map(RateLimit::millihertz), age_ms: now.since_ms(observation.seen_at) }
+        Self {
+            limit: observation.limit.map(RateLimit::millihertz),
+            age_ms: if observation.seen_at == TimePoint(0) { u64::MAX } else { now.since_ms(observation.seen_at) },
+            cold: observation.cold_at(now).map(|period| ColdBody::from_period(period, now)),
+        }
     }
 
     fn into_observation(self, now: TimePoint) -> LimitObservation {
-        LimitObservation { limit: self.limit.map(RateLimit::from_millihertz), seen_at: now.minus_ms(self.age_ms) }
+        LimitObservation {
+            limit: self.limit.map(RateLimit::from_millihertz),
+            seen_at: now.minus_ms(self.age_ms),
+            cold: self.cold.map(|cold| cold.into_period(now)),
+        }
     }
 }
 
--- a/crates/wire/tests/permits.rs
+++ b/crates/wire/tests/permits.rs
@@ -1,11 +1,12 @@
 //! Tests of the messages by which daemons exchange permits.
 
 use pimentoslip_kernel::{
-    GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitWant, RateLimit, RequestUrgency, TimePoint,
+    ColdPeriod, GrantedPermit, LimitObservation, PermitAnswer, PermitAsk, PermitWant, RateLimit, RequestUrgency,
+    TimePoint,
 };
 use pimentoslip_wire::{
     decode, encode,
-    peer::{AnswerBody, AskBody, PermitRequest, PermitResponse},
+    peer::{AnswerBody, AskBody, ObservationBody, PermitRequest, PermitResponse},
 };
 
 /// Bytes of a message about one upstream. With its headers, twenty such requests and responses a second stay within the
@@ -13,7 +14,7 @@
 const MESSAGE_BYTES_MAX: usize = 150;
 
 fn observation(millihertz: u64, seen_at: u64) -> LimitObservation {
-    LimitObservation { limit: Some(RateLimit::from_millihertz(millihertz)), seen_at: TimePoint(seen_at) }
+    LimitObservation { limit: Some(RateLimit::from_millihertz(millihertz)), seen_at: TimePoint(seen_at), cold: None }
 }
 
 /// Guards against times that are read by the clock of the other daemon.
@@ -59,3 +60,24 @@
     assert!(absurd.permits[0].usable_from <= TimePoint(130_000));
     assert_eq!(absurd.observation.seen_at, TimePoint(0));
 }
+
+/// Guards against a daemon that has had no response of an upstream, and so revokes a limit that others know, and against
+/// the messages of daemons that send no cold periods.
+#[test]
+fn a_cold_period_is_passed_on_without_a_response() {
+    let period = ColdPeriod { limit: RateLimit::from_millihertz(9_800), until: TimePoint(7_000) };
+    let observation = LimitObservation { limit: None, seen_at: TimePoint(0), cold: Some(period) };
+    let ask = PermitAsk { upstream: "u".into(), started_unix_ms: 1, observation, wants: Vec::new() };
+    let bytes = encode(&AskBody::from_ask(&ask, TimePoint(5_000))).expect("an encodable message");
+    let received = decode::<AskBody>(&bytes).expect("a message").into_ask(TimePoint(90_000)).observation;
+    assert_eq!(received.seen_at, TimePoint(0));
+    assert_eq!(received.cold, Some(ColdPeriod { until: TimePoint(92_000), ..period }));
+
+    #[derive(serde::Serialize)]
+    struct PreviousBody {
+        limit: Option<u64>,
+        age_ms: u64,
+    }
+    let bytes = encode(&PreviousBody { limit: Some(3_400), age_ms: 100 }).expect("an encodable message");
+    assert_eq!(decode::<ObservationBody>(&bytes).expect("a message of the previous build").cold, None);
+}
