--- a/crates/kernel/tests/machines/limits.rs
+++ b/crates/kernel/tests/machines/limits.rs
@@ -611,7 +611,12 @@
         let mut site = Self::new(daemons, None);
         for daemon in 0..daemons {
             site.daemons[daemon].upstreams.set_cold_rules([("s".into(), rule)].into(), TimePoint(site.now));
-            site.apply(&Command::Load { daemon, per_s: FLEET_PER_S.div_ceil(daemons as u8), ms: 40_000, is_queued: daemon % 3 != 0 });
+            site.apply(&Command::Load {
+                daemon,
+                per_s: FLEET_PER_S.div_ceil(daemons as u8),
+                ms: 40_000,
+                is_queued: daemon % 3 != 0,
+            });
         }
         site.run(2 * CONTACT_MS);
         site
@@ -948,7 +953,9 @@
     let mut table = SamplerTable::default();
     table.upsert(record.clone());
     let is_limited = |table: &SamplerTable, started_unix_ms| {
-        table.limit_observation("u", started_unix_ms, TimePoint(0)).is_some_and(|observation| observation.limit.is_some())
+        table
+            .limit_observation("u", started_unix_ms, TimePoint(0))
+            .is_some_and(|observation| observation.limit.is_some())
     };
     assert!(table.limit_reported(&record, Some(limit), TimePoint(100), TimePoint(150)));
     assert!(!table.limit_reported(&record, None, TimePoint(120), TimePoint(170)), "sent before the limit was known");
