--- a/crates/edge/src/store/operator_keys.rs
+++ b/crates/edge/src/store/operator_keys.rs
@@ -1,8 +1,7 @@
-//! Applies the configuration, model versions and requests to retire VMs and to evacuate failure domains, which operators and trainers write to the
-//! store.
+//! Applies the configuration, model versions and requests to retire VMs and to evacuate failure domains, which operators and
+//! trainers write to the store.
 
-use super::PrefixHandler;
-use super::PrefixLog;
+use super::{PrefixHandler, PrefixLog};
 use crate::{edge_metrics::EdgeMetrics, edge_state::EdgeState};
 use pimentoslip_kernel::{SharedName, TimePoint};
 use pimentoslip_platform::{
