--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -12,6 +12,7 @@
 mod path;
 mod platform_breaks;
 mod platform_bytes;
+mod platform_cold;
 mod platform_crasher;
 mod platform_departures;
 mod platform_duties;
--- a/crates/cli/tests/processes/platform_limits.rs
+++ b/crates/cli/tests/processes/platform_limits.rs
@@ -3,7 +3,10 @@
 use crate::support::{EdgeReply, EdgeSite, PathMatrix, job_item, job_submission, wait_for};
 use futures_util::future::join_all;
 use pimentoslip_standin::{PlatformUpstream, RelayRule};
-use std::time::{Duration, Instant};
+use std::{
+    ops::Range,
+    time::{Duration, Instant},
+};
 
 const EDGES: usize = 3;
 /// Span in which arrivals at an upstream are counted.
@@ -17,13 +20,13 @@
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Most arrivals at `upstream` in any span that begins at `from` or later.
-fn busiest_span(upstream: &PlatformUpstream, from: Instant) -> usize {
+/// Most arrivals at `upstream` in any time of the length `span` that begins at `from` or later.
+pub(crate) fn busiest_span(upstream: &PlatformUpstream, from: Instant, span: Duration) -> usize {
     let arrivals: Vec<Instant> = upstream.arrivals().into_iter().filter(|arrival| *arrival >= from).collect();
     let counts = arrivals
         .iter()
         .enumerate()
-        .map(|(index, first)| arrivals[index..].iter().take_while(|arrival| **arrival <= *first + SPAN).count());
+        .map(|(index, first)| arrivals[index..].iter().take_while(|arrival| **arrival <= *first + span).count());
     counts.max().unwrap_or(0)
 }
 
@@ -34,10 +37,16 @@
 
 /// Sends quotes to every edge until `until`, from several callers at each, and returns the replies.
 async fn send_quotes(site: &EdgeSite, name: &str, until: Instant) -> Vec<EdgeReply> {
-    let callers = (0..EDGES * CALLERS_PER_EDGE).map(|caller| async move {
+    send_quotes_to(site, 0..EDGES, name, until).await
+}
+
+/// Sends quotes to `edges` like [`send_quotes`].
+pub(crate) async fn send_quotes_to(site: &EdgeSite, edges: Range<usize>, name: &str, until: Instant) -> Vec<EdgeReply> {
+    let callers = edges.flat_map(|edge| (0..CALLERS_PER_EDGE).map(move |caller| (edge, caller)));
+    let callers = callers.map(|(edge, caller)| async move {
         let mut replies = Vec::new();
         while Instant::now() < until {
-            replies.push(site.send_quote(caller % EDGES, &format!("{name}-{caller}-{}", replies.len())).await);
+            replies.push(site.send_quote(edge, &format!("{name}-{edge}-{caller}-{}", replies.len())).await);
         }
         replies
     });
@@ -53,7 +62,7 @@
         limited.name_limit(Some(limit));
         let counted_from = Instant::now() + SETTLE_TIME;
         let replies = send_quotes(&site, &format!("limit-{limit}"), counted_from + SPAN + SPAN / 4).await;
-        let busiest = busiest_span(limited, counted_from);
+        let busiest = busiest_span(limited, counted_from, SPAN);
         assert!(busiest as f64 <= arrivals_max(limit.parse().expect("a number")), "{busiest} at a limit of {limit}");
         let unserved: Vec<&EdgeReply> = replies.iter().filter(|reply| reply.status != 200).collect();
         assert!(unserved.is_empty(), "the other upstream serves the rest of {limit}: {unserved:?}");
@@ -62,7 +71,7 @@
     let ended_at = Instant::now();
     wait_for("the upstream gets requests again as before", || async {
         send_quotes(&site, "ended", Instant::now() + SPAN / 4).await;
-        (busiest_span(limited, ended_at) as f64 > arrivals_max(8.0)).then_some(())
+        (busiest_span(limited, ended_at, SPAN) as f64 > arrivals_max(8.0)).then_some(())
     })
     .await;
 }
@@ -75,7 +84,7 @@
     site.desks[0].name_limit(Some("2"));
     let counted_from = Instant::now() + SETTLE_TIME;
     let replies = send_quotes(&site, "relayed", counted_from + SPAN + SPAN / 4).await;
-    let busiest = busiest_span(&site.desks[0], counted_from);
+    let busiest = busiest_span(&site.desks[0], counted_from, SPAN);
     assert!(busiest as f64 <= arrivals_max(2.0), "{busiest} requests");
     let unserved: Vec<&EdgeReply> = replies.iter().filter(|reply| reply.status != 200).collect();
     assert!(unserved.is_empty(), "the other upstream serves the rest of {}: {unserved:?}", replies.len());
@@ -100,7 +109,7 @@
     }
     let counted_from = started_at + SETTLE_TIME;
     for upstream in limited {
-        let busiest = busiest_span(upstream, counted_from);
+        let busiest = busiest_span(upstream, counted_from, SPAN);
         assert!(busiest as f64 <= arrivals_max(LIMIT), "{busiest} at {}", upstream.address);
     }
 }
