--- a/crates/cli/tests/processes/soak.rs
+++ b/crates/cli/tests/processes/soak.rs
@@ -52,6 +52,8 @@
 const NORTHERN_DESKS: usize = 3;
 /// Key with which the operator evacuates the south, where one desk runs.
 const SOUTH_KEY: &str = "op/evacuate/south";
+/// Key of the same for the other failure domain.
+const NORTH_KEY: &str = "op/evacuate/north";
 /// Requests to each edge while the south is evacuated.
 const EVACUATED_REQUESTS: usize = 8;
 
@@ -276,11 +278,14 @@
     send("evacuated").await;
     assert_eq!(southern.arrivals().len(), before, "seed {seed}: requests in the evacuated south");
     site.store.contents().remove(SOUTH_KEY);
+    // The edges are in the north and prefer its upstreams.
+    site.store.put(NORTH_KEY, &json!({}));
     wait_for("the south is used again", || async {
         send("returned").await;
         (southern.arrivals().len() > before).then_some(())
     })
     .await;
+    site.store.contents().remove(NORTH_KEY);
 }
 
 /// Number of the current usage window, which lasts 1 s.
