--- a/crates/cli/tests/processes/platform_heads.rs
+++ b/crates/cli/tests/processes/platform_heads.rs
@@ -1,6 +1,6 @@
 //! Tests of clients that send the head of a request in parts.
 
-use crate::support::{EdgeSite, HOST, ROSE_KEY};
+use crate::support::{EdgeSite, HOST, ROSE_KEY, wait_for};
 use std::time::Duration;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -51,8 +51,12 @@
     let mut silent = TcpStream::connect(site.public_address(0)).await.expect("connect");
     assert!(read_all(&mut slow).await.starts_with("HTTP/1.1 408 "), "the request is said not to have run");
     assert_eq!(read_all(&mut silent).await, "");
-    let log = site.edges[0].process.log();
+    // The log is written by a thread of its own.
     for phase in ["phase=head", "phase=new"] {
-        assert!(log.lines().any(|line| line.contains("event=client_closed") && line.contains(phase)), "{phase}: {log}");
+        wait_for(&format!("the log has a closed connection with {phase}"), || async {
+            let log = site.edges[0].process.log();
+            log.lines().any(|line| line.contains("event=client_closed") && line.contains(phase)).then_some(())
+        })
+        .await;
     }
 }
