Review: items that no sampler can take keep the route from all tenants

A group of 8 items is larger than the memory of any sampler. While it is in the queue of its job, younger jobs of the same route get no samplers, whoever submitted them.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the review against the project's daemons. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
 //! couldn't run.
 
+mod blocked;
 mod engine;
 mod http;
 mod jobs;
@@ -30,6 +31,7 @@
     let outcome = Record::create(record_path).and_then(|record| {
         let record = Arc::new(record);
         let outcome = match case.as_str() {
+            "blocked" => blocked::run(&record, has_trouble),
             "twice" => twice::run(&record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
