Review: owners of batch jobs with long prompts exceed their memory in a loop

The owners of the three routes use more than the 110 MB of their machines, are ended, claim all their jobs again and are ended again.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod jobs;
 mod json;
+mod memory;
 mod site;
 mod store;
 mod twice;
@@ -32,6 +33,7 @@
         let record = Arc::new(record);
         let outcome = match case.as_str() {
             "blocked" => blocked::run(&record, has_trouble),
+            "memory" => memory::run(&record, has_trouble),
             "twice" => twice::run(&record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
