Review: a run goes on for nobody after a response with another id

An item is sent on a connection on which a late copy of a refusal arrives first. The daemon lets the item run elsewhere, but keeps the connection, so that the first sampler works on it too.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod json;
 mod memory;
+mod overlap;
 mod site;
 mod store;
 mod twice;
@@ -34,6 +35,7 @@
         let outcome = match case.as_str() {
             "blocked" => blocked::run(&record, has_trouble),
             "memory" => memory::run(&record, has_trouble),
+            "overlap" => overlap::run(&record, has_trouble),
             "twice" => twice::run(&record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
