Review: the text of a killed sampler counts as whole

A sampler process is killed while it sends an answer without a length. Its connection is closed without a reset, and the item is listed as completed with 5 of 21 events.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -10,6 +10,7 @@
 mod overlap;
 mod site;
 mod store;
+mod truncated;
 mod twice;
 
 use site::Record;
@@ -36,6 +37,7 @@
             "blocked" => blocked::run(&record, has_trouble),
             "memory" => memory::run(&record, has_trouble),
             "overlap" => overlap::run(&record, has_trouble),
+            "truncated" => truncated::run(&record, has_trouble),
             "twice" => twice::run(&record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
