Review: case 6 also with refusals that bear no id

As the examples of the users' wire show them. The copy of such a refusal counts as the answer to whichever order comes next on its connection.

--- a/review/harness-2/src/twice.rs
+++ b/review/harness-2/src/twice.rs
@@ -1,7 +1,8 @@
 //! Case: a sampler repeats a refusal where the next response on its connection is expected.
 //!
 //! Three samplers of a plain service are full for a moment each half second, as other callers use them too. One of them sends some of
-//! its answers twice, the second time late, as the users' pages describe. Orders, which may run once, are sent one after the other.
+//! its answers twice, the second time late, as the users' pages describe. Orders, which may run once, are sent one after the other: first
+//! orders with a long latency objective while refusals bear the id of the request, and then, with a short one, while they bear none.
 
 use crate::{
     http::{Client, call, listen, read_request, response_bytes, serve},
@@ -28,7 +29,21 @@
 /// Of a hundred answers of a faulty sampler, so many are sent twice at most; the site file has 3.
 const REPEATED_PERCENT: u64 = 3;
 const WORK: Duration = Duration::from_millis(25);
-const ORDERS: u64 = 10;
+/// A kind of order, and the refusals that it meets.
+struct Kind {
+    route: &'static str,
+    objective_ms: u64,
+    /// Whether refusals bear the id of the request, as other answers do.
+    are_refusals_named: bool,
+    /// Times after the moment at which the samplers become full at which the orders are sent in turn.
+    phases_ms: &'static [u128],
+}
+
+/// The pages say that samplers echo the id; the example of a refusal there has none.
+const KINDS: [Kind; 2] = [
+    Kind { route: "orders", objective_ms: 1_000, are_refusals_named: true, phases_ms: &[20] },
+    Kind { route: "orders-now", objective_ms: 150, are_refusals_named: false, phases_ms: &[20, 270] },
+];
 
 /// What all samplers share.
 struct Shared {
@@ -37,6 +52,7 @@
     /// Runs by request id: the samplers that ran it.
     runs: Mutex<BTreeMap<String, Vec<String>>>,
     is_disrupted: AtomicBool,
+    are_refusals_named: AtomicBool,
 }
 
 struct Sampler {
@@ -61,7 +77,7 @@
         }
         let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
         let is_allowed = (self.repeated.load(Ordering::SeqCst) + 1) * 100 <= answers * REPEATED_PERCENT;
-        if is_allowed && path.starts_with("/orders/") {
+        if is_allowed && path.starts_with("/orders") {
             self.repeated.fetch_add(1, Ordering::SeqCst);
             return true;
         }
@@ -84,7 +100,7 @@
                 stream.write_all(&response_bytes(421, &[("Request-Id", &id), ("Instance-Id", &self.id)], b""))?;
                 continue;
             }
-            let is_order = request.path().starts_with("/orders/");
+            let is_order = request.path().starts_with("/orders");
             if request.path() == "/health" || !self.is_full() {
                 if is_order {
                     self.shared.record.line(format!("sampler {}: runs {id}", self.id));
@@ -97,8 +113,9 @@
                 self.repeats("");
                 stream.write_all(&response_bytes(200, &headers, body.as_bytes()))?;
             } else {
-                let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
-                let refusal = response_bytes(503, &headers, b"");
+                let headers = [("Not-Executed", "1"), ("Request-Id", id.as_str())];
+                let is_named = self.shared.are_refusals_named.load(Ordering::SeqCst);
+                let refusal = response_bytes(503, &headers[..if is_named { 2 } else { 1 }], b"");
                 if is_order {
                     self.shared.record.line(format!("sampler {}: refuses {id}, full", self.id));
                 }
@@ -111,6 +128,30 @@
     }
 }
 
+/// Sends orders of one kind for the time of a disruption, one after the other. Returns their ids and the statuses of the answers.
+fn send_orders(record: &Record, kind: &Kind, front: SocketAddr, started: Instant) -> Vec<(String, u16)> {
+    let (began, mut statuses) = (Instant::now(), Vec::new());
+    for number in 0.. {
+        let phase = started.elapsed().as_millis() % BUSY_INTERVAL_MS;
+        let aim = kind.phases_ms[number % kind.phases_ms.len()];
+        thread::sleep(Duration::from_millis(((BUSY_INTERVAL_MS + aim - phase) % BUSY_INTERVAL_MS) as u64));
+        if began.elapsed() >= DISRUPTION {
+            break;
+        }
+        let (id, key) = (format!("{}-{number}", kind.route), format!("Bearer {KEY}"));
+        let headers =
+            [("Host", HOST), ("Request-Id", id.as_str()), ("Deadline-Ms", "2000"), ("Authorization", key.as_str())];
+        record.line(format!("client: sends {id}"));
+        let path = format!("/{}/tray", kind.route);
+        let answer = call(front, "POST", &path, &headers, b"one tray", Duration::from_secs(3));
+        let status = answer.as_ref().map_or(0, |answer| answer.status);
+        let text = answer.map(|answer| answer.text()).unwrap_or_default();
+        record.line(format!("client: {id} is answered {status} {text:?}"));
+        statuses.push((id, status));
+    }
+    statuses
+}
+
 /// Runs the case. Returns whether the rule was kept.
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> io::Result<bool> {
     let folder = Folder::create()?;
@@ -120,6 +161,7 @@
         started: Instant::now(),
         runs: Mutex::default(),
         is_disrupted: AtomicBool::new(false),
+        are_refusals_named: AtomicBool::new(true),
     });
     let zones: &[&str] = &["huamanga", "carmen-alto", "san-juan"];
     let mut samplers = Vec::new();
@@ -138,10 +180,8 @@
         register(&store, &sampler.id, "order-desk", sampler.address, zone, 6, None);
         samplers.push(sampler);
     }
-    let routes = [
-        route("orders", "unsafe", "order-desk", 2_000, 1_000, 2),
-        route("quotes", "safe", "order-desk", 2_000, 1_000, 2),
-    ];
+    let mut routes = KINDS.map(|kind| route(kind.route, "unsafe", "order-desk", 2_000, kind.objective_ms, 2)).to_vec();
+    routes.push(route("quotes", "safe", "order-desk", 2_000, 1_000, 2));
     let service = "{\"name\":\"order-desk\",\"healthPath\":\"/health\",\"maxConnections\":100}".to_owned();
     write_config(&store, 2, &routes, &[service]);
     let names = [("edge-huamanga-1", zones[0]), ("edge-carmen-alto-1", zones[1]), ("edge-san-juan-1", zones[2])];
@@ -176,39 +216,27 @@
         }));
     }
     thread::sleep(Duration::from_secs(1));
-    shared.is_disrupted.store(true, Ordering::SeqCst);
-    record.line(format!("disruption begins: {}", if has_trouble { "i-0 repeats answers late" } else { "none" }));
-    let disrupted_at = Instant::now();
     let mut statuses = Vec::new();
-    for number in 0..ORDERS {
-        // Shortly after the samplers became full.
-        let phase = shared.started.elapsed().as_millis() % BUSY_INTERVAL_MS;
-        let wait_ms = (BUSY_INTERVAL_MS + 20 - phase) % BUSY_INTERVAL_MS;
-        thread::sleep(Duration::from_millis(wait_ms as u64));
-        if disrupted_at.elapsed() >= DISRUPTION {
-            break;
+    for kind in &KINDS {
+        for sampler in &samplers {
+            sampler.answers.store(0, Ordering::SeqCst);
+            sampler.repeated.store(0, Ordering::SeqCst);
         }
-        let (id, key) = (format!("order-{number}"), format!("Bearer {KEY}"));
-        let headers =
-            [("Host", HOST), ("Request-Id", id.as_str()), ("Deadline-Ms", "2000"), ("Authorization", key.as_str())];
-        record.line(format!("client: sends {id} to {}", edges[0].name));
-        let answer = call(front, "POST", "/orders/tray", &headers, b"one tray", Duration::from_secs(3));
-        let status = answer.as_ref().map_or(0, |answer| answer.status);
-        record.line(format!(
-            "client: {id} is answered {status} {:?}",
-            answer.map(|answer| answer.text()).unwrap_or_default()
+        shared.are_refusals_named.store(kind.are_refusals_named, Ordering::SeqCst);
+        shared.is_disrupted.store(true, Ordering::SeqCst);
+        record.line(format!("disruption begins: {}", if has_trouble { "i-0 repeats answers late" } else { "none" }));
+        statuses.extend(send_orders(record, kind, front, shared.started));
+        shared.is_disrupted.store(false, Ordering::SeqCst);
+        record.say(format!(
+            "{}: i-0 sent {} of its {} answers twice in the disruption",
+            kind.route,
+            samplers[0].repeated.load(Ordering::SeqCst),
+            samplers[0].answers.load(Ordering::SeqCst)
         ));
-        statuses.push((id, status));
+        thread::sleep(Duration::from_secs(1));
     }
-    shared.is_disrupted.store(false, Ordering::SeqCst);
-    thread::sleep(Duration::from_secs(1));
     is_over.store(true, Ordering::SeqCst);
     callers.into_iter().for_each(|caller| caller.join().unwrap_or_default());
-    record.say(format!(
-        "i-0 sent {} of its {} answers twice in the disruption",
-        samplers[0].repeated.load(Ordering::SeqCst),
-        samplers[0].answers.load(Ordering::SeqCst)
-    ));
     let runs = shared.runs.lock().expect("runs");
     let mut is_kept = true;
     for (id, status) in &statuses {
