--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 struct Item {
     /// Base64 text.
-    value: String,
+    value: Arc<str>,
     revision: u64,
     created: u64,
     lease: u64,
@@ -57,7 +57,7 @@
 impl Contents {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value, revision: self.revision, created, lease };
+        let item = Item { value: value.into(), revision: self.revision, created, lease };
         self.items.insert(key.to_owned(), item.clone());
         self.changes.push((self.revision, key.to_owned(), Some(item)));
     }
