A copy of an answer decides nothing about another send

Cause: an answer was attributed to a send by the id of the request alone. One request is sent several times with its id, also on the same kept connection, and an answer without an id was accepted on any connection. An upstream that repeats an answer where the next one is expected so decided about a request that it was running.

Change: the stream below the HTTP library knows the requests of its connection (ExchangeLog). A connection carries each id once: a repeated one is not written, the connection is closed, and the request is sent on another one. An answer without the id of its request is the last one of its connection, so that an upstream that goes on with another request drops it. Peers that send a request for another daemon use the same stream. A metric counts the connections.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -13,6 +13,7 @@
 mod platform_breaks;
 mod platform_bytes;
 mod platform_cold;
+mod platform_copies;
 mod platform_crasher;
 mod platform_departures;
 mod platform_duties;
--- a/crates/cli/tests/processes/support/mod.rs
+++ b/crates/cli/tests/processes/support/mod.rs
@@ -6,6 +6,7 @@
 mod http_client;
 mod path_matrix;
 mod raw_server;
+mod repeating_server;
 
 pub use child_process::{ChildProcess, Workdir, run_cli};
 pub use daemon_site::{DaemonSite, KEY_ORGANISATION, OPERATOR_KEY, SiteOptions};
@@ -15,6 +16,7 @@
 pub use http_client::{HttpAnswer, HttpClient};
 pub use path_matrix::PathMatrix;
 pub use raw_server::{RawAnswer, RawEnding, RawServer};
+pub use repeating_server::{CopyMoment, RecordedRun, RepeatingOptions, RepeatingServer};
 
 use std::{future::Future, time::Duration};
 
--- a/crates/cli/tests/processes/support/raw_server.rs
+++ b/crates/cli/tests/processes/support/raw_server.rs
@@ -159,18 +159,30 @@
 
 /// Reads the next request with its body, and returns its id; `None` once the connection is closed.
 async fn read_request(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
+    Some(read_head(stream, received).await?.field("request-id:"))
+}
+
+/// Head of a request, in lower case.
+#[derive(Clone, Debug)]
+pub struct RequestHead(String);
+
+impl RequestHead {
+    /// Value of the field whose line starts with `name`; empty if it is missing.
+    pub fn field(&self, name: &str) -> String {
+        let value = self.0.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(String::new(), |value| value.trim().to_owned())
+    }
+}
+
+/// Reads the next request with its body, and returns its head; `None` once the connection is closed.
+pub async fn read_head(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<RequestHead> {
     loop {
         if let Some(end) = received.windows(4).position(|window| window == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
-            let field = |name: &str| {
-                head.lines()
-                    .find_map(|line| line.strip_prefix(name))
-                    .map_or(String::new(), |value| value.trim().to_owned())
-            };
-            let request_bytes = end + 4 + field("content-length:").parse::<usize>().unwrap_or(0);
+            let head = RequestHead(String::from_utf8_lossy(&received[..end]).to_ascii_lowercase());
+            let request_bytes = end + 4 + head.field("content-length:").parse::<usize>().unwrap_or(0);
             if received.len() >= request_bytes {
                 received.drain(..request_bytes);
-                return Some(field("request-id:"));
+                return Some(head);
             }
         }
         if stream.read_buf(received).await.ok()? == 0 {
--- a/crates/client/src/response_head.rs
+++ b/crates/client/src/response_head.rs
@@ -2,15 +2,18 @@
 //!
 //! The library takes a response of HTTP/1.1 without a length for one without a body, although its body extends to the
 //! end of the connection, and takes an interim response for the final one. It also accepts statuses that are none, and
-//! bodies of responses that have none; such a response is prepared so that the library refuses it and closes the connection.
+//! bodies of responses that have none; such a response is prepared so that the library refuses it and closes the connection. Copies of
+//! responses to earlier requests are dropped, as the library would take them for the response to the request in progress.
 
+use crate::{
+    exchange_log::ExchangeLog,
+    head_fields::{HEAD_END, head_field, head_fields},
+};
 use bytes::{Buf, BytesMut};
 use std::ops::RangeInclusive;
 
-/// Largest head that is collected, together with the interim responses before it. The HTTP library refuses larger ones.
+/// Largest head that is collected, together with the interim responses and copies before it. The HTTP library refuses larger ones.
 const HEAD_BYTES_MAX: usize = 128 << 10;
-/// End of a head.
-const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Start of the status line that is expected, without the minor version.
 const VERSION: &[u8] = b"HTTP/1.";
 /// Position of the minor version in the status line.
@@ -30,21 +33,26 @@
     received: BytesMut,
     /// Length of the received bytes that contain no end of a head.
     searched: usize,
-    /// Length of the interim responses that were dropped.
+    /// Length of the interim responses and copies that were dropped.
     dropped: usize,
+    /// Number of the next bytes that belong to the body of a dropped copy.
+    copy_bytes: usize,
 }
 
 impl ResponseHead {
     /// Adds received bytes. Returns all bytes once the head of the final response is complete or can't be one; they are
-    /// then passed to the HTTP library.
-    pub fn add(&mut self, bytes: &[u8]) -> Option<BytesMut> {
+    /// then passed to the HTTP library. `exchanges` has the requests of the connection.
+    pub fn add(&mut self, bytes: &[u8], exchanges: Option<&ExchangeLog>) -> Option<BytesMut> {
         self.received.extend_from_slice(bytes);
         loop {
+            self.drop_copy_bytes();
             let Some(end) = self.head_end() else {
                 return (self.dropped + self.received.len() >= HEAD_BYTES_MAX).then(|| self.take());
             };
-            // An upstream that sends nothing but interim responses is refused with the last one of them.
-            if !self.is_interim() || self.dropped >= HEAD_BYTES_MAX {
+            let copy_bytes = exchanges.and_then(|exchanges| self.copy_body_bytes(end, exchanges));
+            // An upstream that sends nothing but interim responses and copies is refused with the last one of them.
+            let is_dropped = self.is_interim() || copy_bytes.is_some();
+            if !is_dropped || self.dropped.saturating_add(copy_bytes.unwrap_or_default()) >= HEAD_BYTES_MAX {
                 if !self.has_length(end) {
                     // Responses of HTTP/1.0 end with the connection.
                     let index = self.line_start() + MINOR_VERSION_INDEX;
@@ -55,9 +63,30 @@
             self.received.advance(end);
             self.dropped += end;
             self.searched = 0;
+            self.copy_bytes = copy_bytes.unwrap_or_default();
         }
     }
 
+    /// Drops what was received of the body of a copy.
+    fn drop_copy_bytes(&mut self) {
+        let count = self.copy_bytes.min(self.received.len());
+        self.received.advance(count);
+        self.dropped += count;
+        self.copy_bytes -= count;
+    }
+
+    /// Length of the body of the response whose head ends at `end`, if it is the copy of an earlier response and announces its length.
+    fn copy_body_bytes(&self, end: usize, exchanges: &ExchangeLog) -> Option<usize> {
+        let head = &self.received[..end];
+        if !exchanges.is_copy(head) || head_field(head, "transfer-encoding").is_some() {
+            return None;
+        }
+        if matches!(self.status(), Some(204 | 304)) {
+            return Some(0);
+        }
+        std::str::from_utf8(head_field(head, "content-length")?).ok()?.parse().ok()
+    }
+
     /// All bytes received so far, when no more follow.
     pub fn take(&mut self) -> BytesMut {
         self.take_checked(None)
@@ -120,11 +149,7 @@
 
     /// Values of the fields of the head that end at `end` and say where the body ends.
     fn lengths(&self, end: usize) -> impl Iterator<Item = (&[u8], &[u8])> {
-        let fields = self.received[..end].split(|byte| *byte == b'\n').filter_map(|line| {
-            let colon = line.iter().position(|byte| *byte == b':')?;
-            Some((&line[..colon], line[colon + 1..].trim_ascii()))
-        });
-        fields.filter(|(name, _)| {
+        head_fields(&self.received[..end]).filter(|(name, _)| {
             name.eq_ignore_ascii_case(b"content-length") || name.eq_ignore_ascii_case(b"transfer-encoding")
         })
     }
--- a/crates/client/src/strict_stream.rs
+++ b/crates/client/src/strict_stream.rs
@@ -1,6 +1,9 @@
-//! TCP stream of an HTTP client that reports its end as an error.
+//! TCP stream of an HTTP client that reports its end as an error, and is not used again where a copy of a response could be mistaken.
 
-use crate::response_head::ResponseHead;
+use crate::{
+    exchange_log::{ExchangeLog, Result},
+    response_head::ResponseHead,
+};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
 use socket2::SockRef;
@@ -68,10 +71,13 @@
 }
 
 /// TCP stream on which the end of the connection is an error. The HTTP client would accept it as the end of a body, so
-/// that a truncated response would look complete; with this stream only the framing of the message ends a body.
+/// that a truncated response would look complete; with this stream only the framing of the message ends a body. A request whose id
+/// the connection has carried before is not sent: writing it fails with [`RepeatedRequest`](crate::RepeatedRequest).
 #[derive(Debug)]
 pub struct StrictStream {
     socket: Rc<RefCell<SharedSocket>>,
+    /// Requests on this connection; `None` if its server sends no copies of responses.
+    exchanges: Option<ExchangeLog>,
     /// Head of the response that is being received; `None` after it was passed on, until the next request is written.
     head: Option<ResponseHead>,
     /// Received bytes that are not passed on yet.
@@ -79,11 +85,11 @@
 }
 
 impl StrictStream {
-    /// Wraps `stream`.
+    /// Wraps the new connection `stream`, whose requests `exchanges` records.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, exchanges: Option<ExchangeLog>) -> Self {
         let socket = SharedSocket { stream: Some(stream), used_at: Instant::now() };
-        Self { socket: Rc::new(RefCell::new(socket)), head: Some(ResponseHead::default()), prepared: BytesMut::new() }
+        Self { socket: Rc::new(RefCell::new(socket)), exchanges, head: None, prepared: BytesMut::new() }
     }
 
     /// The socket of the stream.
@@ -92,6 +98,17 @@
         &self.socket
     }
 
+    /// Starts a request whose first bytes are `bytes`. The connection is closed if it must not carry the request.
+    fn start_request(&mut self, bytes: &[u8]) -> Result<()> {
+        if let Some(exchanges) = &mut self.exchanges {
+            exchanges.request_started(bytes).inspect_err(|_| self.socket.borrow_mut().close())?;
+        }
+        self.head = Some(ResponseHead::default());
+        // Bytes that are left over belong to no response.
+        self.prepared.clear();
+        Ok(())
+    }
+
     /// Reads until the head of a response is complete. The bytes read are then prepared.
     fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while let Some(head) = &mut self.head {
@@ -99,7 +116,12 @@
             let mut buffer = ReadBuf::uninit(&mut block);
             std::task::ready!(self.socket.borrow_mut().poll_open(|stream| stream.poll_read(context, &mut buffer)))?;
             let is_ended = buffer.filled().is_empty();
-            if let Some(prepared) = if is_ended { Some(head.take()) } else { head.add(buffer.filled()) } {
+            if let Some(mut prepared) =
+                if is_ended { Some(head.take()) } else { head.add(buffer.filled(), self.exchanges.as_ref()) }
+            {
+                if let Some(exchanges) = &self.exchanges {
+                    exchanges.response_received(&mut prepared);
+                }
                 self.prepared = prepared;
                 self.head = None;
             }
@@ -137,9 +159,8 @@
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         if this.head.is_none() {
-            // A new request. Bytes that are left over belong to no response.
-            this.head = Some(ResponseHead::default());
-            this.prepared.clear();
+            // The HTTP library writes the complete head at once, and reads no response before it has written the request.
+            this.start_request(bytes).map_err(io::Error::other)?;
         }
         this.socket.borrow_mut().poll_open(|stream| stream.poll_write(context, bytes))
     }
--- a/crates/client/tests/statuses.rs
+++ b/crates/client/tests/statuses.rs
@@ -1,7 +1,7 @@
 //! Tests of responses whose status is none, from any server: upstreams, peers, the store and the provider are called by the same
 //! clients.
 
-use pimentoslip_client::{client_with_tcp_user_timeout, client_with_timeouts, plain_client};
+use pimentoslip_client::{client_with_tcp_user_timeout, plain_client, plain_upstream_client, upstream_client};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener},
@@ -52,7 +52,12 @@
 #[actix_rt::test]
 async fn a_response_whose_status_is_none_is_an_error_for_every_client() {
     let timeout = Duration::from_secs(5);
-    let clients = [plain_client(), client_with_tcp_user_timeout(timeout), client_with_timeouts(timeout, timeout)];
+    let clients = [
+        plain_client(),
+        plain_upstream_client("id"),
+        client_with_tcp_user_timeout(timeout),
+        upstream_client(timeout, timeout, "id"),
+    ];
     let mut taken = Vec::new();
     for response in RESPONSES {
         let address = serve(response);
--- a/crates/daemon/src/http/worker_state.rs
+++ b/crates/daemon/src/http/worker_state.rs
@@ -11,9 +11,10 @@
 use actix::Addr;
 use actix_web::HttpResponse;
 use awc::Client;
-use pimentoslip_client::{EtcdClient, plain_client};
+use pimentoslip_client::{EtcdClient, plain_client, plain_upstream_client};
 use pimentoslip_kernel::{RefusalReason, TimePoint};
 use pimentoslip_telemetry::LogLine;
+use pimentoslip_wire::REQUEST_ID_HEADER;
 use std::sync::{Arc, atomic::Ordering};
 
 /// State of one serving thread: its own clients, and references to the state and actors of the daemon.
@@ -48,7 +49,7 @@
     ) -> Self {
         let peer_client = PeerClient::new(shared.settings.cluster_secret.clone());
         Self {
-            upstream_client: plain_client(),
+            upstream_client: plain_upstream_client(REQUEST_ID_HEADER),
             non_idempotent_client: plain_client(),
             kv: EtcdClient::new(shared.settings.kv_address.clone(), shared.kv_calls.clone()),
             claim_client: ClaimClient::new(shared.clone(), claim_actor.clone(), peer_client.clone()),
--- a/crates/daemon/src/step/step_actor.rs
+++ b/crates/daemon/src/step/step_actor.rs
@@ -9,10 +9,11 @@
 use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
 use actix_rt::task::JoinHandle;
 use awc::Client;
-use pimentoslip_client::plain_client;
+use pimentoslip_client::plain_upstream_client;
 use pimentoslip_kernel::{DispatchOrder, RefusalReason, SampleResult, SharedName, StepSpec, TimePoint};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
+    REQUEST_ID_HEADER,
     admin::StepStatus,
     caller::{FetchRequest, FetchResponse, OpenRequest, OpenResponse},
 };
@@ -87,7 +88,7 @@
     /// Creates an actor without steps.
     #[must_use]
     pub fn new(shared: Arc<SharedState>) -> Self {
-        Self { shared, client: plain_client(), steps: BTreeMap::new() }
+        Self { shared, client: plain_upstream_client(REQUEST_ID_HEADER), steps: BTreeMap::new() }
     }
 
     /// Opens a step. Returns an error if the specification is invalid, or if the step was opened with another one.
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -56,6 +56,9 @@
     pub refusals: Family<ReasonLabel, Counter>,
     /// Connections of clients that were closed or refused because of a limit: `connections`, `memory`, `no_progress` or `refused`.
     pub client_closes: Family<ReasonLabel, Counter>,
+    /// Connections to upstreams that are not used again, by reason: `id_repeated` before a request whose id they have carried;
+    /// `id_missing` or `id_of_other` after a response without the id of its request.
+    pub connections_closed: Family<ReasonLabel, Counter>,
     /// Failed attempts at upstreams, by reason.
     pub retries: Family<ReasonLabel, Counter>,
     /// Ended runs of batch items, by result.
@@ -141,6 +144,7 @@
             answers: Family::default(),
             refusals: Family::default(),
             client_closes: Family::default(),
+            connections_closed: Family::default(),
             retries: Family::default(),
             item_runs: Family::default(),
             job_waits: Family::default(),
@@ -174,6 +178,11 @@
         registry.register("answers", "Answers to requests by outcome", metrics.answers.clone());
         registry.register("refusals", "Refused requests by reason", metrics.refusals.clone());
         registry.register("client_closes", "Connections closed because of a limit", metrics.client_closes.clone());
+        registry.register(
+            "connections_closed",
+            "Connections to upstreams closed because of a request id",
+            metrics.connections_closed.clone(),
+        );
         registry.register("retries", "Repeated attempts by reason", metrics.retries.clone());
         registry.register("item_runs", "Runs of batch items by end", metrics.item_runs.clone());
         registry.register("job_waits", "Owned jobs that wait by reason", metrics.job_waits.clone());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,7 +23,7 @@
 mod waiting;
 mod worker_parts;
 
-pub use relay::{AttemptFailure, EventPortion, PortionReader};
+pub use relay::{AttemptFailure, EventPortion, PortionReader, check_response};
 pub use run_edge::{Result, run_edge};
 pub use run_storage::run_storage;
 pub use task_supervisor::supervise;
--- a/crates/edge/src/relay/direct_attempt.rs
+++ b/crates/edge/src/relay/direct_attempt.rs
@@ -1,11 +1,13 @@
 //! Sends a request to an upstream on the direct path.
 
 use super::{AttemptFailure, Result, UpstreamCall, UpstreamGuard};
+use crate::edge_metrics::EdgeMetrics;
 use actix_web::error::ParseError;
 use awc::{
-    Client, ClientResponse,
+    Client, ClientRequest, ClientResponse,
     error::{ConnectError, SendRequestError},
 };
+use pimentoslip_client::is_unsent;
 use pimentoslip_platform::header;
 use pimentoslip_telemetry::LogLine;
 use std::{io, time::Duration};
@@ -20,9 +22,40 @@
     if !guard.may_send() {
         return Err(AttemptFailure::Departed.into());
     }
-    let url = format!("http://{}{}", guard.record.address, call.path);
+    guard.request_sent();
+    let sent = loop {
+        match upstream_request(client, call, guard, left_ms).send_body(call.body.clone()).await {
+            // Each of these closes an idle connection at once, so that at last a new one is opened.
+            Err(error) if is_unsent(&error) => count_closed_connection("id_repeated"),
+            sent => break sent,
+        }
+    };
+    match sent {
+        Ok(response) => {
+            guard.direct_succeeded(sent_at);
+            match response.headers().get(header::REQUEST_ID) {
+                None => count_closed_connection("id_missing"),
+                Some(id) if id.as_bytes() != call.id.as_bytes() => count_closed_connection("id_of_other"),
+                Some(_) => {}
+            }
+            Ok(response)
+        }
+        Err(error) => {
+            let failure = send_failure(&error, call, guard);
+            Err(guard.direct_failed(failure, sent_at).into())
+        }
+    }
+}
+
+/// Counts a connection that carries no further request, as a copy of one of its responses could be mistaken.
+fn count_closed_connection(reason: &'static str) {
+    EdgeMetrics::increment(&EdgeMetrics::global().connections_closed, reason);
+}
+
+/// The request to the guard's upstream for `call`, whose sender waits for `left_ms` milliseconds.
+fn upstream_request(client: &Client, call: &UpstreamCall, guard: &UpstreamGuard, left_ms: u64) -> ClientRequest {
     let mut request = client
-        .request(call.method.clone(), url)
+        .request(call.method.clone(), format!("http://{}{}", guard.record.address, call.path))
         .no_decompress()
         .timeout(Duration::from_millis(left_ms))
         .insert_header(("host", &*call.host))
@@ -38,17 +71,7 @@
     if let Some(event_id) = call.last_event_id {
         request = request.insert_header((header::LAST_EVENT_ID, event_id.to_string()));
     }
-    guard.request_sent();
-    match request.send_body(call.body.clone()).await {
-        Ok(response) => {
-            guard.direct_succeeded(sent_at);
-            Ok(response)
-        }
-        Err(error) => {
-            let failure = send_failure(&error, call, guard);
-            Err(guard.direct_failed(failure, sent_at).into())
-        }
-    }
+    request
 }
 
 /// Classifies and logs the failure to send a request or to receive the header of its response.
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -13,7 +13,7 @@
 mod upstream_call;
 mod upstream_guard;
 
-pub use attempt::{AttemptFailure, Result, observe_upstream, start_attempt};
+pub use attempt::{AttemptFailure, Result, check_response, observe_upstream, start_attempt};
 pub use body_blocks::BodyBlocks;
 pub use complete_response::{CompleteResponse, fetch_complete, is_clean_close, is_delimited_by_close, read_response};
 pub use direct_attempt::send_direct;
--- a/crates/edge/src/worker_parts.rs
+++ b/crates/edge/src/worker_parts.rs
@@ -4,8 +4,8 @@
     duty::UsageCollector, edge_metrics::EdgeMetrics, edge_state::EdgeState, peer_client::PeerClient, store::StoreAccess,
 };
 use awc::Client;
-use pimentoslip_client::client_with_timeouts;
-use pimentoslip_platform::StoreClient;
+use pimentoslip_client::upstream_client;
+use pimentoslip_platform::{StoreClient, header};
 use std::{sync::Arc, time::Duration};
 
 /// Longest wait for a connection to an upstream. Round trips take milliseconds; a lost request for a connection is sent again
@@ -46,7 +46,7 @@
         let store = StoreAccess::new(state.clone(), direct_client.with_purpose("serve_batches"));
         let peer_client = PeerClient::default();
         Self {
-            upstream_client: client_with_timeouts(UPSTREAM_CONNECT_TIMEOUT, UPSTREAM_USER_TIMEOUT),
+            upstream_client: upstream_client(UPSTREAM_CONNECT_TIMEOUT, UPSTREAM_USER_TIMEOUT, header::REQUEST_ID),
             usage_collector: UsageCollector::new(state.clone(), store.with_purpose("usage")),
             relay_client: direct_client.with_purpose("relay"),
             peer_client,
