Orders to upstreams and requests for reports have an id of their own each

A repeated call had the id of the call before, so that a copy of an old report, or of a refusal of an order, was taken for the present answer. Its harm is bounded: the next pass reads the report again.

The id now has the time of the call, so that the copy is recognised, and the connection need not be replaced for the repetition. No test of its own: the connections' rule is checked by crates/edge/tests/copies.rs.

--- a/crates/edge/src/duty/load_duty.rs
+++ b/crates/edge/src/duty/load_duty.rs
@@ -177,7 +177,7 @@
     // A process that is suspended here must not send the order after it resumes, so the body fails at this time.
     let send_deadline = state.clock.now().plus_ms(ORDER_TIMEOUT_MS);
     let body = DeadlineBody::new(state.clock.clone(), send_deadline, Bytes::from(body));
-    let id = call_id(order, active_term.fencing_token);
+    let id = call_id("order", order, now);
     let request = upstream_client
         .post(format!("http://{}{ORDER_PATH}", order.address))
         .timeout(Duration::from_millis(ORDER_TIMEOUT_MS))
@@ -235,12 +235,13 @@
     }
 }
 
-/// Id of a call about `order`, by which the response to an earlier call on the same connection is recognised.
-fn call_id(order: &LoadOrder, fencing_token: u64) -> String {
-    format!("{}-{}-{fencing_token}", order.model, order.version)
+/// Id of a call about `order` at `sent_at`, which no other call to its upstream has.
+fn call_id(kind: &str, order: &LoadOrder, sent_at: TimePoint) -> String {
+    format!("{kind}-{}-{}-{}", order.model, order.version, sent_at.0)
 }
 
-/// Whether a response names the id of another call. Upstreams need not repeat the id in responses to orders.
+/// Whether a response names the id of another call. Upstreams need not repeat the id in responses to orders; one without an id is no
+/// copy of an earlier response, as its connection carries no further request.
 fn is_response_to_other(headers: &HeaderMap, id: &str) -> bool {
     headers.get(header::REQUEST_ID).is_some_and(|echoed_id| echoed_id.as_bytes() != id.as_bytes())
 }
@@ -248,7 +249,7 @@
 /// Number of orders that the upstream has accepted since its start, from its report. Fails with the reason for the log.
 async fn orders_accepted(state: &EdgeState, upstream_client: &Client, order: &LoadOrder) -> Result<u64, String> {
     let started_at = state.now();
-    let id = format!("report-{}-{}", order.model, order.version);
+    let id = call_id("report", order, started_at);
     let request = upstream_client
         .get(format!("http://{}{REPORT_PATH}", order.address))
         .timeout(Duration::from_millis(ORDER_TIMEOUT_MS))
