The load in a response to another request, or of another upstream, is not recorded

The load was recorded before it was known whose response it is: a late copy brought that of an earlier moment, and a misdirected response that of the process which has taken over the address. The limit was checked already. That an upstream leaves stays recorded from any of its responses: a process that leaves does not come back.

--- a/crates/edge/src/relay/attempt.rs
+++ b/crates/edge/src/relay/attempt.rs
@@ -183,11 +183,16 @@
 
 /// Records what the header of a response says of the upstream: its load, its limit and whether it leaves.
 pub fn observe_upstream(id: &str, guard: &UpstreamGuard, status: StatusCode, headers: &HeaderMap, sent_at: TimePoint) {
-    if let Some(requests) = reported_load(headers) {
+    let checked = check_response(id, status, headers);
+    let failure = checked.err().map(|error| error.failure);
+    // The load in the response to another request is an earlier one, and that in a misdirected response is another upstream's.
+    if !matches!(failure, Some(AttemptFailure::Mismatch | AttemptFailure::Misdirected))
+        && let Some(requests) = reported_load(headers)
+    {
         guard.load_reported(requests);
     }
     guard.observe_leaving(status, headers);
-    if is_from_upstream(check_response(id, status, headers), id, headers) {
+    if is_from_upstream(checked, id, headers) {
         report_limit(guard, headers, sent_at);
     }
 }
