Review: an edge that owns large batch jobs exceeds its memory again and again

Eight trainers submit a batch job of 10.5 MB each at the same moment, within maxBodyBytes. The edge that owns them exceeds 110 MB, is killed, claims the jobs again and reads them all at once. No job ever gives a result, and callers on kept connections get no answer from requests that samplers were working on.

--- /dev/null
+++ b/review/harness-3/src/main.rs
@@ -0,0 +1,27 @@
+//! Stand-ins and checks of the review cases that are scripts.
+
+mod caller;
+mod memory;
+mod oversize;
+mod paged_store;
+mod quarantine;
+mod sampler;
+mod site;
+mod split;
+
+#[actix_rt::main]
+async fn main() {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let is_disrupted = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let code = match case.as_str() {
+        "memory" => memory::run(is_disrupted).await,
+        "oversize" => oversize::run(is_disrupted).await,
+        "split" => split::run(is_disrupted).await,
+        "quarantine" => quarantine::run(is_disrupted).await,
+        _ => {
+            eprintln!("unknown case {case:?}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
