--- a/review/harness-3/src/caller.rs
+++ b/review/harness-3/src/caller.rs
@@ -18,6 +18,8 @@
 const DEADLINE_MS: u64 = 3_000;
 /// Pause between an answer and the next request.
 const PAUSE: Duration = Duration::from_millis(75);
+/// A caller begins up to this long after the first one.
+const OFFSET_MS_MAX: u64 = 277;
 /// Pause before a new connection after one that failed.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -39,6 +41,9 @@
     record: Rc<RefCell<Record>>,
     until: Duration,
 ) {
+    // Callers are not in step with each other.
+    let offset = name.bytes().fold(0_u64, |sum, byte| (sum * 31 + u64::from(byte)) % OFFSET_MS_MAX);
+    actix_rt::time::sleep(Duration::from_millis(offset)).await;
     let mut number = 0;
     while record.borrow().elapsed() < until {
         let Ok(Ok(mut stream)) = actix_rt::time::timeout(Duration::from_secs(1), TcpStream::connect(edge)).await else {
--- a/review/harness-3/src/sampler.rs
+++ b/review/harness-3/src/sampler.rs
@@ -1,5 +1,6 @@
 //! Samplers of a plain service, which can lose power: a sampler without power answers nothing and accepts no connection.
 
+use crate::handover::FAILING_ID;
 use pimentoslip_standin::PlatformStore;
 use serde_json::json;
 use std::{
@@ -18,6 +19,12 @@
 /// it are two round trips of 0.4 ms each, and the handshake of a sampler takes 1 ms.
 const REJECTION_DELAY: Duration = Duration::from_millis(2);
 
+/// Bytes of the data of an event, as on the sheets.
+const EVENT_BYTES: usize = 310;
+
+/// Time after which a failing item is answered 500.
+const FAILURE_TIME: Duration = Duration::from_millis(550);
+
 /// A request that a sampler began to run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -279,6 +286,17 @@
                     )
                 } else {
                     let run = self.run_begun(&id);
+                    if id.starts_with(FAILING_ID) {
+                        actix_rt::time::sleep(FAILURE_TIME).await;
+                        let head = format!(
+                            "HTTP/1.1 500 Internal Server Error\r\nrequest-id: {id}\r\nserver-signature: signed {id}\r\ncontent-length: 0\r\n\r\n"
+                        );
+                        run.end(true);
+                        if stream.write_all(head.as_bytes()).await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
                     let count: u64 = header("length-hint").and_then(|text| text.parse().ok()).unwrap_or(1);
                     let first: u64 =
                         header("last-event-id").and_then(|text| text.parse::<u64>().ok()).map_or(1, |last| last + 1);
@@ -328,7 +346,7 @@
         }
         for number in first..=count {
             actix_rt::time::sleep(Duration::from_millis(self.work_ms)).await;
-            let event = format!("id: {number}\ndata: {id}:{number}\n\n");
+            let event = format!("id: {number}\ndata: {id}:{number}:{:x<EVENT_BYTES$}\n\n", "");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 return false;
--- a/review/harness-3/src/site.rs
+++ b/review/harness-3/src/site.rs
@@ -125,6 +125,31 @@
         actix_rt::time::sleep(Duration::from_millis(1_500)).await;
     }
 
+    /// The edge whose log has the latest line with `text`.
+    pub fn last_edge_with(&self, text: &str) -> Option<usize> {
+        let last_time = |edge: &Edge| {
+            let log = fs::read_to_string(&edge.log_path).unwrap_or_default();
+            log.lines().rfind(|line| line.contains(text)).map(|line| line.chars().take(26).collect::<String>())
+        };
+        (0..self.edges.len())
+            .filter_map(|number| Some((last_time(&self.edges[number])?, number)))
+            .max()
+            .map(|(_, number)| number)
+    }
+
+    /// Sends SIGTERM to the process of an edge.
+    pub fn terminate(&mut self, number: usize) {
+        if let Some(process) = &self.edges[number].process {
+            let _ = Command::new("kill").args(["-TERM", &process.id().to_string()]).status();
+        }
+    }
+
+    /// Whether the process of an edge has ended by now.
+    pub fn has_ended(&mut self, number: usize) -> bool {
+        let process = self.edges[number].process.as_mut();
+        process.is_some_and(|process| matches!(process.try_wait(), Ok(Some(_))))
+    }
+
     /// Records how many crashes the edges know of each request, from their logs.
     pub fn print_marks(&self, record: &mut Record) {
         for edge in &self.edges {
