A run that ended before a crash became known counts against the crash

Cause: crashes were weighed when they became known, not when they happened. A request without an answer is kept as a loss; when the list shows the next process seconds later, the crash counts. A completed run cleared only the marks that were known at its end, so that all runs between the loss and the mark counted for nothing. With three marks nothing may run, and no run can clear them.

A crash of a process to which the request was sent before such a run ended does not count, whoever observed it and whenever it becomes known. Marks carry the time of the send, in the store and between peers; a daemon that reads one that it can disprove removes it from the store. A mark of an earlier build counts from its observation, as before. The product's own interface uses the same table.

Why this works: a request that crashes each upstream that begins to run it has no completed run, so none of its marks is disproved.

Also changed: a mark that the store shows is not written again, so that its removal is not mistaken for the end of a queued write.

Cost: the body of a completed request is hashed, 0.9 us for 800 bytes and 60 us for 64 KB (x86-64 with SHA instructions); larger ones only while a loss is open or a mark exists here.

Ruled out: counting the crashes of upstreams that fall silent together once. A request that crashes upstreams is repeated at once and crashes three of them within a second (platform_crasher: two attempts in one request), which looks the same.

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -285,6 +285,56 @@
     }
 }
 
+/// Guards against a harmless request that is quarantined because upstreams that fell silent under it are listed again after
+/// others have completed it, at the same edge or at another one.
+#[actix_rt::test]
+async fn a_request_that_was_completed_after_upstreams_fell_silent_is_not_quarantined() {
+    for completing_edge in [0, 1] {
+        let mut site = EdgeSite::start(2).await;
+        site.desks.iter().for_each(|desk| desk.start_draining());
+        let mut silent = Vec::new();
+        for number in 0..3 {
+            let id = format!("silent-{number}");
+            let server = RawServer::start(RawAnswer::default()).await;
+            lose_request(&site, &id, &server).await;
+            wait_for("the loss is examined", || async {
+                (log_lines(&site, &format!("event=loss_examined request_id={id} ")) > 0).then_some(())
+            })
+            .await;
+            silent.push((id.clone(), server, unix_ms()));
+            // No further request is sent there.
+            site.store.contents().remove(&format!("servers/{id}"));
+        }
+        site.start_desk("desk-3");
+        wait_for("the request is completed", || async {
+            (site.send_quote_for(completing_edge, "sound", "boom").await.status == 200).then_some(())
+        })
+        .await;
+        for (id, server, started_again_at) in &silent {
+            site.register(id, "desk", server.address, "draining", *started_again_at);
+            let process = format!("process={id}@");
+            wait_for("the crash is known where the request was completed", || async {
+                let log = site.edges[completing_edge].process.log();
+                let is_known = |line: &str| {
+                    line.contains("event=crash_disproved") && line.contains(&process)
+                        || line.contains("event=crash_known") && line.contains(&process)
+                        || line.contains("event=upstream_crashed") && line.contains(&format!("upstream={id} "))
+                };
+                log.lines().any(is_known).then_some(())
+            })
+            .await;
+        }
+        for edge in 0..2 {
+            let reply = wait_for("the request is served, or refused for its crashes", || async {
+                let reply = site.send_quote_for(edge, "again", "boom").await;
+                (reply.status == 200 || reply.body == "quarantined").then_some(reply)
+            })
+            .await;
+            assert_eq!(reply.status, 200, "edge {edge}, completed at edge {completing_edge}: {reply:?}");
+        }
+    }
+}
+
 /// Guards against two requests that crash upstreams by turns, and hide each other.
 #[actix_rt::test]
 async fn two_requests_that_crash_upstreams_at_once_are_both_refused() {
--- a/crates/daemon/src/upstream/upstream_guard.rs
+++ b/crates/daemon/src/upstream/upstream_guard.rs
@@ -45,7 +45,8 @@
     /// caller finds it known at any daemon.
     pub async fn connection_lost(&mut self) {
         self.failed = true;
-        let mark_count = mark_if_crashed(&self.shared, &self.entry, self.suspect_fingerprint).await;
+        let mark_count =
+            mark_if_crashed(&self.shared, &self.entry, self.suspect_fingerprint, self.sent_unix_ms()).await;
         if let Some(count) = mark_count {
             self.shared.crash_push.wait_sent(count).await;
         }
@@ -55,13 +56,21 @@
     pub fn connection_lost_in_background(&mut self) {
         self.failed = true;
         let (shared, entry, fingerprint) = (self.shared.clone(), self.entry.clone(), self.suspect_fingerprint);
-        actix_rt::spawn(async move { mark_if_crashed(&shared, &entry, fingerprint).await });
+        let sent_unix_ms = self.sent_unix_ms();
+        actix_rt::spawn(async move { mark_if_crashed(&shared, &entry, fingerprint, sent_unix_ms).await });
+    }
+
+    /// When the request was sent, in milliseconds since the Unix epoch.
+    fn sent_unix_ms(&self) -> u64 {
+        let shared = &self.shared;
+        shared.clock.unix_ms().saturating_sub(shared.now().since_ms(self.started_at))
     }
 
     /// Records that the upstream completed the request, and clears the crashes that counted against it.
     pub fn request_completed(&self) {
         if let Some(fingerprint) = self.suspect_fingerprint {
-            let cleared = self.shared.suspects().request_completed(fingerprint);
+            let (now, unix_ms) = (self.shared.now(), self.shared.clock.unix_ms());
+            let cleared = self.shared.suspects().request_completed(fingerprint, unix_ms, now);
             self.shared.crash_push.add(cleared);
         }
         let duration_ms = self.shared.now().since_ms(self.started_at);
@@ -69,9 +78,14 @@
     }
 }
 
-/// Probes the upstream and, if it has crashed, counts the crash against the request with `fingerprint`. Returns the
-/// number of marks to wait for until the peers know of it; `None` if nothing was marked.
-async fn mark_if_crashed(shared: &SharedState, entry: &UpstreamEntry, fingerprint: Option<u64>) -> Option<u64> {
+/// Probes the upstream and, if it has crashed, counts the crash against the request with `fingerprint`, which was sent to it
+/// at `sent_unix_ms`. Returns the number of marks to wait for until the peers know of it; `None` if nothing was marked.
+async fn mark_if_crashed(
+    shared: &SharedState,
+    entry: &UpstreamEntry,
+    fingerprint: Option<u64>,
+    sent_unix_ms: u64,
+) -> Option<u64> {
     let has_crashed = is_refusing_connections(&entry.address).await;
     let now = shared.now();
     let mut crash_count = 0;
@@ -80,7 +94,7 @@
         shared.routes().connection_refused(&entry.name, now);
         if let Some(fingerprint) = fingerprint {
             let mut suspects = shared.suspects();
-            mark = suspects.upstream_crashed(fingerprint, &entry.name, now);
+            mark = suspects.upstream_crashed(fingerprint, &entry.name, Some(sent_unix_ms), now);
             crash_count = suspects.crash_count(fingerprint, now);
         }
     }
--- a/crates/edge/src/http/stream_proxy.rs
+++ b/crates/edge/src/http/stream_proxy.rs
@@ -12,7 +12,7 @@
         AttemptFailure, OpenStream, StreamAttempt, StreamPortion, UpstreamGuard, forwarded_response_headers,
         open_stream,
     },
-    suspect::clear_suspect,
+    suspect::request_completed,
     worker_parts::WorkerParts,
 };
 use actix_web::{HttpResponse, http::StatusCode};
@@ -330,8 +330,9 @@
             RelayEnd::Stopping => ("stopping", "stopping"),
             RelayEnd::Failed(failure) => ("upstream_failed", failure.as_str()),
         };
-        if matches!(end, RelayEnd::Complete) && !state.suspects().is_empty() {
-            clear_suspect(state, self.plan.call.repeat_fingerprint());
+        if matches!(end, RelayEnd::Complete) {
+            let call = &self.plan.call;
+            request_completed(state, call.body.len(), || call.repeat_fingerprint());
         }
         EdgeMetrics::increment(&EdgeMetrics::global().answers, outcome);
         LogLine::new("stream_ended")
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -6,7 +6,7 @@
     edge_state::EdgeState,
     relay::{AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard},
     stream::unrecorded_upstreams,
-    suspect::{clear_suspect, examine_loss},
+    suspect::{examine_loss, request_completed},
     waiting::{WaitTerms, early_refusal, wait_for_room},
     worker_parts::WorkerParts,
 };
@@ -124,7 +124,7 @@
 ) -> Result<AnsweredAttempt<R>> {
     let AttemptPlan { call, target, rule, .. } = plan;
     let state = &parts.state;
-    // The body is hashed only while some request is marked, or after an attempt without a response.
+    // The body is hashed once, and only if it has to be.
     let repeat_fingerprint = LazyCell::new(|| call.repeat_fingerprint());
     let is_marked = || !state.suspects().is_empty();
     let tried = plan.failed_upstreams.clone();
@@ -172,8 +172,8 @@
         match result {
             Ok(response) => {
                 guard.set_outcome(SamplerOutcome::Answered(response.is_complete().then_some(took_ms)));
-                if is_marked() && response.is_complete() {
-                    clear_suspect(state, *repeat_fingerprint);
+                if response.is_complete() {
+                    request_completed(state, call.body.len(), || *repeat_fingerprint);
                 }
                 count_usage(parts, call, sent_at);
                 history.runs += 1;
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -1,13 +1,13 @@
 //! Keeps the shared state up to date with the store keys through which daemons coordinate.
 
 use super::PrefixHandler;
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, suspect::mark_stored};
 use pimentoslip_kernel::{DaemonPresence, TimePoint};
 use pimentoslip_platform::{RangePage, StoreChange, StoreEntry};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    stored::{DaemonEntry, JobEntry, KeyLayout, PresenceEntry, SoftwareEntry},
+    stored::{CrashEntry, DaemonEntry, JobEntry, KeyLayout, PresenceEntry, SoftwareEntry},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -31,7 +31,12 @@
     fn entry_written(&mut self, store_entry: &StoreEntry, now: TimePoint) {
         self.stored_keys.insert(store_entry.key.clone());
         if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(&store_entry.key) {
-            self.crash_marked(fingerprint, process, now);
+            match decode::<CrashEntry>(&store_entry.value) {
+                Ok(CrashEntry { observed_unix_ms, sent_unix_ms, .. }) => {
+                    mark_stored(&self.state, fingerprint, process, sent_unix_ms.or(Some(observed_unix_ms)));
+                }
+                Err(error) => log_unreadable(store_entry, &error),
+            }
         } else if let Some(service) = KeyLayout::parse_software_key(&store_entry.key) {
             match decode::<SoftwareEntry>(&store_entry.value) {
                 Ok(uses) => {
@@ -74,18 +79,6 @@
         }
     }
 
-    /// Counts a crash that some daemon observed against the request that the upstream ran.
-    fn crash_marked(&self, fingerprint: u64, process: &str, now: TimePoint) {
-        let mut suspects = self.state.suspects();
-        if suspects.process_crashed(fingerprint, process.into(), now).is_some() {
-            LogLine::new("crash_known")
-                .field("fingerprint", format!("{fingerprint:016x}"))
-                .field("process", process)
-                .field("crashes", suspects.crash_count(fingerprint, now))
-                .info();
-        }
-    }
-
     /// Applies an entry whose value is the daemon that owns a job or holds the duty.
     fn owner_written(&self, store_entry: &StoreEntry, entry: DaemonEntry, now: TimePoint) {
         if let Some(job) = KeyLayout::parse_owner_key(&store_entry.key) {
--- a/crates/edge/src/suspect/crash_outbox.rs
+++ b/crates/edge/src/suspect/crash_outbox.rs
@@ -10,11 +10,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MarkChange {
     /// The mark is to be written.
-    Put,
+    Put {
+        /// When the request was sent to the process, in milliseconds since the Unix epoch; `None` if that is not known.
+        sent_unix_ms: Option<u64>,
+    },
     /// The mark is to be removed.
     Remove,
 }
 
+impl MarkChange {
+    /// Whether the mark is to be written.
+    #[must_use]
+    pub fn is_put(&self) -> bool {
+        matches!(self, Self::Put { .. })
+    }
+}
+
 /// Queue of changes, from the listeners to the task that writes them.
 #[derive(Debug, Default)]
 pub struct CrashOutbox {
@@ -26,18 +37,23 @@
 impl CrashOutbox {
     /// Queues the write of a new mark.
     pub fn put(&mut self, mark: &CrashMark) {
-        self.changes.insert((mark.fingerprint, mark.process.clone()), MarkChange::Put);
+        let change = MarkChange::Put { sent_unix_ms: mark.sent_unix_ms };
+        self.changes.insert((mark.fingerprint, mark.process.clone()), change);
+    }
+
+    /// Handles a mark that the store holds: it need not be written any more, and is removed from there once it is cleared.
+    pub fn mark_stored(&mut self, key: &MarkKey) {
+        if self.changes.get(key).is_some_and(MarkChange::is_put) {
+            self.changes.remove(key);
+        }
     }
 
-    /// Queues the removal of marks, or drops their writes if they have not been written yet.
-    pub fn remove(&mut self, marks: &[CrashMark]) {
-        for mark in marks {
-            let key = (mark.fingerprint, mark.process.clone());
-            if self.changes.get(&key) == Some(&MarkChange::Put) {
-                self.changes.remove(&key);
-            } else {
-                self.changes.insert(key, MarkChange::Remove);
-            }
+    /// Queues the removal of a mark, or drops its write if it has not been written yet.
+    pub fn remove(&mut self, key: MarkKey) {
+        if self.changes.get(&key).is_some_and(MarkChange::is_put) {
+            self.changes.remove(&key);
+        } else {
+            self.changes.insert(key, MarkChange::Remove);
         }
     }
 
--- a/crates/edge/src/suspect/crash_task.rs
+++ b/crates/edge/src/suspect/crash_task.rs
@@ -71,7 +71,7 @@
     let now = state.now();
     let unpushed: BTreeSet<MarkKey> = changes
         .iter()
-        .filter(|(key, change)| **change == MarkChange::Put && !pushed.contains(key))
+        .filter(|(key, change)| change.is_put() && !pushed.contains(key))
         .map(|(key, _)| key.clone())
         .collect();
     let marks = state.suspects().active_marks(now);
@@ -92,7 +92,11 @@
 pub fn receive_marks(state: &EdgeState, push: CrashPush) {
     let now = state.now();
     for mark in push.marks.into_iter().map(|body| body.into_mark(now)).filter(|mark| !mark.is_cleared) {
-        if state.suspects().merge(mark.clone(), now) {
+        let is_new = {
+            let mut suspects = state.suspects();
+            !suspects.is_disproved(mark.fingerprint, mark.sent_unix_ms) && suspects.merge(mark.clone(), now)
+        };
+        if is_new {
             state.crash_outbox().put(&mark);
             state.crashes_changed.notify_one();
         }
@@ -105,24 +109,24 @@
     store: &StoreAccess,
     changes: &BTreeMap<MarkKey, MarkChange>,
 ) -> Result<(), StoreError> {
-    let is_put = |change: &&MarkChange| **change == MarkChange::Put;
+    let put_count = changes.values().filter(|change| change.is_put()).count();
     // The store removes the marks at the end of the lease, also if no daemon is left.
-    let lease = match changes.values().find(is_put) {
-        Some(_) => store.grant_lease(SuspectTable::MARK_TTL_MS).await?,
-        None => 0,
-    };
-    let entry = CrashEntry { daemon: state.settings.vm.clone(), observed_unix_ms: state.unix_ms() };
-    let value = encode(&entry).map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
+    let lease = if put_count > 0 { store.grant_lease(SuspectTable::MARK_TTL_MS).await? } else { 0 };
+    let observed_unix_ms = state.unix_ms();
     let mut commit = StoreCommit::default();
     for ((fingerprint, process), change) in changes {
         let key = KeyLayout::crash_key(*fingerprint, process);
         commit = match change {
-            MarkChange::Put => commit.put(key, value.clone(), lease),
+            MarkChange::Put { sent_unix_ms } => {
+                let (daemon, sent_unix_ms) = (state.settings.vm.clone(), *sent_unix_ms);
+                let value = encode(&CrashEntry { daemon, observed_unix_ms, sent_unix_ms })
+                    .map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
+                commit.put(key, value, lease)
+            }
             MarkChange::Remove => commit.remove(key),
         };
     }
     store.commit(&commit).await?;
-    let put_count = changes.values().filter(is_put).count();
     LogLine::new("crashes_recorded").field("written", put_count).field("removed", changes.len() - put_count).info();
     Ok(())
 }
--- a/crates/edge/src/suspect/crash_watch.rs
+++ b/crates/edge/src/suspect/crash_watch.rs
@@ -14,6 +14,10 @@
 use pimentoslip_telemetry::LogLine;
 use std::sync::Arc;
 
+/// Largest body of a completed request that is hashed although this daemon knows of no recent loss or crash. Hashing it takes
+/// some 60 microseconds; the largest body that is accepted would take 30 ms.
+const CALM_BODY_BYTES_MAX: usize = 64 << 10;
+
 /// Name of an upstream's process in crash marks.
 fn process_name(record: &SamplerRecord) -> SharedName {
     format!("{}@{}", record.id, record.started_unix_ms).into()
@@ -90,16 +94,23 @@
     }
 }
 
-/// Counts the crash of an upstream against the request that it ran.
+/// Counts the crash of an upstream against the request that it ran, unless the request has been completed since it was sent.
 fn upstream_crashed(state: &EdgeState, loss: &RequestLoss) {
-    let RequestLoss { request_id, fingerprint, upstream, .. } = loss;
-    let now = state.now();
+    let RequestLoss { request_id, fingerprint, upstream, sent_unix_ms, .. } = loss;
+    let (now, sent_unix_ms) = (state.now(), Some(*sent_unix_ms));
     state.upstreams().process_ended(upstream, now);
-    let (mark, crash_count) = {
+    let (mark, crash_count, is_disproved) = {
         let mut suspects = state.suspects();
-        let mark = suspects.process_crashed(*fingerprint, process_name(upstream), now);
-        (mark, suspects.crash_count(*fingerprint, now))
+        let mark = suspects.process_crashed(*fingerprint, process_name(upstream), sent_unix_ms, now);
+        (mark, suspects.crash_count(*fingerprint, now), suspects.is_disproved(*fingerprint, sent_unix_ms))
     };
+    if is_disproved {
+        LogLine::new("crash_disproved")
+            .field("request_id", request_id)
+            .field("fingerprint", format!("{fingerprint:016x}"))
+            .field("process", process_name(upstream))
+            .info();
+    }
     let Some(mark) = mark else { return };
     state.crash_outbox().put(&mark);
     state.crashes_changed.notify_one();
@@ -112,17 +123,47 @@
         .warn();
 }
 
-/// Forgets the crashes that count against a request, which an upstream has completed. The store's changes take the marks
-/// to the other daemons and back, so that no cleared mark has to be kept.
-pub fn clear_suspect(state: &EdgeState, fingerprint: u64) {
+/// Handles a crash mark in the store. One that a run at this daemon disproves is removed from there.
+pub fn mark_stored(state: &EdgeState, fingerprint: u64, process: &str, sent_unix_ms: Option<u64>) {
+    let now = state.now();
+    let process = SharedName::from(process);
+    state.crash_outbox().mark_stored(&(fingerprint, process.clone()));
+    let (is_new, crash_count, is_disproved) = {
+        let mut suspects = state.suspects();
+        let is_new = suspects.process_crashed(fingerprint, process.clone(), sent_unix_ms, now).is_some();
+        (is_new, suspects.crash_count(fingerprint, now), suspects.is_disproved(fingerprint, sent_unix_ms))
+    };
+    let line = |event| {
+        let line = LogLine::new(event).field("fingerprint", format!("{fingerprint:016x}"));
+        line.field("process", &process)
+    };
+    if is_disproved {
+        line("crash_disproved").info();
+        state.crash_outbox().remove((fingerprint, process));
+        state.crashes_changed.notify_one();
+    } else if is_new {
+        line("crash_known").field("crashes", crash_count).info();
+    }
+}
+
+/// Handles a request that an upstream has completed: crashes of processes to which it was sent before do not count against
+/// it. The store's changes take the removal of its marks to the other daemons, so that no cleared mark has to be kept.
+pub fn request_completed(state: &EdgeState, body_bytes: usize, fingerprint: impl FnOnce() -> u64) {
+    let (now, unix_ms) = (state.now(), state.unix_ms());
+    let is_calm = state.suspects().is_empty() && !state.losses().has_open(now);
+    if is_calm && body_bytes > CALM_BODY_BYTES_MAX {
+        return;
+    }
+    let fingerprint = fingerprint();
     let cleared = {
         let mut suspects = state.suspects();
-        let cleared = suspects.request_completed(fingerprint);
+        let cleared = suspects.request_completed(fingerprint, unix_ms, now);
         cleared.iter().for_each(|mark| suspects.remove(fingerprint, &mark.process));
         cleared
     };
-    if !cleared.is_empty() {
-        state.crash_outbox().remove(&cleared);
-        state.crashes_changed.notify_one();
+    if cleared.is_empty() {
+        return;
     }
+    cleared.into_iter().for_each(|mark| state.crash_outbox().remove((fingerprint, mark.process)));
+    state.crashes_changed.notify_one();
 }
--- a/crates/kernel/src/suspect/crash_mark.rs
+++ b/crates/kernel/src/suspect/crash_mark.rs
@@ -10,6 +10,8 @@
     pub fingerprint: u64,
     /// Name of the process that crashed; another one after each restart of the upstream.
     pub process: SharedName,
+    /// When the request was sent to the process, in milliseconds since the Unix epoch; `None` if that is not known.
+    pub sent_unix_ms: Option<u64>,
     /// Whether the request completed later, so that the crash does not count against it any more.
     pub is_cleared: bool,
     /// When the mark is forgotten.
--- a/crates/kernel/src/suspect/loss_table.rs
+++ b/crates/kernel/src/suspect/loss_table.rs
@@ -69,6 +69,12 @@
         number
     }
 
+    /// Whether a loss may still turn out to be a crash.
+    #[must_use]
+    pub fn has_open(&self, now: TimePoint) -> bool {
+        self.entries.iter().any(|entry| now < entry.forgotten_at)
+    }
+
     /// Records that a process listens at the address of the upstream of the loss `number`.
     pub fn process_running(&mut self, number: u64, unix_ms: u64) {
         let entry = self.entries.iter_mut().find(|entry| entry.number == number);
--- a/crates/kernel/src/suspect/mod.rs
+++ b/crates/kernel/src/suspect/mod.rs
@@ -1,5 +1,6 @@
 //! Detects requests that crash the upstreams running them, and quarantines them.
 
+mod completion_log;
 mod connect_outcome;
 mod crash_mark;
 mod loss_table;
--- a/crates/kernel/src/suspect/suspect_table.rs
+++ b/crates/kernel/src/suspect/suspect_table.rs
@@ -1,6 +1,6 @@
 //! Table of the requests that were running when upstreams crashed.
 
-use super::{CrashMark, SuspectVerdict};
+use super::{CrashMark, SuspectVerdict, completion_log::CompletionLog};
 use crate::{SharedName, TimePoint, fingerprint};
 use std::collections::{BTreeMap, HashMap};
 
@@ -20,10 +20,16 @@
 /// The marks of a request form a set that only grows until they expire, and marks of all daemons are merged in any order
 /// and any number of times. So a crash is neither lost nor counted twice when several daemons observe crashes at the
 /// same time.
+///
+/// A request crashes each upstream that begins to run it, or none: a run that was completed after the request had been sent
+/// to the process that crashed shows that another cause ended the process. It may be known before the crash is, as the list of
+/// upstreams shows the next process only seconds later.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
     /// Marks by the request's fingerprint and the process's name.
     requests: HashMap<u64, BTreeMap<SharedName, CrashMark>>,
+    /// Requests that upstreams completed for this daemon.
+    completions: CompletionLog,
 }
 
 impl SuspectTable {
@@ -36,16 +42,40 @@
         self.requests.is_empty()
     }
 
-    /// Records that `process` crashed while it ran a request. Returns the mark if the crash was not known.
-    pub fn process_crashed(&mut self, fingerprint: u64, process: SharedName, now: TimePoint) -> Option<CrashMark> {
-        let mark = CrashMark { fingerprint, process, is_cleared: false, expires_at: now.plus_ms(MARK_TTL_MS) };
+    /// Records that `process` crashed while it ran a request that was sent to it at `sent_unix_ms`, if that is known. Returns
+    /// the mark if the crash was not known and counts against the request.
+    pub fn process_crashed(
+        &mut self,
+        fingerprint: u64,
+        process: SharedName,
+        sent_unix_ms: Option<u64>,
+        now: TimePoint,
+    ) -> Option<CrashMark> {
+        if self.is_disproved(fingerprint, sent_unix_ms) {
+            return None;
+        }
+        let expires_at = now.plus_ms(MARK_TTL_MS);
+        let mark = CrashMark { fingerprint, process, sent_unix_ms, is_cleared: false, expires_at };
         self.merge(mark.clone(), now).then_some(mark)
     }
 
+    /// Whether a crash of a process to which the request was sent at `sent_unix_ms` does not count against it: this daemon
+    /// remembers a run that was completed later.
+    #[must_use]
+    pub fn is_disproved(&self, fingerprint: u64, sent_unix_ms: Option<u64>) -> bool {
+        sent_unix_ms.is_some_and(|unix_ms| self.completions.has_since(fingerprint, unix_ms))
+    }
+
     /// Records that an upstream whose processes have no names of their own crashed while it ran a request. Returns the
     /// mark if the crash was not known. Crashes of one upstream are numbered, so that daemons that observe the same one
     /// create the same mark.
-    pub fn upstream_crashed(&mut self, fingerprint: u64, upstream: &str, now: TimePoint) -> Option<CrashMark> {
+    pub fn upstream_crashed(
+        &mut self,
+        fingerprint: u64,
+        upstream: &str,
+        sent_unix_ms: Option<u64>,
+        now: TimePoint,
+    ) -> Option<CrashMark> {
         let marks = self.requests.get(&fingerprint).into_iter().flat_map(BTreeMap::values);
         let crashes = marks.filter(|mark| mark.process.rsplit_once('#').is_some_and(|(name, _)| name == upstream));
         let (mut count, mut latest_expiry) = (0, TimePoint(0));
@@ -56,14 +86,16 @@
         if count > 0 && now.plus_ms(MARK_TTL_MS).since_ms(latest_expiry) < SAME_CRASH_MS {
             return None;
         }
-        self.process_crashed(fingerprint, format!("{upstream}#{}", count + 1).into(), now)
+        self.process_crashed(fingerprint, format!("{upstream}#{}", count + 1).into(), sent_unix_ms, now)
     }
 
-    /// Adds a mark of another daemon. Returns whether it was new, or newly cleared.
-    pub fn merge(&mut self, mark: CrashMark, now: TimePoint) -> bool {
+    /// Adds a mark of another daemon; one that is disproved here is kept as cleared. Returns whether it was new, or newly
+    /// cleared.
+    pub fn merge(&mut self, mut mark: CrashMark, now: TimePoint) -> bool {
         if mark.expires_at <= now {
             return false;
         }
+        mark.is_cleared |= self.is_disproved(mark.fingerprint, mark.sent_unix_ms);
         if !self.requests.contains_key(&mark.fingerprint) {
             self.make_room(now);
         }
@@ -81,8 +113,10 @@
         }
     }
 
-    /// Clears the marks of a request that completed. Returns the cleared ones.
-    pub fn request_completed(&mut self, fingerprint: u64) -> Vec<CrashMark> {
+    /// Records that a run of a request ended with a complete response, at `ended_unix_ms`, and clears its marks. Returns the
+    /// cleared ones.
+    pub fn request_completed(&mut self, fingerprint: u64, ended_unix_ms: u64, now: TimePoint) -> Vec<CrashMark> {
+        self.completions.add(fingerprint, ended_unix_ms, now);
         let marks = self.requests.get_mut(&fingerprint).into_iter().flat_map(BTreeMap::values_mut);
         let counted = marks.filter(|mark| !mark.is_cleared);
         counted
--- a/crates/wire/src/peer/crash_mark.rs
+++ b/crates/wire/src/peer/crash_mark.rs
@@ -11,6 +11,10 @@
     pub fingerprint: u64,
     /// Name of the process that crashed.
     pub process: SharedName,
+    /// When the request was sent to the process, in milliseconds since the Unix epoch; absent from daemons of an earlier
+    /// release.
+    #[serde(default)]
+    pub sent_unix_ms: Option<u64>,
     /// Whether the request completed later.
     pub cleared: bool,
     /// Time until the mark expires, in milliseconds.
@@ -24,6 +28,7 @@
         Self {
             fingerprint: mark.fingerprint,
             process: mark.process,
+            sent_unix_ms: mark.sent_unix_ms,
             cleared: mark.is_cleared,
             expires_in_ms: mark.expires_at.since_ms(now),
         }
@@ -35,6 +40,7 @@
         CrashMark {
             fingerprint: self.fingerprint,
             process: self.process,
+            sent_unix_ms: self.sent_unix_ms,
             is_cleared: self.cleared,
             expires_at: now.plus_ms(self.expires_in_ms.min(pimentoslip_kernel::SuspectTable::MARK_TTL_MS)),
         }
--- a/crates/wire/src/stored/crash_entry.rs
+++ b/crates/wire/src/stored/crash_entry.rs
@@ -10,4 +10,8 @@
     pub daemon: SharedName,
     /// Time of the observation in milliseconds since the Unix epoch.
     pub observed_unix_ms: u64,
+    /// When the request was sent to the process, in milliseconds since the Unix epoch; absent from daemons of an earlier
+    /// release.
+    #[serde(default)]
+    pub sent_unix_ms: Option<u64>,
 }
