Items wait only for room at the upstreams that can run them

Cause: a pass over a job took the first item that found no upstream for a proof that none has room, and ended. Each item is drawn for a service of its own, and may name a model; its text may need one software. `dispatch_scores` did the same for the services of scorers, and `is_oldest_waiting` for the jobs of a route.

Three new process tests fail on (timed out waiting for the results of the other items, of the newer job, and of the items whose scorers have a route) and pass with the change.

Change: the queues of a job are divided by what an item needs (service, model, software; for scores the service), as far as that is known. A pool without room is remembered until nothing more can be started, and its items are passed over without a look at each. A newer job of the route waits for an older one only where items of the older one wait for the same service and model, and some upstream serves them. Items that wait elsewhere are not counted where a job asks for permits.

Why this works: what has room is a pool, so one item that finds none says all about its pool and nothing about others. Within a pool the longest item is still first, and older jobs come first where they can use the room.

Bounds: a pass tries 32 items as before; each item is assigned to its pool once for each configuration, and each full pool is tried once between two waits, whether one item waits for it or thousands (test `pools`).

Ruled out: skipping the items that failed, one by one: a step of thousands of items without upstreams would be looked at as a whole every few milliseconds. Assigning all items to pools in advance: routes of scorers are found by a search of all routes, for each item and each configuration.

--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -1,9 +1,9 @@
 //! Tests of batch jobs on the users' platform: a job is accepted once, each item has one result, and every edge returns
 //! the same results, after the failure of a process, a connection or the store.
 
-use crate::support::{EdgeSite, job_item, job_submission, wait_for};
+use crate::support::{EdgeSite, ROSE_KEY, job_item, job_submission, wait_for};
 use pimentoslip_standin::{RelayRule, StoreFault, TcpRelay, UpstreamFault};
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::time::Duration;
 
 /// Complete text of the item `id` with `events` events, as the stand-in engine generates it.
@@ -311,3 +311,73 @@
     })
     .await;
 }
+
+/// Results of `job` that are listed within some seconds, once there are at least `count` of them.
+async fn listed_results(site: &EdgeSite, job: &str, count: usize) -> Vec<Value> {
+    wait_for(&format!("{count} results of {job} are listed"), || async {
+        let page = site.send_job_request(0, "GET", &format!("/pimentoslip/lots/{job}?after=0")).await;
+        let results = page.json()["results"].as_array().cloned().unwrap_or_default();
+        (page.status == 200 && results.len() >= count).then_some(results)
+    })
+    .await
+}
+
+/// Guards against items that wait beside idle upstreams because an item before them needs a service, or a model, that no upstream
+/// has.
+#[actix_rt::test]
+async fn an_item_without_upstreams_holds_up_no_other_item() {
+    let site = EdgeSite::start(1).await;
+    let mut config = EdgeSite::config_with(7, &[("rose", ROSE_KEY)], &["split".to_owned()]);
+    let routes = config["routes"].as_array_mut().expect("a list of routes");
+    let split = routes.last_mut().expect("a route");
+    split["service"] = Value::Null;
+    split["trafficSplit"] = json!([{ "service": "engine", "weight": 50 }, { "service": "ghost", "weight": 50 }]);
+    let services = config["services"].as_array_mut().expect("a list of services");
+    services.push(json!({ "name": "ghost", "healthPath": "/health", "maxConnections": 100,
+        "engine": { "models": [{ "name": "verse" }] } }));
+    site.store.put("op/config", &config);
+    wait_for("the route is known", || async {
+        let reply = site.submit_job_on(0, "split", "probe", &job_submission(1, &[job_item("probe", 1, false)])).await;
+        (reply.status == 202).then_some(())
+    })
+    .await;
+    // The longest items are first, whichever service they are drawn for.
+    let items: Vec<Value> = (0..24).map(|number| job_item(&format!("item-{number}"), 1 + number, false)).collect();
+    assert_eq!(site.submit_job_on(0, "split", "drawn", &job_submission(1, &items)).await.status, 202);
+    let mut items: Vec<Value> = (0..6).map(|number| job_item(&format!("known-{number}"), 2, false)).collect();
+    for number in 0..6 {
+        let mut item = job_item(&format!("unknown-{number}"), 20, false);
+        item["headers"]["Model"] = json!("nobody-has-it");
+        item["tokens"] = json!(4_000);
+        items.push(item);
+    }
+    assert_eq!(site.submit_job(0, "models", &job_submission(1, &items)).await.status, 202);
+    let results = listed_results(&site, "models", 6).await;
+    assert!(results.iter().all(|result| result["id"].as_str().is_some_and(|id| id.starts_with("known"))));
+    listed_results(&site, "drawn", 6).await;
+}
+
+/// Guards against a batch job that waits beside idle upstreams because an older one of its route needs others.
+#[actix_rt::test]
+async fn a_job_without_upstreams_holds_up_no_newer_job_of_its_route() {
+    let site = EdgeSite::start(1).await;
+    let mut item = job_item("unknown", 5, false);
+    item["headers"]["Model"] = json!("nobody-has-it");
+    assert_eq!(site.submit_job(0, "older", &job_submission(1, &[item])).await.status, 202);
+    // Weights that no upstream has loaded.
+    assert_eq!(site.submit_job(0, "old", &job_submission(99, &[job_item("late", 5, false)])).await.status, 202);
+    assert_eq!(site.submit_job(0, "newer", &job_submission(1, &[job_item("known", 5, false)])).await.status, 202);
+    let results = listed_results(&site, "newer", 1).await;
+    assert_eq!(results[0]["state"], "completed");
+}
+
+/// Guards against texts that are not scored because the scorer of an item before them has no route.
+#[actix_rt::test]
+async fn an_item_whose_scorer_has_no_route_holds_up_no_other_score() {
+    let site = EdgeSite::start(1).await;
+    let mut items: Vec<Value> = (0..4).map(|number| job_item(&format!("item-{number}"), 2, true)).collect();
+    items[0]["scorer"]["path"] = json!("/nowhere/it");
+    assert_eq!(site.submit_job(0, "scored", &job_submission(1, &items)).await.status, 202);
+    let results = listed_results(&site, "scored", 3).await;
+    assert!(results.iter().all(|result| result["state"] == "completed" && result["id"] != "item-0"), "{results:?}");
+}
--- a/crates/edge/src/job/job_index.rs
+++ b/crates/edge/src/job/job_index.rs
@@ -1,8 +1,10 @@
 //! In-memory index of the stored batch jobs and of the jobs that this process runs.
 
-use super::result_cache::ResultCache;
+use super::{result_cache::ResultCache, waiting_pools::WaitingPools};
 use bytes::Bytes;
-use pimentoslip_kernel::{LedgerState, ListingRecord, OwnerStanding, OwnerView, SharedName, TimePoint, WatchStart};
+use pimentoslip_kernel::{
+    ItemPool, LedgerState, ListingRecord, OwnerStanding, OwnerView, SharedName, TimePoint, WatchStart,
+};
 use pimentoslip_platform::BatchSubmission;
 use pimentoslip_wire::stored::{JobEntry, ResultEntry};
 use std::{
@@ -61,8 +63,8 @@
     running: HashMap<SharedName, Option<OpenedJob>>,
     /// Results of jobs that this process runs or ran, readable without the store.
     results: ResultCache,
-    /// Submission times of the running jobs that have waiting items, by route and job.
-    waiting: BTreeMap<(SharedName, SharedName), TimePoint>,
+    /// What the running jobs that have waiting items wait for, by route and job.
+    waiting: BTreeMap<(SharedName, SharedName), WaitingPools>,
 }
 
 impl JobIndex {
@@ -260,21 +262,21 @@
         self.waiting.retain(|(_, waiting_job), _| **waiting_job != *job);
     }
 
-    /// Whether items of `job` may be dispatched now: no older job of `route` has waiting items. `submitted_at` is when
-    /// `job` was submitted; jobs submitted at the same time are ordered by id.
+    /// Whether items of `job` may be dispatched to upstreams of `pool` now: no older job of `route` has items that wait for
+    /// them. `submitted_at` is when `job` was submitted; jobs submitted at the same time are ordered by id.
     #[must_use]
-    pub fn is_oldest_waiting(&self, route: &str, job: &str, submitted_at: TimePoint) -> bool {
+    pub fn is_oldest_waiting(&self, route: &str, job: &str, submitted_at: TimePoint, pool: &ItemPool) -> bool {
         let others =
             self.waiting.iter().filter(|((other_route, other_job), _)| **other_route == *route && **other_job != *job);
-        !others
-            .into_iter()
-            .any(|((_, other_job), other_submitted_at)| (*other_submitted_at, &**other_job) < (submitted_at, job))
+        !others.into_iter().any(|((_, other_job), wait)| {
+            (wait.submitted_at, &**other_job) < (submitted_at, job) && wait.contains(pool)
+        })
     }
 
-    /// Records that `job` of `route`, submitted at `submitted_at`, has waiting items, or with `None` that it has none.
-    pub fn set_waiting(&mut self, route: SharedName, job: SharedName, submitted_at: Option<TimePoint>) {
-        match submitted_at {
-            Some(submitted_at) => self.waiting.insert((route, job), submitted_at),
+    /// Records what the waiting items of `job` of `route` wait for; `None` if it has none.
+    pub fn set_waiting(&mut self, route: SharedName, job: SharedName, wait: Option<WaitingPools>) {
+        match wait {
+            Some(wait) => self.waiting.insert((route, job), wait),
             None => self.waiting.remove(&(route, job)),
         };
     }
--- a/crates/edge/src/job/job_runner.rs
+++ b/crates/edge/src/job/job_runner.rs
@@ -2,12 +2,14 @@
 
 use super::{
     PendingJob,
+    dispatch_round::DispatchRound,
     item_run::{item_model, run_item},
     job_reader::{has_chunk_from, read_all_results, read_checkpoints, read_submission},
     job_writer::{SubmittedJob, hand_over_job},
     ledger_writer::{LedgerWriter, WriteOutcome},
     owned_job::{OwnedJob, job_placement},
     score_run::{PlacementError, prepare_score_call, score_item},
+    waiting_pools::WaitingPools,
 };
 use crate::{
     edge_metrics::EdgeMetrics, edge_state::EdgeState, limit::queued_permits, relay::UpstreamGuard, store::StoreAccess,
@@ -15,14 +17,15 @@
 };
 use awc::Client;
 use pimentoslip_kernel::{
-    AcceptanceBound, BatchLedger, BatchOptions, CapacityNeed, HomeRegions, ItemSpec, JobCheckpoint, RequestUrgency,
-    RouteRule, RunAssignment, SamplerQuery, SharedName, TimePoint,
+    AcceptanceBound, BatchLedger, BatchOptions, CapacityNeed, HomeRegions, ItemPool, ItemSpec, JobCheckpoint,
+    RequestUrgency, RouteRule, RunAssignment, SamplerQuery, SharedName, TimePoint,
 };
 use pimentoslip_platform::{BatchItem, BatchSubmission, StoreError};
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::stored::ResultEntry;
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -277,6 +280,7 @@
     // Dropping the set cancels all runs and closes their connections.
     let mut runs = JoinSet::new();
     let mut writer = LedgerWriter::new(state.now());
+    let mut round = DispatchRound::default();
     loop {
         while let Some(ended) = runs.try_join_next() {
             if let Err(error) = ended {
@@ -298,7 +302,7 @@
             verify_listing(job, revision).await;
         }
         let now = state.now();
-        let has_more = dispatch_items(job, &mut runs, now);
+        let has_more = dispatch_items(job, &mut runs, &mut round, now);
         if writer.write_due(job).await == WriteOutcome::Superseded {
             return;
         }
@@ -311,6 +315,7 @@
         if has_more {
             tokio::task::yield_now().await;
         } else {
+            round.end();
             tokio::select! {
                 () = job.ledger_changed.notified() => {}
                 () = state.permits_changed.notified() => {}
@@ -338,9 +343,9 @@
     }
 }
 
-/// Starts runs and scorings until no upstream has a free slot, but no more than [`STARTS_MAX`] of each. Returns whether
-/// more can be started. Terminates all unfinished items if the route is no longer configured.
-fn dispatch_items(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) -> bool {
+/// Starts runs and scorings until no upstream has a free slot, but tries no more than [`STARTS_MAX`] of each. Returns whether
+/// more may be started in this round. Terminates all unfinished items if the route is no longer configured.
+fn dispatch_items(job: &OwnedJob, runs: &mut JoinSet<()>, round: &mut DispatchRound, now: TimePoint) -> bool {
     let Some(rule) = job.route() else {
         if job.state.config().is_some() {
             LogLine::new("job_route_gone").field("job", &job.id).warn();
@@ -354,70 +359,104 @@
     let retention_ends_at = {
         let mut ledger = job.ledger.borrow_mut();
         ledger.expire_items(now);
+        if round.config_read(job.state.config().map(|config| config.version)) {
+            ledger.forget_pools();
+        }
         ledger.retention_ends_at()
     };
-    let has_waiting = job.ledger.borrow().waiting_count() > 0;
-    update_waiting(job, &rule, has_waiting);
-    let mut start_count = 0;
-    while start_count < STARTS_MAX
-        && has_waiting
-        && job.state.jobs().is_oldest_waiting(&rule.name, &job.id, job.submitted_at)
-    {
-        let next_run = job.ledger.borrow_mut().start_next_run(now);
+    update_waiting(job, &rule, round);
+    let mut try_count = 0;
+    while try_count < STARTS_MAX && !rule.targets.is_empty() {
+        let next_run = job.ledger.borrow_mut().start_next_run(now, |pool| round.is_full(pool));
         let Some(assignment) = next_run else { break };
-        start_count += 1;
-        if assignment.software.is_some() && !job.state.is_list_confirmed() {
-            job.ledger.borrow_mut().requeue_run(assignment.item_index);
-            break;
+        try_count += 1;
+        if let Some(guard) = place_item(job, &rule, &assignment, round, now) {
+            runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
         }
-        match (select_upstream(job, &rule, &assignment), &assignment.software) {
-            (Some(guard), _) => {
-                runs.spawn_local(run_item(job.clone(), assignment, guard, rule.priority, retention_ends_at));
-            }
-            // Other items may be run by upstreams with other software.
-            (None, Some(_)) if !check_withheld(job, &rule, &assignment, now) => {
-                defer_item(job, &rule, &assignment, now)
-            }
-            (None, software) => {
-                if software.is_none() {
-                    check_withheld(job, &rule, &assignment, now);
-                }
-                job.ledger.borrow_mut().requeue_run(assignment.item_index);
-                start_count -= 1;
-                break;
-            }
+    }
+    update_waiting(job, &rule, round);
+    let scores_more = dispatch_scores(job, runs, round, now);
+    try_count == STARTS_MAX || scores_more
+}
+
+/// Selects an upstream for an item that is to be run. `None` if there is none; the item is then queued again, and its pool passed
+/// over for the rest of the round.
+fn place_item(
+    job: &OwnedJob,
+    rule: &RouteRule,
+    assignment: &RunAssignment,
+    round: &mut DispatchRound,
+    now: TimePoint,
+) -> Option<UpstreamGuard> {
+    let item_index = assignment.item_index;
+    let Some(pool) = item_pool(job, rule, assignment) else {
+        job.ledger.borrow_mut().requeue_run(item_index, None);
+        return None;
+    };
+    let is_listed = assignment.software.is_none() || job.state.is_list_confirmed();
+    let may_run = is_listed
+        && !round.is_full(&pool)
+        && job.state.jobs().is_oldest_waiting(&rule.name, &job.id, job.submitted_at, &pool);
+    if may_run {
+        if let Some(guard) = select_upstream(job, rule, assignment) {
+            round.pool_served(&pool, true);
+            return Some(guard);
+        }
+        let is_withheld = check_withheld(job, rule, assignment, now);
+        let is_served = is_pool_served(job, rule, assignment, now);
+        if assignment.software.is_some() && !is_withheld {
+            // Other upstreams may generate the text again.
+            job.ledger.borrow_mut().defer_run(item_index, is_served, now);
+            return None;
         }
+        round.pool_served(&pool, is_served);
     }
-    let has_waiting = job.ledger.borrow().waiting_count() > 0;
-    update_waiting(job, &rule, has_waiting);
-    let scores_more = dispatch_scores(job, runs, now);
-    start_count == STARTS_MAX || scores_more
+    round.pool_full(pool.clone());
+    job.ledger.borrow_mut().requeue_run(item_index, Some(pool));
+    None
 }
 
-/// Starts scorer calls until no upstream has a spare slot, but no more than [`STARTS_MAX`]. Returns whether more can be
-/// started.
-fn dispatch_scores(job: &OwnedJob, runs: &mut JoinSet<()>, now: TimePoint) -> bool {
+/// Starts scorer calls until no upstream has a spare slot, but tries no more than [`STARTS_MAX`]. Returns whether more may be
+/// started in this round.
+fn dispatch_scores(job: &OwnedJob, runs: &mut JoinSet<()>, round: &mut DispatchRound, now: TimePoint) -> bool {
     for _ in 0..STARTS_MAX {
-        let next_index = job.ledger.borrow_mut().start_next_scoring(now);
+        let next_index = job.ledger.borrow_mut().start_next_scoring(now, |service| round.is_scorer_full(service));
         let Some(item_index) = next_index else { return false };
-        match prepare_score_call(job, item_index) {
-            Ok(call) => runs.spawn_local(score_item(job.clone(), item_index, call)),
-            Err(error) => {
-                job.ledger.borrow_mut().requeue_scoring(item_index);
-                if error == PlacementError::NoRoute {
+        let service = match prepare_score_call(job, item_index) {
+            Ok(call) => {
+                runs.spawn_local(score_item(job.clone(), item_index, call));
+                continue;
+            }
+            Err(PlacementError::NoCapacity(service)) => Some(service),
+            Err(PlacementError::NoRoute) => {
+                if !round.is_scorer_full(&None) {
                     LogLine::new("scorer_unroutable").field("job", &job.id).field("index", item_index).warn();
                 }
-                return false;
+                None
             }
         };
+        round.scorer_full(service.clone());
+        job.ledger.borrow_mut().requeue_scoring(item_index, service);
     }
     true
 }
 
-/// Records in the index whether the job has waiting items, which defers newer jobs of its route.
-fn update_waiting(job: &OwnedJob, rule: &RouteRule, has_waiting: bool) {
-    let submitted_at = has_waiting.then_some(job.submitted_at);
-    job.state.jobs().set_waiting(rule.name.clone(), job.id.clone(), submitted_at);
+/// Records in the index what the job's items wait for, which defers newer jobs of its route. Items that no upstream could run
+/// defer nothing.
+fn update_waiting(job: &OwnedJob, rule: &RouteRule, round: &DispatchRound) {
+    let ledger = job.ledger.borrow();
+    let mut wait = WaitingPools { submitted_at: job.submitted_at, has_untried: false, targets: BTreeSet::new() };
+    for pool in ledger.waiting_pools() {
+        match pool {
+            Some(pool) if round.is_unserved(pool) => {}
+            Some(pool) => {
+                wait.targets.insert((pool.service.clone(), pool.model.clone()));
+            }
+            None => wait.has_untried = true,
+        }
+    }
+    let has_waiting = wait.has_untried || !wait.targets.is_empty();
+    job.state.jobs().set_waiting(rule.name.clone(), job.id.clone(), has_waiting.then_some(wait));
 }
 
 /// Selects an upstream with a free slot for an item, and counts the run on it; one that has not failed the item, if possible.
@@ -458,13 +497,26 @@
     true
 }
 
-/// Lets an item wait for an upstream that can continue its text, or discards the text if there is none.
-fn defer_item(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) {
+/// Whether an upstream serves the item, with room or without.
+fn is_pool_served(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment, now: TimePoint) -> bool {
     let model = item_model(job, assignment.item_index);
     let homes = job.homes();
     let query = item_query(job, rule, assignment, model.as_deref(), homes.as_ref());
-    let is_served = query.is_some_and(|query| job.state.upstreams().is_served(&query, now));
-    job.ledger.borrow_mut().defer_run(assignment.item_index, is_served, now);
+    query.is_some_and(|query| job.state.upstreams().is_served(&query, now))
+}
+
+/// Service that the item is drawn for. `None` if the route has no targets.
+fn item_service<'a>(job: &OwnedJob, rule: &'a RouteRule, item_index: usize) -> Option<&'a SharedName> {
+    rule.service_for_draw(pimentoslip_kernel::fingerprint(&[job.submission.items[item_index].id.as_bytes()]))
+}
+
+/// The pool of upstreams that can run an item. `None` if the route has no targets.
+fn item_pool(job: &OwnedJob, rule: &RouteRule, assignment: &RunAssignment) -> Option<ItemPool> {
+    Some(ItemPool {
+        service: item_service(job, rule, assignment.item_index)?.clone(),
+        model: item_model(job, assignment.item_index),
+        software: assignment.software.clone(),
+    })
 }
 
 /// Query for an upstream with a free slot that can run an item. `None` if the route has no targets.
@@ -476,10 +528,10 @@
     homes: Option<&'a HomeRegions>,
 ) -> Option<SamplerQuery<'a>> {
     let item = &job.submission.items[assignment.item_index];
-    let service = rule.service_for_draw(pimentoslip_kernel::fingerprint(&[item.id.as_bytes()]))?;
-    let waiting_count = job.ledger.borrow().waiting_count() + 1;
+    let pool = item_pool(job, rule, assignment)?;
+    let waiting_count = job.ledger.borrow().waiting_count_for(pool) + 1;
     Some(SamplerQuery {
-        service,
+        service: item_service(job, rule, assignment.item_index)?,
         model: model.map(|model| (model, job.submission.oldest_version)),
         software: assignment.software.as_deref(),
         failure_domain: &job.state.settings.failure_domain,
--- a/crates/edge/src/job/mod.rs
+++ b/crates/edge/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: submissions, stored results, and the execution of the jobs that this daemon owns.
 
 mod claim_task;
+mod dispatch_round;
 mod item_run;
 mod job_index;
 mod job_reader;
@@ -13,6 +14,7 @@
 mod result_cache;
 mod run_failures;
 mod score_run;
+mod waiting_pools;
 
 pub use claim_task::claim_jobs;
 pub use job_index::{JobIndex, JobView, PendingJob};
--- a/crates/edge/src/job/score_run.rs
+++ b/crates/edge/src/job/score_run.rs
@@ -8,7 +8,7 @@
 };
 use actix_web::http::{Method, StatusCode, header::HeaderMap};
 use pimentoslip_kernel::{
-    CapacityNeed, RequestUrgency, RouteRule, SamplerOutcome, SamplerQuery, ScoreOutcome, fingerprint,
+    CapacityNeed, RequestUrgency, RouteRule, SamplerOutcome, SamplerQuery, ScoreOutcome, SharedName, fingerprint,
 };
 use pimentoslip_platform::{ScorerCall, header};
 use pimentoslip_telemetry::LogLine;
@@ -30,10 +30,10 @@
 }
 
 /// Why a request to a scorer cannot be sent now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlacementError {
-    /// No upstream of the scorer has a spare slot.
-    NoCapacity,
+    /// No upstream of this service, which the scorer is in, has a spare slot.
+    NoCapacity(SharedName),
     /// The item has no scorer, or the current configuration has no route to it.
     NoRoute,
 }
@@ -44,7 +44,7 @@
     let scorer = job.submission.items[item_index].scorer.as_ref().ok_or(PlacementError::NoRoute)?;
     let rule = scorer_rule(job, scorer).ok_or(PlacementError::NoRoute)?;
     let service = rule.service_for_draw(fingerprint(&[scorer.id.as_bytes()])).ok_or(PlacementError::NoRoute)?;
-    let unscored_count = job.ledger.borrow().unscored_count() + 1;
+    let unscored_count = job.ledger.borrow().unscored_count_for(service.clone()) + 1;
     // Each call of a scorer prefers another upstream, so that those which fail do not keep it from the others.
     let affinity = format!("{}@{}", scorer.id, state.now().0);
     let query = SamplerQuery {
@@ -58,7 +58,7 @@
         affinity: &affinity,
         permits: queued_permits(state, RequestUrgency::of_scorer(rule.priority), unscored_count),
     };
-    let guard = UpstreamGuard::pick(state, &query).ok_or(PlacementError::NoCapacity)?;
+    let guard = UpstreamGuard::pick(state, &query).ok_or_else(|| PlacementError::NoCapacity(service.clone()))?;
     let call = UpstreamCall {
         id: scorer.id.clone(),
         method: Method::POST,
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -1,11 +1,11 @@
 //! Scheduling, progress and results of one batch job, kept by the daemon that owns the job.
 
 use super::{
-    BatchOptions, EventOutcome, FailureCount, ItemResult, ItemSpec, ItemState, JobCheckpoint, LedgerState, ResultChunk,
-    RunAssignment, RunOutcome, SampleText, ScoreOutcome, UnfinishedItem,
+    BatchOptions, EventOutcome, FailureCount, ItemPool, ItemResult, ItemSpec, ItemState, JobCheckpoint, LedgerState,
+    ResultChunk, RunAssignment, RunOutcome, SampleText, ScoreOutcome, UnfinishedItem, pool_queue::PoolQueue,
 };
 use crate::{SharedName, TimePoint};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// Backoff before an item is run or scored again after a failed attempt.
 const RETRY_BACKOFF_MS: u64 = 50;
@@ -46,6 +46,11 @@
 }
 
 impl ItemEntry {
+    /// The item's entry in the queue of items to be run.
+    fn run_entry(&self, item_index: usize) -> (Reverse<u64>, usize) {
+        (Reverse(self.spec.expected_tokens), item_index)
+    }
+
     /// Discards the events received so far; the next run starts with the first event.
     fn discard_text(&mut self) {
         self.text = SampleText::default();
@@ -59,9 +64,9 @@
     options: BatchOptions,
     items: Vec<ItemEntry>,
     /// Items to be run, by descending expected length.
-    run_queue: BTreeSet<(std::cmp::Reverse<u64>, usize)>,
-    /// Items to be scored.
-    score_queue: BTreeSet<usize>,
+    run_queue: PoolQueue<ItemPool, (Reverse<u64>, usize)>,
+    /// Items to be scored, by the service of the scorer; its pool is `None` if there is no route to the scorer.
+    score_queue: PoolQueue<Option<SharedName>, usize>,
     /// Results that are in no chunk yet.
     unlisted: Vec<ItemResult>,
     /// Results whose write to the store is not confirmed yet.
@@ -105,14 +110,14 @@
             let unfinished = unfinished_by_group.entry(item.spec.group.clone()).or_default();
             *unfinished += usize::from(item.phase != ItemPhase::Finished);
         }
+        let mut run_queue = PoolQueue::default();
         let waiting = items.iter().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
-        let run_queue =
-            waiting.map(|(item_index, item)| (std::cmp::Reverse(item.spec.expected_tokens), item_index)).collect();
+        waiting.for_each(|(item_index, item)| run_queue.insert(item.run_entry(item_index), None));
         Self {
             options,
             items,
             run_queue,
-            score_queue: BTreeSet::new(),
+            score_queue: PoolQueue::default(),
             unlisted: Vec::new(),
             pending_chunk: None,
             listed_count: listed.len(),
@@ -161,8 +166,8 @@
                 FailureCount { run_failures: restored.run_failures, score_failures: restored.score_failures };
             if restored.is_complete && item.text.last_event().is_some() {
                 item.phase = ItemPhase::ScorePending { not_before: TimePoint(0) };
-                self.run_queue.remove(&(std::cmp::Reverse(item.spec.expected_tokens), restored.item_index));
-                self.score_queue.insert(restored.item_index);
+                self.run_queue.remove(&item.run_entry(restored.item_index));
+                self.score_queue.insert(restored.item_index, None);
             }
         }
         for result in state.unlisted {
@@ -258,10 +263,27 @@
         self.run_queue.len()
     }
 
-    /// Number of items that wait to be scored.
+    /// Number of items that wait to be run by the upstreams of `pool`, or by those of a pool that is not known.
     #[must_use]
-    pub fn unscored_count(&self) -> usize {
-        self.score_queue.len()
+    pub fn waiting_count_for(&self, pool: ItemPool) -> usize {
+        self.run_queue.len_for(pool)
+    }
+
+    /// The pools that items wait for to be run; `None` stands for one that is not known.
+    pub fn waiting_pools(&self) -> impl Iterator<Item = Option<&ItemPool>> {
+        self.run_queue.pools()
+    }
+
+    /// Handles a new configuration, under which items and scorers may be routed elsewhere.
+    pub fn forget_pools(&mut self) {
+        self.run_queue.forget_pools();
+        self.score_queue.forget_pools();
+    }
+
+    /// Number of items that wait to be scored by the upstreams of `service`, or of a service that is not known.
+    #[must_use]
+    pub fn unscored_count_for(&self, service: SharedName) -> usize {
+        self.score_queue.len_for(Some(service))
     }
 
     /// Number of items.
@@ -296,31 +318,36 @@
         self.score_queue.clear();
     }
 
-    /// Marks the longest item that may be run at `now` as running and returns it.
-    pub fn start_next_run(&mut self, now: TimePoint) -> Option<RunAssignment> {
-        let ready = |entry: &&(std::cmp::Reverse<u64>, usize)| match self.items[entry.1].phase {
+    /// Marks the longest item that may be run at `now`, and waits for no full pool, as running and returns it.
+    pub fn start_next_run(&mut self, now: TimePoint, is_full: impl Fn(&ItemPool) -> bool) -> Option<RunAssignment> {
+        let items = &self.items;
+        let is_ready = |entry: &(Reverse<u64>, usize)| match items[entry.1].phase {
             ItemPhase::Waiting { not_before } => not_before <= now,
             _ => false,
         };
-        let entry = *self.run_queue.iter().find(ready)?;
-        self.run_queue.remove(&entry);
-        let item = &mut self.items[entry.1];
+        let (_, item_index) = self.run_queue.take_first(is_full, is_ready)?;
+        let item = &mut self.items[item_index];
         item.phase = ItemPhase::Running;
         Some(RunAssignment {
-            item_index: entry.1,
+            item_index,
             resume_after: item.text.last_event(),
             software: item.text.software().cloned(),
         })
     }
 
-    /// Marks the first item that may be scored at `now` as being scored and returns its index.
-    pub fn start_next_scoring(&mut self, now: TimePoint) -> Option<usize> {
-        let ready = |item_index: &&usize| match self.items[**item_index].phase {
+    /// Marks the first item that may be scored at `now`, and waits for no full service, as being scored and returns its index.
+    /// `is_full` gets `None` for items to whose scorers there is no route.
+    pub fn start_next_scoring(
+        &mut self,
+        now: TimePoint,
+        is_full: impl Fn(&Option<SharedName>) -> bool,
+    ) -> Option<usize> {
+        let items = &self.items;
+        let is_ready = |item_index: &usize| match items[*item_index].phase {
             ItemPhase::ScorePending { not_before } => not_before <= now,
             _ => false,
         };
-        let item_index = *self.score_queue.iter().find(ready)?;
-        self.score_queue.remove(&item_index);
+        let item_index = self.score_queue.take_first(is_full, is_ready)?;
         self.items[item_index].phase = ItemPhase::Scoring;
         Some(item_index)
     }
@@ -364,7 +391,7 @@
         match outcome {
             RunOutcome::Completed if item.text.last_event().is_some() && item.spec.needs_score => {
                 item.phase = ItemPhase::ScorePending { not_before: now };
-                self.score_queue.insert(item_index);
+                self.score_queue.insert(item_index, None);
             }
             RunOutcome::Completed if item.text.last_event().is_some() => self.complete_item(item_index, None),
             RunOutcome::Completed | RunOutcome::Interrupted | RunOutcome::NotRun => self.retry_later(item_index, now),
@@ -395,7 +422,7 @@
             return self.terminate_item(item_index);
         }
         item.phase = ItemPhase::ScorePending { not_before: now.plus_ms(RETRY_BACKOFF_MS) };
-        self.score_queue.insert(item_index);
+        self.score_queue.insert(item_index, None);
     }
 
     /// When unfinished items are terminated.
@@ -477,13 +504,13 @@
         self.items.get(item_index).map_or(0, |item| item.text.byte_count())
     }
 
-    /// Puts an item that [`Self::start_next_run`] returned back into the queue, because no upstream has capacity for
-    /// it.
-    pub fn requeue_run(&mut self, item_index: usize) {
+    /// Puts an item that [`Self::start_next_run`] returned back into the queue, because no upstream of `pool` has capacity for
+    /// it; `None` if its pool is not known.
+    pub fn requeue_run(&mut self, item_index: usize, pool: Option<ItemPool>) {
         let Some(item) = self.items.get_mut(item_index) else { return };
         if item.phase == ItemPhase::Running {
             item.phase = ItemPhase::Waiting { not_before: TimePoint(0) };
-            self.run_queue.insert((std::cmp::Reverse(item.spec.expected_tokens), item_index));
+            self.run_queue.insert(item.run_entry(item_index), pool);
         }
     }
 
@@ -499,7 +526,7 @@
             return self.retry_later(item_index, now);
         }
         item.discard_text();
-        self.requeue_run(item_index);
+        self.requeue_run(item_index, None);
     }
 
     /// Discards the text of a running item, whose run is about to end: it is not certain that one version of the
@@ -510,13 +537,13 @@
         }
     }
 
-    /// Puts an item that [`Self::start_next_scoring`] returned back into the queue, because no upstream has capacity to
-    /// score it.
-    pub fn requeue_scoring(&mut self, item_index: usize) {
+    /// Puts an item that [`Self::start_next_scoring`] returned back into the queue, because no upstream of `service` has capacity
+    /// to score it, or, with `None`, because there is no route to its scorer.
+    pub fn requeue_scoring(&mut self, item_index: usize, service: Option<SharedName>) {
         let Some(item) = self.items.get_mut(item_index) else { return };
         if item.phase == ItemPhase::Scoring {
             item.phase = ItemPhase::ScorePending { not_before: TimePoint(0) };
-            self.score_queue.insert(item_index);
+            self.score_queue.insert(item_index, Some(service));
         }
     }
 
@@ -530,7 +557,7 @@
     fn retry_later(&mut self, item_index: usize, now: TimePoint) {
         let item = &mut self.items[item_index];
         item.phase = ItemPhase::Waiting { not_before: now.plus_ms(RETRY_BACKOFF_MS) };
-        self.run_queue.insert((std::cmp::Reverse(item.spec.expected_tokens), item_index));
+        self.run_queue.insert(item.run_entry(item_index), None);
     }
 
     /// Finishes an item with its complete text.
@@ -551,7 +578,7 @@
         let item = &mut self.items[item_index];
         item.phase = ItemPhase::Finished;
         item.text = SampleText::default();
-        self.run_queue.remove(&(std::cmp::Reverse(item.spec.expected_tokens), item_index));
+        self.run_queue.remove(&item.run_entry(item_index));
         self.score_queue.remove(&item_index);
         let group = item.spec.group.clone();
         self.unlisted.push(result);
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -191,7 +191,7 @@
     /// Starts the items that may run. Texts whose software does not serve are deferred, and then discarded.
     fn start_runs(&mut self, software: usize, misplaced: bool) -> Result<(), String> {
         let mut deferred = BTreeSet::new();
-        while let Some(assignment) = self.ledger.start_next_run(self.now) {
+        while let Some(assignment) = self.ledger.start_next_run(self.now, |_| false) {
             let item_index = assignment.item_index;
             if self.runs.iter().any(|run| run.assignment.item_index == item_index) {
                 return Err(format!("item {item_index} has two runs at the same owner"));
@@ -282,7 +282,7 @@
     }
 
     fn score(&mut self, selector: u8) {
-        while let Some(item_index) = self.ledger.start_next_scoring(self.now) {
+        while let Some(item_index) = self.ledger.start_next_scoring(self.now, |_| false) {
             let outcome = match selector % 4 {
                 0 => {
                     self.oracle.scorer_failures[item_index] += 1;
@@ -479,13 +479,13 @@
     let software: SharedName = SOFTWARE[1].into();
     let with_text = || {
         let mut ledger = BatchLedger::new(single_attempt(), vec![spec.clone()], &[]);
-        ledger.start_next_run(TimePoint(0)).expect("the item waits");
+        ledger.start_next_run(TimePoint(0), |_| false).expect("the item waits");
         ledger.event_received(0, FIRST_EVENT_NUMBER, 1, &software, "x");
         ledger.run_ended(0, RunOutcome::Interrupted, TimePoint(0));
         ledger
     };
     let mut ledger = with_text();
-    let assignment = ledger.start_next_run(TimePoint(100)).expect("the item waits");
+    let assignment = ledger.start_next_run(TimePoint(100), |_| false).expect("the item waits");
     assert_eq!(
         (assignment.resume_after, assignment.software.as_deref()),
         (Some(FIRST_EVENT_NUMBER), Some(SOFTWARE[1]))
@@ -494,14 +494,14 @@
     assert_eq!(other_event, EventOutcome::Mismatch, "an event of other software");
     ledger.run_ended(0, RunOutcome::Interrupted, TimePoint(100));
     assert_eq!(ledger.event_count(0), 1);
-    ledger.start_next_run(TimePoint(200)).expect("the item waits");
+    ledger.start_next_run(TimePoint(200), |_| false).expect("the item waits");
     ledger.defer_run(0, false, TimePoint(200));
-    let assignment = ledger.start_next_run(TimePoint(200)).expect("no upstream has the software any more");
+    let assignment = ledger.start_next_run(TimePoint(200), |_| false).expect("no upstream has the software any more");
     assert_eq!((assignment.resume_after, assignment.software), (None, None));
     let mut ledger = with_text();
     let mut discarded_at = None;
     for now in (100..1_000).step_by(10) {
-        let Some(assignment) = ledger.start_next_run(TimePoint(now)) else { continue };
+        let Some(assignment) = ledger.start_next_run(TimePoint(now), |_| false) else { continue };
         if assignment.resume_after.is_none() {
             discarded_at = Some(now);
             break;
@@ -538,12 +538,12 @@
     for (name, parts, continued) in cases {
         let mut owner = ledger();
         owner.replay_checkpoints(&[JobCheckpoint { parts, failures: Vec::new() }]);
-        let assignment = owner.start_next_run(TimePoint(0)).expect("the item waits");
+        let assignment = owner.start_next_run(TimePoint(0), |_| false).expect("the item waits");
         let resumed = assignment.resume_after.zip(assignment.software.as_deref());
         assert_eq!(resumed, continued, "{name}");
     }
     let mut first_owner = ledger();
-    first_owner.start_next_run(TimePoint(0)).expect("the item waits");
+    first_owner.start_next_run(TimePoint(0), |_| false).expect("the item waits");
     first_owner.event_received(0, FIRST_EVENT_NUMBER, 1, &SOFTWARE[0].into(), "x");
     let state = serde_json::to_string(&first_owner.handover_state()).expect("an encodable state");
     let earlier_release = state.replace(",\"software\":\"a\"", "");
@@ -551,7 +551,11 @@
     for (state, resumed) in [(state, Some(FIRST_EVENT_NUMBER)), (earlier_release, None)] {
         let mut owner = ledger();
         owner.restore(serde_json::from_str(&state).expect("a state"));
-        assert_eq!(owner.start_next_run(TimePoint(0)).expect("the item waits").resume_after, resumed, "{state}");
+        assert_eq!(
+            owner.start_next_run(TimePoint(0), |_| false).expect("the item waits").resume_after,
+            resumed,
+            "{state}"
+        );
     }
 }
 
@@ -565,7 +569,7 @@
         simulation.ledger.event_received(0, FIRST_EVENT_NUMBER, 2, &SOFTWARE[0].into(), "0:1"),
         EventOutcome::Mismatch
     );
-    assert_eq!(simulation.ledger.start_next_run(TimePoint(1)), None);
+    assert_eq!(simulation.ledger.start_next_run(TimePoint(1), |_| false), None);
     assert!(simulation.ledger.next_chunk(CHUNK_BYTES_MAX).is_none());
     assert!(simulation.ledger.is_settled());
 }
@@ -573,10 +577,10 @@
 #[test]
 fn the_longest_item_runs_first_also_after_it_was_requeued() {
     let mut simulation = Simulation::new(false);
-    let first = simulation.ledger.start_next_run(TimePoint(0)).unwrap();
+    let first = simulation.ledger.start_next_run(TimePoint(0), |_| false).unwrap();
     assert_eq!(first.item_index, ITEMS - 1);
-    simulation.ledger.requeue_run(first.item_index);
-    assert_eq!(simulation.ledger.start_next_run(TimePoint(0)).unwrap().item_index, ITEMS - 1);
+    simulation.ledger.requeue_run(first.item_index, None);
+    assert_eq!(simulation.ledger.start_next_run(TimePoint(0), |_| false).unwrap().item_index, ITEMS - 1);
 }
 
 /// Options of a job whose items are tried once and may be of any version.
@@ -596,7 +600,7 @@
     let spec = ItemSpec { group: "g".into(), expected_tokens: 1, needs_score: false };
     let options = single_attempt();
     let mut first_owner = BatchLedger::new(options, vec![spec.clone()], &[]);
-    first_owner.start_next_run(TimePoint(0)).unwrap();
+    first_owner.start_next_run(TimePoint(0), |_| false).unwrap();
     let mut checkpoints = Vec::new();
     for number in FIRST_EVENT_NUMBER..FIRST_EVENT_NUMBER + events {
         first_owner.event_received(0, number, 1, &SOFTWARE[0].into(), &event_data(0, number, SOFTWARE[0]));
@@ -606,7 +610,7 @@
     }
     let mut second_owner = BatchLedger::new(options, vec![spec], &[]);
     second_owner.replay_checkpoints(&checkpoints);
-    second_owner.start_next_run(TimePoint(0)).unwrap().resume_after
+    second_owner.start_next_run(TimePoint(0), |_| false).unwrap().resume_after
 }
 
 #[test]
@@ -624,7 +628,7 @@
     for stored in [vec![0, 0], vec![0, 7], vec![0, 0, 7]] {
         let mut ledger = BatchLedger::new(options, vec![spec.clone(), spec.clone()], &stored);
         assert!(!ledger.is_settled(), "item 1 has no result: {stored:?}");
-        assert_eq!(ledger.start_next_run(TimePoint(0)).expect("item 1 waits").item_index, 1);
+        assert_eq!(ledger.start_next_run(TimePoint(0), |_| false).expect("item 1 waits").item_index, 1);
         ledger.run_ended(1, RunOutcome::Unrunnable, TimePoint(0));
         assert!(!ledger.is_settled(), "the result of item 1 is not stored: {stored:?}");
         let chunk = ledger.next_chunk(CHUNK_BYTES_MAX).expect("a result");
@@ -640,7 +644,7 @@
     let specs = groups.map(|group| ItemSpec { group: group.into(), expected_tokens: 1, needs_score: false });
     let options = BatchOptions { groups_awaited: 2, ..single_attempt() };
     let mut ledger = BatchLedger::new(options, specs.into(), &[]);
-    while ledger.start_next_run(TimePoint(0)).is_some() {}
+    while ledger.start_next_run(TimePoint(0), |_| false).is_some() {}
     for (item_index, urgent) in [(0, false), (2, false), (1, false), (3, true)] {
         ledger.event_received(item_index, FIRST_EVENT_NUMBER, 1, &SOFTWARE[0].into(), "x");
         ledger.run_ended(item_index, RunOutcome::Completed, TimePoint(0));
@@ -665,12 +669,12 @@
             // Each owner sees one failure, stores its progress and crashes.
             let mut owner = BatchLedger::new(options, vec![spec.clone()], &[]);
             owner.replay_checkpoints(&checkpoints);
-            let assignment = owner.start_next_run(TimePoint(0)).expect("the item waits");
+            let assignment = owner.start_next_run(TimePoint(0), |_| false).expect("the item waits");
             if needs_score {
                 let first_event = assignment.resume_after.map_or(FIRST_EVENT_NUMBER, |last| last + 1);
                 owner.event_received(0, first_event, 1, &SOFTWARE[0].into(), "x");
                 owner.run_ended(0, RunOutcome::Completed, TimePoint(0));
-                owner.start_next_scoring(TimePoint(0)).expect("the text is complete");
+                owner.start_next_scoring(TimePoint(0), |_| false).expect("the text is complete");
                 owner.scoring_ended(0, ScoreOutcome::Failed, ATTEMPTS_MAX, TimePoint(0));
             } else {
                 owner.run_ended(0, RunOutcome::Failed, TimePoint(0));
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod ownership;
 mod paths;
+mod pools;
 mod reads;
 mod routes;
 mod small_machines;
