The failures of an item outlive an owner that stops as planned

Cause: a planned stop hands the state of a job over, failures included. The new owner passed over each item whose text cannot be continued, and with it over its failures; an item that fails at each run has no text. It does not read the checkpoints, which hold the failures too, after a planned hand-over, and counted from zero.

The machine of batch jobs now checks that no item is run, or scored, after as many failures as its owner should know: on the code before, "item 3 runs again after 2 failures that are not forgotten", with one hand-over. The new process test counts three failed runs for a route of two attempts before, two after; its second half kills the owner that got the hand-over.

Change: failures are restored for each unfinished item, whatever becomes of its text. Records of the same runs (checkpoint, hand-over) are merged by the greatest count, so that none is counted twice. The new owner has them in its next checkpoint, for the case that it is killed.

Ruled out: writing the checkpoint with the new owner's entry. The commit would be refused as a whole for a text that is too large, and the hand-over with it.

--- a/crates/cli/tests/processes/platform_jobs.rs
+++ b/crates/cli/tests/processes/platform_jobs.rs
@@ -381,3 +381,45 @@
     let results = listed_results(&site, "scored", 3).await;
     assert!(results.iter().all(|result| result["state"] == "completed" && result["id"] != "item-0"), "{results:?}");
 }
+
+/// Runs of the item `id` that ended with a failure of the upstream, at all edges since their start.
+fn failed_runs(site: &EdgeSite, id: &str) -> usize {
+    let item = format!(" item={id} ");
+    let is_failed = |line: &&str| {
+        line.contains("event=item_run ") && line.contains(&item) && line.contains("result=upstream_failed")
+    };
+    site.edges.iter().map(|edge| edge.process.log().lines().filter(is_failed).count()).sum()
+}
+
+/// Guards against an item that fails at each run and runs on and on, as an owner that stops takes its failures with it, also when
+/// the next owner is killed.
+#[actix_rt::test]
+async fn failures_of_an_item_count_across_owners_that_stop_or_are_killed() {
+    for is_killed in [false, true] {
+        let mut site = EdgeSite::start(3).await;
+        // A run takes longer than a hand-over.
+        let fault = UpstreamFault::StatusAfter(500, 1_200);
+        site.engines.iter().for_each(|engine| engine.set_faults([fault; 6]));
+        assert_eq!(site.submit_job(0, "job", &job_submission(1, &[job_item("failing", 2, false)])).await.status, 202);
+        wait_for("the first run fails", || async { (failed_runs(&site, "failing") == 1).then_some(()) }).await;
+        let first_owner = job_owner(&site, "job").expect("an owner");
+        site.edges[first_owner].process.terminate();
+        let begun = "event=job_begun job=job ";
+        let second_owner = wait_for("the next owner has begun", || async {
+            (0..3).find(|edge| *edge != first_owner && site.edges[*edge].process.log().contains(begun))
+        })
+        .await;
+        if is_killed {
+            wait_for("the next owner has stored the failure", || async {
+                site.edges[second_owner].process.log().contains("event=texts_saved job=job ").then_some(())
+            })
+            .await;
+            site.edges[second_owner].process.kill();
+        }
+        let reader = (0..3).find(|edge| ![first_owner, second_owner].contains(edge)).expect("an edge that runs");
+        let results = site.all_results(reader, "job").await;
+        assert_eq!(results[0]["state"], "terminated");
+        wait_for("the last run is logged", || async { (failed_runs(&site, "failing") >= 2).then_some(()) }).await;
+        assert_eq!(failed_runs(&site, "failing"), 2, "the route allows two attempts; killed: {is_killed}");
+    }
+}
--- a/crates/edge/src/job/ledger_writer.rs
+++ b/crates/edge/src/job/ledger_writer.rs
@@ -59,12 +59,14 @@
     pub async fn write_due(&mut self, job: &OwnedJob) -> WriteOutcome {
         loop {
             let now = job.state.now();
-            let results_due = {
+            let (results_due, failures_due) = {
                 let ledger = job.ledger.borrow();
-                self.schedule.are_results_due(now) || ledger.all_items_finished() || ledger.is_listing_urgent()
+                let failures_due = ledger.has_unsaved_failures() && self.schedule.are_failures_due(now);
+                let is_urgent = ledger.all_items_finished() || ledger.is_listing_urgent() || failures_due;
+                (self.schedule.are_results_due(now) || is_urgent, failures_due)
             };
             let results = if results_due { results_write(job) } else { None };
-            let checkpoint_due = results.is_some() || self.schedule.is_checkpoint_due(now);
+            let checkpoint_due = results.is_some() || failures_due || self.schedule.is_checkpoint_due(now);
             let checkpoint = if checkpoint_due { checkpoint_write(job) } else { None };
             if results.is_none() && checkpoint.is_none() {
                 return WriteOutcome::Continue;
--- a/crates/kernel/src/batch/batch_ledger.rs
+++ b/crates/kernel/src/batch/batch_ledger.rs
@@ -77,6 +77,8 @@
     pending_checkpoint: Option<JobCheckpoint>,
     /// Number of checkpoints in the store, which is also the number of the next one.
     checkpoint_count: usize,
+    /// Whether items have failed since the last checkpoint was created.
+    has_unsaved_failures: bool,
     /// Number of unfinished items in each group.
     unfinished_by_group: BTreeMap<SharedName, usize>,
     /// Whether the submitter waits for a result that is not listed yet.
@@ -123,6 +125,7 @@
             listed_count: listed.len(),
             pending_checkpoint: None,
             checkpoint_count: 0,
+            has_unsaved_failures: false,
             unfinished_by_group,
             listing_urgent: false,
             ended: false,
@@ -148,12 +151,16 @@
         }
     }
 
-    /// Restores the state that the previous owner handed over. Texts are restored only for waiting items that have
-    /// none, results only for unfinished items.
+    /// Restores the state that the previous owner handed over. Failures are restored for all unfinished items, texts only for
+    /// waiting items that have none, and results only for unfinished items.
     pub fn restore(&mut self, state: LedgerState) {
         self.checkpoint_count = self.checkpoint_count.max(state.checkpoints);
         for restored in state.items {
             let Some(item) = self.items.get_mut(restored.item_index) else { continue };
+            let failures =
+                FailureCount { run_failures: restored.run_failures, score_failures: restored.score_failures };
+            item.failures = item.failures.merged(failures);
+            self.has_unsaved_failures |= item.failures != item.saved_failures;
             let is_waiting = matches!(item.phase, ItemPhase::Waiting { .. }) && item.text.last_event().is_none();
             // A text of unknown software cannot be continued.
             let is_usable = restored.is_complete || restored.text.software().is_some();
@@ -162,8 +169,6 @@
                 continue;
             }
             item.text = restored.text;
-            item.failures =
-                FailureCount { run_failures: restored.run_failures, score_failures: restored.score_failures };
             if restored.is_complete && item.text.last_event().is_some() {
                 item.phase = ItemPhase::ScorePending { not_before: TimePoint(0) };
                 self.run_queue.remove(&item.run_entry(restored.item_index));
@@ -184,8 +189,7 @@
         for (item_index, failures) in checkpoints.iter().flat_map(|checkpoint| &checkpoint.failures) {
             if let Some(item) = self.items.get_mut(*item_index) {
                 // A conflicting checkpoint of an earlier owner may hold fewer.
-                item.failures.run_failures = item.failures.run_failures.max(failures.run_failures);
-                item.failures.score_failures = item.failures.score_failures.max(failures.score_failures);
+                item.failures = item.failures.merged(*failures);
                 item.saved_failures = item.failures;
             }
         }
@@ -209,6 +213,7 @@
             let mut bytes = 0;
             let mut parts = Vec::new();
             let mut failures = Vec::new();
+            self.has_unsaved_failures = false;
             let unfinished = self.items.iter_mut().enumerate().filter(|(_, item)| item.phase != ItemPhase::Finished);
             for (item_index, item) in unfinished {
                 if bytes < bytes_max && item.text.unsaved_count() >= CHECKPOINT_EVENTS_MIN {
@@ -247,9 +252,17 @@
         for item in &mut self.items {
             item.text.clear_saved();
             item.saved_failures = FailureCount::default();
+            self.has_unsaved_failures |= item.failures != item.saved_failures;
         }
     }
 
+    /// Whether failures are in no checkpoint, or items that were given up in no chunk of results. The next owner would run these
+    /// items again as often as if they had never failed.
+    #[must_use]
+    pub fn has_unsaved_failures(&self) -> bool {
+        self.has_unsaved_failures || self.unlisted.iter().any(|result| result.state == ItemState::Terminated)
+    }
+
     /// Whether the submitter waits for a result that is not listed yet. If so, results should be listed at once instead
     /// of in larger chunks.
     #[must_use]
@@ -397,6 +410,7 @@
             RunOutcome::Completed | RunOutcome::Interrupted | RunOutcome::NotRun => self.retry_later(item_index, now),
             RunOutcome::Failed => {
                 item.failures.run_failures = item.failures.run_failures.saturating_add(1);
+                self.has_unsaved_failures = true;
                 if item.failures.run_failures >= attempts_max {
                     self.terminate_item(item_index)
                 } else {
@@ -415,7 +429,10 @@
         }
         match outcome {
             ScoreOutcome::Signed(signature) => return self.complete_item(item_index, Some(signature)),
-            ScoreOutcome::Failed => item.failures.score_failures = item.failures.score_failures.saturating_add(1),
+            ScoreOutcome::Failed => {
+                item.failures.score_failures = item.failures.score_failures.saturating_add(1);
+                self.has_unsaved_failures = true;
+            }
             ScoreOutcome::Interrupted => {}
         }
         if item.failures.score_failures >= failures_max.max(1) {
--- a/crates/kernel/src/batch/job_checkpoint.rs
+++ b/crates/kernel/src/batch/job_checkpoint.rs
@@ -29,6 +29,17 @@
     pub score_failures: u32,
 }
 
+impl FailureCount {
+    /// The failures that are known from two records of the same runs and requests.
+    #[must_use]
+    pub fn merged(self, other: Self) -> Self {
+        Self {
+            run_failures: self.run_failures.max(other.run_failures),
+            score_failures: self.score_failures.max(other.score_failures),
+        }
+    }
+}
+
 /// Progress of unfinished items that is stored in one write.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct JobCheckpoint {
--- a/crates/kernel/tests/machines/batches.rs
+++ b/crates/kernel/tests/machines/batches.rs
@@ -196,6 +196,11 @@
             if self.runs.iter().any(|run| run.assignment.item_index == item_index) {
                 return Err(format!("item {item_index} has two runs at the same owner"));
             }
+            if self.oracle.run_failures[item_index] >= ATTEMPTS_MAX {
+                return Err(format!(
+                    "item {item_index} runs again after {ATTEMPTS_MAX} failures that are not forgotten"
+                ));
+            }
             let needed =
                 assignment.software.as_ref().and_then(|needed| SOFTWARE.iter().position(|name| *name == &**needed));
             let position = needed.filter(|_| !misplaced).unwrap_or(software);
@@ -283,6 +288,8 @@
 
     fn score(&mut self, selector: u8) {
         while let Some(item_index) = self.ledger.start_next_scoring(self.now, |_| false) {
+            let failures = self.oracle.scorer_failures[item_index];
+            assert!(failures < SCORER_FAILURES_MAX, "item {item_index} is scored again after {failures} failures");
             let outcome = match selector % 4 {
                 0 => {
                     self.oracle.scorer_failures[item_index] += 1;
--- a/crates/standin/src/platform/platform_upstream.rs
+++ b/crates/standin/src/platform/platform_upstream.rs
@@ -32,6 +32,8 @@
     Refuse,
     /// Runs the request and answers with this HTTP status.
     Status(u16),
+    /// Runs the request for so many milliseconds and answers with this HTTP status.
+    StatusAfter(u16, u64),
     /// Runs the request and closes the connection before any byte of the body.
     LoseAnswer,
     /// Closes the connection after this number of events, in the middle of the next one. Ignored by a plain service.
@@ -333,7 +335,10 @@
             answer_builder(&upstream, StatusCode::OK, &id).streaming(bytes.boxed_local())
         }
         Some(UpstreamFault::LoseAnswer) => truncated_response(stream::empty().boxed_local()),
-        Some(UpstreamFault::Status(status)) => {
+        Some(UpstreamFault::Status(status) | UpstreamFault::StatusAfter(status, _)) => {
+            if let Some(UpstreamFault::StatusAfter(_, ms)) = fault {
+                actix_rt::time::sleep(Duration::from_millis(ms)).await;
+            }
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
             answer_builder(&upstream, status, &id).body("failed")
         }
