A harmless request that is quarantined gets a trial

Callers saw: after an outage of all upstreams of a service, a harmless request that they repeat was refused with 503 `quarantined` for ten minutes by all daemons.

Each daemon lost the request at several upstreams, the list showed all of them again at once, and nothing had been completed meanwhile. A quarantined request does not run, so that nothing could clear it.

The new process test fails on the commit before (timed out until the request is served again) and passes with the change.

Change: a quarantined request may run once more, at one daemon, which is the first to record that in the store: 2 s after the last known crash if at most one crash was found by a connection, and 30 s after it otherwise. If it is completed, its marks are cleared everywhere. If an upstream crashes in the trial, there is no other one; if that stays unknown, there is a second one after 30 s. So a request that does crash its upstreams costs one more of them, two at most, where three retries are allowed.

Ruled out: shorter marks (a request that crashes upstreams would crash three of them again each time); a trial at a daemon chosen by rank (it may not get the request for long, and each restart of a daemon would allow another one); no delay for crashes found by connections (the test of such requests allows no further crash right after the restart of all daemons).

--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -335,6 +335,51 @@
     }
 }
 
+/// Guards against a harmless request that is refused for minutes because all its upstreams fell silent, so that no run could show
+/// that it did not end them.
+#[actix_rt::test]
+async fn a_harmless_request_is_served_again_after_an_outage_of_all_its_upstreams() {
+    let mut site = EdgeSite::start(2).await;
+    site.desks.iter().for_each(|desk| desk.start_draining());
+    let mut silent = Vec::new();
+    for number in 0..3 {
+        let id = format!("silent-{number}");
+        let server = RawServer::start(RawAnswer::default()).await;
+        lose_request(&site, &id, &server).await;
+        wait_for("the loss is examined", || async {
+            (log_lines(&site, &format!("event=loss_examined request_id={id} ")) > 0).then_some(())
+        })
+        .await;
+        silent.push((id.clone(), server, unix_ms()));
+        site.store.contents().remove(&format!("servers/{id}"));
+    }
+    for (id, server, started_again_at) in &silent {
+        site.register(id, "desk", server.address, "draining", *started_again_at);
+    }
+    wait_for("every edge knows of three crashes", || async {
+        site.edges.iter().all(|edge| edge.process.log().contains("crashes=3")).then_some(())
+    })
+    .await;
+    site.start_desk("desk-3");
+    let reply = wait_for("the edge refuses the request or serves it", || async {
+        let reply = site.send_quote_for(0, "early", "boom").await;
+        (reply.status == 200 || reply.body == "quarantined").then_some(reply)
+    })
+    .await;
+    assert_eq!(reply.status, 503, "it may have ended its upstreams");
+    for edge in [0, 1] {
+        wait_for("the request is served again", || async {
+            (site.send_quote_for(edge, "again", "boom").await.status == 200).then_some(())
+        })
+        .await;
+    }
+    wait_for("nothing is left in the store", || async {
+        let contents = site.store.contents();
+        (contents.range("p/w/crash/", "").is_empty() && contents.range("p/w/trial/", "").is_empty()).then_some(())
+    })
+    .await;
+}
+
 /// Guards against two requests that crash upstreams by turns, and hide each other.
 #[actix_rt::test]
 async fn two_requests_that_crash_upstreams_at_once_are_both_refused() {
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -6,7 +6,7 @@
     edge_state::EdgeState,
     relay::{AttemptFailure, CompleteResponse, UpstreamCall, UpstreamGuard},
     stream::unrecorded_upstreams,
-    suspect::{examine_loss, request_completed},
+    suspect::{SuspectTrial, examine_loss, request_completed},
     waiting::{WaitTerms, early_refusal, wait_for_room},
     worker_parts::WorkerParts,
 };
@@ -134,17 +134,20 @@
         && history.path_failures <= PATH_FAILURES_MAX
         && state.now() < call.deadline
     {
-        let suspect_refusal = || if is_marked() { suspect_refusal(parts, target, *repeat_fingerprint) } else { None };
-        history.suspect_refusal = suspect_refusal();
+        history.suspect_refusal = if is_marked() { suspect_refusal(parts, target, *repeat_fingerprint) } else { None };
         if history.suspect_refusal.is_some() {
             break;
         }
         let Some(mut guard) = next_upstream(state, plan, &mut history).await else { break };
         // Marks may have arrived while the request waited.
-        history.suspect_refusal = suspect_refusal();
-        if history.suspect_refusal.is_some() {
-            break;
-        }
+        let trial = if is_marked() { admit_suspect(parts, target, *repeat_fingerprint).await } else { Ok(None) };
+        let trial = match trial {
+            Ok(trial) => trial,
+            Err(refusal) => {
+                history.suspect_refusal = Some(refusal);
+                break;
+            }
+        };
         if history.path_failures > 0 {
             guard.prefer_relay();
         }
@@ -169,6 +172,14 @@
             .field("took_ms", took_ms)
             .field("result", result_text)
             .info();
+        let is_trial = trial.is_some();
+        let is_undecided = match &result {
+            Ok(response) => !response.is_complete(),
+            Err(failure) => failure.may_have_run(),
+        };
+        if let Some(trial) = trial.filter(|_| !is_undecided) {
+            trial.release(state, &parts.store);
+        }
         match result {
             Ok(response) => {
                 guard.set_outcome(SamplerOutcome::Answered(response.is_complete().then_some(took_ms)));
@@ -195,7 +206,7 @@
                     count_usage(parts, call, sent_at);
                     history.runs += 1;
                     history.may_have_run = true;
-                    if rule.kind != RouteKind::Idempotent {
+                    if rule.kind != RouteKind::Idempotent || is_trial {
                         break;
                     }
                 } else if !is_path_failure {
@@ -289,9 +300,25 @@
     })
 }
 
-/// Why the request with `fingerprint` must not run because of the upstreams that crashed under it; `None` if it may. A
-/// request that could be the cause is kept from the last upstream of its service, which serves all other requests.
+/// Why the request with `fingerprint` must not run because of the upstreams that crashed under it; `None` if it may, or a trial
+/// may show that it is not the cause.
 fn suspect_refusal(parts: &WorkerParts, target: &RequestTarget, fingerprint: u64) -> Option<ApiRefusal> {
+    let refusal = crash_refusal(parts, target, fingerprint)?;
+    let (now, suspects) = (parts.state.now(), parts.state.suspects());
+    suspects.next_trial(fingerprint, now).is_none().then_some(refusal)
+}
+
+/// Lets the request with `fingerprint` run, unless it must not because of the upstreams that crashed under it. Returns the
+/// trial in which it runs, if it is one.
+async fn admit_suspect(parts: &WorkerParts, target: &RequestTarget, fingerprint: u64) -> Result<Option<SuspectTrial>> {
+    let Some(refusal) = crash_refusal(parts, target, fingerprint) else { return Ok(None) };
+    let trial = SuspectTrial::claim(&parts.state, &parts.store, fingerprint).await;
+    trial.map(Some).ok_or(refusal)
+}
+
+/// Why the request with `fingerprint` is kept from running by the crashes that count against it; `None` if it is not. A request
+/// that could be the cause is kept from the last upstream of its service, which serves all other requests.
+fn crash_refusal(parts: &WorkerParts, target: &RequestTarget, fingerprint: u64) -> Option<ApiRefusal> {
     let now = parts.state.now();
     let verdict = parts.state.suspects().verdict(fingerprint, now);
     match verdict {
--- a/crates/edge/src/store/coordination_keys.rs
+++ b/crates/edge/src/store/coordination_keys.rs
@@ -7,7 +7,7 @@
 use pimentoslip_telemetry::LogLine;
 use pimentoslip_wire::{
     decode,
-    stored::{CrashEntry, DaemonEntry, JobEntry, KeyLayout, PresenceEntry, SoftwareEntry},
+    stored::{DaemonEntry, JobEntry, KeyLayout, PresenceEntry, SoftwareEntry},
 };
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -31,12 +31,12 @@
     fn entry_written(&mut self, store_entry: &StoreEntry, now: TimePoint) {
         self.stored_keys.insert(store_entry.key.clone());
         if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(&store_entry.key) {
-            match decode::<CrashEntry>(&store_entry.value) {
-                Ok(CrashEntry { observed_unix_ms, sent_unix_ms, .. }) => {
-                    mark_stored(&self.state, fingerprint, process, sent_unix_ms.or(Some(observed_unix_ms)));
-                }
+            match decode(&store_entry.value) {
+                Ok(entry) => mark_stored(&self.state, fingerprint, process, &entry),
                 Err(error) => log_unreadable(store_entry, &error),
             }
+        } else if let Some((fingerprint, number)) = KeyLayout::parse_trial_key(&store_entry.key) {
+            self.state.suspects().trial_known(fingerprint, number, now);
         } else if let Some(service) = KeyLayout::parse_software_key(&store_entry.key) {
             match decode::<SoftwareEntry>(&store_entry.value) {
                 Ok(uses) => {
@@ -97,6 +97,8 @@
         self.stored_keys.remove(key);
         if let Some((fingerprint, process)) = KeyLayout::parse_crash_key(key) {
             self.state.suspects().remove(fingerprint, process);
+        } else if let Some((fingerprint, number)) = KeyLayout::parse_trial_key(key) {
+            self.state.suspects().trial_removed(fingerprint, number);
         } else if let Some(job) = KeyLayout::parse_owner_key(key) {
             self.state.ownership().owner_removed(job, revision, now);
         } else if let Some(daemon) = KeyLayout::parse_presence_key(key) {
--- a/crates/edge/src/suspect/crash_outbox.rs
+++ b/crates/edge/src/suspect/crash_outbox.rs
@@ -13,6 +13,8 @@
     Put {
         /// When the request was sent to the process, in milliseconds since the Unix epoch; `None` if that is not known.
         sent_unix_ms: Option<u64>,
+        /// Whether only the list of upstreams shows the crash.
+        is_inferred: bool,
     },
     /// The mark is to be removed.
     Remove,
@@ -37,7 +39,7 @@
 impl CrashOutbox {
     /// Queues the write of a new mark.
     pub fn put(&mut self, mark: &CrashMark) {
-        let change = MarkChange::Put { sent_unix_ms: mark.sent_unix_ms };
+        let change = MarkChange::Put { sent_unix_ms: mark.sent_unix_ms, is_inferred: mark.is_inferred };
         self.changes.insert((mark.fingerprint, mark.process.clone()), change);
     }
 
--- a/crates/edge/src/suspect/crash_task.rs
+++ b/crates/edge/src/suspect/crash_task.rs
@@ -117,9 +117,9 @@
     for ((fingerprint, process), change) in changes {
         let key = KeyLayout::crash_key(*fingerprint, process);
         commit = match change {
-            MarkChange::Put { sent_unix_ms } => {
-                let (daemon, sent_unix_ms) = (state.settings.vm.clone(), *sent_unix_ms);
-                let value = encode(&CrashEntry { daemon, observed_unix_ms, sent_unix_ms })
+            MarkChange::Put { sent_unix_ms, is_inferred } => {
+                let (daemon, sent_unix_ms, inferred) = (state.settings.vm.clone(), *sent_unix_ms, *is_inferred);
+                let value = encode(&CrashEntry { daemon, observed_unix_ms, sent_unix_ms, inferred })
                     .map_err(|error| StoreError::Malformed { problem: error.to_string() })?;
                 commit.put(key, value, lease)
             }
--- a/crates/edge/src/suspect/crash_watch.rs
+++ b/crates/edge/src/suspect/crash_watch.rs
@@ -12,6 +12,7 @@
 use pimentoslip_client::{probe_after_loss, probe_connection};
 use pimentoslip_kernel::{ConnectOutcome, ProcessVerdict, RequestLoss, SamplerRecord, SharedName};
 use pimentoslip_telemetry::LogLine;
+use pimentoslip_wire::stored::CrashEntry;
 use std::sync::Arc;
 
 /// Largest body of a completed request that is hashed although this daemon knows of no recent loss or crash. Hashing it takes
@@ -68,7 +69,7 @@
     match verdict {
         ProcessVerdict::Ended => {
             let loss = state.losses().take(number);
-            loss.iter().for_each(|loss| upstream_crashed(&state, loss));
+            loss.iter().for_each(|loss| upstream_crashed(&state, loss, false));
         }
         ProcessVerdict::Running => state.losses().process_running(number, state.unix_ms()),
         ProcessVerdict::Unknown => {}
@@ -84,7 +85,7 @@
 /// Handles a listed upstream: the process before it may have crashed under a request.
 pub fn upstream_listed(state: &EdgeState, record: &SamplerRecord) {
     let crashed = state.losses().upstream_listed(record, state.now());
-    crashed.iter().for_each(|loss| upstream_crashed(state, loss));
+    crashed.iter().for_each(|loss| upstream_crashed(state, loss, true));
 }
 
 /// Handles the removal of an upstream from the list. If nothing listens at its address, it has crashed.
@@ -95,13 +96,14 @@
 }
 
 /// Counts the crash of an upstream against the request that it ran, unless the request has been completed since it was sent.
-fn upstream_crashed(state: &EdgeState, loss: &RequestLoss) {
+/// `is_inferred` says whether only the list of upstreams shows the crash.
+fn upstream_crashed(state: &EdgeState, loss: &RequestLoss, is_inferred: bool) {
     let RequestLoss { request_id, fingerprint, upstream, sent_unix_ms, .. } = loss;
     let (now, sent_unix_ms) = (state.now(), Some(*sent_unix_ms));
     state.upstreams().process_ended(upstream, now);
     let (mark, crash_count, is_disproved) = {
         let mut suspects = state.suspects();
-        let mark = suspects.process_crashed(*fingerprint, process_name(upstream), sent_unix_ms, now);
+        let mark = suspects.process_crashed(*fingerprint, process_name(upstream), sent_unix_ms, is_inferred, now);
         (mark, suspects.crash_count(*fingerprint, now), suspects.is_disproved(*fingerprint, sent_unix_ms))
     };
     if is_disproved {
@@ -119,19 +121,22 @@
         .field("request_id", request_id)
         .field("fingerprint", format!("{fingerprint:016x}"))
         .field("upstream", &upstream.id)
+        .field("inferred", is_inferred)
         .field("crashes", crash_count)
         .warn();
 }
 
 /// Handles a crash mark in the store. One that a run at this daemon disproves is removed from there.
-pub fn mark_stored(state: &EdgeState, fingerprint: u64, process: &str, sent_unix_ms: Option<u64>) {
+pub fn mark_stored(state: &EdgeState, fingerprint: u64, process: &str, entry: &CrashEntry) {
     let now = state.now();
+    // An earlier release does not say when the request was sent; that was before the observation.
+    let sent_unix_ms = entry.sent_unix_ms.or(Some(entry.observed_unix_ms));
     let process = SharedName::from(process);
     state.crash_outbox().mark_stored(&(fingerprint, process.clone()));
     let (is_new, crash_count, is_disproved) = {
         let mut suspects = state.suspects();
-        let is_new = suspects.process_crashed(fingerprint, process.clone(), sent_unix_ms, now).is_some();
-        (is_new, suspects.crash_count(fingerprint, now), suspects.is_disproved(fingerprint, sent_unix_ms))
+        let mark = suspects.process_crashed(fingerprint, process.clone(), sent_unix_ms, entry.inferred, now);
+        (mark.is_some(), suspects.crash_count(fingerprint, now), suspects.is_disproved(fingerprint, sent_unix_ms))
     };
     let line = |event| {
         let line = LogLine::new(event).field("fingerprint", format!("{fingerprint:016x}"));
--- a/crates/kernel/src/suspect/crash_mark.rs
+++ b/crates/kernel/src/suspect/crash_mark.rs
@@ -12,6 +12,9 @@
     pub process: SharedName,
     /// When the request was sent to the process, in milliseconds since the Unix epoch; `None` if that is not known.
     pub sent_unix_ms: Option<u64>,
+    /// Whether the crash was inferred from the list of upstreams, which shows another process; otherwise nothing listened at the
+    /// upstream's address.
+    pub is_inferred: bool,
     /// Whether the request completed later, so that the crash does not count against it any more.
     pub is_cleared: bool,
     /// When the mark is forgotten.
--- a/crates/kernel/src/suspect/mod.rs
+++ b/crates/kernel/src/suspect/mod.rs
@@ -6,6 +6,7 @@
 mod loss_table;
 mod suspect_table;
 mod suspect_verdict;
+mod trial_log;
 
 pub use connect_outcome::{ConnectOutcome, ProcessVerdict};
 pub use crash_mark::CrashMark;
--- a/crates/kernel/src/suspect/suspect_table.rs
+++ b/crates/kernel/src/suspect/suspect_table.rs
@@ -1,6 +1,6 @@
 //! Table of the requests that were running when upstreams crashed.
 
-use super::{CrashMark, SuspectVerdict, completion_log::CompletionLog};
+use super::{CrashMark, SuspectVerdict, completion_log::CompletionLog, trial_log::TrialLog};
 use crate::{SharedName, TimePoint, fingerprint};
 use std::collections::{BTreeMap, HashMap};
 
@@ -15,6 +15,12 @@
 /// are dropped.
 const REQUESTS_MAX: usize = 512;
 
+/// Time from the last known crash to a trial of the request, if at most one crash was found by a connection: an outage may have
+/// ended the processes, and by now they are back.
+const INFERRED_TRIAL_DELAY_MS: u64 = 2_000;
+/// The same time if more crashes were found by connections, which hardly leaves another cause than one outage of all.
+const FOUND_TRIAL_DELAY_MS: u64 = 30_000;
+
 /// Crashes of upstreams, by the request that they ran.
 ///
 /// The marks of a request form a set that only grows until they expire, and marks of all daemons are merged in any order
@@ -30,6 +36,8 @@
     requests: HashMap<u64, BTreeMap<SharedName, CrashMark>>,
     /// Requests that upstreams completed for this daemon.
     completions: CompletionLog,
+    /// Trials of requests with marks.
+    trials: TrialLog,
 }
 
 impl SuspectTable {
@@ -42,20 +50,22 @@
         self.requests.is_empty()
     }
 
-    /// Records that `process` crashed while it ran a request that was sent to it at `sent_unix_ms`, if that is known. Returns
-    /// the mark if the crash was not known and counts against the request.
+    /// Records that `process` crashed while it ran a request that was sent to it at `sent_unix_ms`, if that is known;
+    /// `is_inferred` says whether only the list of upstreams shows that. Returns the mark if the crash was not known and counts
+    /// against the request.
     pub fn process_crashed(
         &mut self,
         fingerprint: u64,
         process: SharedName,
         sent_unix_ms: Option<u64>,
+        is_inferred: bool,
         now: TimePoint,
     ) -> Option<CrashMark> {
         if self.is_disproved(fingerprint, sent_unix_ms) {
             return None;
         }
         let expires_at = now.plus_ms(MARK_TTL_MS);
-        let mark = CrashMark { fingerprint, process, sent_unix_ms, is_cleared: false, expires_at };
+        let mark = CrashMark { fingerprint, process, sent_unix_ms, is_inferred, is_cleared: false, expires_at };
         self.merge(mark.clone(), now).then_some(mark)
     }
 
@@ -86,7 +96,7 @@
         if count > 0 && now.plus_ms(MARK_TTL_MS).since_ms(latest_expiry) < SAME_CRASH_MS {
             return None;
         }
-        self.process_crashed(fingerprint, format!("{upstream}#{}", count + 1).into(), sent_unix_ms, now)
+        self.process_crashed(fingerprint, format!("{upstream}#{}", count + 1).into(), sent_unix_ms, false, now)
     }
 
     /// Adds a mark of another daemon; one that is disproved here is kept as cleared. Returns whether it was new, or newly
@@ -133,9 +143,39 @@
         marks.remove(process);
         if marks.is_empty() {
             self.requests.remove(&fingerprint);
+            self.trials.retain(|request| request != fingerprint);
+        }
+    }
+
+    /// Number of the trial that a request which is kept from running may get now; `None` if there may be none. Nothing that does
+    /// not run can be completed, so that a harmless request would be refused until its marks expire, if all its upstreams
+    /// crashed at once for another cause. Whoever wants to run the trial must be the first to record it for all daemons.
+    #[must_use]
+    pub fn next_trial(&self, fingerprint: u64, now: TimePoint) -> Option<u32> {
+        let marks = self.requests.get(&fingerprint)?.values().filter(|mark| mark.counts(now));
+        let (mut count, mut found_count, mut latest_expiry) = (0, 0, TimePoint(0));
+        for mark in marks {
+            count += 1;
+            found_count += usize::from(!mark.is_inferred);
+            latest_expiry = latest_expiry.max(mark.expires_at);
+        }
+        let delay_ms = if found_count > 1 { FOUND_TRIAL_DELAY_MS } else { INFERRED_TRIAL_DELAY_MS };
+        let is_settled = now.plus_ms(MARK_TTL_MS).since_ms(latest_expiry) >= delay_ms;
+        if is_settled { self.trials.next_number(fingerprint, count, now) } else { None }
+    }
+
+    /// Records a trial of a request that has marks.
+    pub fn trial_known(&mut self, fingerprint: u64, number: u32, now: TimePoint) {
+        if self.requests.contains_key(&fingerprint) {
+            self.trials.add(fingerprint, number, self.crash_count(fingerprint, now), now);
         }
     }
 
+    /// Forgets a trial that does not count.
+    pub fn trial_removed(&mut self, fingerprint: u64, number: u32) {
+        self.trials.remove(fingerprint, number);
+    }
+
     /// Number of crashes that count against a request.
     #[must_use]
     pub fn crash_count(&self, fingerprint: u64, now: TimePoint) -> usize {
@@ -178,6 +218,8 @@
             marks.retain(|_, mark| now < mark.expires_at);
             !marks.is_empty()
         });
+        let requests = &self.requests;
+        self.trials.retain(|request| requests.contains_key(&request));
     }
 
     /// Makes room for the marks of one more request.
@@ -194,6 +236,7 @@
             let lightest = self.requests.iter().min_by_key(|(_, marks)| weight(marks)).map(|(request, _)| *request);
             let Some(lightest) = lightest else { return };
             self.requests.remove(&lightest);
+            self.trials.retain(|request| request != lightest);
         }
     }
 }
--- a/crates/kernel/tests/machines/main.rs
+++ b/crates/kernel/tests/machines/main.rs
@@ -26,6 +26,7 @@
 mod suspects;
 mod terms;
 mod text_finish;
+mod trials;
 mod usage;
 mod versions;
 mod waiting;
--- a/crates/kernel/tests/machines/suspects.rs
+++ b/crates/kernel/tests/machines/suspects.rs
@@ -97,7 +97,7 @@
         match command {
             Command::Crash { daemon, request, process, age_ms } => {
                 let sent_unix_ms = unix_ms(now) - age_ms;
-                tables[daemon].process_crashed(request, format!("p{process}").into(), Some(sent_unix_ms), now);
+                tables[daemon].process_crashed(request, format!("p{process}").into(), Some(sent_unix_ms), false, now);
                 let expires_at = now.plus_ms(SuspectTable::MARK_TTL_MS);
                 known[daemon].retain(|_, crash| now < crash.expires_at);
                 let ended_unix_ms = completed[daemon].get(&request).copied();
@@ -156,7 +156,7 @@
     let now = TimePoint(0);
     let (mut own, mut peer) = (SuspectTable::default(), SuspectTable::default());
     for process in ["a", "b", "c"] {
-        own.process_crashed(1, process.into(), Some(unix_ms(now)), now);
+        own.process_crashed(1, process.into(), Some(unix_ms(now)), false, now);
     }
     let send = |from: &mut SuspectTable, to: &mut SuspectTable| {
         for mark in from.active_marks(now) {
@@ -207,12 +207,19 @@
     let now = TimePoint(0);
     let mut suspects = SuspectTable::default();
     for process in ["a", "b", "c"] {
-        suspects.process_crashed(0, process.into(), Some(unix_ms(now)), now);
+        suspects.process_crashed(0, process.into(), Some(unix_ms(now)), false, now);
     }
     for request in 1..10_000 {
         let expires_at = TimePoint(9);
         suspects.merge(
-            CrashMark { fingerprint: request, process: "d".into(), sent_unix_ms: None, is_cleared: false, expires_at },
+            CrashMark {
+                fingerprint: request,
+                process: "d".into(),
+                sent_unix_ms: None,
+                is_inferred: false,
+                is_cleared: false,
+                expires_at,
+            },
             now,
         );
     }
@@ -237,8 +244,8 @@
         let listed_at = now.plus_ms(14_000);
         for process in ["a", "b", "c"] {
             // The list shows the next process late: to this daemon, and to one at which the request was not completed.
-            assert_eq!(own.process_crashed(1, process.into(), sent_unix_ms, listed_at).is_some(), counts);
-            let mark = peer.process_crashed(1, process.into(), sent_unix_ms, listed_at).expect("a mark");
+            assert_eq!(own.process_crashed(1, process.into(), sent_unix_ms, false, listed_at).is_some(), counts);
+            let mark = peer.process_crashed(1, process.into(), sent_unix_ms, false, listed_at).expect("a mark");
             own.merge(mark, listed_at);
         }
         let is_quarantined = matches!(own.verdict(1, listed_at), SuspectVerdict::Quarantined { .. });
--- a/crates/wire/src/peer/crash_mark.rs
+++ b/crates/wire/src/peer/crash_mark.rs
@@ -15,6 +15,9 @@
     /// release.
     #[serde(default)]
     pub sent_unix_ms: Option<u64>,
+    /// Whether only the list of upstreams shows the crash; absent from daemons of an earlier release.
+    #[serde(default)]
+    pub inferred: bool,
     /// Whether the request completed later.
     pub cleared: bool,
     /// Time until the mark expires, in milliseconds.
@@ -29,6 +32,7 @@
             fingerprint: mark.fingerprint,
             process: mark.process,
             sent_unix_ms: mark.sent_unix_ms,
+            inferred: mark.is_inferred,
             cleared: mark.is_cleared,
             expires_in_ms: mark.expires_at.since_ms(now),
         }
@@ -41,6 +45,7 @@
             fingerprint: self.fingerprint,
             process: self.process,
             sent_unix_ms: self.sent_unix_ms,
+            is_inferred: self.inferred,
             is_cleared: self.cleared,
             expires_at: now.plus_ms(self.expires_in_ms.min(pimentoslip_kernel::SuspectTable::MARK_TTL_MS)),
         }
--- a/crates/wire/src/stored/crash_entry.rs
+++ b/crates/wire/src/stored/crash_entry.rs
@@ -14,4 +14,7 @@
     /// release.
     #[serde(default)]
     pub sent_unix_ms: Option<u64>,
+    /// Whether only the list of upstreams shows the crash; absent from daemons of an earlier release.
+    #[serde(default)]
+    pub inferred: bool,
 }
--- a/crates/wire/src/stored/key_layout.rs
+++ b/crates/wire/src/stored/key_layout.rs
@@ -26,6 +26,7 @@
     pub const STREAMS_PREFIX: &'static str = "p/stream/";
     const SOFTWARE_PREFIX: &'static str = "p/w/software/";
     const CRASH_PREFIX: &'static str = "p/w/crash/";
+    const TRIAL_PREFIX: &'static str = "p/w/trial/";
 
     /// Key of a batch job's entry.
     #[must_use]
@@ -57,6 +58,12 @@
         format!("{}{fingerprint:016x}/{process}", Self::CRASH_PREFIX)
     }
 
+    /// Key of the trial `number` of the request with `fingerprint`, which has crash marks.
+    #[must_use]
+    pub fn trial_key(fingerprint: u64, number: u32) -> String {
+        format!("{}{fingerprint:016x}/{number}", Self::TRIAL_PREFIX)
+    }
+
     /// Key of the versions of the software with which `service` has served.
     #[must_use]
     pub fn software_key(service: &str) -> String {
@@ -184,4 +191,11 @@
         let (fingerprint, process) = key.strip_prefix(Self::CRASH_PREFIX)?.split_once('/')?;
         Some((u64::from_str_radix(fingerprint, 16).ok()?, process))
     }
+
+    /// Fingerprint of the request and number of its trial at `key`; `None` for other keys.
+    #[must_use]
+    pub fn parse_trial_key(key: &str) -> Option<(u64, u32)> {
+        let (fingerprint, number) = key.strip_prefix(Self::TRIAL_PREFIX)?.split_once('/')?;
+        Some((u64::from_str_radix(fingerprint, 16).ok()?, number.parse().ok()?))
+    }
 }
--- a/crates/wire/tests/crash_marks.rs
+++ b/crates/wire/tests/crash_marks.rs
@@ -12,7 +12,7 @@
     {
         let (mut sender, mut receiver) = (SuspectTable::default(), SuspectTable::default());
         for process in ["a", "b", "c"] {
-            sender.process_crashed(1, process.into(), Some(1_700_000_000_000), sender_now);
+            sender.process_crashed(1, process.into(), Some(1_700_000_000_000), false, sender_now);
         }
         for mark in sender.active_marks(sender_now) {
             let message = encode(&CrashMarkBody::from_mark(mark, sender_now)).expect("encode a mark");
