--- a/crates/cli/tests/processes/platform_crasher.rs
+++ b/crates/cli/tests/processes/platform_crasher.rs
@@ -285,6 +285,24 @@
     }
 }
 
+/// Lets the first edge lose a request at each of three upstreams that fall silent and leave the list. Returns their ids and
+/// servers, and times at which a process that is started again may have started.
+async fn lose_at_silent_upstreams(site: &EdgeSite) -> Vec<(String, RawServer, u64)> {
+    let mut silent = Vec::new();
+    for number in 0..3 {
+        let id = format!("silent-{number}");
+        let server = RawServer::start(RawAnswer::default()).await;
+        lose_request(site, &id, &server).await;
+        wait_for("the loss is examined", || async {
+            (log_lines(site, &format!("event=loss_examined request_id={id} ")) > 0).then_some(())
+        })
+        .await;
+        site.store.contents().remove(&format!("servers/{id}"));
+        silent.push((id, server, unix_ms()));
+    }
+    silent
+}
+
 /// Guards against a harmless request that is quarantined because upstreams that fell silent under it are listed again after
 /// others have completed it, at the same edge or at another one.
 #[actix_rt::test]
@@ -292,19 +310,7 @@
     for completing_edge in [0, 1] {
         let mut site = EdgeSite::start(2).await;
         site.desks.iter().for_each(|desk| desk.start_draining());
-        let mut silent = Vec::new();
-        for number in 0..3 {
-            let id = format!("silent-{number}");
-            let server = RawServer::start(RawAnswer::default()).await;
-            lose_request(&site, &id, &server).await;
-            wait_for("the loss is examined", || async {
-                (log_lines(&site, &format!("event=loss_examined request_id={id} ")) > 0).then_some(())
-            })
-            .await;
-            silent.push((id.clone(), server, unix_ms()));
-            // No further request is sent there.
-            site.store.contents().remove(&format!("servers/{id}"));
-        }
+        let silent = lose_at_silent_upstreams(&site).await;
         site.start_desk("desk-3");
         wait_for("the request is completed", || async {
             (site.send_quote_for(completing_edge, "sound", "boom").await.status == 200).then_some(())
@@ -341,18 +347,7 @@
 async fn a_harmless_request_is_served_again_after_an_outage_of_all_its_upstreams() {
     let mut site = EdgeSite::start(2).await;
     site.desks.iter().for_each(|desk| desk.start_draining());
-    let mut silent = Vec::new();
-    for number in 0..3 {
-        let id = format!("silent-{number}");
-        let server = RawServer::start(RawAnswer::default()).await;
-        lose_request(&site, &id, &server).await;
-        wait_for("the loss is examined", || async {
-            (log_lines(&site, &format!("event=loss_examined request_id={id} ")) > 0).then_some(())
-        })
-        .await;
-        silent.push((id.clone(), server, unix_ms()));
-        site.store.contents().remove(&format!("servers/{id}"));
-    }
+    let silent = lose_at_silent_upstreams(&site).await;
     for (id, server, started_again_at) in &silent {
         site.register(id, "desk", server.address, "draining", *started_again_at);
     }
--- a/crates/edge/src/http/upstream_attempts.rs
+++ b/crates/edge/src/http/upstream_attempts.rs
@@ -173,11 +173,7 @@
             .field("result", result_text)
             .info();
         let is_trial = trial.is_some();
-        let is_undecided = match &result {
-            Ok(response) => !response.is_complete(),
-            Err(failure) => failure.may_have_run(),
-        };
-        if let Some(trial) = trial.filter(|_| !is_undecided) {
+        if let Some(trial) = trial.filter(|_| !may_have_crashed(&result)) {
             trial.release(state, &parts.store);
         }
         match result {
@@ -252,6 +248,14 @@
     if target.needs_software() && !guard.is_software_known() { Err(AttemptFailure::Mismatch) } else { Ok(response) }
 }
 
+/// Whether the upstream may have crashed, or may still crash, under the request.
+fn may_have_crashed<R: AttemptResponse>(result: &std::result::Result<R, AttemptFailure>) -> bool {
+    match result {
+        Ok(response) => !response.is_complete(),
+        Err(failure) => failure.may_have_run(),
+    }
+}
+
 /// Handles a run that got no complete response: logs it with what identifies repeats of the request at any daemon, and finds
 /// out whether the upstream has crashed.
 pub fn run_unfinished(
--- a/crates/kernel/src/suspect/trial_log.rs
+++ b/crates/kernel/src/suspect/trial_log.rs
@@ -3,8 +3,8 @@
 use crate::TimePoint;
 use std::collections::{BTreeMap, HashMap};
 
-/// Number of trials of a request until its marks expire. With the crash that makes it quarantined, they stay within the three
-/// retries that such a request may have.
+/// Maximum number of trials of a request until its marks expire; less than the three runs that a request which crashes its
+/// upstreams may have after its third crash is known.
 const TRIALS_MAX: u32 = 2;
 /// Time from a trial to the next one. By then it is known whether an upstream crashed in the first.
 const TRIAL_PERIOD_MS: u64 = 30_000;
