--- a/crates/wire/tests/crash_marks.rs
+++ b/crates/wire/tests/crash_marks.rs
@@ -1,7 +1,8 @@
 //! Tests of crash marks that daemons send to each other.
 
 use pimentoslip_kernel::{SuspectTable, SuspectVerdict, TimePoint};
-use pimentoslip_wire::{decode, encode, peer::CrashMarkBody};
+use pimentoslip_wire::{decode, encode, peer::CrashMarkBody, stored::CrashEntry};
+use serde::{Deserialize, Serialize};
 
 /// Guards against marks that expire at once, or hardly ever, at a daemon whose clock started earlier or later.
 #[test]
@@ -24,3 +25,22 @@
         assert_eq!(receiver.verdict(1, until), SuspectVerdict::Unsuspected);
     }
 }
+
+/// Stored entry of a crash as an earlier release writes and reads it.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierEntry {
+    daemon: String,
+    observed_unix_ms: u64,
+}
+
+/// Guards against crashes that are ignored while daemons of two releases run side by side.
+#[test]
+fn an_entry_of_a_crash_is_read_by_an_earlier_release_and_the_reverse() {
+    let earlier = EarlierEntry { daemon: "edge-1".to_owned(), observed_unix_ms: 1_700_000_000_000 };
+    let entry: CrashEntry =
+        decode(&encode(&earlier).expect("encode an entry")).expect("an entry of an earlier release");
+    assert_eq!((entry.observed_unix_ms, entry.sent_unix_ms, entry.inferred), (1_700_000_000_000, None, false));
+    let entry = CrashEntry { sent_unix_ms: Some(1_699_999_999_000), inferred: true, ..entry };
+    let read: EarlierEntry = decode(&encode(&entry).expect("encode an entry")).expect("an entry of this release");
+    assert_eq!(read, earlier);
+}
